--- a/internal/platform/document.go
+++ b/internal/platform/document.go
@@ -47,6 +47,9 @@
 	TermLeased Acknowledge = "term-leased"
 )
 
+// MaxDocumentSize bounds a document's text, in bytes.
+const MaxDocumentSize = 1 << 20
+
 // Document describes one service. It is immutable once parsed.
 type Document struct {
 	Service    ServiceName `yaml:"service"`
@@ -58,6 +61,49 @@
 	Alerts string `yaml:"alerts"`
 }
 
+// Key finds a key by its name, with the workspace that it lets in.
+func (d *Document) Key(name KeyName) (*Workspace, *Key, bool) {
+	for i := range d.Workspaces {
+		w := &d.Workspaces[i]
+		for j := range w.Keys {
+			if w.Keys[j].Name == name {
+				return w, &w.Keys[j], true
+			}
+		}
+	}
+	return nil, nil, false
+}
+
+// Database finds a route by its name.
+func (d *Document) Database(name DatabaseName) (*Database, bool) {
+	for i := range d.Databases {
+		if d.Databases[i].Name == name {
+			return &d.Databases[i], true
+		}
+	}
+	return nil, false
+}
+
+// Upstream finds a group by its name.
+func (d *Document) Upstream(name UpstreamName) (*Upstream, bool) {
+	for i := range d.Upstreams {
+		if d.Upstreams[i].Name == name {
+			return &d.Upstreams[i], true
+		}
+	}
+	return nil, false
+}
+
+// Workspace finds a workspace by its name.
+func (d *Document) Workspace(name WorkspaceName) (*Workspace, bool) {
+	for i := range d.Workspaces {
+		if d.Workspaces[i].Name == name {
+			return &d.Workspaces[i], true
+		}
+	}
+	return nil, false
+}
+
 // Upstream is a database group: a primary and its replicas.
 type Upstream struct {
 	Name        UpstreamName `yaml:"name"`
--- a/internal/platform/table.go
+++ b/internal/platform/table.go
@@ -39,7 +39,8 @@
 	// ErrConflict: another version is stored, nothing was written.
 	// ErrUnavailable: nothing was written. ErrOutcomeUnknown: it may have been.
 	Put(ctx context.Context, row Row) (Row, error)
-	// List reads all rows whose key begins with prefix, by key.
+	// List reads all rows whose key begins with prefix, by key. The prefix names one
+	// kind of row with its slash, such as "group/". ErrUnavailable.
 	List(ctx context.Context, prefix RowKey) ([]Row, error)
 }
 
@@ -66,4 +67,8 @@
 	ErrUnavailable = errs.NewType("unavailable")
 	// ErrOutcomeUnknown means that a write may or may not have taken effect.
 	ErrOutcomeUnknown = errs.NewType("outcome-unknown")
+	// errUnsettled is the outcome unknown of a write that is of no use to repeat.
+	errUnsettled = ErrOutcomeUnknown.NewSubtype("unsettled")
+	// ErrRow means that a row or row key isn't of the form that savoryramp writes.
+	ErrRow = errs.NewType("row")
 )
--- /dev/null
+++ b/internal/platform/vm.go
@@ -0,0 +1,78 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+
+	"github.com/google/uuid"
+	"github.com/joomcode/errorx"
+)
+
+// VMState says whether a VM takes new work.
+type VMState string
+
+// The states of a VM in the platform's list.
+const (
+	VMLive    VMState = "live"
+	VMLeaving VMState = "leaving"
+)
+
+// VM is an entry of the platform's list of savoryramp's VMs.
+type VM struct {
+	Name VMName `json:"-"`
+	// Address is where its peers reach it.
+	Address          Address          `json:"address"`
+	AvailabilityZone AvailabilityZone `json:"availability-zone"`
+	State            VMState          `json:"state"`
+}
+
+// VMList is the platform's list of live and leaving VMs. It lags.
+type VMList interface {
+	// List reads the VMs by name. ErrUnavailable.
+	List(ctx context.Context) ([]VM, error)
+}
+
+const vmPrefix = "vm/"
+
+// VMRows is a VMList in the rows "vm/NAME" of a table.
+type VMRows struct {
+	Table Table
+}
+
+// List reads the VMs by name.
+func (v VMRows) List(ctx context.Context) ([]VM, error) {
+	rows, err := v.Table.List(ctx, vmPrefix)
+	if err != nil {
+		return nil, err
+	}
+	list := make([]VM, 0, len(rows))
+	for _, r := range rows {
+		m := VM{Name: VMName(strings.TrimPrefix(string(r.Key), vmPrefix))}
+		if err := json.Unmarshal(r.Body, &m); err != nil {
+			return nil, ErrRow.Wrap(err, "row %s", r.Key)
+		}
+		list = append(list, m)
+	}
+	return list, nil
+}
+
+// Announce writes a VM's entry over what the row holds. Errors as of Table.
+func (v VMRows) Announce(ctx context.Context, m VM) error {
+	key := RowKey(vmPrefix + string(m.Name))
+	body, err := json.Marshal(m)
+	if err != nil {
+		return ErrRow.Wrap(err, "row %s", key)
+	}
+	row, err := v.Table.Get(ctx, key)
+	if err != nil && !errorx.IsOfType(err, ErrNoRow) {
+		return err
+	}
+	_, err = v.Table.Put(ctx, Row{Key: key, Version: row.Version, Change: NewChangeID(), Body: body})
+	return err
+}
+
+// NewChangeID makes the id of one attempted write.
+func NewChangeID() ChangeID {
+	return ChangeID(uuid.NewString())
+}
