Operator: command line, admin page, daemon, pages from the code

The main program only printed its version. It now parses all commands and flags with kingpin, each flag also an environment variable, and answers a wrong setting with one line and an exit code by kind. The daemon runs its parts on oklog/run, serves the admin page and drains on SIGTERM; a second signal exits at once.

A start without the platform fails with a line, unless seed peers are named, since a VM that starts in an outage takes its document from peers. show prints a header with the version, which apply reads back: an edited document only replaces the one it was made from.

The rule parser of Prometheus needs modules that aren't in go.sum, so metrics in alert rules are found with promql's expression parser.

--- /dev/null
+++ b/internal/operator/admin.go
@@ -0,0 +1,179 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/savoryramp/savoryramp/internal/platform"
+)
+
+const (
+	adminHeaderTimeout = 5 * time.Second
+	adminCloseTimeout  = time.Second
+)
+
+// StateFunc gives what a part holds, for the state dump: a value that marshals to
+// JSON with kebab-case keys. It is called from any goroutine.
+type StateFunc func() any
+
+// Admin serves the admin page of one VM.
+type Admin struct {
+	Address platform.Address
+	// Ready says whether callers may come; nil means always. Draining overrides it.
+	Ready func() bool
+	// Metrics serves /metrics.
+	Metrics http.Handler
+	Logger  log.Logger
+
+	listener net.Listener
+	mu       sync.Mutex
+	states   map[string]StateFunc
+	draining chan struct{}
+	once     sync.Once
+}
+
+// Register adds a part to the state dump, under its name in kebab case. A name
+// given twice replaces the part.
+func (a *Admin) Register(name string, state StateFunc) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.states == nil {
+		a.states = map[string]StateFunc{}
+	}
+	a.states[name] = state
+}
+
+// Listen takes the address; ErrInUse if it can't be had.
+func (a *Admin) Listen() error {
+	listener, err := listen("admin", a.Address)
+	if err != nil {
+		return err
+	}
+	a.listener = listener
+	return nil
+}
+
+// Run serves until ctx ends.
+func (a *Admin) Run(ctx context.Context) error {
+	server := &http.Server{Handler: a.Handler(), ReadHeaderTimeout: adminHeaderTimeout}
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		<-ctx.Done()
+		bounded, cancel := context.WithTimeout(context.Background(), adminCloseTimeout)
+		defer cancel()
+		if server.Shutdown(bounded) != nil {
+			server.Close()
+		}
+	}()
+	eventListening.Log(a.Logger, "address", a.listener.Addr())
+	err := server.Serve(a.listener)
+	if ctx.Err() == nil {
+		return ErrBroken.Wrap(err, "the admin page ended")
+	}
+	<-stopped
+	return nil
+}
+
+// Handler answers the admin page's paths.
+func (a *Admin) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /live", func(w http.ResponseWriter, _ *http.Request) { answer(w, http.StatusOK, "live") })
+	mux.HandleFunc("GET /ready", a.serveReady)
+	mux.HandleFunc("GET /state", a.serveState)
+	mux.HandleFunc("POST /drain", a.serveDrain)
+	if a.Metrics != nil {
+		mux.Handle("GET /metrics", a.Metrics)
+	}
+	return mux
+}
+
+// Drain turns readiness off for good and wakes who waits on Draining.
+func (a *Admin) Drain() {
+	a.once.Do(func() { close(a.drain()) })
+}
+
+// Draining is closed once draining was asked for.
+func (a *Admin) Draining() <-chan struct{} {
+	return a.drain()
+}
+
+func (a *Admin) drain() chan struct{} {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.draining == nil {
+		a.draining = make(chan struct{})
+	}
+	return a.draining
+}
+
+func (a *Admin) isDraining() bool {
+	select {
+	case <-a.Draining():
+		return true
+	default:
+		return false
+	}
+}
+
+func (a *Admin) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if a.isDraining() {
+		answer(w, http.StatusServiceUnavailable, "draining")
+		return
+	}
+	if a.Ready != nil && !a.Ready() {
+		answer(w, http.StatusServiceUnavailable, "no document yet")
+		return
+	}
+	answer(w, http.StatusOK, "ready")
+}
+
+func (a *Admin) serveDrain(w http.ResponseWriter, _ *http.Request) {
+	a.Drain()
+	answer(w, http.StatusAccepted, "draining")
+}
+
+func (a *Admin) serveState(w http.ResponseWriter, _ *http.Request) {
+	dump := map[string]any{}
+	for name, state := range a.parts() {
+		dump[name] = state()
+	}
+	body, err := json.Marshal(dump)
+	if err != nil {
+		answer(w, http.StatusInternalServerError, err.Error())
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(body)
+}
+
+func (a *Admin) parts() map[string]StateFunc {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	parts := map[string]StateFunc{}
+	for name, state := range a.states {
+		parts[name] = state
+	}
+	return parts
+}
+
+func answer(w http.ResponseWriter, status int, text string) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(status)
+	_, _ = w.Write([]byte(text + "\n"))
+}
+
+// listen takes an address; the flag is named in the error.
+func listen(flag string, address platform.Address) (net.Listener, error) {
+	listener, err := net.Listen("tcp", string(address))
+	if err != nil {
+		return nil, ErrInUse.New("can't listen on %s (--%s): %s; free it or give another", address, flag, reason(err))
+	}
+	return listener, nil
+}
--- /dev/null
+++ b/internal/operator/alerts.go
@@ -0,0 +1,107 @@
+package operator
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/prometheus/prometheus/promql/parser"
+	"go.yaml.in/yaml/v3"
+)
+
+// The operator's own metrics.
+const (
+	metricReady    = "savoryramp_ready"
+	metricDraining = "savoryramp_draining"
+	metricDocument = "savoryramp_document_version"
+)
+
+// exported lists savoryramp's metrics as Prometheus sees them; a histogram stands
+// under the name that its _bucket, _sum and _count share.
+var exported = []string{metricReady, metricDraining, metricDocument}
+
+// besides are metrics of Prometheus itself.
+var besides = []string{"up", "ALERTS", "ALERTS_FOR_STATE"}
+
+// runtimePrefixes begin the metrics of the process and its runtime.
+var runtimePrefixes = []string{"go_", "process_"}
+
+// printAlerts prints the alert rules as written and warns of metrics that aren't exported.
+func (s *session) printAlerts() error {
+	document, err := s.readDocument()
+	if err != nil {
+		return err
+	}
+	fmt.Fprint(s.out, document.Alerts)
+	names, err := alertMetrics(document.Alerts)
+	if err != nil {
+		return err
+	}
+	for _, n := range names {
+		if !isExported(n) {
+			fmt.Fprintf(s.errOut, "savoryramp: warning: %s isn't exported by savoryramp; check the rules that use it\n", n)
+		}
+	}
+	return nil
+}
+
+// alertMetrics lists the metrics that rules read and don't record themselves, by name.
+func alertMetrics(text string) ([]string, error) {
+	var rules struct {
+		Groups []struct {
+			Rules []struct {
+				Record     string `yaml:"record"`
+				Expression string `yaml:"expr"`
+			} `yaml:"rules"`
+		} `yaml:"groups"`
+	}
+	if err := yaml.Unmarshal([]byte(text), &rules); err != nil {
+		return nil, ErrDocument.New("the alert rules are no YAML: %s", err)
+	}
+	var used, recorded []string
+	for _, g := range rules.Groups {
+		for _, r := range g.Rules {
+			names, err := expressionMetrics(r.Expression)
+			if err != nil {
+				return nil, err
+			}
+			used = append(used, names...)
+			recorded = append(recorded, r.Record)
+		}
+	}
+	slices.Sort(used)
+	used = slices.Compact(used)
+	return slices.DeleteFunc(used, func(n string) bool { return slices.Contains(recorded, n) }), nil
+}
+
+func expressionMetrics(text string) ([]string, error) {
+	expression, err := parser.NewParser(parser.Options{}).ParseExpr(text)
+	if err != nil {
+		return nil, ErrDocument.New("the alert expression %q is wrong: %s", text, err)
+	}
+	var names []string
+	parser.Inspect(expression, func(n parser.Node, _ []parser.Node) error {
+		if selector, ok := n.(*parser.VectorSelector); ok && selector.Name != "" {
+			names = append(names, selector.Name)
+		}
+		return nil
+	})
+	return names, nil
+}
+
+func isExported(name string) bool {
+	if slices.Contains(exported, name) || slices.Contains(besides, name) {
+		return true
+	}
+	for _, p := range runtimePrefixes {
+		if strings.HasPrefix(name, p) {
+			return true
+		}
+	}
+	for _, suffix := range []string{"_bucket", "_sum", "_count"} {
+		if base, found := strings.CutSuffix(name, suffix); found && slices.Contains(exported, base) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/operator/events.go
@@ -0,0 +1,28 @@
+package operator
+
+import "github.com/savoryramp/savoryramp/internal/event"
+
+var (
+	eventStarting = event.Define(1001, "starting", event.Info,
+		"The process starts with the settings shown; secrets are left out.")
+	eventListening = event.Define(1002, "admin-listening", event.Info,
+		"The admin address answers.")
+	eventReady = event.Define(1003, "ready", event.Info,
+		"A document is in force and the VM takes callers.")
+	eventActorStarted = event.Define(1004, "part-started", event.Debug,
+		"A part of the daemon runs.")
+	eventActorStopped = event.Define(1005, "part-stopped", event.Debug,
+		"A part of the daemon has ended.")
+	eventActorFailed = event.Define(1006, "part-failed", event.Error,
+		"A part of the daemon failed, so the process ends.")
+	eventDraining = event.Define(1007, "draining", event.Info,
+		"Readiness is off; the VM waits for the balancer, then lets requests finish.")
+	eventDrained = event.Define(1008, "drained", event.Info,
+		"All requests are finished and the process ends.")
+	eventDrainCut = event.Define(1009, "drain-cut", event.Warn,
+		"The drain time ran out, so requests still running are cut.")
+	eventExitAtOnce = event.Define(1010, "exit-at-once", event.Warn,
+		"A second signal came while draining, so the process ends without waiting.")
+	eventPlatformOut = event.Define(1011, "platform-out-at-start", event.Warn,
+		"The table doesn't answer at the start; the document is awaited from the seed peers.")
+)
--- /dev/null
+++ b/internal/operator/logger.go
@@ -0,0 +1,19 @@
+package operator
+
+import (
+	"io"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+)
+
+// newLogger writes events of at least the level as lines of the format.
+func newLogger(format, least string, out io.Writer) log.Logger {
+	out = log.NewSyncWriter(out)
+	l := log.NewLogfmtLogger(out)
+	if format == "json" {
+		l = log.NewJSONLogger(out)
+	}
+	l = level.NewFilter(l, level.Allow(level.ParseDefault(least, level.InfoValue())))
+	return log.With(l, "time", log.DefaultTimestampUTC)
+}
--- a/internal/operator/main.go
+++ b/internal/operator/main.go
@@ -1,10 +1,12 @@
 // Package operator is what the person on call meets: the command line, the admin
-// page, state dumps, metrics and the log.
+// page, state dumps, metrics and the log. It also assembles the daemon.
 package operator
 
 import (
 	"fmt"
 	"io"
+
+	"github.com/savoryramp/savoryramp/internal/event"
 )
 
 // ExitCode tells a script what kind of failure ended a command.
@@ -20,10 +22,90 @@
 	ExitInUse       ExitCode = 5
 	ExitKey         ExitCode = 6
 	ExitConflict    ExitCode = 7
+	ExitFile        ExitCode = 8
 )
 
+// exitMeaning is a line of the man page.
+type exitMeaning struct {
+	Code    ExitCode
+	Meaning string
+}
+
+var exitMeanings = []exitMeaning{
+	{ExitOK, "Done; of run: drained and ended in order."},
+	{ExitBroken, "A part failed while it ran, or a second signal cut a drain short."},
+	{ExitUsage, "A flag or environment variable is wrong or missing."},
+	{ExitDocument, "The document has mistakes; nothing was changed."},
+	{ExitUnreachable, "The platform or the VM didn't answer."},
+	{ExitInUse, "An address to listen on is taken or not of this VM."},
+	{ExitKey, "The key or its workspace is unknown, or the key exists already."},
+	{ExitConflict, "Another operator's document came first; nothing was changed."},
+	{ExitFile, "A file can't be read or isn't what it should be."},
+}
+
 // Main parses the arguments, runs the command they name and gives its exit code.
-func Main(version string, _ []string, out, _ io.Writer) ExitCode {
-	fmt.Fprintln(out, "savoryramp", version)
-	return ExitOK
+// A failure is one line on errOut, but for a document, where each mistake is one.
+func Main(version string, args []string, out, errOut io.Writer) ExitCode {
+	o, err := ParseOptions(version, args, out)
+	if err == nil {
+		s := session{version: version, options: o, out: out, errOut: errOut}
+		err = s.run()
+	}
+	if err != nil {
+		fmt.Fprintf(errOut, "savoryramp: %s\n", line(err))
+	}
+	return exitCode(err)
+}
+
+// session is one run of the command line.
+type session struct {
+	version string
+	options Options
+	out     io.Writer
+	errOut  io.Writer
+}
+
+func (s *session) run() error {
+	switch s.options.Command {
+	case CommandRun:
+		return s.runDaemon()
+	case CommandState:
+		return s.printState()
+	case CommandDrain:
+		return s.drain()
+	case CommandCheck:
+		return s.checkDocument()
+	case CommandApply:
+		return s.applyDocument()
+	case CommandShow:
+		return s.showDocument()
+	case CommandKeyCreate:
+		return s.createKey()
+	case CommandKeyWithdraw:
+		return s.withdrawKey()
+	case CommandAlerts:
+		return s.printAlerts()
+	}
+	return s.printPage()
+}
+
+// printPage prints what is known without document or VM.
+func (s *session) printPage() error {
+	switch s.options.Command {
+	case CommandEvents:
+		fmt.Fprint(s.out, eventsPage())
+	case CommandCompletion:
+		return printPage(s.version, completionPage(s.options.Shell), s.out)
+	case CommandMan:
+		return printPage(s.version, manPage, s.out)
+	case CommandVersion:
+		fmt.Fprintln(s.out, "savoryramp", s.version)
+	}
+	return nil
+}
+
+func eventsPage() string {
+	return "# Log events\n\n" +
+		"Each log line carries `event` (the number) and `name`. Numbers are never given anew.\n" +
+		"This page is the output of `savoryramp events`.\n\n" + event.Catalogue()
 }
--- /dev/null
+++ b/internal/operator/metrics.go
@@ -0,0 +1,53 @@
+package operator
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	exporter "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+)
+
+// Metrics exports OpenTelemetry's instruments in Prometheus's text format.
+type Metrics struct {
+	registry *prometheus.Registry
+	provider *sdk.MeterProvider
+}
+
+// NewMetrics exports the process's and the runtime's own metrics from the start.
+func NewMetrics() (*Metrics, error) {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector())
+	registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	reader, err := exporter.New(exporter.WithRegisterer(registry), exporter.WithoutScopeInfo(), exporter.WithoutTargetInfo())
+	if err != nil {
+		return nil, ErrBroken.Wrap(err, "metrics")
+	}
+	return &Metrics{registry: registry, provider: sdk.NewMeterProvider(sdk.WithReader(reader))}, nil
+}
+
+// Meter makes the instruments of one part; part is the package's name.
+func (m *Metrics) Meter(part string) metric.Meter {
+	return m.provider.Meter("savoryramp/" + part)
+}
+
+// Handler serves the metrics.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// Names lists what is exported now.
+func (m *Metrics) Names() ([]string, error) {
+	families, err := m.registry.Gather()
+	if err != nil {
+		return nil, ErrBroken.Wrap(err, "metrics")
+	}
+	names := make([]string, 0, len(families))
+	for _, f := range families {
+		names = append(names, f.GetName())
+	}
+	return names, nil
+}
--- /dev/null
+++ b/internal/operator/state.go
@@ -0,0 +1,63 @@
+package operator
+
+import (
+	"context"
+	"time"
+
+	"go.opentelemetry.io/otel/metric"
+)
+
+// register adds the daemon's own parts to the state dump and the metrics.
+func (d *Daemon) register(started time.Time) {
+	d.Admin.Register("vm", func() any { return d.vmState(started) })
+	d.Admin.Register("document", d.documentState)
+	d.observe()
+}
+
+func (d *Daemon) vmState(started time.Time) any {
+	return struct {
+		Name             string `json:"name"`
+		AvailabilityZone string `json:"availability-zone"`
+		Version          string `json:"version"`
+		UptimeSeconds    int64  `json:"uptime-seconds"`
+		Ready            bool   `json:"ready"`
+		Draining         bool   `json:"draining"`
+	}{
+		Name:             d.Options.VM,
+		AvailabilityZone: d.Options.AvailabilityZone,
+		Version:          d.Version,
+		UptimeSeconds:    int64(time.Since(started).Seconds()),
+		Ready:            d.ready() && !d.Admin.isDraining(),
+		Draining:         d.Admin.isDraining(),
+	}
+}
+
+func (d *Daemon) documentState() any {
+	snapshot := d.Configuration.Current()
+	return struct {
+		Version int64  `json:"version"`
+		Hash    string `json:"hash"`
+	}{int64(snapshot.Version), string(snapshot.Hash)}
+}
+
+// observe exports what alert rules on a VM as a whole need.
+func (d *Daemon) observe() {
+	meter := d.Metrics.Meter("operator")
+	gauge := func(name, description string, value func() int64) {
+		_, _ = meter.Int64ObservableGauge(name, metric.WithDescription(description),
+			metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+				o.Observe(value())
+				return nil
+			}))
+	}
+	gauge(metricReady, "1 while callers may come, else 0.", func() int64 { return flag(d.ready() && !d.Admin.isDraining()) })
+	gauge(metricDraining, "1 from the order to drain on, else 0.", func() int64 { return flag(d.Admin.isDraining()) })
+	gauge(metricDocument, "Version of the document in force on this VM.", func() int64 { return int64(d.Configuration.Current().Version) })
+}
+
+func flag(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
