--- /dev/null
+++ b/cmd/savoryramp-load/certificates.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+// validity is how long the certificates of a trial last.
+const validity = 24 * time.Hour
+
+// writeCertificates makes an authority, and one certificate by it for every process
+// on this machine, good for both sides of mutual TLS.
+func writeCertificates(dir string) error {
+	authority := template(1, "savoryramp trial authority")
+	authority.IsCA = true
+	authority.BasicConstraintsValid = true
+	authority.KeyUsage = x509.KeyUsageCertSign
+	authorityKey, authorityDER, err := sign(authority, authority, nil)
+	if err != nil {
+		return err
+	}
+	peer := template(2, "savoryramp trial peer")
+	peer.IPAddresses = []net.IP{net.IPv4(127, 0, 0, 1)}
+	peer.KeyUsage = x509.KeyUsageDigitalSignature
+	peer.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	peerKey, peerDER, err := sign(peer, authority, authorityKey)
+	if err != nil {
+		return err
+	}
+	keyDER, err := x509.MarshalPKCS8PrivateKey(peerKey)
+	if err != nil {
+		return ErrSetup.Wrap(err, "key")
+	}
+	if err := writePEM(dir, "ca.pem", "CERTIFICATE", authorityDER); err != nil {
+		return err
+	}
+	if err := writePEM(dir, "peer.pem", "CERTIFICATE", peerDER); err != nil {
+		return err
+	}
+	return writePEM(dir, "peer.key", "PRIVATE KEY", keyDER)
+}
+
+func template(serial int64, name string) *x509.Certificate {
+	return &x509.Certificate{
+		SerialNumber: big.NewInt(serial),
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    time.Now().Add(-time.Minute),
+		NotAfter:     time.Now().Add(validity),
+	}
+}
+
+// sign makes a key and a certificate for it; without an issuer's key it signs itself.
+func sign(c, issuer *x509.Certificate, issuerKey *ecdsa.PrivateKey) (*ecdsa.PrivateKey, []byte, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, nil, ErrSetup.Wrap(err, "key")
+	}
+	if issuerKey == nil {
+		issuerKey = key
+	}
+	der, err := x509.CreateCertificate(rand.Reader, c, issuer, key.Public(), issuerKey)
+	if err != nil {
+		return nil, nil, ErrSetup.Wrap(err, "certificate")
+	}
+	return key, der, nil
+}
+
+func writePEM(dir, name, kind string, der []byte) error {
+	text := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
+	if err := os.WriteFile(filepath.Join(dir, name), text, 0o600); err != nil {
+		return ErrSetup.Wrap(err, "file")
+	}
+	return nil
+}
