Add callers' sessions and the way of a request to a server

Cause: nothing served requests yet. Ruled out: pgconn for upstream connections (reads settings from the machine's environment and files); pgproto3's Backend buffer for answers (what was gathered can't be taken back when a commit isn't confirmed). Change: internal/upstream (connections, pools with deficit round robin, position watches, floors by majority, confirmation) and internal/caller (SCRAM, sessions, tokens, simple and extended protocol, prepared statements, cancel). Measured: unit tests only; no server to run against yet.

--- /dev/null
+++ b/internal/caller/events.go
@@ -0,0 +1,18 @@
+package caller
+
+import "github.com/savoryramp/savoryramp/internal/event"
+
+var (
+	eventRefusedKey = event.Define(2001, "caller-key-refused", event.Warn,
+		"A caller presented an unknown, wrong or withdrawn key and was turned away.")
+	eventKeyWithdrawn = event.Define(2002, "caller-key-withdrawn", event.Info,
+		"An open connection was closed because its key was withdrawn or its workspace lost the database.")
+	eventUnknownOutcome = event.Define(2003, "caller-outcome-unknown", event.Warn,
+		"A write was sent to an upstream and its outcome could not be learnt; the caller was told so.")
+	eventRerun = event.Define(2004, "caller-request-rerun", event.Info,
+		"A request that had not run was sent to another server.")
+	eventDrained = event.Define(2005, "caller-drained", event.Info,
+		"All callers' sessions have ended; shutdown goes on.")
+	eventProtocol = event.Define(2006, "caller-protocol-error", event.Warn,
+		"A caller sent bytes that the protocol doesn't allow; its connection was closed.")
+)
--- /dev/null
+++ b/internal/caller/prepared.go
@@ -0,0 +1,72 @@
+package caller
+
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// prepared is a statement that the session prepared; the pool prepares it again on
+// whichever connection a request gets.
+type prepared struct {
+	sql  string
+	oids []uint32
+	// name under which it stands on servers; the same text has the same name.
+	name string
+	kind kind
+}
+
+func newPrepared(p *pgproto3.Parse) *prepared {
+	h := xxhash.New()
+	_, _ = h.WriteString(p.Query)
+	for _, oid := range p.ParameterOIDs {
+		_, _ = h.WriteString("," + strconv.FormatUint(uint64(oid), 10))
+	}
+	return &prepared{
+		sql:  p.Query,
+		oids: append([]uint32(nil), p.ParameterOIDs...),
+		name: "savoryramp-" + strconv.FormatUint(h.Sum64(), 16) + "-" + strconv.Itoa(len(p.Query)),
+		kind: classify(p.Query),
+	}
+}
+
+// parse makes the message that prepares the statement under a name.
+func (p *prepared) parse(name string) *pgproto3.Parse {
+	return &pgproto3.Parse{Name: name, Query: p.sql, ParameterOIDs: p.oids}
+}
+
+// clone copies a message out of the codec's buffers.
+func clone(m pgproto3.FrontendMessage) pgproto3.FrontendMessage {
+	switch m := m.(type) {
+	case *pgproto3.Parse:
+		c := *m
+		c.ParameterOIDs = append([]uint32(nil), m.ParameterOIDs...)
+		return &c
+	case *pgproto3.Bind:
+		return cloneBind(m)
+	case *pgproto3.Describe:
+		c := *m
+		return &c
+	case *pgproto3.Execute:
+		c := *m
+		return &c
+	case *pgproto3.Close:
+		c := *m
+		return &c
+	}
+	return m
+}
+
+func cloneBind(m *pgproto3.Bind) *pgproto3.Bind {
+	c := *m
+	c.ParameterFormatCodes = append([]int16(nil), m.ParameterFormatCodes...)
+	c.ResultFormatCodes = append([]int16(nil), m.ResultFormatCodes...)
+	c.Parameters = make([][]byte, len(m.Parameters))
+	for i, p := range m.Parameters {
+		if p != nil {
+			c.Parameters[i] = append([]byte{}, p...)
+		}
+	}
+	return &c
+}
--- /dev/null
+++ b/internal/caller/server.go
@@ -0,0 +1,202 @@
+// Package caller speaks to callers in the PostgreSQL wire protocol: sessions, keys,
+// transactions and the way of each request to a server.
+package caller
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/savoryramp/savoryramp/internal/platform"
+	"github.com/savoryramp/savoryramp/internal/upstream"
+)
+
+// Limiter admits requests inside their workspace's rate and burst.
+type Limiter interface {
+	// Admit waits a bounded time for a token; ErrRate when there will be none.
+	Admit(ctx context.Context, workspace platform.WorkspaceName) error
+}
+
+// Server accepts callers and runs a Session for each.
+type Server struct {
+	VM       platform.VMName
+	Listener net.Listener
+	// TLS is nil when callers come without it.
+	TLS       *tls.Config
+	Documents interface {
+		Current() platform.Snapshot
+		Wait(ctx context.Context, after platform.DocumentVersion) (platform.Snapshot, error)
+	}
+	Upstreams *upstream.Upstreams
+	// Limiter may be nil: no limits.
+	Limiter Limiter
+	// TokenKey signs session tokens; without it none are given or taken.
+	TokenKey TokenKey
+	// MaxWait bounds how long a request waits for a server before it is refused.
+	MaxWait time.Duration
+	// Deadline bounds the silence of a server in the middle of a request.
+	Deadline time.Duration
+	// DrainFor bounds how long sessions may go on after a drain began.
+	DrainFor time.Duration
+	// ForwardCancel passes a cancel request on to the other VMs; may be nil.
+	ForwardCancel func(id SessionID, secret []byte)
+	// Trusted tells whether this VM may still rely on its document: false once it
+	// has been cut off from the table and from all peers for too long. May be nil.
+	Trusted func() bool
+	Logger  log.Logger
+	Meter   metric.Meter
+
+	mu       sync.Mutex
+	sessions map[SessionID]*Session
+	nextID   SessionID
+	draining atomic.Bool
+	metrics  instruments
+}
+
+// SessionID numbers the sessions of one VM; it is the process id that a caller's
+// driver sees.
+type SessionID uint32
+
+// Run accepts callers until ctx ends, then drains.
+func (s *Server) Run(ctx context.Context) error {
+	s.mu.Lock()
+	s.sessions, s.nextID = map[SessionID]*Session{}, firstID()
+	s.mu.Unlock()
+	s.metrics = newInstruments(s.Meter)
+	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	var tasks sync.WaitGroup
+	tasks.Go(func() { s.follow(inner) })
+	stop := context.AfterFunc(ctx, func() { s.Drain(); s.Listener.Close() })
+	defer stop()
+	for {
+		nc, err := s.Listener.Accept()
+		if err != nil {
+			break
+		}
+		tasks.Go(func() { s.serve(inner, nc) })
+	}
+	s.drain()
+	eventDrained.Log(s.Logger, "vm", s.VM)
+	cancel()
+	tasks.Wait()
+	return nil
+}
+
+// Drain makes sessions end between transactions; new ones are turned away.
+func (s *Server) Drain() {
+	s.draining.Store(true)
+	for _, session := range s.list() {
+		session.interrupt(reasonShutdown)
+	}
+}
+
+// Draining tells whether the VM takes no new callers.
+func (s *Server) Draining() bool { return s.draining.Load() }
+
+// drain waits for the sessions to end, and breaks those left after DrainFor.
+func (s *Server) drain() {
+	deadline := time.After(s.DrainFor)
+	tick := time.NewTicker(20 * time.Millisecond)
+	defer tick.Stop()
+	for len(s.list()) > 0 {
+		select {
+		case <-tick.C:
+			for _, session := range s.list() {
+				session.interrupt(reasonShutdown)
+			}
+		case <-deadline:
+			for _, session := range s.list() {
+				session.abort()
+			}
+			return
+		}
+	}
+}
+
+// follow closes sessions whose key or database a newer document takes away.
+func (s *Server) follow(ctx context.Context) {
+	var version platform.DocumentVersion
+	for {
+		snapshot, err := s.Documents.Wait(ctx, version)
+		if err != nil {
+			return
+		}
+		version = snapshot.Version
+		for _, session := range s.list() {
+			session.recheck(snapshot.Document)
+		}
+	}
+}
+
+// serve runs one connection to its end.
+func (s *Server) serve(ctx context.Context, nc net.Conn) {
+	defer nc.Close()
+	session := &Session{server: s, net: nc, floors: map[platform.UpstreamName]floor{}, prepared: map[string]*prepared{}}
+	session.run(ctx)
+}
+
+// add numbers a session and makes it known.
+func (s *Server) add(session *Session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nextID++
+	session.id = s.nextID
+	s.sessions[session.id] = session
+	s.metrics.sessions.Add(context.Background(), 1)
+}
+
+func (s *Server) remove(session *Session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.sessions[session.id] == session {
+		delete(s.sessions, session.id)
+		s.metrics.sessions.Add(context.Background(), -1)
+	}
+}
+
+func (s *Server) list() []*Session {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]*Session, 0, len(s.sessions))
+	for _, session := range s.sessions {
+		list = append(list, session)
+	}
+	return list
+}
+
+// Cancel interrupts what the session runs, if the secret is its own. False if this
+// VM has no such session.
+func (s *Server) Cancel(ctx context.Context, id SessionID, secret []byte) bool {
+	s.mu.Lock()
+	session := s.sessions[id]
+	s.mu.Unlock()
+	if session == nil || !session.owns(secret) {
+		return false
+	}
+	session.cancel(ctx)
+	return true
+}
+
+// State is what a dump shows of the callers.
+func (s *Server) State() any {
+	byWorkspace := map[platform.WorkspaceName]int{}
+	busy := 0
+	for _, session := range s.list() {
+		byWorkspace[session.workspace.Name]++
+		if session.active.Load() {
+			busy++
+		}
+	}
+	return struct {
+		Draining bool                           `json:"draining"`
+		Busy     int                            `json:"busy-sessions"`
+		Sessions map[platform.WorkspaceName]int `json:"sessions"`
+	}{s.Draining(), busy, byWorkspace}
+}
--- /dev/null
+++ b/internal/caller/startup.go
@@ -0,0 +1,314 @@
+package caller
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"encoding/binary"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/xdg-go/scram"
+
+	"github.com/savoryramp/savoryramp/internal/platform"
+)
+
+const (
+	// startWithin bounds the start-up and login of a caller.
+	startWithin = 10 * time.Second
+	// maxMessage bounds a caller's message, in bytes.
+	maxMessage = 16 << 20
+	// maxStartMessage bounds a message before the login, in bytes.
+	maxStartMessage = 64 << 10
+	secretSize      = 4
+	scramMechanism  = "SCRAM-SHA-256"
+)
+
+// start brings the caller to the end of its login; false when it must go.
+func (s *Session) start(ctx context.Context) bool {
+	_ = s.net.SetDeadline(time.Now().Add(startWithin))
+	s.back = pgproto3.NewBackend(s.net, s.net)
+	s.out = out{net: s.net, held: -1}
+	s.back.SetMaxBodyLen(maxStartMessage)
+	startup := s.negotiate(ctx)
+	if startup == nil {
+		return false
+	}
+	if err := s.login(startup); err != nil {
+		eventRefusedKey.Log(s.server.Logger, "key", startup.Parameters["user"], "database", startup.Parameters["database"], "err", err)
+		s.send(response("FATAL", err))
+		_ = s.flush()
+		return false
+	}
+	_ = s.net.SetDeadline(time.Time{})
+	s.back.SetMaxBodyLen(maxMessage)
+	return true
+}
+
+// negotiate answers what may come before the start-up message.
+func (s *Session) negotiate(ctx context.Context) *pgproto3.StartupMessage {
+	for {
+		m, err := s.back.ReceiveStartupMessage()
+		if err != nil {
+			return nil
+		}
+		switch m := m.(type) {
+		case *pgproto3.SSLRequest:
+			if !s.secure() {
+				return nil
+			}
+		case *pgproto3.GSSEncRequest:
+			if _, err := s.net.Write([]byte{'N'}); err != nil {
+				return nil
+			}
+		case *pgproto3.CancelRequest:
+			s.passCancel(ctx, m)
+			return nil
+		case *pgproto3.StartupMessage:
+			return m
+		}
+	}
+}
+
+// secure answers a request for TLS.
+func (s *Session) secure() bool {
+	if s.server.TLS == nil {
+		_, err := s.net.Write([]byte{'N'})
+		return err == nil
+	}
+	if _, err := s.net.Write([]byte{'S'}); err != nil {
+		return false
+	}
+	secured := tls.Server(s.net, s.server.TLS)
+	if err := secured.Handshake(); err != nil {
+		return false
+	}
+	s.net = secured
+	s.back = pgproto3.NewBackend(secured, secured)
+	s.out.net = secured
+	s.back.SetMaxBodyLen(maxStartMessage)
+	return true
+}
+
+func (s *Session) passCancel(ctx context.Context, m *pgproto3.CancelRequest) {
+	id := SessionID(m.ProcessID)
+	if s.server.Cancel(ctx, id, m.SecretKey) || s.server.ForwardCancel == nil {
+		return
+	}
+	s.server.ForwardCancel(id, m.SecretKey)
+}
+
+// login finds the key, the workspace and the database, and asks for the key.
+func (s *Session) login(m *pgproto3.StartupMessage) error {
+	document := s.server.Documents.Current().Document
+	if document == nil || s.server.Draining() || !s.server.trusted() {
+		return ErrNotReady.New("VM %s takes no callers now; connect again", s.server.VM)
+	}
+	name := platform.DatabaseName(m.Parameters["database"])
+	if name == "" {
+		name = platform.DatabaseName(m.Parameters["user"])
+	}
+	database, found := document.Database(name)
+	if found && database.Open {
+		return s.enter(document, database, database.OpenWorkspace, m)
+	}
+	s.key = platform.KeyName(m.Parameters["user"])
+	workspace, key, known := document.Key(s.key)
+	var verifier platform.Verifier
+	if known && !key.Withdrawn {
+		verifier = key.Verifier
+	}
+	if err := s.authenticate(verifier); err != nil {
+		return err
+	}
+	if !found {
+		return ErrNoDatabase.New("no database %q", name)
+	}
+	return s.enter(document, database, workspace.Name, m)
+}
+
+// enter takes the caller in for a workspace.
+func (s *Session) enter(d *platform.Document, database *platform.Database, name platform.WorkspaceName, m *pgproto3.StartupMessage) error {
+	workspace, found := d.Workspace(name)
+	if !found || !allowed(d, s.key, name, database) {
+		return ErrNoDatabase.New("key %q may not use database %q", s.key, database.Name)
+	}
+	s.workspace, s.database = workspace, database
+	if err := s.parameters(m.Parameters); err != nil {
+		return err
+	}
+	s.send(&pgproto3.AuthenticationOk{})
+	return nil
+}
+
+// allowed tells whether a key may use a database for its workspace.
+func allowed(d *platform.Document, key platform.KeyName, name platform.WorkspaceName, before *platform.Database) bool {
+	database, found := d.Database(before.Name)
+	if !found || database.Upstream != before.Upstream {
+		return false
+	}
+	if database.Open && database.OpenWorkspace == name {
+		return true
+	}
+	workspace, k, known := d.Key(key)
+	if !known || k.Withdrawn || workspace.Name != name {
+		return false
+	}
+	for _, allowed := range workspace.Databases {
+		if allowed == database.Name {
+			return true
+		}
+	}
+	return false
+}
+
+// parameters takes savoryramp's settings from the start-up message.
+func (s *Session) parameters(all map[string]string) error {
+	for name, value := range all {
+		name = strings.ToLower(name)
+		switch {
+		case name == "options":
+			if err := s.options(value); err != nil {
+				return err
+			}
+		case strings.HasPrefix(name, ownPrefix):
+			if err := s.parameter(name, value); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// options reads "-c name=value" pairs, as libpq's PGOPTIONS gives them.
+func (s *Session) options(text string) error {
+	for _, word := range strings.Fields(text) {
+		name, value, found := strings.Cut(strings.TrimPrefix(word, "-c"), "=")
+		if !found || !strings.HasPrefix(name, ownPrefix) {
+			continue
+		}
+		if err := s.parameter(name, value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Session) parameter(name, value string) error {
+	if name != settingSession {
+		return s.settings.set(name, value)
+	}
+	// A token that can't be verified only costs the question for the floor.
+	if floors, err := s.server.TokenKey.open(value, s.workspace.Name); err == nil {
+		s.floors = floors
+	}
+	return nil
+}
+
+// authenticate runs SCRAM-SHA-256 against a verifier; an empty one fails like a
+// wrong key. ErrAuthentication.
+func (s *Session) authenticate(v platform.Verifier) error {
+	failed := ErrAuthentication.New("key %q is unknown, wrong or withdrawn", s.key)
+	credentials, err := v.Credentials()
+	if err != nil {
+		credentials = decoy()
+	}
+	server, errServer := scram.SHA256.NewServer(func(string) (scram.StoredCredentials, error) { return credentials, nil })
+	if errServer != nil {
+		return failed
+	}
+	conversation := server.NewConversation()
+	s.send(&pgproto3.AuthenticationSASL{AuthMechanisms: []string{scramMechanism}})
+	first, errFirst := s.sasl(pgproto3.AuthTypeSASL)
+	if errFirst != nil {
+		return errFirst
+	}
+	challenge, errStep := conversation.Step(first)
+	if errStep != nil {
+		return failed
+	}
+	s.send(&pgproto3.AuthenticationSASLContinue{Data: []byte(challenge)})
+	second, errSecond := s.sasl(pgproto3.AuthTypeSASLContinue)
+	if errSecond != nil {
+		return errSecond
+	}
+	final, errStep := conversation.Step(second)
+	if errStep != nil || !conversation.Valid() || err != nil {
+		return failed
+	}
+	s.send(&pgproto3.AuthenticationSASLFinal{Data: []byte(final)})
+	return nil
+}
+
+// sasl sends what is buffered and reads the caller's next SASL message.
+func (s *Session) sasl(authType uint32) (string, error) {
+	if err := s.flush(); err != nil {
+		return "", err
+	}
+	if err := s.back.SetAuthType(authType); err != nil {
+		return "", ErrProtocol.Wrap(err, "login")
+	}
+	m, err := s.back.Receive()
+	if err != nil {
+		return "", errCaller.Wrap(err, "login")
+	}
+	switch m := m.(type) {
+	case *pgproto3.SASLInitialResponse:
+		if m.AuthMechanism != scramMechanism {
+			return "", ErrAuthentication.New("mechanism %q isn't offered", m.AuthMechanism)
+		}
+		return string(m.Data), nil
+	case *pgproto3.SASLResponse:
+		return string(m.Data), nil
+	}
+	return "", ErrProtocol.New("message %T during login", m)
+}
+
+const decoyIterations = 4096
+
+// decoy makes credentials that no key matches, so that an unknown key takes the
+// same steps as a wrong one.
+func decoy() scram.StoredCredentials {
+	salt := make([]byte, 16)
+	stored := make([]byte, 32)
+	_, _ = rand.Read(salt)
+	_, _ = rand.Read(stored)
+	return scram.StoredCredentials{
+		KeyFactors: scram.KeyFactors{Salt: string(salt), Iters: decoyIterations},
+		StoredKey:  stored, ServerKey: stored,
+	}
+}
+
+// greeting is reported to every caller at login.
+var greeting = [][2]string{
+	{"server_version", "15.0"},
+	{"server_encoding", "UTF8"},
+	{"client_encoding", "UTF8"},
+	{"DateStyle", "ISO, MDY"},
+	{"integer_datetimes", "on"},
+	{"standard_conforming_strings", "on"},
+	{"TimeZone", "UTC"},
+}
+
+// welcome ends the login.
+func (s *Session) welcome() bool {
+	s.secret = make([]byte, secretSize)
+	_, _ = rand.Read(s.secret)
+	for _, p := range greeting {
+		s.send(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
+	}
+	s.send(&pgproto3.ParameterStatus{Name: settingVM, Value: string(s.server.VM)})
+	s.send(&pgproto3.BackendKeyData{ProcessID: uint32(s.id), SecretKey: s.secret})
+	return s.ready() == nil
+}
+
+// firstID gives a VM's first session number, so that the numbers of two VMs rarely
+// meet and a cancel request finds the right session.
+func firstID() SessionID {
+	var b [4]byte
+	_, _ = rand.Read(b[:])
+	return SessionID(binary.BigEndian.Uint32(b[:]) & 0x3fffffff)
+}
+
+func (s *Server) trusted() bool { return s.Trusted == nil || s.Trusted() }
--- /dev/null
+++ b/internal/caller/statement.go
@@ -0,0 +1,103 @@
+package caller
+
+import "strings"
+
+// kind is what a statement means to routing.
+type kind string
+
+const (
+	kindRead          kind = "read"
+	kindWrite         kind = "write"
+	kindBegin         kind = "begin"
+	kindBeginReadOnly kind = "begin-read-only"
+	kindEnd           kind = "end"
+	kindOwn           kind = "own"
+	kindEmpty         kind = "empty"
+)
+
+// ownPrefix marks savoryramp's own settings.
+const ownPrefix = "savoryramp."
+
+// classify tells what a statement text means, from its first words alone. What it
+// can't tell counts as a write, which the primary takes. A read that turns out to
+// write is refused by the replica (25006) before it has run.
+func classify(sql string) kind {
+	text := strings.TrimRight(skipSpace(sql), " \t\r\n;")
+	words := strings.Fields(strings.ToLower(head(text)))
+	if len(words) == 0 {
+		return kindEmpty
+	}
+	more := several(text)
+	switch words[0] {
+	case "begin", "start":
+		if more {
+			return kindWrite
+		}
+		if strings.Contains(strings.ToLower(text), "read only") {
+			return kindBeginReadOnly
+		}
+		return kindBegin
+	case "commit", "end", "rollback", "abort":
+		return kindEnd
+	case "set", "show", "reset":
+		if !more && own(words) {
+			return kindOwn
+		}
+	case "select", "values", "table", "with":
+		if !more && !locks(text) {
+			return kindRead
+		}
+	}
+	return kindWrite
+}
+
+// several tells whether a text may hold more than one statement.
+func several(sql string) bool {
+	return strings.Contains(strings.TrimRight(sql, " \t\r\n;"), ";")
+}
+
+// headSize is how much of a statement is looked at for its first words.
+const headSize = 160
+
+func head(text string) string {
+	if len(text) > headSize {
+		return text[:headSize]
+	}
+	return text
+}
+
+func own(words []string) bool {
+	for _, w := range words[1:min(len(words), 3)] {
+		if strings.HasPrefix(w, ownPrefix) {
+			return true
+		}
+	}
+	return false
+}
+
+// locks tells whether a SELECT may lock or write: a locking clause, INTO, or a
+// data-modifying WITH.
+func locks(text string) bool {
+	lower := strings.ToLower(text)
+	for _, word := range []string{"for update", "for share", "for no key", "for key", " into ", "insert ", "update ", "delete ", "merge "} {
+		if strings.Contains(lower, word) {
+			return true
+		}
+	}
+	return false
+}
+
+// skipSpace drops white space and comments before the first word.
+func skipSpace(sql string) string {
+	for {
+		sql = strings.TrimLeft(sql, " \t\r\n;(")
+		switch {
+		case strings.HasPrefix(sql, "--"):
+			_, sql, _ = strings.Cut(sql, "\n")
+		case strings.HasPrefix(sql, "/*"):
+			_, sql, _ = strings.Cut(sql, "*/")
+		default:
+			return sql
+		}
+	}
+}
--- /dev/null
+++ b/internal/caller/statement_test.go
@@ -0,0 +1,37 @@
+package caller
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestClassify(t *testing.T) {
+	for name, c := range map[string]struct {
+		sql  string
+		want kind
+	}{
+		"select":              {"SELECT 1", kindRead},
+		"comment first":       {"-- hi\n /* there */ select 1;", kindRead},
+		"locking clause":      {"SELECT * FROM quota FOR UPDATE", kindWrite},
+		"modifying with":      {"WITH x AS (INSERT INTO a VALUES (1) RETURNING 1) SELECT * FROM x", kindWrite},
+		"plain with":          {"WITH x AS (SELECT 1) SELECT * FROM x", kindRead},
+		"select into":         {"SELECT 1 INTO t", kindWrite},
+		"two statements":      {"SELECT 1; SELECT 2", kindWrite},
+		"begin":               {"BEGIN", kindBegin},
+		"begin read only":     {"begin isolation level serializable, read only", kindBeginReadOnly},
+		"start":               {"START TRANSACTION READ ONLY", kindBeginReadOnly},
+		"begin and more":      {"BEGIN; INSERT INTO a VALUES (1)", kindWrite},
+		"commit":              {"COMMIT;", kindEnd},
+		"rollback":            {"rollback", kindEnd},
+		"own set":             {"SET savoryramp.max_staleness = '5s'", kindOwn},
+		"own set local":       {"set local savoryramp.idempotent to on", kindOwn},
+		"own show":            {"SHOW savoryramp.session", kindOwn},
+		"other set":           {"SET search_path = a", kindWrite},
+		"empty":               {" ; ", kindEmpty},
+		"anything else":       {"VACUUM", kindWrite},
+		"parenthesised union": {"(SELECT 1) UNION (SELECT 2)", kindRead},
+	} {
+		t.Run(name, func(t *testing.T) { assert.Equal(t, classify(c.sql), c.want) })
+	}
+}
--- /dev/null
+++ b/internal/caller/token.go
@@ -0,0 +1,89 @@
+package caller
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/json"
+	"strings"
+
+	"github.com/savoryramp/savoryramp/internal/platform"
+	"github.com/savoryramp/savoryramp/pkg/position"
+)
+
+const (
+	// maxToken bounds the text of a token, in bytes.
+	maxToken = 4096
+	// maxFloors bounds the groups that a token speaks of.
+	maxFloors = 32
+)
+
+// TokenKey signs session tokens; every VM of the fleet has the same.
+type TokenKey []byte
+
+// floor is how far a group's log must reach for the session's reads.
+type floor struct {
+	position position.Position
+	// own floors come from the session's acknowledged writes; the others were
+	// asked for and may be lowered to what survived a promotion.
+	own bool
+}
+
+// token gives the session's floors, signed. Empty without a key or floors.
+func (s *Session) token() string {
+	if len(s.server.TokenKey) == 0 || len(s.floors) == 0 {
+		return ""
+	}
+	floors := map[platform.UpstreamName]string{}
+	for name, f := range s.floors {
+		if f.own {
+			floors[name] = f.position.String()
+		}
+	}
+	if len(floors) == 0 || len(floors) > maxFloors {
+		return ""
+	}
+	body, _ := json.Marshal(struct {
+		Workspace platform.WorkspaceName           `json:"workspace"`
+		Floors    map[platform.UpstreamName]string `json:"floors"`
+	}{s.workspace.Name, floors})
+	return base64.RawURLEncoding.EncodeToString(body) + "." + base64.RawURLEncoding.EncodeToString(s.server.TokenKey.sign(body))
+}
+
+func (k TokenKey) sign(body []byte) []byte {
+	mac := hmac.New(sha256.New, k)
+	mac.Write(body)
+	return mac.Sum(nil)
+}
+
+// open verifies a token for a workspace and gives its floors. ErrToken.
+func (k TokenKey) open(token string, workspace platform.WorkspaceName) (map[platform.UpstreamName]floor, error) {
+	if len(k) == 0 || len(token) > maxToken {
+		return nil, ErrToken.New("token can't be verified")
+	}
+	left, right, _ := strings.Cut(token, ".")
+	body, errBody := base64.RawURLEncoding.DecodeString(left)
+	signature, errSignature := base64.RawURLEncoding.DecodeString(right)
+	if errBody != nil || errSignature != nil || !hmac.Equal(signature, k.sign(body)) {
+		return nil, ErrToken.New("token's signature is wrong")
+	}
+	var wire struct {
+		Workspace platform.WorkspaceName           `json:"workspace"`
+		Floors    map[platform.UpstreamName]string `json:"floors"`
+	}
+	if err := json.Unmarshal(body, &wire); err != nil {
+		return nil, ErrToken.Wrap(err, "token's body")
+	}
+	if wire.Workspace != workspace {
+		return nil, ErrToken.New("token belongs to another workspace")
+	}
+	floors := map[platform.UpstreamName]floor{}
+	for name, text := range wire.Floors {
+		p, err := position.Parse(text)
+		if err != nil {
+			return nil, ErrToken.Wrap(err, "token's floor")
+		}
+		floors[name] = floor{position: p, own: true}
+	}
+	return floors, nil
+}
--- /dev/null
+++ b/internal/upstream/group.go
@@ -0,0 +1,333 @@
+package upstream
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/savoryramp/savoryramp/internal/platform"
+	"github.com/savoryramp/savoryramp/pkg/position"
+)
+
+// Group serves the requests for one database group.
+type Group struct {
+	Upstream platform.Upstream
+	Login    Login
+	Dial     Dial
+	Logger   log.Logger
+	// Share is how many connections this VM may have to a server at this moment.
+	Share func(platform.ServerName) int
+	// Leased tells whether this VM holds a validity of a term, for groups that are
+	// acknowledged term-leased; may be nil.
+	Leased func(position.Term) bool
+	// Reads decides where reads go.
+	Reads ReadPolicy
+	// Order of the servers' queues.
+	Order Order
+	// MaxQueue bounds the requests that wait for one server.
+	MaxQueue int
+
+	mu      sync.Mutex
+	members map[platform.ServerName]*member
+	// term is the highest that any server reported; it never falls.
+	term position.Term
+	// starts of all terms seen, by term.
+	starts map[position.Term]position.Start
+	// changed is closed and replaced at every change of what is known.
+	changed chan struct{}
+	samples samples
+	tasks   sync.WaitGroup
+	// ctx ends with the group.
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+// member is one server of the group as this VM sees it.
+type member struct {
+	server platform.Server
+	pool   *Pool
+	watch  *watch
+	cancel context.CancelFunc
+	// status is the last one reported. While usable is false it is old, but its
+	// positions stay lower bounds within their term.
+	status Status
+	usable bool
+	// heardAt is when status came.
+	heardAt time.Time
+	rate    applyRate
+}
+
+// start opens the watches.
+func (g *Group) start(ctx context.Context) {
+	g.ctx, g.cancel = context.WithCancel(ctx)
+	g.members = map[platform.ServerName]*member{}
+	g.starts = map[position.Term]position.Start{}
+	g.changed = make(chan struct{})
+	for _, s := range g.Upstream.Servers {
+		g.add(s)
+	}
+}
+
+// add makes a server a member; g.mu is held or nobody else knows the group yet.
+func (g *Group) add(s platform.Server) {
+	m := &member{server: s}
+	m.pool = &Pool{
+		Server: s, Login: g.Login, Dial: g.Dial, Order: g.Order, MaxQueue: g.MaxQueue,
+		Limit: func() int { return g.Share(s.Name) },
+	}
+	m.watch = &watch{server: s, login: g.Login, dial: g.Dial, logger: g.Logger, report: g.report}
+	ctx, cancel := context.WithCancel(g.ctx)
+	m.cancel = cancel
+	g.members[s.Name] = m
+	g.tasks.Go(func() { m.watch.run(ctx) })
+}
+
+// update follows a changed document: members that stay keep their connections.
+func (g *Group) update(up platform.Upstream) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	named := map[platform.ServerName]bool{}
+	for _, s := range up.Servers {
+		named[s.Name] = true
+		m := g.members[s.Name]
+		if m != nil && m.server.Address == s.Address {
+			m.server = s
+			continue
+		}
+		g.remove(m)
+		g.add(s)
+	}
+	for name, m := range g.members {
+		if !named[name] {
+			g.remove(m)
+		}
+	}
+	g.Upstream = up
+	g.signal()
+}
+
+// remove ends a member's watch and pool; g.mu is held. Connections in use end with
+// their transactions.
+func (g *Group) remove(m *member) {
+	if m == nil {
+		return
+	}
+	m.cancel()
+	m.pool.close()
+	delete(g.members, m.server.Name)
+}
+
+// stop closes the watches and pools and waits for their tasks.
+func (g *Group) stop() {
+	g.cancel()
+	g.tasks.Wait()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, m := range g.members {
+		m.pool.close()
+	}
+}
+
+// report takes note of a server's status.
+func (g *Group) report(name platform.ServerName, s Status, usable bool) {
+	g.mu.Lock()
+	m := g.members[name]
+	if m == nil {
+		g.mu.Unlock()
+		return
+	}
+	m.usable = usable
+	if usable {
+		g.learn(m, s)
+	}
+	g.signal()
+	g.mu.Unlock()
+	if !usable {
+		m.pool.drop()
+	}
+}
+
+// learn merges a status; g.mu is held.
+func (g *Group) learn(m *member, s Status) {
+	now := time.Now()
+	m.rate.observe(now, m.status.Applied, s.Applied)
+	m.status, m.heardAt = s, now
+	for _, start := range s.Starts {
+		g.starts[start.Term] = start
+	}
+	if s.Term > g.term {
+		g.term = s.Term
+		eventNewTerm.Log(g.Logger, "upstream", g.Upstream.Name, "server", s.Server, "term", s.Term)
+	}
+	if s.Role == Primary && s.Term == g.term {
+		g.samples.add(now, s.Applied)
+	}
+}
+
+// signal wakes everyone who waits for a change; g.mu is held.
+func (g *Group) signal() {
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+// primary is the usable server that leads the newest term, nil if there is none;
+// g.mu is held.
+func (g *Group) primary() *member {
+	for _, m := range g.members {
+		if m.usable && m.status.Role == Primary && m.status.Term == g.term {
+			return m
+		}
+	}
+	return nil
+}
+
+// Write gives a connection to the primary. It waits for one until ctx ends.
+// ErrNoServer, ErrBusy, ErrConnect; nothing has run.
+func (g *Group) Write(ctx context.Context, r Request) (*Conn, error) {
+	for {
+		g.mu.Lock()
+		m, changed := g.primary(), g.changed
+		g.mu.Unlock()
+		if m != nil && !m.server.Leaving {
+			c, err := m.pool.take(ctx, r)
+			if err == nil {
+				c.Role = Primary
+				return c, nil
+			}
+			if !isConnect(err) || ctx.Err() != nil {
+				return nil, err
+			}
+			g.Suspect(m.server.Name)
+			continue
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, ErrNoServer.New("upstream %s has no primary", g.Upstream.Name)
+		}
+	}
+}
+
+// Confirm waits until the commit at p is held by a majority of the group's servers
+// that have accepted p's term and no later one. ErrUnconfirmed when a later term
+// was seen first or ctx ended.
+func (g *Group) Confirm(ctx context.Context, p position.Position) error {
+	for {
+		g.mu.Lock()
+		confirmed, term, changed := g.confirmed(p), g.term, g.changed
+		g.mu.Unlock()
+		if term > p.Term {
+			return ErrUnconfirmed.New("commit at %s: term %d began", p, term)
+		}
+		if confirmed {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ErrUnconfirmed.Wrap(ctx.Err(), "commit at %s reached no replica", p)
+		}
+	}
+}
+
+// ConfirmTerm accepts the commit at p while this VM holds a validity of p's term.
+func (g *Group) ConfirmTerm(_ context.Context, p position.Position) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.Leased == nil || !g.Leased(p.Term) || g.term > p.Term {
+		return ErrUnconfirmed.New("commit at %s: no validity of its term is held", p)
+	}
+	return nil
+}
+
+// Suspect takes a server out of use until its watch hears from it again, as after
+// it refused to write or fell silent.
+func (g *Group) Suspect(name platform.ServerName) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if m := g.members[name]; m != nil {
+		m.usable = false
+		g.signal()
+	}
+}
+
+// confirmed counts the primary that answered, and each replica that received p in
+// p's term; g.mu is held.
+func (g *Group) confirmed(p position.Position) bool {
+	holders := 1
+	for _, m := range g.members {
+		s := m.status
+		if s.Role == Replica && s.Term == p.Term && s.Received.Term == p.Term && s.Received.Offset >= p.Offset {
+			holders++
+		}
+	}
+	return holders > len(g.members)/2
+}
+
+// Floor asks the servers how far their logs reach. An acknowledged write is held by
+// a majority, so the furthest of any majority's logs covers everything that was
+// acknowledged before the question. ErrNoQuorum.
+func (g *Group) Floor(ctx context.Context) (position.Position, error) {
+	watches := g.watches()
+	answers := make(chan Status, len(watches))
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	for _, w := range watches {
+		go func() {
+			s, _ := w.ask(ctx, statusQuery)
+			answers <- s
+		}()
+	}
+	var floor position.Position
+	heard := 0
+	for range watches {
+		s := <-answers
+		if s.Term == 0 {
+			continue
+		}
+		floor = position.Max(floor, s.Received)
+		heard++
+		if heard > len(watches)/2 {
+			return floor, nil
+		}
+	}
+	return position.Position{}, ErrNoQuorum.New("upstream %s: %d of %d servers answered", g.Upstream.Name, heard, len(watches))
+}
+
+func (g *Group) watches() []*watch {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var list []*watch
+	for _, m := range g.members {
+		list = append(list, m.watch)
+	}
+	return list
+}
+
+// Check tells whether a session's floor still names a part of the group's history.
+// ErrFloorLost.
+func (g *Group) Check(floor position.Position) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err := position.Survives(floor, g.list()); err != nil {
+		return ErrFloorLost.Wrap(err, "upstream %s", g.Upstream.Name)
+	}
+	return nil
+}
+
+// Clip lowers a floor that was asked for to what survived.
+func (g *Group) Clip(floor position.Position) position.Position {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return position.Clip(floor, g.list())
+}
+
+func (g *Group) list() []position.Start {
+	list := make([]position.Start, 0, len(g.starts))
+	for _, s := range g.starts {
+		list = append(list, s)
+	}
+	return list
+}
--- /dev/null
+++ b/internal/upstream/queue.go
@@ -0,0 +1,97 @@
+package upstream
+
+import "github.com/savoryramp/savoryramp/internal/platform"
+
+// Order is how a server's queue serves the workspaces that wait.
+type Order string
+
+const (
+	// DeficitRoundRobin serves workspaces in turn, by weight.
+	DeficitRoundRobin Order = "deficit-round-robin"
+	// FirstCome serves requests as they came, whosever they are.
+	FirstCome Order = "first-come"
+)
+
+// queue holds the requests that wait for a server's connection.
+type queue struct {
+	order Order
+	// lines has the workspaces with waiting requests, in the order of their turns.
+	lines []*line
+	size  int
+}
+
+// line is one workspace's part of a queue.
+type line struct {
+	workspace platform.WorkspaceName
+	waiters   []*waiter
+	weight    platform.Weight
+	// deficit is how many more requests the line may send in its turn.
+	deficit platform.Weight
+}
+
+// waiter is a request that waits.
+type waiter struct {
+	workspace platform.WorkspaceName
+	// granted is closed once the request may take a connection.
+	granted chan struct{}
+	gone    bool
+}
+
+func (q *queue) push(workspace platform.WorkspaceName, weight platform.Weight) *waiter {
+	w := &waiter{workspace: workspace, granted: make(chan struct{})}
+	l := q.line(workspace, weight)
+	l.waiters = append(l.waiters, w)
+	q.size++
+	return w
+}
+
+func (q *queue) line(workspace platform.WorkspaceName, weight platform.Weight) *line {
+	if q.order == FirstCome {
+		workspace = ""
+	}
+	for _, l := range q.lines {
+		if l.workspace == workspace {
+			return l
+		}
+	}
+	l := &line{workspace: workspace, weight: max(weight, 1)}
+	l.deficit = l.weight
+	q.lines = append(q.lines, l)
+	return l
+}
+
+// pop gives the waiter whose turn it is, nil if nobody waits.
+func (q *queue) pop() *waiter {
+	for len(q.lines) > 0 {
+		l := q.lines[0]
+		l.drop()
+		if len(l.waiters) == 0 {
+			q.lines = q.lines[1:]
+			continue
+		}
+		if l.deficit == 0 {
+			l.deficit = l.weight
+			q.lines = append(q.lines[1:], l)
+			continue
+		}
+		w := l.waiters[0]
+		l.waiters = l.waiters[1:]
+		l.deficit--
+		q.size--
+		return w
+	}
+	return nil
+}
+
+// remove takes a waiter that gave up out of the queue.
+func (q *queue) remove(w *waiter) {
+	w.gone = true
+	q.size--
+}
+
+// drop forgets the waiters at the head that gave up.
+func (l *line) drop() {
+	for len(l.waiters) > 0 && l.waiters[0].gone {
+		l.waiters = l.waiters[1:]
+	}
+}
--- /dev/null
+++ b/internal/upstream/status.go
@@ -0,0 +1,62 @@
+package upstream
+
+import (
+	"encoding/json"
+
+	"github.com/savoryramp/savoryramp/internal/platform"
+	"github.com/savoryramp/savoryramp/pkg/position"
+)
+
+// Role is what a server takes itself for.
+type Role string
+
+// The roles.
+const (
+	Primary Role = "primary"
+	Replica Role = "replica"
+)
+
+// Status is what a server reports of itself.
+type Status struct {
+	Server platform.ServerName
+	Role   Role
+	// Term is the highest term that the server has accepted; it never falls.
+	Term position.Term
+	// Received is the end of the server's log, Applied what its reads see;
+	// Received.Covers(Applied).
+	Received position.Position
+	Applied  position.Position
+	// Starts are the beginnings of the terms in the server's log.
+	Starts []position.Start
+}
+
+// parseStatus reads the JSON of savoryramp_status().
+func parseStatus(text string) (Status, error) {
+	var wire struct {
+		Server   platform.ServerName `json:"server"`
+		Role     Role                `json:"role"`
+		Term     position.Term       `json:"term"`
+		Received string              `json:"received"`
+		Applied  string              `json:"applied"`
+		Starts   []struct {
+			Term   position.Term   `json:"term"`
+			Offset position.Offset `json:"offset"`
+		} `json:"starts"`
+	}
+	if err := json.Unmarshal([]byte(text), &wire); err != nil {
+		return Status{}, ErrBroken.Wrap(err, "status %q", text)
+	}
+	received, err := position.Parse(wire.Received)
+	if err != nil {
+		return Status{}, ErrBroken.Wrap(err, "received position")
+	}
+	applied, err := position.Parse(wire.Applied)
+	if err != nil {
+		return Status{}, ErrBroken.Wrap(err, "applied position")
+	}
+	st := Status{Server: wire.Server, Role: wire.Role, Term: wire.Term, Received: received, Applied: applied}
+	for _, s := range wire.Starts {
+		st.Starts = append(st.Starts, position.Start{Term: s.Term, Offset: s.Offset})
+	}
+	return st, nil
+}
