Wire callers and upstreams into the daemon

Cause: the daemon started, but served nobody. Change: the callers' server and the database groups run as parts of the daemon; drain lets sessions end between transactions; the token key comes from the table.

--- a/internal/caller/errors.go
+++ b/internal/caller/errors.go
@@ -30,6 +30,8 @@
 	ErrUnsupported = errs.NewType("unsupported", upstream.NotRun)
 	// ErrUnknownOutcome means that a write was sent and may or may not have run.
 	ErrUnknownOutcome = errs.NewType("unknown-outcome")
+	// ErrCut means that sessions were broken off at the end of a drain.
+	ErrCut = errs.NewType("cut")
 	// errStale means that a server's data are older than the session's floor.
 	errStale = errs.NewType("stale", upstream.NotRun)
 	// errReadOnly means that a server refused to write; nothing has run.
--- /dev/null
+++ b/internal/caller/key.go
@@ -0,0 +1,48 @@
+package caller
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+
+	"github.com/google/uuid"
+
+	"github.com/savoryramp/savoryramp/internal/platform"
+)
+
+const (
+	tokenKeyRow  platform.RowKey = "fleet/token-key"
+	tokenKeySize                 = 32
+)
+
+// LoadTokenKey reads the fleet's token key from the table; the first VM to come
+// makes it. ErrUnavailable of the platform: go on without tokens.
+func LoadTokenKey(ctx context.Context, t platform.Table) (TokenKey, error) {
+	row, err := t.Get(ctx, tokenKeyRow)
+	if isType(err, platform.ErrNoRow) {
+		row, err = makeTokenKey(ctx, t)
+	}
+	if err != nil {
+		return nil, err
+	}
+	var wire struct {
+		Key []byte `json:"key"`
+	}
+	if err := json.Unmarshal(row.Body, &wire); err != nil {
+		return nil, ErrToken.Wrap(err, "row %s", tokenKeyRow)
+	}
+	return wire.Key, nil
+}
+
+func makeTokenKey(ctx context.Context, t platform.Table) (platform.Row, error) {
+	key := make([]byte, tokenKeySize)
+	_, _ = rand.Read(key)
+	body, _ := json.Marshal(struct {
+		Key []byte `json:"key"`
+	}{key})
+	row, err := t.Put(ctx, platform.Row{Key: tokenKeyRow, Change: platform.ChangeID(uuid.NewString()), Body: body})
+	if isType(err, platform.ErrConflict) || isType(err, platform.ErrOutcomeUnknown) {
+		return t.Get(ctx, tokenKeyRow)
+	}
+	return row, err
+}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -42,8 +42,6 @@
 	MaxWait time.Duration
 	// Deadline bounds the silence of a server in the middle of a request.
 	Deadline time.Duration
-	// DrainFor bounds how long sessions may go on after a drain began.
-	DrainFor time.Duration
 	// ForwardCancel passes a cancel request on to the other VMs; may be nil.
 	ForwardCancel func(id SessionID, secret []byte)
 	// Trusted tells whether this VM may still rely on its document: false once it
@@ -63,17 +61,14 @@
 // driver sees.
 type SessionID uint32
 
-// Run accepts callers until ctx ends, then drains.
+// Run accepts callers until ctx ends, then breaks off the sessions that are left.
 func (s *Server) Run(ctx context.Context) error {
-	s.mu.Lock()
-	s.sessions, s.nextID = map[SessionID]*Session{}, firstID()
-	s.mu.Unlock()
-	s.metrics = newInstruments(s.Meter)
+	s.init()
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var tasks sync.WaitGroup
 	tasks.Go(func() { s.follow(inner) })
-	stop := context.AfterFunc(ctx, func() { s.Drain(); s.Listener.Close() })
+	stop := context.AfterFunc(ctx, func() { s.Listener.Close() })
 	defer stop()
 	for {
 		nc, err := s.Listener.Accept()
@@ -82,44 +77,49 @@
 		}
 		tasks.Go(func() { s.serve(inner, nc) })
 	}
-	s.drain()
-	eventDrained.Log(s.Logger, "vm", s.VM)
+	<-ctx.Done()
+	for _, session := range s.list() {
+		session.abort()
+	}
 	cancel()
 	tasks.Wait()
 	return nil
 }
 
-// Drain makes sessions end between transactions; new ones are turned away.
-func (s *Server) Drain() {
-	s.draining.Store(true)
-	for _, session := range s.list() {
-		session.interrupt(reasonShutdown)
-	}
+func (s *Server) init() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sessions, s.nextID = map[SessionID]*Session{}, firstID()
+	s.metrics = newInstruments(s.Meter)
 }
 
 // Draining tells whether the VM takes no new callers.
 func (s *Server) Draining() bool { return s.draining.Load() }
 
-// drain waits for the sessions to end, and breaks those left after DrainFor.
-func (s *Server) drain() {
-	deadline := time.After(s.DrainFor)
-	tick := time.NewTicker(20 * time.Millisecond)
+// Drain takes no new callers, lets sessions end between transactions, and returns
+// when none is left. ErrCut when ctx ended first; Run breaks off the rest.
+func (s *Server) Drain(ctx context.Context) error {
+	s.draining.Store(true)
+	_ = s.Listener.Close()
+	tick := time.NewTicker(drainTick)
 	defer tick.Stop()
-	for len(s.list()) > 0 {
+	for left := s.list(); len(left) > 0; left = s.list() {
+		for _, session := range left {
+			session.interrupt(reasonShutdown)
+		}
 		select {
 		case <-tick.C:
-			for _, session := range s.list() {
-				session.interrupt(reasonShutdown)
-			}
-		case <-deadline:
-			for _, session := range s.list() {
-				session.abort()
-			}
-			return
+		case <-ctx.Done():
+			return ErrCut.New("%d sessions had not ended", len(left))
 		}
 	}
+	eventDrained.Log(s.Logger, "vm", s.VM)
+	return nil
 }
 
+// drainTick is how often a drain looks for sessions that have become idle.
+const drainTick = 20 * time.Millisecond
+
 // follow closes sessions whose key or database a newer document takes away.
 func (s *Server) follow(ctx context.Context) {
 	var version platform.DocumentVersion
--- a/internal/operator/certificates.go
+++ b/internal/operator/certificates.go
@@ -69,3 +69,11 @@
 	}
 	return text, nil
 }
+
+// callers is the TLS setting for callers, nil when they come without it.
+func (c Certificates) callers() *tls.Config {
+	if c.Listen == nil {
+		return nil
+	}
+	return &tls.Config{Certificates: []tls.Certificate{*c.Listen}, MinVersion: tls.VersionTLS12}
+}
--- a/internal/operator/daemon.go
+++ b/internal/operator/daemon.go
@@ -45,6 +45,7 @@
 	Store        platform.Store
 	// Configuration follows the document in force.
 	Configuration *platform.Configuration
+	serving       *serving
 	// Exit ends the process at once, on a second signal.
 	Exit func(ExitCode)
 	// Signals delivers SIGTERM and SIGINT.
@@ -55,6 +56,8 @@
 func (d *Daemon) actors() []Actor {
 	return []Actor{
 		{Name: "configuration", Run: d.Configuration.Run},
+		{Name: "upstreams", Run: d.serving.upstreams.Run},
+		{Name: "callers", Run: d.serving.callers.Run, Drain: d.serving.callers.Drain},
 	}
 }
 
@@ -99,6 +102,11 @@
 		d.Admin.listener.Close()
 		return err
 	}
+	var err error
+	if d.serving, err = d.newServing(); err != nil {
+		d.Admin.listener.Close()
+		return err
+	}
 	d.logStart()
 	return d.runGroup(d.actors())
 }
--- a/internal/operator/events.go
+++ b/internal/operator/events.go
@@ -25,4 +25,6 @@
 		"A second signal came while draining, so the process ends without waiting.")
 	eventPlatformOut = event.Define(1011, "platform-out-at-start", event.Warn,
 		"The table doesn't answer at the start; the document is awaited from the seed peers.")
+	eventNoTokens = event.Define(1012, "no-session-tokens", event.Warn,
+		"The key of session tokens can't be read; the VM gives no tokens and asks upstreams for floors instead.")
 )
