Operator: commands and daemon tried against the platform's stand-in

apply, show and the key commands had been run by hand only. They are now tested over the stand-in's HTTP, with the conflict of two operators, and the daemon from start to readiness to the end by signal. Daemon.Run is split so that the test can learn the admin port.

--- a/internal/operator/daemon.go
+++ b/internal/operator/daemon.go
@@ -89,18 +89,26 @@
 
 // Run starts all parts and returns when the daemon has drained or one has failed.
 func (d *Daemon) Run() error {
+	if err := d.prepare(); err != nil {
+		return err
+	}
+	d.logStart()
+	return d.runGroup(d.actors())
+}
+
+// prepare takes the admin address and asks for the platform.
+func (d *Daemon) prepare() error {
 	d.Configuration = &platform.Configuration{Table: d.Table, Store: d.Store, Every: pollEvery, Logger: d.Logger}
 	d.Admin = &Admin{Address: d.Options.Admin, Ready: d.ready, Metrics: d.Metrics.Handler(), Logger: d.Logger}
 	d.register(time.Now())
 	if err := d.Admin.Listen(); err != nil {
 		return err
 	}
-	if err := d.findPlatform(); err != nil {
-		d.Admin.listener.Close()
-		return err
+	err := d.findPlatform()
+	if err != nil {
+		_ = d.Admin.listener.Close()
 	}
-	d.logStart()
-	return d.runGroup(d.actors())
+	return err
 }
 
 func (d *Daemon) logStart() {
--- /dev/null
+++ b/internal/operator/document_test.go
@@ -0,0 +1,137 @@
+package operator
+
+import (
+	"bytes"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
+
+	"github.com/savoryramp/savoryramp/internal/fakeplatform"
+	"github.com/savoryramp/savoryramp/internal/platform"
+)
+
+const demoDocument = "../../examples/demo.yaml"
+
+// terminal runs commands against one stand-in of the platform.
+type terminal struct {
+	t      *testing.T
+	url    string
+	stdout string
+	stderr string
+}
+
+func newTerminal(t *testing.T) *terminal {
+	t.Helper()
+	server := httptest.NewServer(fakeplatform.New().Handler())
+	t.Cleanup(server.Close)
+	return &terminal{t: t, url: server.URL}
+}
+
+func (s *terminal) platformFlags() []string {
+	return []string{"--table-endpoint=" + s.url, "--store-endpoint=" + s.url, "--access-key-id=id", "--access-key-secret=secret"}
+}
+
+// run runs a command and expects its exit code.
+func (s *terminal) run(code ExitCode, args ...string) {
+	s.t.Helper()
+	var out, errOut bytes.Buffer
+	got := Main("1", append(args, s.platformFlags()...), &out, &errOut)
+	s.stdout, s.stderr = out.String(), errOut.String()
+	assert.Equal(s.t, got, code, s.stderr)
+}
+
+func TestShowWithoutDocument(t *testing.T) {
+	s := newTerminal(t)
+	s.run(ExitDocument, "show")
+	assert.Equal(t, s.stderr, "savoryramp: no document is in force yet; apply one first\n")
+}
+
+func TestApplyAndShow(t *testing.T) {
+	s := newTerminal(t)
+	text, err := os.ReadFile(demoDocument)
+	assert.NilError(t, err)
+	s.run(ExitOK, "apply", "--operator=rania", demoDocument)
+	hash := platform.HashDocument(text)
+	assert.Equal(t, s.stdout, "version 1 is in force, hash "+string(hash)+"\n")
+	s.run(ExitOK, "show")
+	assert.Equal(t, s.stdout, "# savoryramp: version 1, hash "+string(hash)+", by rania\n"+string(text))
+}
+
+// A document edited from an older version doesn't replace the newer one.
+func TestApplyConflict(t *testing.T) {
+	s := newTerminal(t)
+	s.run(ExitOK, "apply", demoDocument)
+	s.run(ExitOK, "show")
+	edited := filepath.Join(t.TempDir(), "edited.yaml")
+	assert.NilError(t, os.WriteFile(edited, []byte(strings.Replace(s.stdout, "burst: 400", "burst: 300", 1)), 0o600))
+	s.run(ExitOK, "apply", edited)
+	s.run(ExitConflict, "apply", "--operator=omar", edited)
+	assert.Equal(t, s.stderr, "savoryramp: version 2 by operator was accepted first; this change was made over version 1; "+
+		"read it with savoryramp show, take over its changes and apply again\n")
+	s.run(ExitOK, "show")
+	assert.Equal(t, strings.Count(s.stdout, "# savoryramp: version"), 1)
+	assert.Assert(t, cmp.Contains(s.stdout, "burst: 300"))
+}
+
+func TestKeys(t *testing.T) {
+	s := newTerminal(t)
+	s.run(ExitOK, "apply", demoDocument)
+	s.run(ExitOK, "key", "create", "desk", "desk-2")
+	secret := strings.TrimSpace(s.stdout)
+	assert.Assert(t, len(secret) >= 32)
+	s.run(ExitOK, "show")
+	assert.Assert(t, cmp.Contains(s.stdout, "name: desk-2"))
+	assert.Assert(t, !strings.Contains(s.stdout, secret))
+
+	s.run(ExitKey, "key", "create", "desk", "desk-2")
+	assert.Equal(t, s.stderr, "savoryramp: key desk-2 exists already; choose another name\n")
+	s.run(ExitKey, "key", "create", "nobody", "desk-3")
+	assert.Equal(t, s.stderr, "savoryramp: there is no workspace nobody; savoryramp show lists workspaces and keys\n")
+	s.run(ExitKey, "key", "withdraw", "desk-9")
+
+	s.run(ExitOK, "key", "withdraw", "desk-2")
+	assert.Equal(t, s.stdout, "key desk-2 is withdrawn with version 3\n")
+	s.run(ExitOK, "show")
+	document, err := platform.Parse([]byte(s.stdout))
+	assert.NilError(t, err)
+	_, key, found := document.Key("desk-2")
+	assert.Assert(t, found && key.Withdrawn)
+}
+
+// A VM is ready once a document is in force, and ends in order on a signal.
+func TestDaemon(t *testing.T) {
+	s := newTerminal(t)
+	o, err := ParseOptions("1", append([]string{"run", "--vm=a-1", "--availability-zone=a", "--admin=127.0.0.1:0",
+		"--balancer-lag=0s", "--peer-cert=c", "--peer-key=k", "--peer-ca=a"}, s.platformFlags()...), &bytes.Buffer{})
+	assert.NilError(t, err)
+	d := newDaemon(t)
+	signals := make(chan os.Signal)
+	d.Options, d.Platform, d.Signals = o.Run, o.Platform, signals
+	d.Table, d.Store = newTable(o.Platform), newStore(o.Platform)
+	assert.NilError(t, d.prepare())
+	ended := make(chan error, 1)
+	go func() { ended <- d.runGroup(d.actors()) }()
+
+	server := &httptest.Server{URL: "http://" + d.Admin.listener.Addr().String()}
+	status, _ := get(t, server, "/live")
+	assert.Equal(t, status, http.StatusOK)
+	status, _ = get(t, server, "/ready")
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	s.run(ExitOK, "apply", demoDocument)
+	_, err = d.Configuration.Wait(t.Context(), 0)
+	assert.NilError(t, err)
+	status, _ = get(t, server, "/ready")
+	assert.Equal(t, status, http.StatusOK)
+	_, state := get(t, server, "/state")
+	assert.Assert(t, cmp.Contains(state, `"document":{"version":1,`))
+
+	signals <- syscall.SIGTERM
+	assert.NilError(t, <-ended)
+}
