--- a/internal/caller/metrics.go
+++ b/internal/caller/metrics.go
@@ -32,6 +32,7 @@
 	i.refused, _ = m.Int64Counter("savoryramp.caller.refused",
 		metric.WithDescription("Requests refused or failed by savoryramp itself, by workspace and SQLSTATE."))
 	i.duration, _ = m.Float64Histogram("savoryramp.caller.request.duration", metric.WithUnit("s"),
+		metric.WithExplicitBucketBoundaries(.0005, .001, .002, .005, .01, .02, .05, .1, .2, .5, 1, 2, 5, 10),
 		metric.WithDescription("Time from a request's arrival to the end of its answer."))
 	return i
 }
