--- a/internal/fakeplatform/fault.go
+++ b/internal/fakeplatform/fault.go
@@ -46,16 +46,16 @@
 
 // Fault makes the calls of one kind go wrong.
 type Fault struct {
-	Kind FaultKind `json:"kind"`
+	Kind FaultKind
 	// After is how many calls still go well first.
-	After int `json:"after"`
+	After int
 	// Times is how many calls go wrong then; 0 is all until the fault is ended.
-	Times int `json:"times"`
-	// Delay is that of Slow, in nanoseconds in JSON.
-	Delay time.Duration `json:"delay"`
+	Times int
+	// Delay is that of Slow.
+	Delay time.Duration
 	// Other is what the other writer of Conflict makes of a row; nil is the same row
 	// under another change id.
-	Other func(platform.Row) platform.Row `json:"-"`
+	Other func(platform.Row) platform.Row
 }
 
 type armedFault struct {
@@ -80,9 +80,20 @@
 	}
 }
 
+// SetSteps has the next calls of a kind meet one fault each, before any set by SetFault.
+func (p *Platform) SetSteps(call Call, steps ...Fault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.steps[call] = steps
+}
+
 // fault counts a call and gives the fault that it meets.
 func (p *Platform) fault(call Call) Fault {
 	p.counts[call]++
+	if steps := p.steps[call]; len(steps) > 0 {
+		p.steps[call] = steps[1:]
+		return steps[0]
+	}
 	armed := p.faults[call]
 	if armed == nil {
 		return Fault{Kind: None}
--- a/internal/fakeplatform/platform.go
+++ b/internal/fakeplatform/platform.go
@@ -32,6 +32,7 @@
 	rows   map[platform.RowKey]history
 	store  map[platform.ObjectName][]byte
 	faults map[Call]*armedFault
+	steps  map[Call][]Fault
 	counts map[Call]int
 	writes bucket
 	reads  bucket
@@ -51,6 +52,7 @@
 		rows:   map[platform.RowKey]history{},
 		store:  map[platform.ObjectName][]byte{},
 		faults: map[Call]*armedFault{},
+		steps:  map[Call][]Fault{},
 		counts: map[Call]int{},
 	}
 }
--- a/internal/platform/configuration.go
+++ b/internal/platform/configuration.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/joomcode/errorx"
+	"go.opentelemetry.io/otel/metric"
 )
 
 // Sources of a document, as logged.
@@ -34,6 +35,8 @@
 	// Every is the mean time between two readings of the table, above zero.
 	Every  time.Duration
 	Logger log.Logger
+	// Meter measures the version in force and when the table was read; nil for none.
+	Meter metric.Meter
 
 	once sync.Once
 	// wake holds a token when there is a reason to read before the next poll.
@@ -69,9 +72,15 @@
 	})
 }
 
-// Run reads the document until ctx ends, and returns nil then.
+// Run reads the document until ctx ends, and returns nil then. ErrMetric if the
+// instruments can't be made.
 func (c *Configuration) Run(ctx context.Context) error {
 	c.start()
+	stop, err := c.measure()
+	if err != nil {
+		return err
+	}
+	defer stop()
 	failures := 0
 	for ctx.Err() == nil {
 		if c.refresh(ctx) {
--- /dev/null
+++ b/internal/platform/metrics.go
@@ -0,0 +1,47 @@
+package platform
+
+import (
+	"context"
+
+	"go.opentelemetry.io/otel/metric"
+	"go.opentelemetry.io/otel/metric/noop"
+)
+
+// ErrMetric means that an instrument can't be made.
+var ErrMetric = errs.NewType("metric")
+
+// measure registers the gauges of a configuration and gives what takes them off again.
+func (c *Configuration) measure() (stop func(), err error) {
+	meter := c.Meter
+	if meter == nil {
+		meter = noop.Meter{}
+	}
+	version, err := meter.Int64ObservableGauge("savoryramp.configuration.version",
+		metric.WithDescription("Version of the document in force; 0 for none."))
+	if err != nil {
+		return nil, ErrMetric.Wrap(err, "version")
+	}
+	read, err := meter.Float64ObservableGauge("savoryramp.configuration.read.timestamp",
+		metric.WithUnit("s"), metric.WithDescription("When the table was last read, since the epoch; 0 for never."))
+	if err != nil {
+		return nil, ErrMetric.Wrap(err, "read timestamp")
+	}
+	registration, err := meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		o.ObserveInt64(version, int64(c.Current().Version))
+		o.ObserveFloat64(read, c.readTimestamp())
+		return nil
+	}, version, read)
+	if err != nil {
+		return nil, ErrMetric.Wrap(err, "callback")
+	}
+	return func() { _ = registration.Unregister() }, nil
+}
+
+// readTimestamp is TableRead in seconds since the epoch.
+func (c *Configuration) readTimestamp() float64 {
+	at := c.TableRead()
+	if at.IsZero() {
+		return 0
+	}
+	return float64(at.UnixMilli()) / 1000
+}
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -37,8 +37,9 @@
 		return c, false
 	}
 	if err != nil {
-		c.node.Line = syntaxLine(err)
-		c.mistake("%s", strings.TrimPrefix(err.Error(), "yaml: "))
+		text := ""
+		c.node.Line, text = syntaxError(err)
+		c.mistake("%s", text)
 		return c, false
 	}
 	if err := decoder.Decode(&second); err != io.EOF {
@@ -50,10 +51,17 @@
 	return c, true
 }
 
-func syntaxLine(err error) int {
-	line := 1
-	_, _ = fmt.Sscanf(err.Error(), "yaml: line %d:", &line)
-	return line
+// syntaxError takes the line out of the parser's message.
+func syntaxError(err error) (line int, text string) {
+	text = strings.TrimPrefix(err.Error(), "yaml: ")
+	place, rest, found := strings.Cut(text, ": ")
+	if !found {
+		return 1, text
+	}
+	if _, err := fmt.Sscanf(place, "line %d", &line); err != nil {
+		return 1, text
+	}
+	return line, rest
 }
 
 func (c cursor) mistake(format string, args ...any) {
--- a/internal/platform/table.go
+++ b/internal/platform/table.go
@@ -1,5 +1,10 @@
 // Package platform speaks to the platform's services: the transactional table, the
 // object store and the list of VMs. Everything that must last lives there.
+//
+// Table and Store are the two narrow interfaces to it; Dynamo and S3 speak to real
+// services. A Document is parsed strictly by Parse, accepted by Apply under a
+// conditional write of one row, and kept in force on each VM by a Configuration, which
+// only ever moves to higher versions.
 package platform
 
 import (
