Platform: tell when the table is behind the document in force

Cause: a table that goes back, or a late answer, was passed over in silence. Change: event 4007; the newer document stays in force as before.

--- a/internal/platform/configuration.go
+++ b/internal/platform/configuration.go
@@ -235,9 +235,11 @@
 	c.read = time.Now()
 	// What the table tells replaces a peer's word, also one for a version that the
 	// table doesn't have.
-	if newest.Version >= c.current.Version {
-		c.known = pointer{version: newest.Version, hash: newest.Hash, accepted: true}
+	if newest.Version < c.current.Version {
+		eventTableBehind.Log(c.Logger, "version", newest.Version, "in-force", c.current.Version)
+		return
 	}
+	c.known = pointer{version: newest.Version, hash: newest.Hash, accepted: true}
 }
 
 // fetch reads the text of the newest known version from the object store. A peer's word
--- a/internal/platform/events.go
+++ b/internal/platform/events.go
@@ -15,4 +15,6 @@
 		"A newer document was refused because its text isn't the accepted one or has mistakes.")
 	eventRowBroken = event.Define(4006, "document-row-broken", event.Error,
 		"The table's document row can't be understood.")
+	eventTableBehind = event.Define(4007, "document-table-behind", event.Warn,
+		"The table tells an older version than the one in force; the newer one stays.")
 )
