Platform stand-in: a document accepted and read over HTTP

Cause: Apply and Configuration were shown on the in-memory services only. Change: one test through both clients and the handler, with a lost answer.

--- a/internal/fakeplatform/handler_test.go
+++ b/internal/fakeplatform/handler_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -204,6 +206,26 @@
 	assert.DeepEqual(t, found, []platform.VM{m})
 }
 
+func TestDocumentOverHTTP(t *testing.T) {
+	s := serve(t)
+	text, err := os.ReadFile(filepath.Join("..", "..", "examples", "druckkonto.yaml"))
+	assert.NilError(t, err)
+	s.fault(fakeplatform.TablePut, fakeplatform.LostAnswer, 0, 1)
+	applied, err := platform.Apply(context.Background(), s.table, s.store, "rana", text)
+	assert.NilError(t, err)
+	assert.Equal(t, applied.Version, platform.DocumentVersion(1))
+
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &platform.Configuration{Table: s.table, Store: s.store, Every: time.Second}
+	ended := make(chan error)
+	go func() { ended <- c.Run(ctx) }()
+	found, err := c.Wait(ctx, 0)
+	assert.Check(t, err)
+	assert.Check(t, string(found.Body) == string(text))
+	cancel()
+	assert.NilError(t, <-ended)
+}
+
 func TestFaultsByHTTP(t *testing.T) {
 	tests := map[string]struct {
 		body string
