--- a/internal/fakeupstream/admin.go
+++ b/internal/fakeupstream/admin.go
@@ -97,11 +97,12 @@
 	return d, nil
 }
 
-// Admin serves POST /fault and GET /state.
+// Admin serves POST /fault, GET /state and GET /history.
 func (g *Group) Admin() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /fault", g.handleFault)
 	mux.HandleFunc("GET /state", g.handleState)
+	mux.HandleFunc("GET /history", g.handleHistory)
 	return mux
 }
 
@@ -125,6 +126,18 @@
 	_ = json.NewEncoder(w).Encode(g.State())
 }
 
+func (g *Group) handleHistory(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	encoder := json.NewEncoder(w)
+	for _, e := range g.History() {
+		_ = encoder.Encode(struct {
+			Position   string      `json:"position"`
+			Server     ServerName  `json:"server"`
+			Statements []Statement `json:"statements"`
+		}{e.Position.String(), e.Server, e.Statements})
+	}
+}
+
 // ServerState is what GET /state tells of a server.
 type ServerState struct {
 	Status
@@ -147,7 +160,7 @@
 	var list []ServerState
 	for _, s := range g.Servers {
 		state := ServerState{
-			Status: s.status(), Connections: len(s.sessions),
+			Status: s.status(), Connections: s.open(),
 			Killed: s.faults.killed, Frozen: s.faults.frozen, Refusing: s.faults.refusing, Cut: s.isCut(),
 			Lag: s.Lag.String(), Late: s.faults.late.String(), Service: s.Service.String(),
 		}
--- a/internal/fakeupstream/fakeupstream_test.go
+++ b/internal/fakeupstream/fakeupstream_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net"
 	"testing"
 	"testing/synctest"
@@ -10,6 +11,7 @@
 
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
 	"gotest.tools/v3/assert"
 
 	"github.com/savoryramp/savoryramp/internal/fakenet"
@@ -204,3 +206,103 @@
 		b.exec(c, "select 1")
 	})
 }
+
+const series = "with recursive s(n) as (select 1 union all select n + 1 from s where n < $1) select n from s"
+
+func TestLargeResultStreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := start(t, nil)
+		c := b.connect("a", nil)
+		rows, err := c.Query(b.ctx, series, 200_000)
+		assert.NilError(t, err)
+		var n, sum int64
+		for rows.Next() {
+			assert.NilError(t, rows.Scan(&n))
+			sum += n
+		}
+		assert.NilError(t, rows.Err())
+		assert.Equal(t, sum, int64(200_000*200_001/2))
+	})
+}
+
+func TestPortalStopsAtItsLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := start(t, nil)
+		hijacked, err := b.connect("a", nil).PgConn().Hijack()
+		assert.NilError(t, err)
+		f := hijacked.Frontend
+		f.Send(&pgproto3.Parse{Query: "with recursive s(n) as (select 1 union all select n + 1 from s) select n from s"})
+		f.Send(&pgproto3.Bind{})
+		f.Send(&pgproto3.Execute{MaxRows: 2})
+		f.Send(&pgproto3.Execute{MaxRows: 1})
+		f.Send(&pgproto3.Execute{MaxRows: 1})
+		f.Send(&pgproto3.Close{ObjectType: 'P'})
+		f.Send(&pgproto3.Execute{})
+		f.Send(&pgproto3.Bind{})
+		f.Send(&pgproto3.Sync{})
+		assert.NilError(t, f.Flush())
+		var got []string
+		for len(got) == 0 || got[len(got)-1] != "Z" {
+			m, err := f.Receive()
+			assert.NilError(t, err)
+			switch m := m.(type) {
+			case *pgproto3.DataRow:
+				got = append(got, string(m.Values[0]))
+			case *pgproto3.PortalSuspended:
+				got = append(got, "s")
+			case *pgproto3.ErrorResponse:
+				got = append(got, m.Code)
+			case *pgproto3.ReadyForQuery:
+				got = append(got, "Z")
+			}
+		}
+		assert.DeepEqual(t, got, []string{"1", "2", "s", "3", "s", "4", "s", "34000", "Z"})
+		assert.NilError(t, hijacked.Conn.Close())
+	})
+}
+
+func TestBatchIsOneTransaction(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := start(t, nil)
+		c := b.connect("a", nil)
+		b.exec(c, "create table t (id int primary key)")
+		batch := &pgx.Batch{}
+		batch.Queue("insert into t values ($1)", 1)
+		batch.Queue("insert into t values ($1)", 1)
+		assert.Equal(t, code(c.SendBatch(b.ctx, batch).Close()), "23505")
+		assert.Equal(t, b.int(c, "select count(*) from t"), int64(0))
+		assert.Equal(t, len(b.History()), 1)
+	})
+}
+
+// TestRunsAreAlike runs concurrent writers twice and compares the logs with times.
+func TestRunsAreAlike(t *testing.T) {
+	var first []fakeupstream.Entry
+	for range 2 {
+		synctest.Test(t, func(t *testing.T) {
+			b := start(t, func(s *fakeupstream.Server) { s.Lag = 5 * time.Millisecond })
+			b.exec(b.connect("a", nil), "create table t (id text)")
+			done := make(chan bool)
+			for writer := range 4 {
+				c := b.connect("a", nil)
+				go func() {
+					defer func() { done <- true }()
+					for i := range 10 {
+						time.Sleep(time.Duration(writer+1)*time.Millisecond + time.Duration(writer)*time.Microsecond)
+						_, err := c.Exec(b.ctx, "insert into t values ($1)", fmt.Sprint(writer, "-", i))
+						assert.Check(t, err)
+					}
+				}()
+			}
+			for range 4 {
+				<-done
+			}
+			time.Sleep(time.Second)
+			assert.DeepEqual(t, b.Server("c").Log(), b.History())
+			if first == nil {
+				first = b.History()
+			}
+			assert.DeepEqual(t, b.History(), first)
+		})
+	}
+}
--- a/internal/fakeupstream/faults.go
+++ b/internal/fakeupstream/faults.go
@@ -1,6 +1,7 @@
 package fakeupstream
 
 import (
+	"context"
 	"net"
 	"sync"
 	"time"
@@ -57,7 +58,7 @@
 	s.change(FaultKill, lost, func() {
 		s.faults.killed = true
 		for n := range s.sessions {
-			n.cancel(refuse(stateShutdown, "terminating connection due to administrator command"))
+			n.cancel(killed())
 		}
 		if lost > 0 {
 			s.stepDown()
@@ -67,6 +68,10 @@
 	})
 }
 
+func killed() error {
+	return refuse(stateShutdown, "terminating connection due to administrator command")
+}
+
 // Start lets a killed server listen again.
 func (s *Server) Start() {
 	s.change(FaultKill, false, func() { s.faults.killed = false })
@@ -111,6 +116,11 @@
 	s.change(FaultConnectDelay, d, func() { s.ConnectDelay = d })
 }
 
+// thaw waits while the server is frozen.
+func (s *Server) thaw(ctx context.Context) error {
+	return s.group.until(ctx, func() bool { return !s.faults.frozen })
+}
+
 func (s *Server) delay() time.Duration {
 	s.group.mu.Lock()
 	defer s.group.mu.Unlock()
--- a/internal/fakeupstream/group.go
+++ b/internal/fakeupstream/group.go
@@ -69,7 +69,7 @@
 		g.changed = make(chan struct{})
 		g.links = map[direction]*Link{}
 		for _, s := range g.Servers {
-			s.open(g)
+			s.prepare(g)
 		}
 		g.Servers[0].lead(1)
 		for _, s := range g.Servers[1:] {
@@ -195,6 +195,6 @@
 
 // Statement is SQL as it ran, with its arguments.
 type Statement struct {
-	SQL  string
-	Args []any
+	SQL  string `json:"sql"`
+	Args []any  `json:"args,omitempty"`
 }
--- a/internal/fakeupstream/recorder.go
+++ b/internal/fakeupstream/recorder.go
@@ -13,6 +13,7 @@
 	Limit int
 
 	mu    sync.Mutex
+	off   bool
 	bytes map[ServerName]*bytes.Buffer
 	runs  []Run
 	count map[string]*Count
@@ -42,6 +43,9 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.off {
+		return
+	}
 	if r.bytes == nil {
 		r.bytes = map[ServerName]*bytes.Buffer{}
 	}
@@ -63,6 +67,9 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.off {
+		return
+	}
 	r.runs = append(r.runs, Run{Server: name, Connection: n.id, Transaction: n.tx.id, Statement: st})
 	r.counted(st).Ran++
 }
@@ -73,6 +80,9 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.off {
+		return
+	}
 	r.order = append(r.order, e)
 	for _, st := range e.Statements {
 		r.counted(st).Committed++
@@ -92,6 +102,13 @@
 	return c
 }
 
+// Switch stops and resumes recording.
+func (r *Recorder) Switch(on bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.off = !on
+}
+
 // Received is every byte that a server got from clients, within the limit, of all
 // connections in order of arrival.
 func (r *Recorder) Received(name ServerName) []byte {
--- a/internal/fakeupstream/run.go
+++ b/internal/fakeupstream/run.go
@@ -95,9 +95,8 @@
 	if len(args) != q.parameters {
 		return nil, refuse(stateProtocol, "statement has %d parameters, %d are bound", q.parameters, len(args))
 	}
-	writes := q.access == accessWrite || q.locks && s.tx.explicit
 	var w *writing
-	if writes {
+	if q.access == accessWrite || q.locks || s.tx.writing != nil {
 		var err error
 		if w, err = s.write(ctx); err != nil {
 			return nil, err
@@ -129,7 +128,10 @@
 		s.count(-1)
 		s.slots.Release(1)
 	}
-	if err := sleep(ctx, s.service()); err != nil {
+	if err = sleep(ctx, s.service()); err == nil {
+		err = s.thaw(ctx)
+	}
+	if err != nil {
 		release()
 		return nil, err
 	}
--- a/internal/fakeupstream/server.go
+++ b/internal/fakeupstream/server.go
@@ -102,7 +102,7 @@
 	Busy     int           `json:"busy"`
 }
 
-func (s *Server) open(g *Group) {
+func (s *Server) prepare(g *Group) {
 	s.group = g
 	if s.Slots == 0 {
 		s.Slots = defaultSlots
@@ -238,7 +238,7 @@
 	if s.leads == t {
 		return ErrState.New("%s is itself primary of term %d", s.Name, t)
 	}
-	s.followed, s.source, s.matched = t, source, false
+	s.followed, s.source, s.matched, s.hurry = t, source, false, false
 	s.group.broadcast()
 	return nil
 }
--- a/internal/fakeupstream/session.go
+++ b/internal/fakeupstream/session.go
@@ -36,8 +36,10 @@
 	secret  []byte
 	conn    *conn
 	backend *pgproto3.Backend
-	ctx     context.Context
-	cancel  context.CancelCauseFunc
+	// admitted counts the session against the limit; guarded by group.mu.
+	admitted bool
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
 	// turn is held by who writes to the connection: the session in a message, or
 	// the notifier between messages outside transactions.
 	turn chan struct{}
@@ -114,6 +116,9 @@
 	s.lastID++
 	n.id = s.lastID
 	s.sessions[n] = true
+	if s.faults.killed {
+		cancel(killed())
+	}
 	s.group.mu.Unlock()
 	n.conn = &conn{Conn: c, session: n}
 	n.backend = pgproto3.NewBackend(n.conn, n.conn)
@@ -155,9 +160,7 @@
 }
 
 // thaw waits while the server is frozen; false if the session ended.
-func (s *session) thaw() bool {
-	return s.server.group.until(s.ctx, func() bool { return !s.server.faults.frozen }) == nil
-}
+func (s *session) thaw() bool { return s.server.thaw(s.ctx) == nil }
 
 // handle answers one message; false ends the session.
 func (s *session) handle(m pgproto3.FrontendMessage) bool {
@@ -194,6 +197,7 @@
 	if err != nil {
 		s.fail(err)
 		s.skipping = true
+		_ = s.flush()
 	}
 	return s.ctx.Err() == nil
 }
--- a/internal/fakeupstream/startup.go
+++ b/internal/fakeupstream/startup.go
@@ -53,7 +53,7 @@
 }
 
 func (s *session) welcome(m *pgproto3.StartupMessage) bool {
-	if s.server.full() {
+	if !s.server.admit(s) {
 		s.fatal(stateTooMany, "sorry, too many clients already")
 		return false
 	}
@@ -81,11 +81,23 @@
 	return s.ready()
 }
 
-// full tells whether the connections are more than the limit.
-func (s *Server) full() bool {
+// admit counts a session unless the limit is reached.
+func (s *Server) admit(n *session) bool {
 	s.group.mu.Lock()
 	defer s.group.mu.Unlock()
-	return len(s.sessions) > s.Connections
+	n.admitted = s.open() < s.Connections
+	return n.admitted
+}
+
+// open counts the admitted sessions; group.mu is held.
+func (s *Server) open() int {
+	admitted := 0
+	for n := range s.sessions {
+		if n.admitted {
+			admitted++
+		}
+	}
+	return admitted
 }
 
 func (s *session) fatal(code SQLState, message string) {
--- a/internal/fakeupstream/transaction.go
+++ b/internal/fakeupstream/transaction.go
@@ -135,6 +135,9 @@
 	}
 	ctx, done := s.interruptible()
 	defer done()
+	if err := s.server.thaw(ctx); err != nil {
+		return engineError(ctx, err)
+	}
 	return s.server.commit(ctx, s, w)
 }
 
