Take the callers' address in prepare; keep tools' events out of the catalogue

Cause: the daemon's test ran the parts without the serving part, and the catalogue depended on which packages a test binary links. Change: prepare makes every part; events numbered from 8000 stay out of the page. Measured: internal/operator's tests fail before, pass after. Conclusion: mended.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -77,11 +77,18 @@
 	return list
 }
 
-// Catalogue renders all events as the table of docs/EVENTS.md.
+// toolsFrom is the first number of the stand-ins and tools, which the daemon's
+// catalogue leaves out.
+const toolsFrom = 8000
+
+// Catalogue renders the daemon's events as the table of docs/EVENTS.md.
 func Catalogue() string {
 	var b strings.Builder
 	b.WriteString("| number | name | level | meaning |\n| --- | --- | --- | --- |\n")
 	for _, e := range All() {
+		if e.Number >= toolsFrom {
+			break
+		}
 		fmt.Fprintf(&b, "| %d | %s | %s | %s |\n", e.Number, e.Name, e.Level, e.Meaning)
 	}
 	return b.String()
--- a/internal/operator/daemon.go
+++ b/internal/operator/daemon.go
@@ -95,16 +95,11 @@
 	if err := d.prepare(); err != nil {
 		return err
 	}
-	var err error
-	if d.serving, err = d.newServing(); err != nil {
-		_ = d.Admin.listener.Close()
-		return err
-	}
 	d.logStart()
 	return d.runGroup(d.actors())
 }
 
-// prepare takes the admin address and asks for the platform.
+// prepare takes the addresses and asks for the platform.
 func (d *Daemon) prepare() error {
 	d.Configuration = &platform.Configuration{Table: d.Table, Store: d.Store, Every: pollEvery, Logger: d.Logger}
 	d.Admin = &Admin{Address: d.Options.Admin, Ready: d.ready, Metrics: d.Metrics.Handler(), Logger: d.Logger}
@@ -113,6 +108,9 @@
 		return err
 	}
 	err := d.findPlatform()
+	if err == nil {
+		d.serving, err = d.newServing()
+	}
 	if err != nil {
 		_ = d.Admin.listener.Close()
 	}
--- a/internal/operator/document_test.go
+++ b/internal/operator/document_test.go
@@ -108,8 +108,10 @@
 // A VM is ready once a document is in force, and ends in order on a signal.
 func TestDaemon(t *testing.T) {
 	s := newTerminal(t)
-	o, err := ParseOptions("1", append([]string{"run", "--vm=a-1", "--availability-zone=a", "--admin=127.0.0.1:0",
-		"--balancer-lag=0s", "--peer-cert=c", "--peer-key=k", "--peer-ca=a"}, s.platformFlags()...), &bytes.Buffer{})
+	o, err := ParseOptions("1", append([]string{
+		"run", "--vm=a-1", "--availability-zone=a", "--admin=127.0.0.1:0",
+		"--balancer-lag=0s", "--peer-cert=c", "--peer-key=k", "--peer-ca=a",
+	}, s.platformFlags()...), &bytes.Buffer{})
 	assert.NilError(t, err)
 	d := newDaemon(t)
 	signals := make(chan os.Signal)
--- a/internal/upstream/state.go
+++ b/internal/upstream/state.go
@@ -25,8 +25,8 @@
 
 // groupState is what a dump shows of one group.
 type groupState struct {
-	Term    position.Term                        `json:"term"`
-	Primary platform.ServerName                  `json:"primary"`
+	Term    position.Term                       `json:"term"`
+	Primary platform.ServerName                 `json:"primary"`
 	Servers map[platform.ServerName]serverState `json:"servers"`
 }
 
