--- a/internal/operator/alerts.go
+++ b/internal/operator/alerts.go
@@ -18,7 +18,13 @@
 
 // exported lists savoryramp's metrics as Prometheus sees them; a histogram stands
 // under the name that its _bucket, _sum and _count share.
-var exported = []string{metricReady, metricDraining, metricDocument}
+var exported = []string{
+	metricReady, metricDraining, metricDocument,
+	"savoryramp_caller_sessions",
+	"savoryramp_caller_requests_total",
+	"savoryramp_caller_refused_total",
+	"savoryramp_caller_request_duration_seconds",
+}
 
 // besides are metrics of Prometheus itself.
 var besides = []string{"up", "ALERTS", "ALERTS_FOR_STATE"}
--- a/internal/operator/daemon.go
+++ b/internal/operator/daemon.go
@@ -45,6 +45,7 @@
 	Store        platform.Store
 	// Configuration follows the document in force.
 	Configuration *platform.Configuration
+	serving       *serving
 	// Exit ends the process at once, on a second signal.
 	Exit func(ExitCode)
 	// Signals delivers SIGTERM and SIGINT.
@@ -55,6 +56,8 @@
 func (d *Daemon) actors() []Actor {
 	return []Actor{
 		{Name: "configuration", Run: d.Configuration.Run},
+		{Name: "upstreams", Run: d.serving.upstreams.Run},
+		{Name: "callers", Run: d.serving.callers.Run, Drain: d.serving.callers.Drain},
 	}
 }
 
@@ -96,7 +99,7 @@
 	return d.runGroup(d.actors())
 }
 
-// prepare takes the admin address and asks for the platform.
+// prepare takes the addresses, asks for the platform and makes the parts.
 func (d *Daemon) prepare() error {
 	d.Configuration = &platform.Configuration{Table: d.Table, Store: d.Store, Every: pollEvery, Logger: d.Logger}
 	d.Admin = &Admin{Address: d.Options.Admin, Ready: d.ready, Metrics: d.Metrics.Handler(), Logger: d.Logger}
@@ -105,6 +108,9 @@
 		return err
 	}
 	err := d.findPlatform()
+	if err == nil {
+		d.serving, err = d.newServing()
+	}
 	if err != nil {
 		_ = d.Admin.listener.Close()
 	}
