--- a/internal/upstream/group.go
+++ b/internal/upstream/group.go
@@ -61,6 +61,8 @@
 
 // start opens the watches.
 func (g *Group) start(ctx context.Context) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.ctx, g.cancel = context.WithCancel(ctx)
 	g.members = map[platform.ServerName]*member{}
 	g.starts = map[position.Term]position.Start{}
@@ -70,7 +72,7 @@
 	}
 }
 
-// add makes a server a member; g.mu is held or nobody else knows the group yet.
+// add makes a server a member; g.mu is held, since its watch reports at once.
 func (g *Group) add(s platform.Server) {
 	m := &member{server: s}
 	m.pool = &Pool{
