--- a/cmd/savoryramp-load/caller.go
+++ b/cmd/savoryramp-load/caller.go
@@ -14,7 +14,7 @@
 const (
 	// tokenParameter carries the session's token both ways.
 	tokenParameter = "savoryramp.session"
-	// servedMetric counts statements that were answered, by the label servedLabel.
+	// servedMetric counts requests that were answered, by the label servedLabel.
 	servedMetric = "savoryramp_caller_requests_total"
 	servedLabel  = "role"
 	// codeUnknown is the SQL state of a transaction whose outcome is unknown.
--- a/internal/operator/daemon.go
+++ b/internal/operator/daemon.go
@@ -99,7 +99,7 @@
 	return d.runGroup(d.actors())
 }
 
-// prepare takes the addresses and asks for the platform.
+// prepare takes the addresses, asks for the platform and makes the parts.
 func (d *Daemon) prepare() error {
 	d.Configuration = &platform.Configuration{Table: d.Table, Store: d.Store, Every: pollEvery, Logger: d.Logger}
 	d.Admin = &Admin{Address: d.Options.Admin, Ready: d.ready, Metrics: d.Metrics.Handler(), Logger: d.Logger}
