Add token bucket with bounded FIFO wait, and the peers' gRPC service

Requests over a workspace's rate need a bounded wait instead of a refusal, and VMs need calls between each other. The bucket counts in millionths of a token with integers, so that no window exceeds burst plus rate times time by rounding; one timer serves its whole queue.

--- a/Makefile
+++ b/Makefile
@@ -13,3 +13,11 @@
 	  if [ -n "$$unformatted" ]; then echo "gofumpt would change:"; echo "$$unformatted"; exit 1; fi
 	go tool revive -set_exit_status -exclude ./internal/peer/peerpb/... ./...
 	go vet ./...
+
+# Needs protoc; the plugins are the versions of go.mod.
+generate:
+	mkdir -p bin/plugins
+	go build -o bin/plugins/ google.golang.org/protobuf/cmd/protoc-gen-go google.golang.org/grpc/cmd/protoc-gen-go-grpc
+	protoc --plugin=bin/plugins/protoc-gen-go --plugin=bin/plugins/protoc-gen-go-grpc \
+	  --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative \
+	  internal/peer/peerpb/peer.proto
--- /dev/null
+++ b/pkg/contract/bucket.go
@@ -0,0 +1,285 @@
+package contract
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+)
+
+// demandMemory is how long past requests weigh in a bucket's demand.
+const demandMemory = 500 * time.Millisecond
+
+// Bucket admits the requests of one contract on one VM. Use NewBucket.
+type Bucket struct {
+	mu    sync.Mutex
+	now   func() time.Time
+	bound time.Duration
+	// share may exceed the row's only while loans out hold places in it.
+	share Share
+	// valid is when the right to use and refill the share ends.
+	valid time.Time
+	// tokens plus the places of all loans out are at most share.Cap.
+	tokens Micro
+	// rest is a part of a Micro, in billionths.
+	rest uint64
+	// last is up to when tokens were refilled.
+	last time.Time
+	// out holds the places of loans made, by loan.
+	out map[LoanID]place
+	// held are loans taken, oldest first.
+	held []loan
+	// queue is in order of arrival, so deadlines rise in it.
+	queue []*waiter
+	timer *time.Timer
+	// demand is in requests per second as of asked.
+	demand float64
+	asked  time.Time
+	// spare tells what peers may lend within a time; nil: nothing.
+	spare func(within time.Duration) Tokens
+	// short is called, with the bucket locked, when supply runs low; it must not block.
+	short func()
+}
+
+// place is a loan's place in the lender's cap.
+type place struct {
+	tokens Tokens
+	until  time.Time
+}
+
+type waiter struct {
+	deadline time.Time
+	done     chan error
+}
+
+// NewBucket makes an empty bucket without a share. A request waits at most bound;
+// now is a monotonic clock, nil for time.Now.
+func NewBucket(bound time.Duration, now func() time.Time) *Bucket {
+	if now == nil {
+		now = time.Now
+	}
+	return &Bucket{now: now, bound: bound, last: now(), asked: now(), out: map[LoanID]place{}}
+}
+
+// NewSoleBucket makes a bucket for a VM that alone holds the whole limit.
+func NewSoleBucket(r Rate, bound time.Duration, now func() time.Time) *Bucket {
+	b := NewBucket(bound, now)
+	b.valid = b.now().Add(math.MaxInt64 / 2)
+	b.share = r.whole()
+	return b
+}
+
+// Take waits for a token. ErrExhausted: none will come within the bound.
+// The context's error is returned as it is when ctx ends first.
+func (b *Bucket) Take(ctx context.Context) error {
+	w, err := b.enter()
+	if w == nil {
+		return err
+	}
+	select {
+	case err := <-w.done:
+		return err
+	case <-ctx.Done():
+		return b.leave(ctx, w)
+	}
+}
+
+// TryTake takes a token if one is there and nobody waits for it.
+func (b *Bucket) TryTake() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	b.advance(now)
+	b.count(now)
+	b.notice(now)
+	return len(b.queue) == 0 && b.spend(now)
+}
+
+func (b *Bucket) enter() (*waiter, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	b.advance(now)
+	b.count(now)
+	b.pump(now)
+	if len(b.queue) == 0 && b.spend(now) {
+		b.notice(now)
+		return nil, nil
+	}
+	b.notice(now)
+	if Tokens(len(b.queue)+1) > b.within(b.bound) {
+		return nil, exhausted(b.retry(now))
+	}
+	w := &waiter{deadline: now.Add(b.bound), done: make(chan error, 1)}
+	b.queue = append(b.queue, w)
+	b.arm(now)
+	return w, nil
+}
+
+// leave takes a waiter out of the queue; a token that it got meanwhile is spent.
+func (b *Bucket) leave(ctx context.Context, w *waiter) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for i, q := range b.queue {
+		if q == w {
+			b.queue = append(b.queue[:i:i], b.queue[i+1:]...)
+			return ctx.Err()
+		}
+	}
+	return <-w.done
+}
+
+// advance refills up to now, within the validity only.
+func (b *Bucket) advance(now time.Time) {
+	end := now
+	if b.valid.Before(end) {
+		end = b.valid
+	}
+	if end.After(b.last) {
+		var more Micro
+		more, b.rest = b.share.Refill.arrives(end.Sub(b.last), b.rest)
+		b.tokens = min(b.tokens+more, b.room())
+	}
+	if now.After(b.last) {
+		b.last = now
+	}
+	b.expire(now)
+}
+
+// room is what the share's cap leaves besides the places of loans out.
+func (b *Bucket) room() Micro {
+	return max(0, Micro(b.share.Cap-b.lent())*token)
+}
+
+func (b *Bucket) lent() Tokens {
+	var sum Tokens
+	for _, p := range b.out {
+		sum += p.tokens
+	}
+	return sum
+}
+
+func (b *Bucket) spend(now time.Time) bool {
+	if b.spendLoan() {
+		return true
+	}
+	if b.tokens < token || !now.Before(b.valid) {
+		return false
+	}
+	b.tokens -= token
+	return true
+}
+
+// pump serves the queue's head, then refuses those past their deadline.
+func (b *Bucket) pump(now time.Time) {
+	for len(b.queue) > 0 && b.spend(now) {
+		b.queue[0].done <- nil
+		b.queue = b.queue[1:]
+	}
+	for len(b.queue) > 0 && !now.Before(b.queue[0].deadline) {
+		b.queue[0].done <- exhausted(b.retry(now))
+		b.queue = b.queue[1:]
+	}
+}
+
+// arm sets the one timer to the next arrival or the head's deadline.
+func (b *Bucket) arm(now time.Time) {
+	if b.timer != nil {
+		b.timer.Stop()
+	}
+	if len(b.queue) == 0 {
+		return
+	}
+	d := b.queue[0].deadline.Sub(now)
+	if now.Before(b.valid) && b.room() >= token {
+		d = min(d, b.share.Refill.takes(token-b.tokens))
+	}
+	b.timer = time.AfterFunc(max(d, 10*time.Microsecond), b.wake)
+}
+
+func (b *Bucket) wake() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.settle()
+}
+
+// settle brings the bucket up to date after a change.
+func (b *Bucket) settle() {
+	now := b.now()
+	b.advance(now)
+	b.pump(now)
+	b.notice(now)
+	b.arm(now)
+}
+
+// within is what can be spent until d from now.
+func (b *Bucket) within(d time.Duration) Tokens {
+	own := b.tokens
+	if b.last.Before(b.valid) && b.room() >= token {
+		more, _ := b.share.Refill.arrives(d, 0)
+		own += more
+	}
+	sum := Tokens(own/token) + b.heldTokens()
+	if b.spare != nil {
+		sum += b.spare(d)
+	}
+	return sum
+}
+
+// retry is when a request that comes now would find a token.
+func (b *Bucket) retry(now time.Time) time.Duration {
+	if !now.Before(b.valid) {
+		return b.bound
+	}
+	ahead := Micro(len(b.queue)+1) * token
+	return min(b.share.Refill.takes(ahead-b.tokens), 10*b.bound+time.Second)
+}
+
+// count takes note of one request in the demand.
+func (b *Bucket) count(now time.Time) {
+	b.fade(now)
+	b.demand += 1 / demandMemory.Seconds()
+}
+
+func (b *Bucket) fade(now time.Time) {
+	if past := now.Sub(b.asked); past > 0 {
+		b.demand *= math.Exp(-past.Seconds() / demandMemory.Seconds())
+		b.asked = now
+	}
+}
+
+func (b *Bucket) notice(now time.Time) {
+	if b.short != nil && b.want(now) > 0 {
+		b.short()
+	}
+}
+
+// Demand is in requests per second over the last half second or so.
+func (b *Bucket) Demand() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.fade(b.now())
+	return b.demand
+}
+
+// adopt takes the share of a newer row: clipped down, never filled up. It reports
+// whether nothing above the share is left in loans out.
+func (b *Bucket) adopt(s Share) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(b.now())
+	b.share = s
+	b.tokens = min(b.tokens, b.room())
+	clipped := b.lent() <= s.Cap
+	b.settle()
+	return clipped
+}
+
+// extend moves the end of the validity; time outside it brought no refill.
+func (b *Bucket) extend(until time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(b.now())
+	b.valid = until
+	b.settle()
+}
