Add Fleet: heartbeats, membership and calls between VMs over gRPC

VMs need to know who answers, faster than the platform's lagging list, and to reach each other for leases, contracts, documents and cancels. One stream per neighbour carries only what changed; six silent intervals take a VM out of use; a silent connection is given up while new ones are tried. Up to 16 VMs talk all to all, more along a ring at powers of two. Mutual TLS is read anew from changed files at each handshake; names in certificates aren't compared, since VMs talk by IP number, so the authority must sign the fleet's certificates only.

Ruled out: gRPC's own resolvers and balancers, which the house style leaves unused.

Conclusion: membership, spread, certificates and calls hold over the network in memory.

--- /dev/null
+++ b/internal/peer/tls_test.go
@@ -0,0 +1,130 @@
+package peer_test
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"os"
+	"path/filepath"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/savoryramp/savoryramp/internal/fakenet"
+	"github.com/savoryramp/savoryramp/internal/peer"
+)
+
+// authority signs certificates for tests.
+type authority struct {
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+}
+
+func newAuthority(t *testing.T) *authority {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(t, err)
+	c := template()
+	c.IsCA, c.BasicConstraintsValid, c.KeyUsage = true, true, x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, c, c, &key.PublicKey, key)
+	assert.NilError(t, err)
+	c, err = x509.ParseCertificate(der)
+	assert.NilError(t, err)
+	return &authority{c, key}
+}
+
+func template() *x509.Certificate {
+	return &x509.Certificate{
+		SerialNumber: big.NewInt(1),
+		Subject:      pkix.Name{CommonName: "savoryramp"},
+		NotBefore:    time.Unix(0, 0),
+		NotAfter:     time.Unix(1<<33, 0),
+		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+}
+
+// issue writes a new certificate into f, trusting the authorities given.
+func (a *authority) issue(t *testing.T, f *peer.Files, trusted ...*authority) {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(t, err)
+	der, err := x509.CreateCertificate(rand.Reader, template(), a.certificate, &key.PublicKey, a.key)
+	assert.NilError(t, err)
+	pkcs8, err := x509.MarshalPKCS8PrivateKey(key)
+	assert.NilError(t, err)
+	var roots []byte
+	for _, r := range trusted {
+		roots = append(roots, block("CERTIFICATE", r.certificate.Raw)...)
+	}
+	for path, text := range map[string][]byte{
+		f.Certificate: block("CERTIFICATE", der),
+		f.Key:         block("PRIVATE KEY", pkcs8),
+		f.Authorities: roots,
+	} {
+		assert.NilError(t, os.WriteFile(path, text, 0o600))
+	}
+}
+
+func block(kind string, der []byte) []byte {
+	return pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
+}
+
+func files(t *testing.T) *peer.Files {
+	d := t.TempDir()
+	return &peer.Files{
+		Certificate: filepath.Join(d, "vm.pem"),
+		Key:         filepath.Join(d, "vm-key.pem"),
+		Authorities: filepath.Join(d, "authorities.pem"),
+	}
+}
+
+func TestCertificates(t *testing.T) {
+	fleetCA, newCA, stranger := newAuthority(t), newAuthority(t), newAuthority(t)
+	a, b, c := files(t), files(t), files(t)
+	fleetCA.issue(t, a, fleetCA)
+	fleetCA.issue(t, b, fleetCA)
+	stranger.issue(t, c, fleetCA, stranger)
+	synctest.Test(t, func(t *testing.T) {
+		network, vms := fakenet.New(), &list{}
+		with := func(f *peer.Files) func(*peer.Fleet) { return func(v *peer.Fleet) { v.TLS = f } }
+		vms.add("a")
+		vms.add("b")
+		first := start(t, network, vms, "a", 1, with(a))
+		second := start(t, network, vms, "b", 1, with(b))
+		third := start(t, network, vms, "c", 1, with(c))
+		plain := start(t, network, vms, "d", 1, nil)
+		defer func() {
+			for _, v := range []*vm{first, second, third, plain} {
+				v.kill()
+			}
+		}()
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, first.state("b"), peer.Live)
+		assert.Equal(t, second.state("a"), peer.Live)
+		for _, n := range []peer.Name{"c", "d"} {
+			assert.Equal(t, first.state(n), peer.State(""), "without the fleet's certificate")
+		}
+		_, err := third.Borrow(context.Background(), "a", "shares", nil)
+		assert.Assert(t, err != nil)
+
+		// A new authority comes in step by step: trusted first, then used, then alone.
+		fleetCA.issue(t, a, fleetCA, newCA)
+		fleetCA.issue(t, b, fleetCA, newCA)
+		newCA.issue(t, a, fleetCA, newCA)
+		newCA.issue(t, b, newCA)
+		network.Silence("a", "b")
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, first.state("b"), peer.Live, "over new connections")
+		fleetCA.issue(t, a, fleetCA, newCA)
+		network.Silence("a", "b")
+		time.Sleep(8 * time.Second)
+		assert.Assert(t, first.state("b") != peer.Live, "b trusts only the new authority")
+	})
+}
--- a/internal/platform/vm.go
+++ b/internal/platform/vm.go
@@ -2,6 +2,13 @@
 
 import "context"
 
+type (
+	// DocumentVersion numbers accepted documents, from 1; 0 is none.
+	DocumentVersion int64
+	// DocumentHash names a document's body in the store.
+	DocumentHash string
+)
+
 // VMState is how the platform lists a VM.
 type VMState string
 
