Share rates and counts out over VMs, with lending between them

A workspace's rate and burst count over the whole fleet, while its callers move between VMs and VMs die, pause and restart. Shares stand in one row; a holder uses them while a majority of the row's holders, or the table, confirms the row as newest, so neither the master's death nor an outage of the table stops the fleet, and a paused VM can't use a share that was given away. Between changes VMs lend tokens, debited first, with their place kept in the lender's cap.

Ruled out: renewal by the master alone (all shares lapse when it dies in an outage), by a named successor (unsafe when those two are cut off), shares without an end (a hung VM's share never comes back).

--- a/pkg/contract/bucket.go
+++ b/pkg/contract/bucket.go
@@ -10,6 +10,9 @@
 // demandMemory is how long past requests weigh in a bucket's demand.
 const demandMemory = 500 * time.Millisecond
 
+// retryMost is the longest wait that a refusal advises.
+const retryMost = 30 * time.Second
+
 // Bucket admits the requests of one contract on one VM. Use NewBucket.
 type Bucket struct {
 	mu    sync.Mutex
@@ -37,6 +40,8 @@
 	asked  time.Time
 	// spare tells what peers may lend within a time; nil: nothing.
 	spare func(within time.Duration) Tokens
+	// ahead is for how long demand should be covered in advance; nil: not at all.
+	ahead func() time.Duration
 	// short is called, with the bucket locked, when supply runs low; it must not block.
 	short func()
 }
@@ -108,7 +113,7 @@
 	}
 	b.notice(now)
 	if Tokens(len(b.queue)+1) > b.within(b.bound) {
-		return nil, exhausted(b.retry(now))
+		return nil, exhausted(b.retry())
 	}
 	w := &waiter{deadline: now.Add(b.bound), done: make(chan error, 1)}
 	b.queue = append(b.queue, w)
@@ -177,7 +182,7 @@
 		b.queue = b.queue[1:]
 	}
 	for len(b.queue) > 0 && !now.Before(b.queue[0].deadline) {
-		b.queue[0].done <- exhausted(b.retry(now))
+		b.queue[0].done <- exhausted(b.retry())
 		b.queue = b.queue[1:]
 	}
 }
@@ -226,13 +231,23 @@
 	return sum
 }
 
-// retry is when a request that comes now would find a token.
-func (b *Bucket) retry(now time.Time) time.Duration {
-	if !now.Before(b.valid) {
-		return b.bound
+// retry is when a request that comes now would find a token, to the millisecond.
+func (b *Bucket) retry() time.Duration {
+	ahead := Tokens(len(b.queue) + 1)
+	early := time.Duration(0)
+	late := time.Millisecond
+	for late < retryMost && b.within(late) < ahead {
+		early, late = late, 2*late
+	}
+	for late-early > time.Millisecond {
+		middle := (early + late) / 2
+		if b.within(middle) < ahead {
+			early = middle
+		} else {
+			late = middle
+		}
 	}
-	ahead := Micro(len(b.queue)+1) * token
-	return min(b.share.Refill.takes(ahead-b.tokens), 10*b.bound+time.Second)
+	return min(late, retryMost)
 }
 
 // count takes note of one request in the demand.
--- /dev/null
+++ b/pkg/contract/fleet_test.go
@@ -0,0 +1,352 @@
+package contract_test
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/savoryramp/savoryramp/pkg/contract"
+)
+
+// table is the platform's row with outages and lost answers.
+type table struct {
+	mu    sync.Mutex
+	row   contract.Row
+	out   bool
+	lost  bool
+	calls int
+}
+
+func (t *table) Read(_ context.Context) (contract.Row, error) {
+	time.Sleep(3 * time.Millisecond)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.calls++
+	if t.out {
+		return contract.Row{}, contract.ErrUnavailable.New("outage")
+	}
+	return t.row, nil
+}
+
+func (t *table) Swap(_ context.Context, r contract.Row) error {
+	time.Sleep(3 * time.Millisecond)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.calls++
+	if t.out {
+		return contract.ErrUnavailable.New("outage")
+	}
+	if r.Version != t.row.Version+1 {
+		return contract.ErrConflict.New("version %d", t.row.Version)
+	}
+	t.row = r
+	if t.lost {
+		return contract.ErrOutcomeUnknown.New("answer lost")
+	}
+	return nil
+}
+
+// vm is one VM of a fleet under test; restarting makes new shares.
+type vm struct {
+	name   contract.VMName
+	life   contract.Incarnation
+	shares *contract.Shares
+	stop   func()
+	alive  bool
+	leads  bool
+	gate   chan struct{} // closed unless paused
+	drift  float64
+}
+
+// fleet is a number of VMs that share contracts, with a network between them.
+type fleet struct {
+	mu       sync.Mutex
+	table    *table
+	limits   map[contract.Name]contract.Limit
+	linger   time.Duration
+	vms      []*vm
+	random   *rand.Rand
+	loss     float64
+	delay    time.Duration
+	messages int
+	bytes    int
+	began    time.Time
+}
+
+func newFleet(seed uint64, size int, limits map[contract.Name]contract.Limit) *fleet {
+	f := &fleet{
+		table: &table{}, limits: limits, delay: time.Millisecond,
+		random: rand.New(rand.NewPCG(seed, seed)), began: time.Now(),
+	}
+	for i := range size {
+		open := make(chan struct{})
+		close(open)
+		f.vms = append(f.vms, &vm{name: contract.VMName(rune('a' + i)), gate: open, drift: f.random.Float64()*5e-4 - 2.5e-4})
+	}
+	return f
+}
+
+func (f *fleet) start(i int) {
+	f.mu.Lock()
+	v := f.vms[i]
+	v.life++
+	v.alive = true
+	began := f.began
+	drift := v.drift
+	s := &contract.Shares{
+		Self: contract.Holder{VM: v.name, Incarnation: v.life}, Bound: time.Second,
+		Now: func() time.Time {
+			d := time.Since(began)
+			return began.Add(d + time.Duration(float64(d)*drift))
+		},
+	}
+	w := &wire{fleet: f, vm: v, life: v.life}
+	s.Table, s.Peers = w, w
+	s.SetLimits(f.limits)
+	v.shares = s
+	ctx, cancel := context.WithCancel(context.Background())
+	f.mu.Unlock()
+	var work sync.WaitGroup
+	m := &contract.Master{Group: "g", Shares: s, Leadership: w, Linger: f.linger}
+	work.Go(func() { _ = s.Run(ctx) })
+	work.Go(func() { _ = m.Run(ctx) })
+	v.stop = func() {
+		cancel()
+		work.Wait()
+	}
+}
+
+func (f *fleet) startAll(leader int) {
+	f.vms[leader].leads = true
+	for i := range f.vms {
+		f.start(i)
+	}
+}
+
+// kill ends a VM's process at once.
+func (f *fleet) kill(i int) {
+	f.mu.Lock()
+	was := f.vms[i].alive
+	f.vms[i].alive = false
+	f.mu.Unlock()
+	if was {
+		f.resume(i)
+		f.vms[i].stop()
+	}
+}
+
+func (f *fleet) pause(i int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.vms[i].gate = make(chan struct{})
+}
+
+func (f *fleet) resume(i int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	select {
+	case <-f.vms[i].gate:
+	default:
+		close(f.vms[i].gate)
+	}
+}
+
+func (f *fleet) stopAll() {
+	for i := range f.vms {
+		f.kill(i)
+	}
+}
+
+// wire is one VM's way to the others and to the table; it is held up while paused.
+type wire struct {
+	fleet *fleet
+	vm    *vm
+	life  contract.Incarnation
+}
+
+func (w *wire) wait() {
+	w.fleet.mu.Lock()
+	gate := w.vm.gate
+	w.fleet.mu.Unlock()
+	<-gate
+}
+
+func (w *wire) Held() bool {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	return w.vm.leads
+}
+
+func (w *wire) Read(ctx context.Context) (contract.Row, error) {
+	w.wait()
+	defer w.wait()
+	return w.fleet.table.Read(ctx)
+}
+
+func (w *wire) Swap(ctx context.Context, r contract.Row) error {
+	w.wait()
+	defer w.wait()
+	return w.fleet.table.Swap(ctx, r)
+}
+
+func (w *wire) Members() []contract.Member {
+	f := w.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []contract.Member
+	for _, v := range f.vms {
+		select {
+		case <-v.gate:
+		default:
+			continue
+		}
+		if v != w.vm && v.alive {
+			list = append(list, contract.Member{Holder: contract.Holder{VM: v.name, Incarnation: v.life}})
+		}
+	}
+	return list
+}
+
+func (w *wire) Ended(h contract.Holder) bool {
+	f := w.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, v := range f.vms {
+		if v.name == h.VM {
+			return v.life > h.Incarnation
+		}
+	}
+	return false
+}
+
+// carry passes one message and tells whether it arrives.
+func (w *wire) carry(ctx context.Context, body any) error {
+	f := w.fleet
+	text, _ := json.Marshal(body)
+	f.mu.Lock()
+	f.messages++
+	f.bytes += len(text)
+	lost := f.random.Float64() < f.loss
+	late := f.loss > 0 && f.random.Float64() < 0.2
+	d := f.delay
+	if late {
+		d += time.Duration(f.random.Float64() * float64(800*time.Millisecond))
+	}
+	f.mu.Unlock()
+	if lost {
+		<-ctx.Done()
+		return contract.ErrUnavailable.New("lost")
+	}
+	time.Sleep(d)
+	return nil
+}
+
+// peer is the other end; nil if its process is dead.
+func (w *wire) peer(to contract.VMName) *vm {
+	f := w.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, v := range f.vms {
+		if v.name == to && v.alive {
+			return v
+		}
+	}
+	return nil
+}
+
+// call sends a question and brings the answer back, each with its fate.
+func (w *wire) call(ctx context.Context, to contract.VMName, question any, answer func(*contract.Shares) (any, error)) (any, error) {
+	w.wait()
+	defer w.wait()
+	if err := w.carry(ctx, question); err != nil {
+		return nil, err
+	}
+	v := w.peer(to)
+	if v == nil {
+		return nil, contract.ErrUnavailable.New("dead")
+	}
+	w.fleet.mu.Lock()
+	gate := v.gate
+	w.fleet.mu.Unlock()
+	select {
+	case <-gate:
+	case <-ctx.Done():
+		return nil, contract.ErrUnavailable.New("paused")
+	}
+	if w.peer(to) == nil {
+		return nil, contract.ErrUnavailable.New("dead")
+	}
+	a, err := answer(v.shares)
+	if err != nil {
+		return nil, err
+	}
+	if err := w.carry(ctx, a); err != nil {
+		return nil, err
+	}
+	return a, nil
+}
+
+func (w *wire) Renew(ctx context.Context, to contract.VMName, r contract.RenewRequest) (contract.RenewAnswer, error) {
+	a, err := w.call(ctx, to, r, func(s *contract.Shares) (any, error) { return s.Renewed(r), nil })
+	if err != nil {
+		return contract.RenewAnswer{}, err
+	}
+	return a.(contract.RenewAnswer), nil
+}
+
+func (w *wire) Borrow(ctx context.Context, to contract.VMName, r contract.BorrowRequest) (contract.BorrowAnswer, error) {
+	a, err := w.call(ctx, to, r, func(s *contract.Shares) (any, error) { return s.Lend(r) })
+	if err != nil {
+		return contract.BorrowAnswer{}, err
+	}
+	return a.(contract.BorrowAnswer), nil
+}
+
+// history is what a fleet admitted and refused, merged over its VMs.
+type history struct {
+	mu       sync.Mutex
+	admitted []time.Time
+	refused  []time.Time
+	waits    []time.Duration
+}
+
+// most gives by how many tokens a history exceeds burst + rate x window in the worst
+// window; at most 0 if it never does.
+func (h *history) most(rate, burst float64) float64 {
+	if len(h.admitted) == 0 {
+		return 0
+	}
+	worst, lowest := -burst, 0.0
+	for i, at := range h.admitted {
+		level := float64(i) - rate*at.Sub(h.admitted[0]).Seconds()
+		if i == 0 || level < lowest {
+			lowest = level
+		}
+		worst = max(worst, level-lowest+1-burst)
+	}
+	return worst
+}
+
+// request asks a VM's shares for one token and keeps what came of it.
+func (f *fleet) request(h *history, i int, name contract.Name) {
+	v := f.vms[i]
+	(&wire{fleet: f, vm: v}).wait()
+	f.mu.Lock()
+	s, alive := v.shares, v.alive
+	f.mu.Unlock()
+	if !alive {
+		return
+	}
+	began := time.Now()
+	err := s.Admit(context.Background(), name)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if err != nil {
+		h.refused = append(h.refused, began)
+		return
+	}
+	h.admitted = append(h.admitted, time.Now())
+	h.waits = append(h.waits, time.Since(began))
+}
--- a/pkg/contract/loan.go
+++ b/pkg/contract/loan.go
@@ -70,7 +70,7 @@
 
 // free is what the bucket can spare: all but what it needs itself very soon.
 func (b *Bucket) free() Tokens {
-	own := Micro(len(b.queue))*token + Micro(b.demand*lookahead.Seconds()*token)
+	own := Micro(len(b.queue))*token + Micro(b.demand*b.lookahead()*token)
 	return Tokens(max(0, b.tokens-own) / token)
 }
 
@@ -96,12 +96,35 @@
 	for i := range b.held {
 		if b.held[i].tokens > 0 {
 			b.held[i].tokens--
+			if b.held[i].tokens == 0 && b.short != nil {
+				b.short()
+			}
 			return true
 		}
 	}
 	return false
 }
 
+// lookahead is in seconds.
+func (b *Bucket) lookahead() float64 {
+	if b.ahead == nil {
+		return 0
+	}
+	return b.ahead().Seconds()
+}
+
+// owed finds a lender whose loan is used up, so that its place can be freed.
+func (b *Bucket) owed() (Holder, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, l := range b.held {
+		if l.tokens == 0 {
+			return l.lender, true
+		}
+	}
+	return Holder{}, false
+}
+
 func (b *Bucket) heldTokens() Tokens {
 	var sum Tokens
 	for _, l := range b.held {
@@ -147,10 +170,10 @@
 // until an answer can be there.
 func (b *Bucket) want(now time.Time) Tokens {
 	b.fade(now)
-	ahead := b.demand * lookahead.Seconds()
+	ahead := b.demand * b.lookahead()
 	own := float64(b.tokens) / token
 	if now.Before(b.valid) {
-		own += float64(b.share.Refill) / token * lookahead.Seconds()
+		own += float64(b.share.Refill) / token * b.lookahead()
 	}
 	lack := float64(len(b.queue)) + ahead - own - float64(b.heldTokens())
 	if lack <= 0 {
@@ -158,3 +181,23 @@
 	}
 	return Tokens(math.Ceil(lack))
 }
+
+func (b *Bucket) settled() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(b.now())
+	return b.lent() <= b.share.Cap
+}
+
+func (b *Bucket) need() Tokens {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	b.advance(now)
+	return b.want(now)
+}
+
+// Tokens lent of a rate are spent soon, so their loans aren't extended.
+func (b *Bucket) keep([]LoanID, time.Duration) ([]LoanID, time.Duration) { return nil, 0 }
+func (b *Bucket) kept(Holder) []LoanID                                   { return nil }
+func (b *Bucket) prolong(Holder, []LoanID, time.Time)                    {}
--- a/pkg/contract/row.go
+++ b/pkg/contract/row.go
@@ -1,9 +1,6 @@
 package contract
 
-import (
-	"context"
-	"time"
-)
+import "context"
 
 // VMName names a VM.
 type VMName string
@@ -67,6 +64,3 @@
 }
 
 func (r Row) has(h Holder) bool { return r.grant(h) != nil }
-
-// lookahead is the demand that prefetched tokens should cover.
-const lookahead = 60 * time.Millisecond
--- /dev/null
+++ b/pkg/contract/shares_test.go
@@ -0,0 +1,175 @@
+package contract_test
+
+import (
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/savoryramp/savoryramp/pkg/contract"
+)
+
+const tenant = contract.Name("workspace/zakat")
+
+// happening is one line of a script.
+type happening struct {
+	after time.Duration
+	what  string
+	vm    int
+}
+
+// script is a run of a fleet with demand and faults.
+type script struct {
+	seed   uint64
+	size   int
+	rate   float64
+	burst  contract.Tokens
+	load   float64
+	loss   float64
+	happen []happening
+}
+
+func drawScript(t *rapid.T) script {
+	s := script{
+		seed:  rapid.Uint64().Draw(t, "seed"),
+		size:  rapid.IntRange(2, 6).Draw(t, "size"),
+		rate:  float64(rapid.IntRange(5, 100).Draw(t, "rate")),
+		burst: contract.Tokens(rapid.IntRange(1, 60).Draw(t, "burst")),
+		load:  rapid.Float64Range(0.5, 3).Draw(t, "load"),
+		loss:  rapid.SampledFrom([]float64{0, 0.1, 0.4}).Draw(t, "loss"),
+	}
+	kinds := []string{"kill", "start", "pause", "resume", "lead", "follow", "outage", "heal", "lose-answers", "quiet"}
+	for range rapid.IntRange(0, 14).Draw(t, "happenings") {
+		s.happen = append(s.happen, happening{
+			after: time.Duration(rapid.IntRange(0, 9000).Draw(t, "after")) * time.Millisecond,
+			what:  rapid.SampledFrom(kinds).Draw(t, "what"),
+			vm:    rapid.IntRange(0, s.size-1).Draw(t, "vm"),
+		})
+	}
+	return s
+}
+
+// run plays a script and gives the fleet's history.
+func (s script) run() *history {
+	limits := map[contract.Name]contract.Limit{tenant: contract.Rate{PerSecond: s.rate, Burst: s.burst}}
+	f := newFleet(s.seed, s.size, limits)
+	f.loss = s.loss
+	f.startAll(0)
+	h := &history{}
+	quit := make(chan struct{})
+	var work sync.WaitGroup
+	work.Go(func() { f.demand(h, s.rate*s.load, quit) })
+	time.Sleep(2 * time.Second)
+	for _, p := range s.happen {
+		time.Sleep(p.after)
+		f.play(p)
+	}
+	time.Sleep(5 * time.Second)
+	close(quit)
+	for i := range f.vms {
+		f.resume(i)
+	}
+	work.Wait()
+	f.stopAll()
+	return h
+}
+
+func (f *fleet) play(p happening) {
+	v := f.vms[p.vm]
+	switch p.what {
+	case "kill":
+		f.kill(p.vm)
+	case "start":
+		f.kill(p.vm)
+		f.start(p.vm)
+	case "pause":
+		f.resume(p.vm)
+		f.pause(p.vm)
+	case "resume":
+		f.resume(p.vm)
+	case "lead", "follow":
+		f.mu.Lock()
+		v.leads = p.what == "lead"
+		f.mu.Unlock()
+	case "outage", "heal":
+		f.table.mu.Lock()
+		f.table.out = p.what == "outage"
+		f.table.mu.Unlock()
+	case "lose-answers":
+		f.table.mu.Lock()
+		f.table.lost = !f.table.lost
+		f.table.mu.Unlock()
+	}
+}
+
+// demand asks at VMs that change every now and then, until quit.
+func (f *fleet) demand(h *history, rate float64, quit chan struct{}) {
+	var asks sync.WaitGroup
+	favourite, until := 0, time.Now()
+	for {
+		f.mu.Lock()
+		gap := f.random.ExpFloat64() / rate
+		if time.Now().After(until) {
+			favourite = f.random.IntN(len(f.vms))
+			until = time.Now().Add(time.Duration(f.random.IntN(4000)) * time.Millisecond)
+		}
+		at := favourite
+		if f.random.Float64() < 0.3 {
+			at = f.random.IntN(len(f.vms))
+		}
+		f.mu.Unlock()
+		select {
+		case <-quit:
+			asks.Wait()
+			return
+		case <-time.After(time.Duration(gap * float64(time.Second))):
+		}
+		asks.Go(func() { f.request(h, at, tenant) })
+	}
+}
+
+func TestNoWindowExceedsTheLimit(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		s := drawScript(r)
+		var h *history
+		synctest.Test(t, func(*testing.T) { h = s.run() })
+		if over := h.most(s.rate, float64(s.burst)); over > 1e-6 {
+			r.Fatalf("a window has %.3f requests more than burst and rate allow (%d admitted)", over, len(h.admitted))
+		}
+	})
+}
+
+func TestDemandBelowTheRateIsNeverRefused(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		seed := rapid.Uint64().Draw(r, "seed")
+		size := rapid.IntRange(2, 9).Draw(r, "size")
+		rate := float64(rapid.IntRange(30, 200).Draw(r, "rate"))
+		burst := contract.Tokens(rapid.IntRange(20, 60).Draw(r, "burst"))
+		var h *history
+		synctest.Test(t, func(*testing.T) {
+			s := script{seed: seed, size: size, rate: rate, burst: burst, load: 0.8}
+			for range 4 {
+				s.happen = append(s.happen, happening{after: 5 * time.Second, what: "quiet"})
+			}
+			h = s.run()
+		})
+		start := h.admitted[0].Add(3 * time.Second)
+		for _, at := range h.refused {
+			if at.After(start) {
+				r.Fatalf("refused %v after the start, %d in all of %d", at.Sub(start), len(h.refused), len(h.admitted))
+			}
+		}
+	})
+}
+
+func TestFirstSecondsOfAFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := script{seed: 1, size: 3, rate: 50, burst: 10, load: 0.5}
+		h := s.run()
+		assert.Assert(t, len(h.admitted) > 100, "%d", len(h.admitted))
+		assert.Assert(t, h.most(50, 10) <= 0)
+	})
+}
