Test shares by named faults, and shy away longer from holders that don't answer

Calls to a paused holder took a quarter of a second each, every half second. The time without asking now doubles up to 4 s.

--- a/pkg/contract/fleet_test.go
+++ b/pkg/contract/fleet_test.go
@@ -329,6 +329,22 @@
 	return worst
 }
 
+// least is the lowest rate admitted in any window of a width, from a time on.
+func (h *history) least(from, width time.Duration) float64 {
+	first, last := h.admitted[0], h.admitted[len(h.admitted)-1]
+	lowest := float64(len(h.admitted))
+	for at := first.Add(from); at.Add(width).Before(last); at = at.Add(width / 4) {
+		n := 0.0
+		for _, a := range h.admitted {
+			if a.After(at) && a.Before(at.Add(width)) {
+				n++
+			}
+		}
+		lowest = min(lowest, n/width.Seconds())
+	}
+	return lowest
+}
+
 // request asks a VM's shares for one token and keeps what came of it.
 func (f *fleet) request(h *history, i int, name contract.Name) {
 	v := f.vms[i]
--- a/pkg/contract/lenders.go
+++ b/pkg/contract/lenders.go
@@ -9,7 +9,8 @@
 const (
 	// borrowTimeout bounds one call for tokens; its loan is lost with its answer.
 	borrowTimeout = 250 * time.Millisecond
-	// shyAfterFailure is how long a holder whose call failed isn't asked.
+	// shyAfterFailure is how long a holder whose call failed isn't asked; twice as long
+	// with each further failure, up to eight times.
 	shyAfterFailure = 500 * time.Millisecond
 	// askAgain is how soon a holder that had nothing is asked again at the earliest.
 	askAgain = 2 * time.Millisecond
@@ -38,9 +39,9 @@
 	refill Refill
 	cap    Tokens
 	at     time.Time
-	// shy is until when not to ask; failed tells that the last call did.
-	shy    time.Time
-	failed bool
+	// shy is until when not to ask; failures counts the calls since an answer.
+	shy      time.Time
+	failures int
 }
 
 // estimate gives the tokens that a holder can spare at a time.
@@ -76,7 +77,7 @@
 	now := l.now()
 	var sum Micro
 	for _, h := range l.hints {
-		if h.failed {
+		if h.failures > 0 {
 			continue
 		}
 		more, _ := h.refill.arrives(d, 0)
@@ -149,9 +150,9 @@
 	defer l.mu.Unlock()
 	h, found := l.hints[from]
 	if found {
-		h.failed = true
+		h.failures++
 		h.at = l.now()
-		h.shy = h.at.Add(shyAfterFailure)
+		h.shy = h.at.Add(shyAfterFailure << min(h.failures-1, 3))
 		l.hints[from] = h
 	}
 }
--- a/pkg/contract/shares_test.go
+++ b/pkg/contract/shares_test.go
@@ -41,7 +41,7 @@
 		load:  rapid.Float64Range(0.5, 3).Draw(t, "load"),
 		loss:  rapid.SampledFrom([]float64{0, 0.1, 0.4}).Draw(t, "loss"),
 	}
-	kinds := []string{"kill", "start", "pause", "resume", "lead", "follow", "outage", "heal", "lose-answers", "quiet"}
+	kinds := []string{"kill", "start", "nap", "nap", "pause", "resume", "lead", "follow", "outage", "heal", "lose-answers", "quiet"}
 	for range rapid.IntRange(0, 14).Draw(t, "happenings") {
 		s.happen = append(s.happen, happening{
 			after: time.Duration(rapid.IntRange(0, 9000).Draw(t, "after")) * time.Millisecond,
@@ -88,6 +88,10 @@
 	case "pause":
 		f.resume(p.vm)
 		f.pause(p.vm)
+	case "nap":
+		f.resume(p.vm)
+		f.pause(p.vm)
+		time.AfterFunc(p.after/2+time.Second, func() { f.resume(p.vm) })
 	case "resume":
 		f.resume(p.vm)
 	case "lead", "follow":
@@ -120,6 +124,7 @@
 		if f.random.Float64() < 0.3 {
 			at = f.random.IntN(len(f.vms))
 		}
+		at = f.balance(at)
 		f.mu.Unlock()
 		select {
 		case <-quit:
@@ -131,6 +136,23 @@
 	}
 }
 
+// balance gives a VM that runs, as a balancer would, and now and then a paused one.
+func (f *fleet) balance(at int) int {
+	for i := range f.vms {
+		n := (at + i) % len(f.vms)
+		paused := false
+		select {
+		case <-f.vms[n].gate:
+		default:
+			paused = f.random.Float64() < 0.9
+		}
+		if f.vms[n].alive && !paused {
+			return n
+		}
+	}
+	return at
+}
+
 func TestNoWindowExceedsTheLimit(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		s := drawScript(r)
@@ -165,11 +187,32 @@
 	})
 }
 
-func TestFirstSecondsOfAFleet(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		s := script{seed: 1, size: 3, rate: 50, burst: 10, load: 0.5}
-		h := s.run()
-		assert.Assert(t, len(h.admitted) > 100, "%d", len(h.admitted))
-		assert.Assert(t, h.most(50, 10) <= 0)
-	})
+func TestFaults(t *testing.T) {
+	const second = time.Second
+	for title, c := range map[string]struct {
+		happen []happening
+		// least is the part of the rate that must be admitted at all times after.
+		least float64
+	}{
+		"no fault":                     {[]happening{{15 * second, "quiet", 0}}, 0.9},
+		"paused within the validity":   {[]happening{{8 * second, "pause", 1}, {4 * second, "resume", 1}}, 0.6},
+		"paused past the validity":     {[]happening{{8 * second, "pause", 1}, {9 * second, "resume", 1}}, 0.6},
+		"died":                         {[]happening{{8 * second, "kill", 1}, {9 * second, "quiet", 0}}, 0.6},
+		"restarted":                    {[]happening{{8 * second, "start", 1}, {3 * second, "start", 2}}, 0.5},
+		"two masters":                  {[]happening{{5 * second, "lead", 1}, {2 * second, "kill", 3}}, 0.6},
+		"master died in an outage":     {[]happening{{5 * second, "outage", 0}, {second, "kill", 0}, {20 * second, "quiet", 0}}, 0.6},
+		"outage with a lost answer":    {[]happening{{5 * second, "lose-answers", 0}, {0, "start", 2}, {second, "outage", 0}, {9 * second, "heal", 0}}, 0.5},
+		"most died, the table answers": {[]happening{{8 * second, "kill", 1}, {0, "kill", 2}, {0, "kill", 3}, {20 * second, "quiet", 0}}, 0.15},
+	} {
+		t.Run(title, func(t *testing.T) {
+			s := script{seed: 3, size: 5, rate: 100, burst: 50, load: 2, happen: c.happen}
+			var h *history
+			synctest.Test(t, func(*testing.T) { h = s.run() })
+			over := h.most(s.rate, float64(s.burst))
+			assert.Assert(t, over <= 1e-6, "over by %.3f", over)
+			least := h.least(5*second, 3*second) / s.rate
+			t.Logf("worst 3 s: %.0f%% of the rate", 100*least)
+			assert.Assert(t, least >= c.least, "%.2f of the rate", least)
+		})
+	}
 }
