Stop withdrawn keys everywhere, and VMs that can't learn of them

Cause: a session whose key was withdrawn while it logged in was never looked at again; requests sent ahead in one packet and requests waiting in a queue ran on after the withdrawal; a caller that doesn't read its answer couldn't be cut off; nothing decided when a VM cut from table and peers must stop; prepared statements and settings of one workspace stood on pooled connections that another got; a cleartext password could reach the log as a SASL mechanism.

Change: sessions are checked again once known; an aborted session runs nothing more; platform.Trust decides, and the server ends sessions when it lapses; connections discard everything when they pass to another workspace; callers' connections bound messages and writes; sessions end with an answer while the VM drains; queues of leaving servers are sent elsewhere. fakenet closes the connections that a closed listener hadn't accepted.

--- /dev/null
+++ b/internal/caller/access_test.go
@@ -0,0 +1,336 @@
+package caller_test
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/savoryramp/savoryramp/internal/caller"
+	"github.com/savoryramp/savoryramp/internal/fakenet"
+	"github.com/savoryramp/savoryramp/internal/fakeplatform"
+	"github.com/savoryramp/savoryramp/internal/fakeupstream"
+	"github.com/savoryramp/savoryramp/internal/platform"
+	"github.com/savoryramp/savoryramp/internal/upstream"
+)
+
+const (
+	oneSecret   = "one-secret-6b1f"
+	otherSecret = "other-secret-90ac"
+	// pollEvery and beatEvery are the daemon's.
+	pollEvery = 2 * time.Second
+	beatEvery = 500 * time.Millisecond
+	// promptly is the stated bound for a change to be in force on VMs that hear of
+	// it: a poll of at most one and a half times pollEvery, a beat, a statement's
+	// bound and the way there.
+	promptly = 6 * time.Second
+)
+
+var verifierOf = sync.OnceValue(func() map[string]platform.Verifier {
+	all := map[string]platform.Verifier{}
+	for _, secret := range []string{oneSecret, otherSecret} {
+		v, err := platform.NewVerifier(secret)
+		if err != nil {
+			panic(err)
+		}
+		all[secret] = v
+	}
+	return all
+})
+
+// text is the service document: two workspaces with a database each, and an open one.
+func text() string {
+	return strings.NewReplacer("ONE", string(verifierOf()[oneSecret]), "OTHER", string(verifierOf()[otherSecret])).Replace(`service: ataa
+upstreams:
+  - name: r1
+    user: savoryramp
+    database: receipts
+    servers:
+      - {name: a, address: "10.0.0.1:1", availability-zone: z1, connections: 24, slots: 3}
+      - {name: b, address: "10.0.0.2:1", availability-zone: z2, connections: 24, slots: 3}
+      - {name: c, address: "10.0.0.3:1", availability-zone: z3, connections: 24, slots: 3}
+databases:
+  - {name: desk, upstream: r1}
+  - {name: till, upstream: r1}
+  - {name: board, upstream: r1, open: true, open-workspace: public}
+workspaces:
+  - name: one
+    rate: 6000/m
+    burst: 200
+    databases: [desk]
+    keys:
+      - {name: one-key, verifier: "ONE"}
+  - name: other
+    rate: 6000/m
+    burst: 200
+    databases: [till]
+    keys:
+      - {name: other-key, verifier: "OTHER"}
+  - name: public
+    rate: 6000/m
+    burst: 200
+    databases: [board]
+    keys:
+      - {name: public-key, verifier: "OTHER"}
+`)
+}
+
+// fleet is VMs in front of one group, with the platform, in a bubble.
+type fleet struct {
+	*testing.T
+	ctx     context.Context
+	network *fakenet.Network
+	fake    *fakeplatform.Platform
+	group   *fakeupstream.Group
+	logs    *logs
+	mu      sync.Mutex
+	vms     []*vm
+}
+
+// vm is one VM's parts, without the daemon around them.
+type vm struct {
+	*platform.Configuration
+	name      platform.VMName
+	address   string
+	upstreams *upstream.Upstreams
+	server    *caller.Server
+	trust     *platform.Trust
+	// cutTable and cutPeers are what the VM doesn't reach.
+	cutTable, cutPeers atomic.Bool
+	// stop kills the VM; done is closed when its callers' part has ended.
+	stop func()
+	done chan struct{}
+}
+
+// table is the platform's table as one VM reaches it.
+type table struct {
+	platform.Table
+	vm *vm
+}
+
+func (t table) Get(ctx context.Context, key platform.RowKey) (platform.Row, error) {
+	if t.vm.cutTable.Load() {
+		return platform.Row{}, platform.ErrUnavailable.New("cut")
+	}
+	return t.Table.Get(ctx, key)
+}
+
+type store struct {
+	platform.Store
+	vm *vm
+}
+
+func (s store) Get(ctx context.Context, name platform.ObjectName) ([]byte, error) {
+	if s.vm.cutTable.Load() {
+		return nil, platform.ErrUnavailable.New("cut")
+	}
+	return s.Store.Get(ctx, name)
+}
+
+// logs keeps what the parts log.
+type logs struct {
+	mu    sync.Mutex
+	bytes bytes.Buffer
+}
+
+func (l *logs) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.bytes.Write(p)
+}
+
+func (l *logs) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.bytes.String()
+}
+
+// newFleet starts the servers and VMs; it is called in a bubble.
+func newFleet(t *testing.T, vms int) *fleet {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &fleet{
+		T: t, ctx: ctx, network: fakenet.New(), fake: fakeplatform.New(), logs: &logs{},
+		group: &fakeupstream.Group{Name: "r1", Recorder: &fakeupstream.Recorder{}},
+	}
+	for name, address := range map[string]string{"a": "10.0.0.1:1", "b": "10.0.0.2:1", "c": "10.0.0.3:1"} {
+		listen := func() (net.Listener, error) { return f.network.Listen(fakenet.Host(name), address) }
+		l, err := listen()
+		assert.NilError(t, err)
+		f.group.Servers = append(f.group.Servers, &fakeupstream.Server{
+			Name: fakeupstream.ServerName(name), Listener: l, Listen: listen, Service: time.Millisecond,
+		})
+	}
+	var parts sync.WaitGroup
+	parts.Go(func() { assert.Check(t, f.group.Run(ctx)) })
+	t.Cleanup(func() {
+		cancel()
+		for _, v := range f.vms {
+			v.stop()
+			<-v.done
+		}
+		parts.Wait()
+	})
+	f.apply(text())
+	for range vms {
+		f.add()
+	}
+	parts.Go(f.talk)
+	time.Sleep(time.Second)
+	return f
+}
+
+// add starts one more VM.
+func (f *fleet) add() *vm {
+	name := "v" + string(rune('1'+len(f.vms)))
+	ctx, cancel := context.WithCancel(f.ctx)
+	v := &vm{name: platform.VMName(name), address: "10.1.0." + name[1:] + ":5432", stop: cancel, done: make(chan struct{})}
+	logger := log.NewLogfmtLogger(f.logs)
+	v.Configuration = &platform.Configuration{Table: table{f.fake.Table(), v}, Store: store{f.fake.Store(), v}, Every: pollEvery, Logger: logger}
+	v.trust = &platform.Trust{Configuration: v.Configuration, Members: func() int { return len(f.list()) }}
+	v.upstreams = &upstream.Upstreams{
+		Dial: f.network.Dialer(fakenet.Host(name)), Logger: logger, Documents: v.Configuration,
+		Share: func(platform.ServerName) int { return 4 }, Reads: upstream.WaitOrPrimary{},
+		Order: upstream.DeficitRoundRobin, MaxQueue: 512,
+	}
+	listener, err := f.network.Listen(fakenet.Host(name), v.address)
+	assert.NilError(f, err)
+	v.server = &caller.Server{
+		VM: v.name, Listener: listener, Documents: v.Configuration, Upstreams: v.upstreams, Trusted: v.trust.Holds,
+		MaxWait: 2 * time.Second, Deadline: 30 * time.Second, Logger: logger,
+	}
+	f.mu.Lock()
+	f.vms = append(f.vms, v)
+	f.mu.Unlock()
+	var running sync.WaitGroup
+	for _, run := range []func(context.Context) error{v.Configuration.Run, v.upstreams.Run, v.server.Run} {
+		running.Go(func() { assert.Check(f, run(ctx)) })
+	}
+	go func() {
+		running.Wait()
+		close(v.done)
+	}()
+	return v
+}
+
+func (f *fleet) list() []*vm {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.vms)
+}
+
+// talk passes the VMs' words on as heartbeats do.
+func (f *fleet) talk() {
+	tick := time.NewTicker(beatEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-f.ctx.Done():
+			return
+		}
+		all := f.list()
+		for _, from := range all {
+			for _, to := range all {
+				if from != to && !from.cutPeers.Load() && !to.cutPeers.Load() {
+					to.hear(from)
+				}
+			}
+		}
+	}
+}
+
+func (v *vm) hear(from *vm) {
+	word, s := from.trust.Tell(), from.Current()
+	v.Offer(s.Version, s.Hash)
+	if s.Version > v.Current().Version {
+		_ = v.OfferBody(s.Version, s.Hash, s.Body)
+	}
+	v.trust.Hear(from.name, word)
+}
+
+func (f *fleet) apply(text string) platform.Snapshot {
+	f.Helper()
+	s, err := platform.Apply(f.ctx, f.fake.Table(), f.fake.Store(), "rana", []byte(text))
+	assert.NilError(f, err)
+	return s
+}
+
+func (f *fleet) withdraw(key platform.KeyName) {
+	f.Helper()
+	_, err := platform.SetKeyWithdrawn(f.ctx, f.fake.Table(), f.fake.Store(), "rana", key, true)
+	assert.NilError(f, err)
+}
+
+// dial logs a caller in at a VM.
+func (f *fleet) dial(v *vm, key, secret, database string) (*pgx.Conn, error) {
+	config, err := pgx.ParseConfig("postgres://" + key + ":" + secret + "@" + v.address + "/" + database + "?sslmode=disable")
+	assert.NilError(f, err)
+	config.DialFunc = f.network.Dialer("client")
+	config.ConnectTimeout = 15 * time.Second
+	return pgx.ConnectConfig(f.ctx, config)
+}
+
+func (f *fleet) connect(v *vm, key, secret, database string) *pgx.Conn {
+	f.Helper()
+	c, err := f.dial(v, key, secret, database)
+	assert.NilError(f, err)
+	f.Cleanup(func() { _ = c.Close(context.Background()) })
+	return c
+}
+
+// one connects with the first workspace's key.
+func (f *fleet) one(v *vm) *pgx.Conn {
+	f.Helper()
+	return f.connect(v, "one-key", oneSecret, "desk")
+}
+
+func (f *fleet) exec(c *pgx.Conn, sql string, args ...any) {
+	f.Helper()
+	_, err := c.Exec(f.ctx, sql, args...)
+	assert.NilError(f, err)
+}
+
+func code(err error) string {
+	for err != nil {
+		if e, is := err.(*pgconn.PgError); is {
+			return e.Code
+		}
+		u, is := err.(interface{ Unwrap() error })
+		if !is {
+			return ""
+		}
+		err = u.Unwrap()
+	}
+	return ""
+}
+
+// usable tells whether an open session still runs a request.
+func (f *fleet) usable(c *pgx.Conn) bool {
+	_, err := c.Exec(f.ctx, "select 1")
+	return err == nil
+}
+
+// property checks a property a few times in a normal run, and as often as
+// -rapid.checks says if that is given.
+func property(t *testing.T, times string, check func(*rapid.T)) {
+	t.Helper()
+	checks := flag.Lookup("rapid.checks")
+	if checks.Value.String() == checks.DefValue {
+		assert.NilError(t, flag.Set("rapid.checks", times))
+		defer func() { assert.Check(t, flag.Set("rapid.checks", checks.DefValue)) }()
+	}
+	rapid.Check(t, check)
+}
--- a/internal/caller/events.go
+++ b/internal/caller/events.go
@@ -15,4 +15,6 @@
 		"All callers' sessions have ended; shutdown goes on.")
 	eventProtocol = event.Define(2006, "caller-protocol-error", event.Warn,
 		"A caller sent bytes that the protocol doesn't allow; its connection was closed.")
+	eventTrust = event.Define(2007, "caller-trust-changed", event.Warn,
+		"The VM lost or regained the right to rely on its document; without it, no caller is served.")
 )
--- a/internal/caller/exchange.go
+++ b/internal/caller/exchange.go
@@ -349,7 +349,12 @@
 
 // track remembers a caller's own SET, which outlives the transaction.
 func (x *exchange) track() {
-	if x.tag != "SET" && x.tag != "RESET" {
+	switch x.tag {
+	case "SET", "RESET":
+	case "DISCARD ALL", "DISCARD", "DEALLOCATE", "DEALLOCATE ALL":
+		x.conn.Dirty = true
+		return
+	default:
 		return
 	}
 	x.conn.Dirty = true
@@ -391,6 +396,9 @@
 		s.conn = x.conn
 	}
 	s.send(&pgproto3.ReadyForQuery{TxStatus: x.status})
+	if x.status == 'I' {
+		s.partWays()
+	}
 	return s.flush()
 }
 
--- a/internal/caller/metrics.go
+++ b/internal/caller/metrics.go
@@ -17,6 +17,7 @@
 	sessions metric.Int64UpDownCounter
 	requests metric.Int64Counter
 	refused  metric.Int64Counter
+	cut      metric.Int64Counter
 	duration metric.Float64Histogram
 }
 
@@ -31,6 +32,8 @@
 		metric.WithDescription("Requests answered, by workspace, kind and role of the server."))
 	i.refused, _ = m.Int64Counter("savoryramp.caller.refused",
 		metric.WithDescription("Requests refused or failed by savoryramp itself, by workspace and SQLSTATE."))
+	i.cut, _ = m.Int64Counter("savoryramp.caller.sessions.cut",
+		metric.WithDescription("Sessions broken off at the end of a shutdown's drain."))
 	i.duration, _ = m.Float64Histogram("savoryramp.caller.request.duration", metric.WithUnit("s"),
 		metric.WithExplicitBucketBoundaries(.0005, .001, .002, .005, .01, .02, .05, .1, .2, .5, 1, 2, 5, 10),
 		metric.WithDescription("Time from a request's arrival to the end of its answer."))
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -54,7 +54,9 @@
 	sessions map[SessionID]*Session
 	nextID   SessionID
 	draining atomic.Bool
-	metrics  instruments
+	// open counts connections, those that haven't logged in yet included.
+	open    atomic.Int64
+	metrics instruments
 }
 
 // SessionID numbers the sessions of one VM; it is the process id that a caller's
@@ -68,6 +70,7 @@
 	defer cancel()
 	var tasks sync.WaitGroup
 	tasks.Go(func() { s.follow(inner) })
+	tasks.Go(func() { s.watchTrust(inner) })
 	stop := context.AfterFunc(ctx, func() { s.Listener.Close() })
 	defer stop()
 	for {
@@ -75,10 +78,12 @@
 		if err != nil {
 			break
 		}
+		s.open.Add(1)
 		tasks.Go(func() { s.serve(inner, nc) })
 	}
 	<-ctx.Done()
 	for _, session := range s.list() {
+		s.metrics.cut.Add(context.Background(), 1)
 		session.abort()
 	}
 	cancel()
@@ -103,14 +108,14 @@
 	_ = s.Listener.Close()
 	tick := time.NewTicker(drainTick)
 	defer tick.Stop()
-	for left := s.list(); len(left) > 0; left = s.list() {
-		for _, session := range left {
+	for s.open.Load() > 0 {
+		for _, session := range s.list() {
 			session.interrupt(reasonShutdown)
 		}
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
-			return ErrCut.New("%d sessions had not ended", len(left))
+			return ErrCut.New("%d sessions had not ended", s.open.Load())
 		}
 	}
 	eventDrained.Log(s.Logger, "vm", s.VM)
@@ -135,10 +140,40 @@
 	}
 }
 
+// trustTick is how often sessions are ended if the VM has lost the right to rely on
+// its document.
+const trustTick = 250 * time.Millisecond
+
+// watchTrust ends all sessions while the VM may not rely on its document.
+func (s *Server) watchTrust(ctx context.Context) {
+	tick := time.NewTicker(trustTick)
+	defer tick.Stop()
+	before := true
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+		now := s.trusted()
+		if now != before {
+			eventTrust.Log(s.Logger, "vm", s.VM, "trusted", now)
+		}
+		before = now
+		if now {
+			continue
+		}
+		for _, session := range s.list() {
+			session.endWithin(reasonUntrusted)
+		}
+	}
+}
+
 // serve runs one connection to its end.
 func (s *Server) serve(ctx context.Context, nc net.Conn) {
+	defer s.open.Add(-1)
 	defer nc.Close()
-	session := &Session{server: s, net: nc, floors: map[platform.UpstreamName]floor{}, prepared: map[string]*prepared{}}
+	session := &Session{server: s, net: newConnection(nc, time.Now().Add(startWithin)), floors: map[platform.UpstreamName]floor{}, prepared: map[string]*prepared{}}
 	session.run(ctx)
 }
 
--- a/internal/caller/session.go
+++ b/internal/caller/session.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/subtle"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,21 +20,23 @@
 	reasonNone      reason = ""
 	reasonShutdown  reason = "shutdown"
 	reasonWithdrawn reason = "withdrawn"
+	reasonUntrusted reason = "untrusted"
 )
 
 const (
 	// withdrawnStatementFor is how long a statement may go on after its key was
-	// withdrawn.
+	// withdrawn, or after the VM lost the right to rely on its document.
 	withdrawnStatementFor = 2 * time.Second
 	// quietBeforeEnd is how long a session must have been idle before a shutdown
-	// ends it, so that a request on its way is still served.
-	quietBeforeEnd = 100 * time.Millisecond
+	// ends it. Those that aren't idle as long end with their next answer, which the
+	// caller gets together with the farewell, so that no request crosses it.
+	quietBeforeEnd = 2 * time.Second
 )
 
 // Session serves one caller's connection.
 type Session struct {
 	server *Server
-	net    net.Conn
+	net    *connection
 	back   *pgproto3.Backend
 	out    out
 	id     SessionID
@@ -43,7 +44,9 @@
 
 	workspace *platform.Workspace
 	key       platform.KeyName
-	database  *platform.Database
+	// verifier is the one that the key was checked against; empty on open routes.
+	verifier platform.Verifier
+	database *platform.Database
 	// floors by group; a floor never falls while the session lasts.
 	floors   map[platform.UpstreamName]floor
 	settings settings
@@ -64,6 +67,8 @@
 	// skipping discards extended messages up to the next Sync, after an error.
 	skipping bool
 
+	// taken counts the messages handled.
+	taken int
 	// active is true from a request's arrival to the end of its answer.
 	active atomic.Bool
 
@@ -74,27 +79,41 @@
 	idleSince time.Time
 	// running is the connection in use, for cancel and abort.
 	running *upstream.Conn
+	// parted sessions have sent their farewell with their last answer.
+	parted bool
+	// aborted sessions run nothing more.
+	aborted bool
+	// stop ends the requests' context.
+	stop context.CancelFunc
 }
 
 // run serves the caller until it leaves or is sent away.
 func (s *Session) run(ctx context.Context) {
+	ctx, s.stop = context.WithCancel(ctx)
+	defer s.stop()
 	if !s.start(ctx) {
 		return
 	}
 	s.server.add(s)
 	defer s.server.remove(s)
 	defer s.leave()
+	// A document may have come during the login, before the session was known.
+	s.recheck(s.server.Documents.Current().Document)
 	if !s.welcome() {
 		return
 	}
 	for {
-		s.idle()
+		if s.idle() {
+			s.farewell(nil)
+			return
+		}
 		m, err := s.back.Receive()
 		if err != nil {
 			s.farewell(err)
 			return
 		}
 		s.active.Store(true)
+		s.taken++
 		if err := s.handle(ctx, m); err != nil {
 			s.farewell(err)
 			return
@@ -102,19 +121,19 @@
 	}
 }
 
-// idle marks the end of an answer.
-func (s *Session) idle() {
+// idle marks the end of an answer, and tells whether the session must end here.
+func (s *Session) idle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ending != reasonNone && s.ending != reasonShutdown || s.aborted || s.parted {
+		return true
+	}
 	if !s.active.Load() || len(s.pending) > 0 {
-		return
+		return false
 	}
-	s.mu.Lock()
 	s.idleSince = time.Now()
-	ending := s.ending
 	s.active.Store(false)
-	s.mu.Unlock()
-	if ending == reasonWithdrawn {
-		_ = s.net.SetReadDeadline(time.Unix(1, 0))
-	}
+	return false
 }
 
 // handle runs one message of the caller.
@@ -150,13 +169,17 @@
 	s.mu.Lock()
 	ending := s.ending
 	s.mu.Unlock()
-	_ = s.net.SetDeadline(time.Now().Add(time.Second))
+	s.net.end()
 	switch {
+	case s.parted:
+		return
+	case ending == reasonUntrusted:
+		s.send(withCode(ErrNotReady.New("VM %s can't learn what was withdrawn; connect again", s.server.VM), CodeNotReady))
 	case ending == reasonWithdrawn:
 		eventKeyWithdrawn.Log(s.server.Logger, "key", s.key, "workspace", s.workspace.Name)
 		s.send(withCode(ErrAuthentication.New("key %s was withdrawn", s.key), CodeAuthorization))
 	case ending == reasonShutdown:
-		s.send(withCode(ErrNotReady.New("VM %s is shutting down; connect again", s.server.VM), CodeShutdown))
+		s.send(s.shutdown())
 	case isType(err, ErrProtocol):
 		eventProtocol.Log(s.server.Logger, "key", s.key, "err", err)
 		s.send(response("FATAL", err))
@@ -166,6 +189,27 @@
 	_ = s.flush()
 }
 
+func (s *Session) shutdown() *pgproto3.ErrorResponse {
+	return withCode(ErrNotReady.New("VM %s is shutting down; connect again", s.server.VM), CodeShutdown)
+}
+
+// partWays puts the farewell behind a whole answer when the VM shuts down, unless the
+// caller has sent more already.
+func (s *Session) partWays() {
+	if !s.server.Draining() || s.net.ahead(s.taken) {
+		return
+	}
+	s.mu.Lock()
+	if s.ending == reasonNone {
+		s.ending = reasonShutdown
+	}
+	s.parted = s.ending == reasonShutdown
+	s.mu.Unlock()
+	if s.parted {
+		s.send(s.shutdown())
+	}
+}
+
 func withCode(err error, code Code) *pgproto3.ErrorResponse {
 	m := response("FATAL", err)
 	m.Code = string(code)
@@ -178,14 +222,14 @@
 func (s *Session) interrupt(why reason) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if why == reasonShutdown && (s.active.Load() || s.inTransaction() || time.Since(s.idleSince) < quietBeforeEnd) {
+	if why == reasonShutdown && (s.active.Load() || s.inTransaction() || s.net.receiving() || time.Since(s.idleSince) < quietBeforeEnd) {
 		return
 	}
-	if s.ending == reasonNone {
+	if s.ending == reasonNone || s.ending == reasonShutdown {
 		s.ending = why
 	}
 	if !s.active.Load() {
-		_ = s.net.SetReadDeadline(time.Unix(1, 0))
+		s.net.stop()
 	}
 }
 
@@ -197,14 +241,28 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.running = c
+	if c != nil && s.aborted {
+		c.Abort()
+	}
 }
 
 // recheck ends the session if a newer document takes its key or database away.
 func (s *Session) recheck(d *platform.Document) {
-	if allowed(d, s.key, s.workspace.Name, s.database) {
+	if s.allowed(d) {
+		return
+	}
+	s.endWithin(reasonWithdrawn)
+}
+
+// endWithin ends the session now if it is idle, else after its answer or a bound.
+func (s *Session) endWithin(why reason) {
+	s.mu.Lock()
+	asked := s.ending == why
+	s.mu.Unlock()
+	if asked {
 		return
 	}
-	s.interrupt(reasonWithdrawn)
+	s.interrupt(why)
 	time.AfterFunc(withdrawnStatementFor, s.abort)
 }
 
@@ -218,7 +276,9 @@
 	if s.running != nil {
 		s.running.Abort()
 	}
-	_ = s.net.SetReadDeadline(time.Unix(1, 0))
+	s.aborted = true
+	s.stop()
+	s.net.end()
 }
 
 // owns compares a cancel request's secret.
@@ -250,6 +310,9 @@
 // ready ends an answer.
 func (s *Session) ready() error {
 	s.send(&pgproto3.ReadyForQuery{TxStatus: s.txStatus()})
+	if s.txStatus() == 'I' {
+		s.partWays()
+	}
 	return s.flush()
 }
 
--- a/internal/caller/startup.go
+++ b/internal/caller/startup.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"crypto/tls"
 	"encoding/binary"
+	"slices"
 	"strings"
 	"time"
 
@@ -27,7 +28,6 @@
 
 // start brings the caller to the end of its login; false when it must go.
 func (s *Session) start(ctx context.Context) bool {
-	_ = s.net.SetDeadline(time.Now().Add(startWithin))
 	s.back = pgproto3.NewBackend(s.net, s.net)
 	s.out = out{net: s.net, held: -1}
 	s.back.SetMaxBodyLen(maxStartMessage)
@@ -41,7 +41,7 @@
 		_ = s.flush()
 		return false
 	}
-	_ = s.net.SetDeadline(time.Time{})
+	s.net.admitted()
 	s.back.SetMaxBodyLen(maxMessage)
 	return true
 }
@@ -80,10 +80,11 @@
 	if _, err := s.net.Write([]byte{'S'}); err != nil {
 		return false
 	}
-	secured := tls.Server(s.net, s.server.TLS)
-	if err := secured.Handshake(); err != nil {
+	plain := tls.Server(s.net.Conn, s.server.TLS)
+	if err := plain.Handshake(); err != nil {
 		return false
 	}
+	secured := newConnection(plain, s.net.until)
 	s.net = secured
 	s.back = pgproto3.NewBackend(secured, secured)
 	s.out.net = secured
@@ -119,6 +120,7 @@
 	if known && !key.Withdrawn {
 		verifier = key.Verifier
 	}
+	s.verifier = verifier
 	if err := s.authenticate(verifier); err != nil {
 		return err
 	}
@@ -131,10 +133,13 @@
 // enter takes the caller in for a workspace.
 func (s *Session) enter(d *platform.Document, database *platform.Database, name platform.WorkspaceName, m *pgproto3.StartupMessage) error {
 	workspace, found := d.Workspace(name)
-	if !found || !allowed(d, s.key, name, database) {
-		return ErrNoDatabase.New("key %q may not use database %q", s.key, database.Name)
+	if !found {
+		return ErrNoDatabase.New("no workspace %q", name)
 	}
 	s.workspace, s.database = workspace, database
+	if !s.allowed(d) {
+		return ErrNoDatabase.New("key %q may not use database %q", s.key, database.Name)
+	}
 	if err := s.parameters(m.Parameters); err != nil {
 		return err
 	}
@@ -142,25 +147,21 @@
 	return nil
 }
 
-// allowed tells whether a key may use a database for its workspace.
-func allowed(d *platform.Document, key platform.KeyName, name platform.WorkspaceName, before *platform.Database) bool {
-	database, found := d.Database(before.Name)
-	if !found || database.Upstream != before.Upstream {
+// allowed tells whether a document still lets the session's key use its database for
+// its workspace.
+func (s *Session) allowed(d *platform.Document) bool {
+	database, found := d.Database(s.database.Name)
+	if !found || database.Upstream != s.database.Upstream {
 		return false
 	}
-	if database.Open && database.OpenWorkspace == name {
+	if database.Open && database.OpenWorkspace == s.workspace.Name {
 		return true
 	}
-	workspace, k, known := d.Key(key)
-	if !known || k.Withdrawn || workspace.Name != name {
+	workspace, key, known := d.Key(s.key)
+	if !known || key.Withdrawn || key.Verifier != s.verifier || workspace.Name != s.workspace.Name {
 		return false
 	}
-	for _, allowed := range workspace.Databases {
-		if allowed == database.Name {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(workspace.Databases, database.Name)
 }
 
 // parameters takes savoryramp's settings from the start-up message.
@@ -256,7 +257,7 @@
 	switch m := m.(type) {
 	case *pgproto3.SASLInitialResponse:
 		if m.AuthMechanism != scramMechanism {
-			return "", ErrAuthentication.New("mechanism %q isn't offered", m.AuthMechanism)
+			return "", ErrAuthentication.New("only %s is offered", scramMechanism)
 		}
 		return string(m.Data), nil
 	case *pgproto3.SASLResponse:
--- /dev/null
+++ b/internal/caller/withdraw_test.go
@@ -0,0 +1,234 @@
+package caller_test
+
+import (
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/savoryramp/savoryramp/internal/fakenet"
+	"github.com/savoryramp/savoryramp/internal/fakeplatform"
+	"github.com/savoryramp/savoryramp/internal/platform"
+)
+
+func TestWithdrawnKeyStops(t *testing.T) {
+	tests := map[string]struct {
+		prepare func(f *fleet, c *pgx.Conn)
+		cut     func(v *vm)
+		within  time.Duration
+	}{
+		"idle":           {within: promptly},
+		"in transaction": {prepare: func(f *fleet, c *pgx.Conn) { f.exec(c, "begin") }, within: promptly},
+		"in a long statement": {
+			prepare: func(f *fleet, c *pgx.Conn) { go func() { _, _ = c.Exec(f.ctx, "select pg_sleep(25)") }() },
+			within:  promptly,
+		},
+		"cut from the table": {cut: func(v *vm) { v.cutTable.Store(true) }, within: promptly},
+		"cut from peers":     {cut: func(v *vm) { v.cutPeers.Store(true) }, within: promptly},
+		"cut from both": {
+			cut:    func(v *vm) { v.cutTable.Store(true); v.cutPeers.Store(true) },
+			within: promptly + 10*time.Second,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 3)
+				v := f.vms[2]
+				c, kept := f.one(v), f.connect(v, "other-key", otherSecret, "till")
+				f.exec(c, "select 1")
+				if test.prepare != nil {
+					test.prepare(f, c)
+				}
+				time.Sleep(time.Second)
+				if test.cut != nil {
+					test.cut(v)
+				}
+				f.withdraw("one-key")
+				time.Sleep(test.within)
+				synctest.Wait()
+				assert.Assert(t, c.IsClosed() || !f.usable(c), "the session goes on %s after its key was withdrawn", test.within)
+				_, err := f.dial(v, "one-key", oneSecret, "desk")
+				assert.ErrorContains(t, err, "SQLSTATE")
+				assert.Equal(t, f.usable(kept), !strings.HasSuffix(name, "both"))
+			})
+		})
+	}
+}
+
+func TestKeyWithdrawnDuringLogin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1)
+		v := f.vms[0]
+		f.network.Delay("client", fakenet.Host(v.name), time.Second)
+		go func() {
+			time.Sleep(4 * time.Second)
+			f.withdraw("one-key")
+			s, err := platform.Newest(f.ctx, f.fake.Table(), f.fake.Store())
+			assert.Check(t, err)
+			v.Offer(s.Version, s.Hash)
+		}()
+		c, err := f.dial(v, "one-key", oneSecret, "desk")
+		if err == nil {
+			assert.Equal(t, v.Current().Version, platform.DocumentVersion(2))
+			assert.Assert(t, !f.usable(c), "the session of a key withdrawn during its login goes on")
+		}
+	})
+}
+
+func TestRequestsSentAheadStopWithTheirKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1)
+		hijacked, err := f.one(f.vms[0]).PgConn().Hijack()
+		assert.NilError(t, err)
+		for range 100 {
+			hijacked.Frontend.Send(&pgproto3.Query{String: "select pg_sleep(0.5)"})
+		}
+		assert.NilError(t, hijacked.Frontend.Flush())
+		time.Sleep(time.Second)
+		f.withdraw("one-key")
+		time.Sleep(promptly)
+		before := len(f.group.Recorder.Runs())
+		time.Sleep(20 * time.Second)
+		assert.Equal(t, len(f.group.Recorder.Runs()), before, "requests run after their key was withdrawn")
+		assert.NilError(t, hijacked.Conn.Close())
+	})
+}
+
+func TestVMsGoOnThroughAnOutageOfThePlatform(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		c := f.one(f.vms[0])
+		f.fake.SetFaults(fakeplatform.Fault{Kind: fakeplatform.Down})
+		time.Sleep(2 * time.Minute)
+		f.exec(c, "select 1")
+		late := f.add()
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, late.Current().Version, platform.DocumentVersion(1))
+		f.exec(f.one(late), "select 1")
+		f.vms[0].cutPeers.Store(true)
+		time.Sleep(15 * time.Second)
+		assert.Assert(t, !f.usable(c), "a VM that hears nobody goes on")
+	})
+}
+
+// outage is a drawn run of cuts around the withdrawal of a key.
+type outage struct {
+	steps []outageStep
+	// withdrawn is when the operator withdraws the key.
+	withdrawn time.Duration
+}
+
+type outageStep struct {
+	after time.Duration
+	what  string
+	vm    int
+}
+
+const (
+	outageVMs = 3
+	// stopsWithin bounds when the last request of a withdrawn key begins, on any VM
+	// under any cuts: a VM's word of 10 s, its peers' of 3 s, a heartbeat, a look.
+	stopsWithin = 16 * time.Second
+)
+
+func drawOutage(t *rapid.T) outage {
+	what := rapid.SampledFrom([]string{"cut table", "heal table", "cut peers", "heal peers", "platform down", "platform up"})
+	return outage{
+		steps: rapid.SliceOfN(rapid.Custom(func(t *rapid.T) outageStep {
+			return outageStep{
+				after: time.Duration(rapid.IntRange(0, 4000).Draw(t, "after-ms")) * time.Millisecond,
+				what:  what.Draw(t, "what"), vm: rapid.IntRange(0, outageVMs-1).Draw(t, "vm"),
+			}
+		}), 0, 12).Draw(t, "steps"),
+		withdrawn: time.Duration(rapid.IntRange(0, 20000).Draw(t, "withdrawn-ms")) * time.Millisecond,
+	}
+}
+
+// act cuts at most one VM from the table at a time: a majority that is cut from a
+// table which still accepts changes is the stated exception.
+func (f *fleet) act(s outageStep) {
+	v := f.vms[s.vm]
+	switch s.what {
+	case "cut table":
+		for _, other := range f.vms {
+			other.cutTable.Store(other == v)
+		}
+	case "heal table":
+		v.cutTable.Store(false)
+	case "cut peers", "heal peers":
+		v.cutPeers.Store(s.what == "cut peers")
+	case "platform down":
+		f.fake.SetFaults(fakeplatform.Fault{Kind: fakeplatform.Down})
+	case "platform up":
+		f.fake.SetFaults(fakeplatform.Fault{Kind: fakeplatform.None})
+	}
+}
+
+// keepOn runs requests with the key as long as it is let in, and gives the beginning
+// of the last one that was answered.
+func (f *fleet) keepOn(v *vm, until time.Time) (last time.Time) {
+	var c *pgx.Conn
+	for time.Now().Before(until) {
+		time.Sleep(400 * time.Millisecond)
+		if c == nil || c.IsClosed() {
+			if c, _ = f.dial(v, "one-key", oneSecret, "desk"); c == nil {
+				time.Sleep(2 * time.Second)
+			}
+		}
+		began := time.Now()
+		if c != nil && f.usable(c) {
+			last = began
+		}
+	}
+	if c != nil {
+		_ = c.Close(f.ctx)
+	}
+	return last
+}
+
+func (o outage) run(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, outageVMs)
+		var tasks sync.WaitGroup
+		var accepted time.Time
+		tasks.Go(func() {
+			time.Sleep(o.withdrawn)
+			for accepted.IsZero() {
+				if _, err := platform.SetKeyWithdrawn(f.ctx, f.fake.Table(), f.fake.Store(), "rana", "one-key", true); err == nil {
+					accepted = time.Now()
+				}
+			}
+		})
+		last := make([]time.Time, outageVMs)
+		end := time.Now().Add(70 * time.Second)
+		for i, v := range f.vms {
+			tasks.Go(func() { last[i] = f.keepOn(v, end) })
+		}
+		for _, s := range o.steps {
+			time.Sleep(s.after)
+			f.act(s)
+		}
+		f.fake.SetFaults(fakeplatform.Fault{Kind: fakeplatform.None})
+		tasks.Wait()
+		for i := range last {
+			late := last[i].Sub(accepted)
+			assert.Check(t, late < stopsWithin, "%s ran a request %s after the key was withdrawn: %+v", f.vms[i].name, late, o)
+		}
+	})
+}
+
+func TestWithdrawnKeyStopsUnderAnyOutage(t *testing.T) {
+	property(t, "3", func(r *rapid.T) {
+		drawOutage(r).run(t)
+		if t.Failed() {
+			r.FailNow()
+		}
+	})
+}
--- a/internal/fakenet/network.go
+++ b/internal/fakenet/network.go
@@ -87,6 +87,11 @@
 	}
 	select {
 	case l.queue <- far:
+		select {
+		case <-l.closed:
+			l.drain()
+		default:
+		}
 		return near, nil
 	case <-l.closed:
 		near.Close()
@@ -197,10 +202,23 @@
 		delete(l.network.listeners, l.address)
 		l.network.mu.Unlock()
 		close(l.closed)
+		l.drain()
 	})
 	return nil
 }
 
+// drain closes the connections that nobody accepted.
+func (l *Listener) drain() {
+	for {
+		select {
+		case c := <-l.queue:
+			_ = c.Close()
+		default:
+			return
+		}
+	}
+}
+
 // Addr is the address given to Listen.
 func (l *Listener) Addr() net.Addr { return addr(l.address) }
 
--- a/internal/platform/configuration.go
+++ b/internal/platform/configuration.go
@@ -49,8 +49,11 @@
 	changed chan struct{}
 	// known is the highest version heard of, accepted by the table or told by a peer.
 	known pointer
-	// read is when the table last answered, zero for never.
+	// read is when the reading that the table last answered began, zero for never.
 	read time.Time
+	// confirmed is the last of these that found nothing newer than what was in force
+	// at its end.
+	confirmed time.Time
 	// lost is whether the last reading of the table failed.
 	lost bool
 	// missing is the last version whose text was reported as missing.
@@ -119,13 +122,22 @@
 	return c.current
 }
 
-// TableRead is when the table last told what is in force; the zero time for never.
+// TableRead is the moment as of which the table last told what is accepted; the zero
+// time for never.
 func (c *Configuration) TableRead() time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.read
 }
 
+// confirmedAt is the moment as of which the table last told that nothing newer is
+// accepted than what is in force; the zero time for never.
+func (c *Configuration) confirmedAt() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.confirmed
+}
+
 // Wait waits for a document newer than the given version. ErrStopped if ctx ends first.
 func (c *Configuration) Wait(ctx context.Context, after DocumentVersion) (Snapshot, error) {
 	c.start()
@@ -196,12 +208,25 @@
 func (c *Configuration) refresh(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	began := time.Now()
 	newest, err := c.readRow(ctx)
-	c.noteTable(ctx, newest, err)
+	c.noteTable(ctx, began, newest, err)
 	fetched := c.fetch(ctx)
+	if err == nil {
+		c.confirm(began, newest.Version)
+	}
 	return fetched && (err == nil || c.Current().Version > 0)
 }
 
+// confirm takes note that a reading is in force.
+func (c *Configuration) confirm(began time.Time, version DocumentVersion) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if version <= c.current.Version {
+		c.confirmed = began
+	}
+}
+
 func (c *Configuration) readRow(ctx context.Context) (acceptedChange, error) {
 	row, err := c.Table.Get(ctx, documentKey)
 	if errorx.IsOfType(err, ErrNoRow) {
@@ -218,7 +243,7 @@
 	return a.newest(), nil
 }
 
-func (c *Configuration) noteTable(ctx context.Context, newest acceptedChange, err error) {
+func (c *Configuration) noteTable(ctx context.Context, began time.Time, newest acceptedChange, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err != nil {
@@ -232,7 +257,7 @@
 		eventTableBack.Log(c.Logger, "version", newest.Version)
 	}
 	c.lost = false
-	c.read = time.Now()
+	c.read = began
 	// What the table tells replaces a peer's word, also one for a version that the
 	// table doesn't have.
 	if newest.Version < c.current.Version {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -47,8 +47,10 @@
 	// Dirty connections carry a caller's settings and are closed when released.
 	Dirty bool
 
-	net        net.Conn
-	pool       *Pool
+	net  net.Conn
+	pool *Pool
+	// workspace is the one that used the connection last.
+	workspace  platform.WorkspaceName
 	pid        uint32
 	secret     []byte
 	idleSince  time.Time
@@ -243,6 +245,19 @@
 
 func (c *Conn) close() { _ = c.net.Close() }
 
+// enter makes a kept connection ready for a workspace: another's prepared statements,
+// settings and whatever else the server keeps for a connection are discarded.
+func (c *Conn) enter(w platform.WorkspaceName, within time.Duration) bool {
+	if c.workspace == w {
+		return true
+	}
+	if _, err := c.Ask("DISCARD ALL", time.Now().Add(within)); err != nil {
+		return false
+	}
+	c.workspace, c.Prepared, c.Unnamed = w, map[string]bool{}, ""
+	return true
+}
+
 // alive probes a connection that has idled.
 func (c *Conn) alive(within time.Duration) bool {
 	if time.Since(c.idleSince) < idleProbeAfter {
--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -8,6 +8,8 @@
 	NotRun = errorx.RegisterTrait("not-run")
 	// ErrNoServer means that no usable server can take the request.
 	ErrNoServer = errs.NewType("no-server", NotRun)
+	// errMoved means that the server is leaving; another takes the work.
+	errMoved = errs.NewType("moved", NotRun)
 	// ErrBusy means that the bounded wait for a connection ended.
 	ErrBusy = errs.NewType("busy", NotRun)
 	// ErrConnect means that a new connection could not be opened.
@@ -30,3 +32,5 @@
 func isSilent(err error) bool { return errorx.IsOfType(err, ErrSilent) }
 
 func isConnect(err error) bool { return errorx.IsOfType(err, ErrConnect) }
+
+func isMoved(err error) bool { return errorx.IsOfType(err, errMoved) }
--- a/internal/upstream/group.go
+++ b/internal/upstream/group.go
@@ -79,6 +79,7 @@
 		Server: s, Login: g.Login, Dial: g.Dial, Order: g.Order, MaxQueue: g.MaxQueue,
 		Limit: func() int { return g.Share(s.Name) },
 	}
+	m.pool.leave(s.Leaving)
 	m.watch = &watch{server: s, login: g.Login, dial: g.Dial, logger: g.Logger, report: g.report}
 	ctx, cancel := context.WithCancel(g.ctx)
 	m.cancel = cancel
@@ -96,6 +97,7 @@
 		m := g.members[s.Name]
 		if m != nil && m.server.Address == s.Address {
 			m.server = s
+			m.pool.leave(s.Leaving)
 			continue
 		}
 		g.remove(m)
@@ -130,6 +132,7 @@
 	for _, m := range g.members {
 		m.pool.close()
 	}
+	g.members = map[platform.ServerName]*member{}
 }
 
 // report takes note of a server's status.
@@ -191,17 +194,23 @@
 	for {
 		g.mu.Lock()
 		m, changed := g.primary(), g.changed
+		if m != nil && m.server.Leaving {
+			m = nil
+		}
 		g.mu.Unlock()
-		if m != nil && !m.server.Leaving {
+		if m != nil {
 			c, err := m.pool.take(ctx, r)
 			if err == nil {
 				c.Role = Primary
 				return c, nil
 			}
+			if isMoved(err) {
+				continue
+			}
 			if !isConnect(err) || ctx.Err() != nil {
 				return nil, err
 			}
-			g.Suspect(m.server.Name)
+			g.Suspect(m.pool.Server.Name)
 			continue
 		}
 		select {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,7 +32,9 @@
 	inUse  int
 	queue  queue
 	closed bool
-	limit  limit
+	// leaving servers get no new work.
+	leaving bool
+	limit   limit
 }
 
 // Request is one transaction's claim on a server.
@@ -46,7 +49,7 @@
 	if err := p.turn(ctx, r); err != nil {
 		return nil, err
 	}
-	c, err := p.connect(ctx)
+	c, err := p.connect(ctx, r.Workspace)
 	if err != nil {
 		p.pass()
 		return nil, err
@@ -58,9 +61,9 @@
 // turn waits until one more connection may be used.
 func (p *Pool) turn(ctx context.Context, r Request) error {
 	p.mu.Lock()
-	if p.closed {
+	if p.closed || p.leaving {
 		p.mu.Unlock()
-		return ErrNoServer.New("server %s takes no work", p.Server.Name)
+		return p.moved()
 	}
 	if p.inUse < p.room() && p.queue.size == 0 {
 		p.inUse++
@@ -76,20 +79,48 @@
 	p.mu.Unlock()
 	select {
 	case <-w.granted:
-		return nil
+		return p.granted(w)
 	case <-ctx.Done():
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	select {
 	case <-w.granted:
-		return nil
+		return p.granted(w)
 	default:
 	}
 	p.queue.remove(w)
 	return ErrBusy.Wrap(ctx.Err(), "no connection to server %s became free", p.Server.Name)
 }
 
+func (p *Pool) granted(w *waiter) error {
+	if w.sentAway {
+		return p.moved()
+	}
+	return nil
+}
+
+func (p *Pool) moved() error { return errMoved.New("server %s takes no work", p.Server.Name) }
+
+// leave sends those who wait to other servers and takes no new work, or takes work
+// again.
+func (p *Pool) leave(leaving bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.leaving = leaving
+	if leaving {
+		p.sendAway()
+	}
+}
+
+// sendAway empties the queue; p.mu is held.
+func (p *Pool) sendAway() {
+	for w := p.queue.pop(); w != nil; w = p.queue.pop() {
+		w.sentAway = true
+		close(w.granted)
+	}
+}
+
 // room is how many connections may be in use at once; p.mu is held.
 func (p *Pool) room() int {
 	if p.Limit == nil {
@@ -118,14 +149,15 @@
 	}
 }
 
-// connect gives a kept connection that still answers, or opens one.
-func (p *Pool) connect(ctx context.Context) (*Conn, error) {
+// connect gives a kept connection that still answers, or opens one. What another
+// workspace left on it is discarded first.
+func (p *Pool) connect(ctx context.Context, w platform.WorkspaceName) (*Conn, error) {
 	for {
-		c := p.kept()
+		c := p.kept(w)
 		if c == nil {
 			break
 		}
-		if c.alive(probeWithin) {
+		if c.alive(probeWithin) && c.enter(w, probeWithin) {
 			return c, nil
 		}
 		c.close()
@@ -136,20 +168,27 @@
 	if err != nil {
 		return nil, err
 	}
-	c.pool = p
+	c.pool, c.workspace = p, w
 	return c, nil
 }
 
-// kept takes the most recently used idle connection, nil if there is none.
-func (p *Pool) kept() *Conn {
+// kept takes the idle connection that the workspace used last, else the one used
+// last by another, nil if there is none.
+func (p *Pool) kept(w platform.WorkspaceName) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle) == 0 {
 		return nil
 	}
-	last := len(p.idle) - 1
-	c := p.idle[last]
-	p.idle = p.idle[:last]
+	at := len(p.idle) - 1
+	for i := at; i >= 0; i-- {
+		if p.idle[i].workspace == w {
+			at = i
+			break
+		}
+	}
+	c := p.idle[at]
+	p.idle = slices.Delete(p.idle, at, at+1)
 	return c
 }
 
@@ -198,6 +237,7 @@
 func (p *Pool) close() {
 	p.mu.Lock()
 	p.closed = true
+	p.sendAway()
 	p.mu.Unlock()
 	p.drop()
 }
--- a/internal/upstream/read.go
+++ b/internal/upstream/read.go
@@ -56,18 +56,25 @@
 	for {
 		g.mu.Lock()
 		m, changed := g.replica(f), g.changed
+		var role Role
+		if m != nil {
+			role = m.role()
+		}
 		wait := g.worthWaiting(f, patience)
 		g.mu.Unlock()
 		if m != nil {
 			c, err := m.pool.take(ctx, r)
 			if err == nil {
-				c.Role = m.role()
+				c.Role = role
 				return c, nil
 			}
+			if isMoved(err) {
+				continue
+			}
 			if !isConnect(err) || ctx.Err() != nil {
 				return nil, err
 			}
-			g.Suspect(m.server.Name)
+			g.Suspect(m.pool.Server.Name)
 			continue
 		}
 		if wait <= 0 {
@@ -84,7 +91,7 @@
 	}
 }
 
-// role is what the group last heard that the member is.
+// role is what the group last heard that the member is; g.mu is held.
 func (m *member) role() Role {
 	if m.status.Role == Primary {
 		return Primary
@@ -127,7 +134,7 @@
 	budget := max(primary.pool.wait(), waitAtLeast)
 	shortest := time.Duration(0)
 	for _, m := range g.members {
-		if !m.usable || m.status.Role != Replica || m.status.Applied.Term < f.Floor.Term {
+		if !m.usable || m.server.Leaving || m.status.Role != Replica || m.status.Applied.Term < f.Floor.Term {
 			continue
 		}
 		d := m.rate.until(m.status.Applied.Offset, f.Floor.Offset)
