--- a/internal/caller/access_test.go
+++ b/internal/caller/access_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"flag"
 	"net"
 	"slices"
@@ -22,6 +23,7 @@
 	"github.com/savoryramp/savoryramp/internal/fakenet"
 	"github.com/savoryramp/savoryramp/internal/fakeplatform"
 	"github.com/savoryramp/savoryramp/internal/fakeupstream"
+	"github.com/savoryramp/savoryramp/internal/operator"
 	"github.com/savoryramp/savoryramp/internal/platform"
 	"github.com/savoryramp/savoryramp/internal/upstream"
 )
@@ -61,6 +63,11 @@
       - {name: a, address: "10.0.0.1:1", availability-zone: z1, connections: 24, slots: 3}
       - {name: b, address: "10.0.0.2:1", availability-zone: z2, connections: 24, slots: 3}
       - {name: c, address: "10.0.0.3:1", availability-zone: z3, connections: 24, slots: 3}
+  - name: r2
+    user: savoryramp
+    database: receipts
+    servers:
+      - {name: d, address: "10.0.0.4:1", availability-zone: z1, connections: 24, slots: 3}
 databases:
   - {name: desk, upstream: r1}
   - {name: till, upstream: r1}
@@ -95,8 +102,10 @@
 	fake    *fakeplatform.Platform
 	group   *fakeupstream.Group
 	logs    *logs
-	mu      sync.Mutex
-	vms     []*vm
+	// share is how many connections a VM may have to a server.
+	share atomic.Int64
+	mu    sync.Mutex
+	vms   []*vm
 }
 
 // vm is one VM's parts, without the daemon around them.
@@ -107,6 +116,7 @@
 	upstreams *upstream.Upstreams
 	server    *caller.Server
 	trust     *platform.Trust
+	metrics   *operator.Metrics
 	// cutTable and cutPeers are what the VM doesn't reach.
 	cutTable, cutPeers atomic.Bool
 	// stop kills the VM; done is closed when its callers' part has ended.
@@ -159,6 +169,13 @@
 
 // newFleet starts the servers and VMs; it is called in a bubble.
 func newFleet(t *testing.T, vms int) *fleet {
+	t.Helper()
+	return newFleetWith(t, vms, text(), "")
+}
+
+// newFleetWith starts a fleet with a document, and servers that ask for a password
+// unless it is empty.
+func newFleetWith(t *testing.T, vms int, document, password string) *fleet {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &fleet{
@@ -170,9 +187,10 @@
 		l, err := listen()
 		assert.NilError(t, err)
 		f.group.Servers = append(f.group.Servers, &fakeupstream.Server{
-			Name: fakeupstream.ServerName(name), Listener: l, Listen: listen, Service: time.Millisecond,
+			Name: fakeupstream.ServerName(name), Listener: l, Listen: listen, Service: time.Millisecond, Password: password,
 		})
 	}
+	f.share.Store(4)
 	var parts sync.WaitGroup
 	parts.Go(func() { assert.Check(t, f.group.Run(ctx)) })
 	t.Cleanup(func() {
@@ -185,7 +203,7 @@
 		// The driver closes broken connections in the background, within 15 s.
 		time.Sleep(20 * time.Second)
 	})
-	f.apply(text())
+	f.apply(document)
 	for range vms {
 		f.add()
 	}
@@ -204,7 +222,7 @@
 	v.trust = &platform.Trust{Configuration: v.Configuration, Members: func() int { return len(f.list()) }}
 	v.upstreams = &upstream.Upstreams{
 		Dial: f.network.Dialer(fakenet.Host(name)), Logger: logger, Documents: v.Configuration,
-		Share: func(platform.ServerName) int { return 4 }, Reads: upstream.WaitOrPrimary{},
+		Share: func(platform.ServerName) int { return int(f.share.Load()) }, Reads: upstream.WaitOrPrimary{},
 		Order: upstream.DeficitRoundRobin, MaxQueue: 512,
 	}
 	listener, err := f.network.Listen(fakenet.Host(name), v.address)
@@ -216,6 +234,9 @@
 	f.mu.Lock()
 	f.vms = append(f.vms, v)
 	f.mu.Unlock()
+	v.metrics, err = operator.NewMetrics()
+	assert.NilError(f, err)
+	v.server.Meter = v.metrics.Meter("caller")
 	var running sync.WaitGroup
 	for _, run := range []func(context.Context) error{v.Configuration.Run, v.upstreams.Run, v.server.Run} {
 		running.Go(func() { assert.Check(f, run(ctx)) })
@@ -306,15 +327,9 @@
 }
 
 func code(err error) string {
-	for err != nil {
-		if e, is := err.(*pgconn.PgError); is {
-			return e.Code
-		}
-		u, is := err.(interface{ Unwrap() error })
-		if !is {
-			return ""
-		}
-		err = u.Unwrap()
+	var failure *pgconn.PgError
+	if errors.As(err, &failure) {
+		return failure.Code
 	}
 	return ""
 }
--- /dev/null
+++ b/internal/caller/secret_test.go
@@ -0,0 +1,155 @@
+package caller_test
+
+import (
+	"context"
+	"encoding/base64"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"regexp"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"gotest.tools/v3/assert"
+
+	"github.com/savoryramp/savoryramp/internal/fakeupstream"
+	"github.com/savoryramp/savoryramp/internal/operator"
+)
+
+const upstreamPassword = "upstream-password-77d2"
+
+// wire keeps all that callers send.
+type wire struct {
+	net.Conn
+	kept *logs
+}
+
+func (w wire) Write(p []byte) (int, error) {
+	_, _ = w.kept.Write(p)
+	return w.Conn.Write(p)
+}
+
+// secrets are texts that must be seen nowhere: keys, all that was sent in logins,
+// verifiers with their parts, and the password for the servers.
+func secrets(sent string) []string {
+	list := []string{oneSecret, otherSecret, upstreamPassword, "cleartext-guess"}
+	for _, v := range verifierOf() {
+		list = append(list, string(v))
+		for _, part := range strings.FieldsFunc(string(v), func(r rune) bool { return strings.ContainsRune("$:", r) })[2:] {
+			raw, err := base64.StdEncoding.DecodeString(part)
+			if err == nil {
+				list = append(list, part, string(raw))
+			}
+		}
+	}
+	for _, m := range regexp.MustCompile(`[rp]=([A-Za-z0-9+/=]{16,})`).FindAllStringSubmatch(sent, -1) {
+		list = append(list, m[1])
+	}
+	return list
+}
+
+// login is a driver's first message of one kind, with a secret where its key belongs.
+func login(f *fleet, v *vm, parameters map[string]string, then func(front *pgproto3.Frontend)) {
+	f.Helper()
+	nc, err := f.network.Dialer("client")(f.ctx, "tcp", v.address)
+	assert.NilError(f, err)
+	defer nc.Close()
+	front := pgproto3.NewFrontend(nc, nc)
+	front.Send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: parameters})
+	assert.NilError(f, front.Flush())
+	then(front)
+	_ = nc.SetReadDeadline(time.Now().Add(time.Second))
+	for err == nil {
+		_, err = front.Receive()
+	}
+}
+
+func TestSecretsStayWhereTheyBelong(t *testing.T) {
+	t.Setenv("SAVORYRAMP_TEST_PASSWORD", upstreamPassword)
+	document := strings.Replace(text(), "database: receipts\n", "database: receipts\n    password-variable: SAVORYRAMP_TEST_PASSWORD\n", 1)
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleetWith(t, 1, document, upstreamPassword)
+		v, sent := f.vms[0], &logs{}
+		f.useEveryPath(v, sent)
+		admin := &operator.Admin{}
+		admin.Register("callers", v.server.State)
+		admin.Register("upstreams", v.upstreams.State)
+		page := func(path string, handler *operator.Admin) string {
+			w := httptest.NewRecorder()
+			handler.Metrics = v.metrics.Handler()
+			handler.Handler().ServeHTTP(w, httptest.NewRequestWithContext(f.ctx, "GET", path, nil))
+			return w.Body.String()
+		}
+		seen := map[string]string{"log": f.logs.String(), "state": page("/state", admin), "metrics": page("/metrics", admin)}
+		assert.Assert(t, strings.Contains(seen["log"], "one-key") && strings.Contains(seen["metrics"], `"one"`) && len(seen["state"]) > 100)
+		for _, name := range []fakeupstream.ServerName{"a", "b", "c"} {
+			seen["server "+string(name)] = string(f.group.Recorder.Received(name))
+		}
+		assert.Assert(t, strings.Contains(seen["server a"], "a-known-statement"))
+		list := secrets(sent.String())
+		assert.Assert(t, len(list) > 20, "%q", list)
+		for where, all := range seen {
+			for _, secret := range list {
+				assert.Assert(t, !strings.Contains(all, secret), "%q is in %s", secret, where)
+			}
+		}
+	})
+}
+
+// useEveryPath logs in and runs requests in every way, right and wrong.
+func (f *fleet) useEveryPath(v *vm, sent *logs) {
+	f.Helper()
+	for _, mode := range []pgx.QueryExecMode{pgx.QueryExecModeSimpleProtocol, pgx.QueryExecModeCacheStatement, pgx.QueryExecModeExec} {
+		c, err := f.dialAs(v, "one-key", oneSecret, mode, sent)
+		assert.NilError(f, err)
+		f.exec(c, "create table if not exists t (id text)")
+		f.exec(c, "insert into t values ($1)", "a-known-statement")
+		f.exec(c, "set application_name = 'x'")
+		f.exec(c, "set savoryramp.idempotent = on")
+		go func() {
+			time.Sleep(time.Second)
+			assert.Check(f, c.PgConn().CancelRequest(f.ctx))
+		}()
+		_, err = c.Exec(f.ctx, "select pg_sleep(20)")
+		assert.Equal(f, code(err), "57014")
+		_, err = c.Exec(f.ctx, "selec nonsense")
+		assert.Assert(f, err != nil)
+		assert.NilError(f, c.Close(f.ctx))
+	}
+	for key, secret := range map[string]string{"one-key": otherSecret, "absent-key": oneSecret, "other-key": otherSecret} {
+		_, err := f.dialAs(v, key, secret, pgx.QueryExecModeExec, sent)
+		assert.Assert(f, err != nil)
+	}
+	startup := map[string]string{"user": "one-key", "database": "desk", "options": "-c savoryramp.max_staleness=1s -c x=" + oneSecret, "password": oneSecret}
+	login(f, v, startup, func(front *pgproto3.Frontend) {
+		front.Send(&pgproto3.PasswordMessage{Password: "cleartext-guess"})
+		_ = front.Flush()
+	})
+	login(f, v, startup, func(front *pgproto3.Frontend) {
+		front.Send(&pgproto3.SASLInitialResponse{AuthMechanism: "cleartext-guess", Data: []byte(oneSecret)})
+		_ = front.Flush()
+	})
+	login(f, v, startup, func(front *pgproto3.Frontend) {
+		front.Send(&pgproto3.Query{String: oneSecret})
+		_ = front.Flush()
+	})
+	f.withdraw("one-key")
+	time.Sleep(promptly)
+}
+
+// dialAs logs in with options, in a mode, and keeps what is sent.
+func (f *fleet) dialAs(v *vm, key, secret string, mode pgx.QueryExecMode, sent *logs) (*pgx.Conn, error) {
+	config, err := pgx.ParseConfig(fmt.Sprintf("postgres://%s:%s@%s/desk?sslmode=disable", key, secret, v.address))
+	assert.NilError(f, err)
+	config.RuntimeParams["options"] = "-c savoryramp.max_staleness=1s"
+	config.DefaultQueryExecMode = mode
+	config.DialFunc = func(ctx context.Context, network, address string) (net.Conn, error) {
+		nc, err := f.network.Dialer("client")(ctx, network, address)
+		return wire{nc, sent}, err
+	}
+	return pgx.ConnectConfig(f.ctx, config)
+}
--- /dev/null
+++ b/internal/caller/workspace_test.go
@@ -0,0 +1,182 @@
+package caller_test
+
+import (
+	"regexp"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func TestKeysOpenOnlyTheirWorkspace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1)
+		tests := map[string]struct{ key, secret, database, want string }{
+			"own":                          {"one-key", oneSecret, "desk", ""},
+			"another workspace's":          {"one-key", oneSecret, "till", "3D000"},
+			"another's, the other way":     {"other-key", otherSecret, "desk", "3D000"},
+			"another key's secret":         {"one-key", otherSecret, "desk", "28P01"},
+			"wrong secret, absent route":   {"one-key", otherSecret, "absent", "28P01"},
+			"absent route":                 {"one-key", oneSecret, "absent", "3D000"},
+			"key of another deployment":    {"two-key", oneSecret, "desk", "28P01"},
+			"no key":                       {"", "", "desk", "28P01"},
+			"open route without a key":     {"anybody", "", "board", ""},
+			"open route, wrong secret":     {"one-key", "wrong", "board", ""},
+			"open workspace's key, closed": {"public-key", otherSecret, "desk", "3D000"},
+		}
+		for name, test := range tests {
+			c, err := f.dial(f.vms[0], test.key, test.secret, test.database)
+			assert.Equal(t, code(err), test.want, "%s: %v", name, err)
+			if test.want == "" {
+				assert.NilError(t, err, name)
+				f.exec(c, "select 1")
+				assert.NilError(t, c.Close(f.ctx))
+			}
+		}
+	})
+}
+
+func TestOpenSessionsFollowTheDocument(t *testing.T) {
+	tests := map[string]struct{ old, changed string }{
+		"workspace loses the database":  {"databases: [desk]", "databases: [till]"},
+		"database moves to an upstream": {"{name: desk, upstream: r1}", "{name: desk, upstream: r2}"},
+		"database goes":                 {"{name: desk, upstream: r1}\n", "{name: desk2, upstream: r1}\n"},
+		"key gets another secret":       {`{name: one-key, verifier: "` + string(verifierOf()[oneSecret]), `{name: one-key, verifier: "` + string(verifierOf()[otherSecret])},
+		"key goes":                      {"{name: one-key,", "{name: new-key,"},
+		"key moves to a workspace":      {"{name: one-key,", "{name: moved-key,"},
+		"open route is closed":          {"upstream: r1, open: true, open-workspace: public}", "upstream: r1}"},
+		"open route changes workspace":  {"open-workspace: public", "open-workspace: other"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 1)
+				open := strings.HasPrefix(name, "open")
+				connect := func() *pgx.Conn {
+					if open {
+						return f.connect(f.vms[0], "anybody", "", "board")
+					}
+					return f.one(f.vms[0])
+				}
+				idle, busy, kept := connect(), connect(), f.connect(f.vms[0], "other-key", otherSecret, "till")
+				f.exec(busy, "begin")
+				f.exec(busy, "select 1")
+				changed := strings.Replace(text(), test.old, test.changed, 1)
+				changed = strings.Replace(changed, "[desk]", "["+deskOf(changed)+"]", 1)
+				if strings.Contains(changed, "moved-key") {
+					changed = strings.Replace(changed, "{name: other-key,", "{name: one-key, verifier: \""+string(verifierOf()[oneSecret])+"\"}\n      - {name: other-key,", 1)
+				}
+				f.apply(changed)
+				time.Sleep(promptly)
+				assert.Assert(t, !f.usable(idle) && !f.usable(busy), "a session goes on under the older document")
+				assert.Assert(t, f.usable(kept))
+			})
+		})
+	}
+}
+
+// deskOf is the name of the first workspace's database in a document.
+func deskOf(document string) string {
+	if strings.Contains(document, "name: desk2") {
+		return "desk2"
+	}
+	return "desk"
+}
+
+func TestPooledConnectionsKeepNothingOfAnotherWorkspace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1)
+		f.share.Store(1)
+		one, other := f.one(f.vms[0]), f.connect(f.vms[0], "other-key", otherSecret, "till")
+		// On the primary both get the one connection that the share allows.
+		f.exec(one, "set shop.note = 'of one'; create table if not exists t (n int)")
+		f.exec(one, "insert into t values ($1)", 7)
+		assert.Equal(t, note(f, one), "of one", "the test must meet the same connection")
+		assert.Equal(t, note(f, other), "")
+		names := regexp.MustCompile(`savoryramp-[0-9a-f]+-\d+`).FindAllString(string(f.group.Recorder.Received("a")), -1)
+		assert.Assert(t, len(names) > 0)
+		f.exec(one, "insert into t values ($1)", 8)
+		for _, name := range names {
+			assert.Equal(t, bind(f, other, name), "26000")
+		}
+	})
+}
+
+// note reads a setting through the primary.
+func note(f *fleet, c *pgx.Conn) string {
+	f.Helper()
+	results, err := c.PgConn().Exec(f.ctx, "begin; show shop.note; commit").ReadAll()
+	assert.NilError(f, err)
+	return string(results[1].Rows[0][0])
+}
+
+// bind asks for a prepared statement that the session hasn't prepared, within a
+// transaction on the primary, and gives the SQLSTATE.
+func bind(f *fleet, c *pgx.Conn, name string) string {
+	f.Helper()
+	f.exec(c, "begin")
+	defer f.exec(c, "rollback")
+	front := c.PgConn().Frontend()
+	front.Send(&pgproto3.Bind{PreparedStatement: name, Parameters: [][]byte{[]byte("9")}})
+	front.Send(&pgproto3.Execute{})
+	front.Send(&pgproto3.Sync{})
+	assert.NilError(f, front.Flush())
+	state := ""
+	for {
+		m, err := front.Receive()
+		assert.NilError(f, err)
+		switch m := m.(type) {
+		case *pgproto3.ErrorResponse:
+			state = m.Code
+		case *pgproto3.ReadyForQuery:
+			return state
+		}
+	}
+}
+
+// turn is one workspace's use of a connection that all share.
+type turn struct {
+	caller int
+	what   string
+}
+
+func TestSettingsNeverPassBetweenWorkspaces(t *testing.T) {
+	what := rapid.SampledFrom([]string{"set", "set in a batch", "begin and set", "read"})
+	property(t, "20", func(r *rapid.T) {
+		turns := rapid.SliceOfN(rapid.Custom(func(r *rapid.T) turn {
+			return turn{rapid.IntRange(0, 3).Draw(r, "caller"), what.Draw(r, "what")}
+		}), 2, 20).Draw(r, "turns")
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, 1)
+			f.share.Store(1)
+			var callers []*pgx.Conn
+			for range 2 {
+				callers = append(callers, f.one(f.vms[0]), f.connect(f.vms[0], "other-key", otherSecret, "till"))
+			}
+			own := []string{"of one", "of other"}
+			for _, n := range turns {
+				c, mine := callers[n.caller], own[n.caller%2]
+				switch n.what {
+				case "set":
+					f.exec(c, "set shop.note = '"+mine+"'")
+				case "set in a batch":
+					f.exec(c, "set shop.note = '"+mine+"'; select 1; create table if not exists t (n int)")
+				case "begin and set":
+					f.exec(c, "begin")
+					f.exec(c, "set shop.note = '"+mine+"'")
+					f.exec(c, "commit")
+				}
+				got := note(f, c)
+				assert.Assert(t, got == "" || got == mine, "%q was seen by the workspace of %q: %+v", got, mine, turns)
+			}
+		})
+		if t.Failed() {
+			r.FailNow()
+		}
+	})
+}
--- a/internal/fakeupstream/control.go
+++ b/internal/fakeupstream/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"regexp"
 	"strconv"
 	"strings"
@@ -105,6 +106,7 @@
 	}
 	s.closePortals()
 	clear(s.statements)
+	s.settings = maps.Clone(s.defaults)
 	s.setListening(false)
 	return &result{verb: strings.ToUpper(c.text), plain: true}, nil
 }
--- a/internal/fakeupstream/session.go
+++ b/internal/fakeupstream/session.go
@@ -46,7 +46,9 @@
 	// interrupt ends the running statement; guarded by group.mu, nil between statements.
 	interrupt context.CancelCauseFunc
 
-	settings   map[string]string
+	settings map[string]string
+	// defaults are the settings at the end of the start-up.
+	defaults   map[string]string
 	statements map[string]*prepared
 	portals    map[string]*portal
 	tx         transaction
--- a/internal/fakeupstream/startup.go
+++ b/internal/fakeupstream/startup.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"maps"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/xdg-go/scram"
@@ -77,6 +78,7 @@
 	for name, value := range m.Parameters {
 		s.settings[name] = value
 	}
+	s.defaults = maps.Clone(s.settings)
 	s.backend.Send(&pgproto3.BackendKeyData{ProcessID: uint32(s.id), SecretKey: s.secret})
 	return s.ready()
 }
