--- a/internal/caller/access_test.go
+++ b/internal/caller/access_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"flag"
 	"net"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"sync"
@@ -351,3 +352,10 @@
 	}
 	rapid.Check(t, check)
 }
+
+// metric tells whether a VM's metrics have a line.
+func (f *fleet) metric(v *vm, line string) bool {
+	w := httptest.NewRecorder()
+	v.metrics.Handler().ServeHTTP(w, httptest.NewRequestWithContext(f.ctx, "GET", "/metrics", nil))
+	return strings.Contains(w.Body.String(), "\n"+line+"\n")
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -49,6 +50,8 @@
 
 	net  net.Conn
 	pool *Pool
+	// aborted connections receive nothing more.
+	aborted atomic.Bool
 	// workspace is the one that used the connection last.
 	workspace  platform.WorkspaceName
 	pid        uint32
@@ -167,6 +170,10 @@
 	if err := c.net.SetReadDeadline(deadline); err != nil {
 		return nil, ErrBroken.Wrap(err, "server %s", c.Server)
 	}
+	// Looked at after the deadline was set, so that an Abort before that isn't lost.
+	if c.aborted.Load() {
+		return nil, c.broken(net.ErrClosed)
+	}
 	m, err := c.Front.Receive()
 	if err != nil {
 		return nil, c.broken(err)
@@ -178,7 +185,7 @@
 }
 
 func (c *Conn) broken(err error) error {
-	if timeout, found := err.(net.Error); found && timeout.Timeout() {
+	if timeout, found := err.(net.Error); found && timeout.Timeout() && !c.aborted.Load() {
 		return ErrSilent.New("server %s gave no answer within the deadline", c.Server)
 	}
 	return ErrBroken.Wrap(err, "server %s", c.Server)
@@ -241,7 +248,10 @@
 }
 
 // Abort breaks the connection from another task, so that its user stops waiting.
-func (c *Conn) Abort() { _ = c.net.SetDeadline(time.Unix(1, 0)) }
+func (c *Conn) Abort() {
+	c.aborted.Store(true)
+	_ = c.net.SetDeadline(time.Unix(1, 0))
+}
 
 func (c *Conn) close() { _ = c.net.Close() }
 
--- a/internal/upstream/read.go
+++ b/internal/upstream/read.go
@@ -86,6 +86,8 @@
 		case <-timer.C:
 			patience = time.Now()
 		case <-ctx.Done():
+			timer.Stop()
+			return nil, ErrBusy.Wrap(ctx.Err(), "no server of upstream %s is fresh enough yet", g.Upstream.Name)
 		}
 		timer.Stop()
 	}
