--- /dev/null
+++ b/internal/caller/malformed_test.go
@@ -0,0 +1,237 @@
+package caller_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"gotest.tools/v3/assert"
+
+	"github.com/savoryramp/savoryramp/internal/caller"
+	"github.com/savoryramp/savoryramp/internal/platform"
+	"github.com/savoryramp/savoryramp/internal/upstream"
+)
+
+// fixed is a document that never changes.
+type fixed platform.Snapshot
+
+func (d fixed) Current() platform.Snapshot { return platform.Snapshot(d) }
+
+func (d fixed) Wait(ctx context.Context, after platform.DocumentVersion) (platform.Snapshot, error) {
+	if d.Version > after {
+		return platform.Snapshot(d), nil
+	}
+	<-ctx.Done()
+	return platform.Snapshot{}, ctx.Err()
+}
+
+// pipes accepts the server's ends of connections in memory.
+type pipes chan net.Conn
+
+func (p pipes) Accept() (net.Conn, error) {
+	if nc, open := <-p; open {
+		return nc, nil
+	}
+	return nil, net.ErrClosed
+}
+
+func (p pipes) Close() error   { return nil }
+func (p pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+// deadEnd serves callers in front of servers that refuse connections, until the
+// test ends.
+func deadEnd(t testing.TB) pipes {
+	t.Helper()
+	document, err := platform.Parse([]byte(text()))
+	assert.NilError(t, err)
+	documents := fixed{Version: 1, Document: document}
+	refuse := func(context.Context, string, string) (net.Conn, error) { return nil, net.ErrClosed }
+	u := &upstream.Upstreams{
+		Dial: refuse, Logger: log.NewNopLogger(), Documents: documents, Share: func(platform.ServerName) int { return 1 },
+		Reads: upstream.WaitOrPrimary{}, Order: upstream.DeficitRoundRobin, MaxQueue: 10,
+	}
+	accepted := make(pipes)
+	s := &caller.Server{
+		VM: "v1", Listener: accepted, Documents: documents, Upstreams: u, TokenKey: []byte("key"),
+		MaxWait: time.Millisecond, Deadline: time.Second, Logger: log.NewNopLogger(),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 2)
+	go func() { ended <- u.Run(ctx) }()
+	go func() { ended <- s.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		close(accepted)
+		assert.Check(t, <-ended)
+		assert.Check(t, <-ended)
+	})
+	return accepted
+}
+
+// feed sends bytes on a new connection and gives all that is answered until the
+// server ends it, or the bytes and the time for them are over.
+func (p pipes) feed(sent []byte) []byte {
+	near, far := net.Pipe()
+	p <- far
+	answer := make(chan []byte)
+	go func() {
+		got, _ := io.ReadAll(near)
+		answer <- got
+	}()
+	_ = near.SetWriteDeadline(time.Now().Add(5 * time.Second))
+	_, _ = near.Write(sent)
+	_ = near.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+	got := <-answer
+	_ = near.Close()
+	return got
+}
+
+func encode(messages ...pgproto3.FrontendMessage) []byte {
+	var b []byte
+	for _, m := range messages {
+		b, _ = m.Encode(b)
+	}
+	return b
+}
+
+func startup(parameters map[string]string) []byte {
+	return encode(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: parameters})
+}
+
+var openStartup = startup(map[string]string{"user": "anybody", "database": "board"})
+
+// FuzzStartup sends bytes in place of a start-up; another caller must still get in.
+func FuzzStartup(f *testing.F) {
+	f.Add(openStartup)
+	f.Add(startup(map[string]string{"user": "one-key", "database": "desk", "options": "-c savoryramp.max_staleness=1s"}))
+	f.Add(append(startup(map[string]string{"user": "one-key", "database": "desk"}), encode(&pgproto3.SASLInitialResponse{AuthMechanism: "SCRAM-SHA-256", Data: []byte("n,,n=,r=abc")})...))
+	f.Add(encode(&pgproto3.SSLRequest{}))
+	f.Add(append(encode(&pgproto3.GSSEncRequest{}), openStartup...))
+	f.Add(encode(&pgproto3.CancelRequest{ProcessID: 1, SecretKey: []byte{1, 2, 3, 4}}))
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0, 3, 0, 0})
+	f.Add([]byte{0, 0, 0, 8, 0, 0, 0, 0})
+	p := deadEnd(f)
+	f.Fuzz(func(t *testing.T, sent []byte) {
+		p.feed(sent)
+		p.check(t)
+	})
+}
+
+// FuzzMessages sends bytes after the login.
+func FuzzMessages(f *testing.F) {
+	f.Add(encode(&pgproto3.Query{String: "select 1"}, &pgproto3.Query{String: "begin; select 1"}, &pgproto3.Sync{}))
+	f.Add(encode(&pgproto3.Query{String: "set savoryramp.max_staleness = '5s'"}, &pgproto3.Query{String: "show savoryramp.session"}, &pgproto3.Query{String: "reset savoryramp.x"}))
+	f.Add(encode(&pgproto3.Parse{Name: "s", Query: "select $1"}, &pgproto3.Bind{PreparedStatement: "s", Parameters: [][]byte{{1}}},
+		&pgproto3.Describe{ObjectType: 'S', Name: "s"}, &pgproto3.Execute{}, &pgproto3.Close{ObjectType: 'S', Name: "s"}, &pgproto3.Flush{}, &pgproto3.Sync{}))
+	f.Add(encode(&pgproto3.Parse{Query: "show savoryramp.vm"}, &pgproto3.Bind{}, &pgproto3.Describe{ObjectType: 'P'}, &pgproto3.Execute{}, &pgproto3.Sync{}))
+	f.Add(encode(&pgproto3.CopyData{}, &pgproto3.Terminate{}))
+	f.Add([]byte{'Q', 0xff, 0xff, 0xff, 0xff})
+	f.Add([]byte{'Q', 0, 0, 0, 4})
+	f.Add([]byte{'?', 0, 0, 0, 4})
+	p := deadEnd(f)
+	f.Fuzz(func(t *testing.T, sent []byte) {
+		p.feed(append(bytes.Clone(openStartup), sent...))
+		p.check(t)
+	})
+}
+
+// check logs a caller in, which must go on working whatever others send.
+func (p pipes) check(t *testing.T) {
+	t.Helper()
+	assert.Assert(t, bytes.HasSuffix(p.feed(openStartup), []byte{'Z', 0, 0, 0, 5, 'I'}))
+}
+
+func TestMalformedMessagesEndTheirConnection(t *testing.T) {
+	p := deadEnd(t)
+	tests := map[string]struct {
+		sent []byte
+		want string
+	}{
+		"start-up too large":  {[]byte{0, 1, 0, 0, 0, 3, 0, 0}, ""},
+		"start-up too small":  {[]byte{0, 0, 0, 4, 0, 3, 0, 0}, ""},
+		"message too large":   {append(bytes.Clone(openStartup), 'Q', 2, 0, 0, 0), "08P01"},
+		"length under itself": {append(bytes.Clone(openStartup), 'Q', 0, 0, 0, 1), "08P01"},
+		"unknown type":        {append(bytes.Clone(openStartup), '?', 0, 0, 0, 4), "08P01"},
+		"not for after login": {append(bytes.Clone(openStartup), 'p', 0, 0, 0, 5, 0), "08P01"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			got := p.feed(test.sent)
+			assert.Assert(t, bytes.Contains(got, []byte(test.want)), "%q", got)
+			p.check(t)
+		})
+	}
+}
+
+func TestDribblingCallersAreCutOff(t *testing.T) {
+	tests := map[string]struct {
+		before []byte
+		bytes  []byte
+		within time.Duration
+	}{
+		"in the start-up": {nil, startup(map[string]string{"user": "one-key", "database": "desk", "x": strings.Repeat("y", 64)}), 10 * time.Second},
+		"in a message":    {openStartup, encode(&pgproto3.Query{String: "select 'a long text that comes a byte at a time'"}), 30 * time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := deadEnd(t)
+				near, far := net.Pipe()
+				p <- far
+				go func() { _, _ = io.Copy(io.Discard, near) }()
+				_, err := near.Write(test.before)
+				assert.NilError(t, err)
+				began := time.Now()
+				for i := 0; err == nil && i < len(test.bytes)-1; i++ {
+					_, err = near.Write(test.bytes[i : i+1])
+					time.Sleep(time.Second)
+				}
+				assert.Assert(t, err != nil, "the caller may dribble for %s", time.Since(began))
+				assert.Assert(t, time.Since(began) <= test.within+2*time.Second)
+				_ = near.Close()
+			})
+		})
+	}
+}
+
+func TestCallersWhoDoNotReadAreCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := deadEnd(t)
+		near, far := net.Pipe()
+		p <- far
+		_, err := near.Write(openStartup)
+		assert.NilError(t, err)
+		time.Sleep(35 * time.Second)
+		_, err = near.Write(encode(&pgproto3.Sync{}))
+		assert.Assert(t, err != nil)
+		_ = near.Close()
+	})
+}
+
+func TestQuietCallersStay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := deadEnd(t)
+		near, far := net.Pipe()
+		p <- far
+		got := make(chan []byte)
+		go func() {
+			all, _ := io.ReadAll(near)
+			got <- all
+		}()
+		_, err := near.Write(openStartup)
+		assert.NilError(t, err)
+		time.Sleep(time.Hour)
+		_, err = near.Write(encode(&pgproto3.Query{String: "show savoryramp.vm"}))
+		assert.NilError(t, err)
+		time.Sleep(time.Second)
+		_ = near.Close()
+		assert.Assert(t, bytes.Contains(<-got, []byte("SHOW")))
+	})
+}
--- a/internal/caller/session.go
+++ b/internal/caller/session.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"crypto/subtle"
+	"io"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -109,7 +111,7 @@
 		}
 		m, err := s.back.Receive()
 		if err != nil {
-			s.farewell(err)
+			s.farewell(s.unreadable(err))
 			return
 		}
 		s.active.Store(true)
@@ -121,6 +123,21 @@
 	}
 }
 
+// unreadable tells a caller that broke the protocol from one that went away.
+func (s *Session) unreadable(err error) error {
+	if failure, found := err.(net.Error); found && failure.Timeout() && s.net.receiving() {
+		return ErrProtocol.New("a message took longer than %s", messageWithin)
+	}
+	switch err {
+	case io.EOF, io.ErrUnexpectedEOF, io.ErrClosedPipe, net.ErrClosed:
+		return errCaller.Wrap(err, "caller's connection")
+	}
+	if _, found := err.(net.Error); found {
+		return errCaller.Wrap(err, "caller's connection")
+	}
+	return ErrProtocol.Wrap(err, "message")
+}
+
 // idle marks the end of an answer, and tells whether the session must end here.
 func (s *Session) idle() bool {
 	s.mu.Lock()
