--- /dev/null
+++ b/internal/caller/leaving_test.go
@@ -0,0 +1,89 @@
+package caller_test
+
+import (
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"gotest.tools/v3/assert"
+
+	"github.com/savoryramp/savoryramp/internal/fakeupstream"
+)
+
+// begun counts the statements that a server has run so far.
+func (f *fleet) begun(name fakeupstream.ServerName) int {
+	n := 0
+	for _, run := range f.group.Recorder.Runs() {
+		if run.Server == name {
+			n++
+		}
+	}
+	return n
+}
+
+func TestLeavingServerGetsNoNewWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		f.share.Store(2)
+		f.exec(f.one(f.vms[0]), "create table t (n int)")
+		for _, s := range f.group.Servers {
+			s.SetService(20 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		leaving := f.replica()
+		held := f.heldAt(leaving)
+		var workers sync.WaitGroup
+		until := time.Now().Add(15 * time.Second)
+		for n := range 24 {
+			c := f.one(f.vms[n%3])
+			workers.Go(func() {
+				for time.Now().Before(until) {
+					_, err := c.Exec(f.ctx, "select count(*) from t")
+					if !assert.Check(t, err) {
+						return
+					}
+				}
+			})
+		}
+		time.Sleep(3 * time.Second)
+		before := f.begun(leaving)
+		assert.Assert(t, before > 20, "%d statements before", before)
+		f.apply(strings.Replace(text(), "{name: "+string(leaving)+",", "{name: "+string(leaving)+", leaving: true,", 1))
+		time.Sleep(promptly)
+		after := f.begun(leaving)
+		f.exec(held, "select count(*) from t")
+		assert.Equal(t, f.begun(leaving), after+1, "an open transaction goes on where it began")
+		f.exec(held, "commit")
+		workers.Wait()
+		assert.Equal(t, f.begun(leaving), after+1, "statements begun on a leaving server")
+	})
+}
+
+// replica names one that isn't the primary.
+func (f *fleet) replica() fakeupstream.ServerName {
+	for _, s := range f.group.Servers {
+		if s != f.group.Primary() {
+			return s.Name
+		}
+	}
+	return ""
+}
+
+// heldAt opens a transaction on a certain server.
+func (f *fleet) heldAt(name fakeupstream.ServerName) *pgx.Conn {
+	f.Helper()
+	for range 20 {
+		before := f.begun(name)
+		c := f.one(f.vms[0])
+		f.exec(c, "begin read only")
+		f.exec(c, "select count(*) from t")
+		if f.begun(name) > before {
+			return c
+		}
+	}
+	f.Fatalf("no transaction began on %s", name)
+	return nil
+}
