--- a/internal/caller/access_test.go
+++ b/internal/caller/access_test.go
@@ -279,7 +279,7 @@
 func (v *vm) hear(from *vm) {
 	word, s := from.trust.Tell(), from.Current()
 	v.Offer(s.Version, s.Hash)
-	if s.Version > v.Current().Version {
+	if s.Version > 0 {
 		_ = v.OfferBody(s.Version, s.Hash, s.Body)
 	}
 	v.trust.Hear(from.name, word)
--- a/internal/caller/malformed_test.go
+++ b/internal/caller/malformed_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"io"
 	"net"
 	"strings"
@@ -48,6 +49,12 @@
 // deadEnd serves callers in front of servers that refuse connections, until the
 // test ends.
 func deadEnd(t testing.TB) pipes {
+	t.Helper()
+	return deadEndWith(t, nil)
+}
+
+// deadEndWith is deadEnd for callers who may use TLS.
+func deadEndWith(t testing.TB, secured *tls.Config) pipes {
 	t.Helper()
 	document, err := platform.Parse([]byte(text()))
 	assert.NilError(t, err)
@@ -59,7 +66,7 @@
 	}
 	accepted := make(pipes)
 	s := &caller.Server{
-		VM: "v1", Listener: accepted, Documents: documents, Upstreams: u, TokenKey: []byte("key"),
+		VM: "v1", Listener: accepted, TLS: secured, Documents: documents, Upstreams: u, TokenKey: []byte("key"),
 		MaxWait: time.Millisecond, Deadline: time.Second, Logger: log.NewNopLogger(),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -75,6 +82,13 @@
 	return accepted
 }
 
+// dial opens a connection, as net.Dialer.DialContext.
+func (p pipes) dial(context.Context, string, string) (net.Conn, error) {
+	near, far := net.Pipe()
+	p <- far
+	return near, nil
+}
+
 // feed sends bytes on a new connection and gives all that is answered until the
 // server ends it, or the bytes and the time for them are over.
 func (p pipes) feed(sent []byte) []byte {
--- /dev/null
+++ b/internal/caller/spread_test.go
@@ -0,0 +1,162 @@
+package caller_test
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"math/big"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"gotest.tools/v3/assert"
+
+	"github.com/savoryramp/savoryramp/internal/fakeplatform"
+	"github.com/savoryramp/savoryramp/internal/platform"
+)
+
+// lets tells which routes a VM lets the first workspace's key into, as a caller sees it.
+func (f *fleet) lets(v *vm, database string) bool {
+	c, err := f.dial(v, "one-key", oneSecret, database)
+	if err == nil {
+		_ = c.Close(f.ctx)
+	}
+	return err == nil
+}
+
+// routes is the document with another list of databases for the first workspace.
+func routes(list string) string {
+	return strings.Replace(text(), "databases: [desk]", "databases: ["+list+"]", 1)
+}
+
+// pause stops what a VM hears of versions, as when it hangs.
+func (v *vm) pause(on bool) {
+	v.cutTable.Store(on)
+	v.cutPeers.Store(on)
+}
+
+func TestAcceptedDocumentIsInForceOnAllVMs(t *testing.T) {
+	down := func(calls ...fakeplatform.Call) func(f *fleet) {
+		return func(f *fleet) { f.fake.SetFaults(fakeplatform.Fault{Kind: fakeplatform.Down}, calls...) }
+	}
+	tests := map[string]struct {
+		// first happens before the change, then after it.
+		first, then func(f *fleet)
+	}{
+		"all is well": {},
+		"paused across three versions": {
+			func(f *fleet) {
+				f.vms[2].pause(true)
+				f.apply(routes("till"))
+				f.apply(routes("desk"))
+				time.Sleep(5 * time.Second)
+			},
+			func(f *fleet) { time.Sleep(5 * time.Second); f.vms[2].pause(false) },
+		},
+		"one VM cut from the table": {func(f *fleet) { f.vms[1].cutTable.Store(true) }, nil},
+		"started in an outage": {nil, func(f *fleet) {
+			time.Sleep(promptly)
+			down()(f)
+			f.add()
+		}},
+		"store down, table up": {nil, func(f *fleet) {
+			s, err := platform.Newest(f.ctx, f.fake.Table(), f.fake.Store())
+			assert.NilError(f, err)
+			down(fakeplatform.StoreGet)(f)
+			assert.NilError(f, f.vms[1].OfferBody(s.Version, s.Hash, s.Body))
+		}},
+		"table down, store up": {nil, func(f *fleet) {
+			s, err := platform.Newest(f.ctx, f.fake.Table(), f.fake.Store())
+			assert.NilError(f, err)
+			down(fakeplatform.TableGet)(f)
+			f.vms[1].Offer(s.Version, s.Hash)
+		}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 3)
+				if test.first != nil {
+					test.first(f)
+				}
+				f.apply(routes("desk, till"))
+				if test.then != nil {
+					test.then(f)
+				}
+				time.Sleep(promptly)
+				for _, v := range f.list() {
+					assert.Assert(t, f.lets(v, "till") && f.lets(v, "desk"), "%s has version %d", v.name, v.Current().Version)
+				}
+			})
+		})
+	}
+}
+
+// TestDocumentsNeverRevert races operators that open and close routes and watches
+// what callers may do on each VM: the version in force only rises, and all agree.
+func TestDocumentsNeverRevert(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		var operators, watchers sync.WaitGroup
+		for n, list := range []string{"desk", "till", "desk, till", "board"} {
+			operators.Go(func() {
+				for range 6 {
+					time.Sleep(time.Duration(300+170*n) * time.Millisecond)
+					_, _ = platform.Apply(f.ctx, f.fake.Table(), f.fake.Store(), "rana", []byte(routes(list)+"# "+list))
+				}
+			})
+		}
+		watching, stop := context.WithCancel(f.ctx)
+		for i, v := range f.list() {
+			watchers.Go(func() {
+				var last platform.DocumentVersion
+				for watching.Err() == nil {
+					now := v.Current().Version
+					assert.Check(t, now >= last, "%s went back from %d to %d", v.name, last, now)
+					last = now
+					v.cutTable.Store(int(now)%3 == i)
+					time.Sleep(50 * time.Millisecond)
+				}
+			})
+		}
+		operators.Wait()
+		time.Sleep(promptly)
+		stop()
+		watchers.Wait()
+		newest, err := platform.Newest(f.ctx, f.fake.Table(), f.fake.Store())
+		assert.NilError(t, err)
+		assert.Assert(t, newest.Version > 5, "%d", newest.Version)
+		for _, v := range f.list() {
+			assert.Equal(t, v.Current().Hash, newest.Hash, v.name)
+		}
+	})
+}
+
+func TestCallersMayUseTLS(t *testing.T) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(t, err)
+	template := &x509.Certificate{SerialNumber: big.NewInt(1), DNSNames: []string{"savoryramp"}, NotAfter: time.Now().Add(time.Hour)}
+	raw, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	assert.NilError(t, err)
+	p := deadEndWith(t, &tls.Config{Certificates: []tls.Certificate{{Certificate: [][]byte{raw}, PrivateKey: key}}})
+	config, err := pgx.ParseConfig("postgres://one-key:" + oneSecret + "@savoryramp/desk?sslmode=require")
+	assert.NilError(t, err)
+	config.Fallbacks = nil
+	config.TLSConfig.ServerName = "savoryramp"
+	config.DialFunc = p.dial
+	config.LookupFunc = func(context.Context, string) ([]string, error) { return []string{"127.0.0.1"}, nil }
+	c, err := pgx.ConnectConfig(t.Context(), config)
+	assert.NilError(t, err)
+	var vm string
+	assert.NilError(t, c.QueryRow(t.Context(), "show savoryramp.vm", pgx.QueryExecModeSimpleProtocol).Scan(&vm))
+	assert.Equal(t, vm, "v1")
+	// The server hangs up without TLS's own goodbye, which the driver reports.
+	_ = c.Close(t.Context())
+	p.check(t)
+}
