--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: demo test build lint generate
+.PHONY: demo test build lint generate protocol
 
 build:
 	mkdir -p bin
@@ -23,8 +23,8 @@
 	go tool revive -set_exit_status -exclude ./internal/peer/peerpb/... ./...
 	go vet ./...
 
-# Needs protoc; the plugins are the versions of go.mod.
-generate:
+# Writes the peers' protocol code. Needs protoc; the plugins are those of go.mod.
+protocol:
 	mkdir -p bin/plugins
 	go build -o bin/plugins/ google.golang.org/protobuf/cmd/protoc-gen-go google.golang.org/grpc/cmd/protoc-gen-go-grpc
 	protoc --plugin=bin/plugins/protoc-gen-go --plugin=bin/plugins/protoc-gen-go-grpc \
