lease: one holder with a named successor

Cause: contracts and group leadership need one holder that a dead VM loses in seconds, that outlives a table outage and costs the table next to nothing. Change: the lease with promises by message, its two rules, hand-over, restarts and the claim for both gone at once; reasoning in the package's comment.

--- /dev/null
+++ b/pkg/lease/example_test.go
@@ -0,0 +1,47 @@
+package lease_test
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/savoryramp/savoryramp/pkg/lease"
+)
+
+type table struct{ row lease.Row }
+
+func (t *table) Read(context.Context) (lease.Row, error) { return t.row, nil }
+
+func (t *table) Swap(_ context.Context, row lease.Row) (lease.Row, error) {
+	if row.Version != t.row.Version {
+		return lease.Row{}, lease.ErrConflict.New("version %d is stored", t.row.Version)
+	}
+	row.Version++
+	t.row = row
+	return row, nil
+}
+
+func Example() {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &lease.Lease{
+		Self:       lease.Member{Name: "vm-1", Incarnation: "1"},
+		Table:      &table{},
+		Candidates: func() []lease.Name { return nil },
+		Listed:     func() ([]lease.Name, bool) { return nil, false },
+		NewChange:  func() lease.Change { return "first" },
+	}
+	changed := l.Changed()
+	done := make(chan struct{})
+	go func() { defer close(done); _ = l.Run(ctx) }()
+	<-changed
+	for {
+		changed = l.Changed()
+		if hold, held := l.Held(); held {
+			fmt.Println("held, version", hold.Version)
+			break
+		}
+		<-changed
+	}
+	cancel()
+	<-done
+	// Output: held, version 1
+}
--- /dev/null
+++ b/pkg/lease/lease.go
@@ -0,0 +1,336 @@
+// Package lease keeps one holder of a thing, with a named successor.
+//
+// A row of a table names a holder and a successor, each with its incarnation. The
+// holder renews by message: each answer is the successor's promise not to take over
+// for the lease's duration. So a dead holder is replaced in seconds, an outage of the
+// table of any length is outlived, and the table is written only at a change.
+//
+// Why there are never two holders:
+//
+//   - The holder counts a promise from before it asked, the successor from when it
+//     answered, each on its own monotonic clock, the successor longer by the margin
+//     for drift. The first lease after a change runs from before the conditional write
+//     was first sent; the successor named in it waits from when it learned the row.
+//   - Rule 1: a successor whose take-over is written, or may yet be, promises nothing
+//     until the row's version has moved or the write is known to be void.
+//   - Rule 2: a holder whose replacement of its successor may have been written counts
+//     only promises asked for before it was sent.
+//   - Every write is conditional on the version, and an unknown outcome is settled by
+//     sending the same write again: a late copy finds another version. Its effect is
+//     recognised by the change id.
+//   - A hand-over is a release: the holder stops for good under this version, then
+//     tells the successor, which takes over by its own write.
+//   - Without a successor the row itself is renewed, and whoever has known the same
+//     version for the duration and the margin may take over.
+//
+// Restarts: a new incarnation is neither holder nor successor and has no promises. A
+// holder that hears another incarnation under its successor's name replaces it at once.
+//
+// Both gone at once: only a promise of the successor keeps the holder's lease valid, so
+// it ends one duration after the successor's end, and at once with the holder's. A third
+// member that hears from neither writes itself into the row as claimant. A holder or
+// successor that lives reads the row every Poll and writes the claim away. The claimant
+// takes over, on the version of its own claim, when all through
+//
+//   - the duration with margin, one of the two names has answered as another
+//     incarnation (proof that the old one ended, since a name runs once), and
+//     the other the same or is off the VM list; or
+//   - the longer of ListLag and twice Poll, and the duration with margin after it, both
+//     were silent and off the VM list.
+//
+// So the list alone decides nothing. For the second case to err, both must live and
+// renew with each other, be off the list for longer than it lags, not be reached by the
+// claimant, and be cut from the table that the claimant can write. Whoever can't accept
+// that sets ListLag to what an operator needs to stop a VM by hand.
+//
+// Assumed: clocks don't stop while a process runs (a VM that is suspended with its clock
+// needs a Now which counts that time) and drift less than Drift; a name is run by one
+// process at a time; incarnations and change ids are never used twice.
+//
+// A process may pause between asking Held and acting on it. So the effect must be
+// harmless then: fenced by the Version, or counted against what a successor lacks.
+package lease
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Drift bounds how much a clock runs fast or slow, in parts per thousand.
+const Drift = 5
+
+// Lease takes part in one lease. Exported fields are set before Run, which is called
+// once.
+type Lease struct {
+	Self  Member
+	Table Table
+	Peers Peers
+	// Candidates to be named successor, the best first.
+	Candidates func() []Name
+	// Listed gives all names on the VM list; false if it can't be read.
+	Listed func() ([]Name, bool)
+	// NewChange gives an id never given before.
+	NewChange func() Change
+	// Now reads a monotonic clock; nil: Go's.
+	Now func() time.Duration
+	// Duration of a promise. Zero: 3 s.
+	Duration time.Duration
+	// Every is the time between renewals. Zero: a sixth of Duration.
+	Every time.Duration
+	// Poll is the time between readings of the row without cause. Zero: 30 s.
+	Poll time.Duration
+	// ListLag bounds how old the VM list is. Zero: 60 s.
+	ListLag time.Duration
+
+	mutex sync.Mutex
+	// row is the newest known, learned when it became so.
+	row     Row
+	learned time.Duration
+	// until is when the lease ends, for the holder in row; never lowered but by a
+	// newer row or a release.
+	until time.Duration
+	// released is set from a hand-over until a write of this member took effect that
+	// was sent after it.
+	released   bool
+	releasedAt time.Duration
+	// restarted: another incarnation answered under the successor's name.
+	restarted bool
+	// notBefore is when the successor in row may take over; lowered by a release only.
+	notBefore time.Duration
+	// writing: a write sent first at sent may take effect.
+	writing bool
+	sent    time.Duration
+	// goneSince and certainSince: the evidence of a claimant, zero without.
+	goneSince, certainSince time.Duration
+	// read is when the row was last read.
+	read    time.Duration
+	done    bool
+	changed chan struct{}
+}
+
+// Hold is a valid lease.
+type Hold struct {
+	// Version rises with each new holder; effects are fenced by it.
+	Version Version
+	// Left is how long the lease is valid without another promise.
+	Left time.Duration
+}
+
+// State is what a member knows, for a dump.
+type State struct {
+	Self Member `json:"self"`
+	Row  Row    `json:"row"`
+	Held bool   `json:"held"`
+	// Left of the lease if held, and until the successor may take over.
+	Left      time.Duration `json:"left-ns"`
+	NotBefore time.Duration `json:"not-before-ns"`
+	// Writing: the outcome of a write isn't known yet.
+	Writing bool `json:"writing"`
+}
+
+// Held tells whether this member holds the lease now. It is asked at each use, right
+// before the effect.
+func (l *Lease) Held() (Hold, bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	left := l.until - l.now()
+	if l.row.Holder != l.Self || l.released || left <= 0 {
+		return Hold{}, false
+	}
+	return Hold{Version: l.row.Version, Left: left}, true
+}
+
+// State gives a copy of what this member knows.
+func (l *Lease) State() State {
+	hold, held := l.Held()
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	s := State{Self: l.Self, Row: l.row, Held: held, Left: hold.Left, Writing: l.writing}
+	if l.row.Successor == l.Self {
+		s.NotBefore = max(l.notBefore-l.now(), 0)
+	}
+	return s
+}
+
+// Changed is closed when a newer row is learned or the lease was gained or released.
+// That a lease ran out is seen by Held only.
+func (l *Lease) Changed() <-chan struct{} {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.change()
+}
+
+// Run takes part until ctx ends. It doesn't hand over: see HandOver.
+func (l *Lease) Run(ctx context.Context) error {
+	var renewals sync.WaitGroup
+	renewals.Go(func() { l.renew(ctx) })
+	defer renewals.Wait()
+	defer l.stop()
+	for {
+		changed := l.Changed()
+		l.step(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		case <-time.After(l.every()):
+		}
+	}
+}
+
+// HandOver stops holding and tells the successor to take over at once. If that isn't
+// heard, the successor takes over when its promise ends. An error is that of Ask.
+func (l *Lease) HandOver(ctx context.Context) error {
+	l.mutex.Lock()
+	row := l.row
+	if row.Holder != l.Self || l.released {
+		l.mutex.Unlock()
+		return nil
+	}
+	l.released, l.releasedAt = true, l.now()
+	l.wake()
+	l.mutex.Unlock()
+	if row.Successor == (Member{}) {
+		return nil
+	}
+	_, err := l.Peers.Ask(ctx, row.Successor.Name, Request{Kind: Release, From: l.Self, Row: row})
+	return err
+}
+
+// Answer answers a request from another member.
+func (l *Lease) Answer(request Request) Answer {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.learn(request.Row)
+	answer := Answer{Self: l.Self, Row: l.row}
+	successor := l.row.Holder == request.From && l.row.Successor == l.Self
+	switch request.Kind {
+	case Probe:
+		answer.Promised = !l.done
+	case Release:
+		if successor && request.Row.Version == l.row.Version {
+			l.notBefore = l.now()
+			l.wake()
+		}
+	case Renew:
+		if successor && !l.writing && !l.done {
+			l.notBefore = max(l.notBefore, l.now()+l.wait())
+			answer.Promised = true
+		}
+	}
+	return answer
+}
+
+// renew asks the successor for promises, also while a write is under way.
+func (l *Lease) renew(ctx context.Context) {
+	for pause(ctx, l.every()) == nil {
+		l.mutex.Lock()
+		row, asked := l.row, l.now()
+		idle := row.Holder != l.Self || row.Successor == (Member{}) || l.released
+		l.mutex.Unlock()
+		if idle {
+			continue
+		}
+		answer, err := l.ask(ctx, row.Successor.Name, Request{Kind: Renew, From: l.Self, Row: row})
+		if err == nil {
+			l.count(asked, answer)
+		}
+	}
+}
+
+// count takes a promise that was asked for at the time asked.
+func (l *Lease) count(asked time.Duration, answer Answer) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.learn(answer.Row)
+	if l.row.Holder != l.Self || l.released {
+		return
+	}
+	if answer.Self != l.row.Successor {
+		l.restarted = l.restarted || answer.Self.Name == l.row.Successor.Name
+		return
+	}
+	if !answer.Promised || l.writing && asked > l.sent {
+		return
+	}
+	l.until = max(l.until, asked+l.duration())
+}
+
+// learn takes a newer row. Writes conditional on an older version are settled by it.
+func (l *Lease) learn(row Row) {
+	if row.Version <= l.row.Version {
+		return
+	}
+	if row.Holder != l.Self {
+		l.until, l.released = 0, false
+	}
+	l.row, l.learned = row, l.now()
+	l.writing, l.restarted = false, false
+	l.goneSince, l.certainSince = 0, 0
+	if row.Successor == l.Self {
+		l.notBefore = max(l.notBefore, l.now()+l.wait())
+	}
+	l.wake()
+}
+
+func (l *Lease) stop() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.done = true
+}
+
+// wake closes the channel of Changed.
+func (l *Lease) wake() {
+	close(l.change())
+	l.changed = nil
+}
+
+func (l *Lease) change() chan struct{} {
+	if l.changed == nil {
+		l.changed = make(chan struct{})
+	}
+	return l.changed
+}
+
+func (l *Lease) ask(ctx context.Context, to Name, request Request) (Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, l.bound())
+	defer cancel()
+	return l.Peers.Ask(ctx, to, request)
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
+}
+
+var started = time.Now()
+
+func (l *Lease) now() time.Duration {
+	if l.Now == nil {
+		return time.Since(started)
+	}
+	return l.Now()
+}
+
+// wait is how long a promise binds the successor: the duration on the slowest clock of
+// the holder, told by the fastest of the successor, (1+d)/(1-d) <= 1+3d for d <= 1/3.
+func (l *Lease) wait() time.Duration     { return l.duration() + l.duration()*3*Drift/1000 }
+func (l *Lease) duration() time.Duration { return either(l.Duration, 3*time.Second) }
+func (l *Lease) every() time.Duration    { return either(l.Every, l.duration()/6) }
+func (l *Lease) poll() time.Duration     { return either(l.Poll, 30*time.Second) }
+func (l *Lease) listLag() time.Duration  { return either(l.ListLag, time.Minute) }
+
+// bound of one call to the table or a peer.
+func (l *Lease) bound() time.Duration { return l.duration() / 4 }
+
+func either(set, standard time.Duration) time.Duration {
+	if set > 0 {
+		return set
+	}
+	return standard
+}
