Promote a failed primary, and join the VMs into a fleet

Change: a guard for each group runs under the group's lease, gathers evidence of a failed primary and runs pkg/term's promotion, in the reserved term if the table is out; the daemon joins the peers' fleet, spreads documents and cancel requests.

--- a/internal/fakeupstream/fakeupstream_test.go
+++ b/internal/fakeupstream/fakeupstream_test.go
@@ -46,10 +46,14 @@
 	t.Cleanup(func() {
 		cancel()
 		assert.NilError(t, <-done)
+		// The driver closes a broken connection in the background, within this time.
+		time.Sleep(driverCloses)
 	})
 	return b
 }
 
+const driverCloses = 30 * time.Second
+
 // connect opens a client connection to a server.
 func (b *bench) connect(server string, change func(c *pgx.ConnConfig)) *pgx.Conn {
 	b.t.Helper()
--- a/internal/fakeupstream/server.go
+++ b/internal/fakeupstream/server.go
@@ -100,8 +100,13 @@
 	Applied  string        `json:"applied"`
 	Slots    int           `json:"slots"`
 	Busy     int           `json:"busy"`
+	// Starts are the beginnings of the newest terms in the log.
+	Starts []position.Start `json:"starts"`
 }
 
+// statusStarts bounds the term starts in a status.
+const statusStarts = 8
+
 func (s *Server) prepare(g *Group) {
 	s.group = g
 	if s.Slots == 0 {
@@ -166,6 +171,7 @@
 		Server: s.Name, Role: role, Term: s.term,
 		Received: s.received().String(), Applied: s.appliedPosition().String(),
 		Slots: s.Slots, Busy: s.busy,
+		Starts: append([]position.Start(nil), s.starts[max(0, len(s.starts)-statusStarts):]...),
 	}
 }
 
--- /dev/null
+++ b/internal/operator/coordination.go
@@ -0,0 +1,218 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+
+	"github.com/google/uuid"
+	"github.com/joomcode/errorx"
+
+	"github.com/savoryramp/savoryramp/internal/peer"
+	"github.com/savoryramp/savoryramp/internal/platform"
+	"github.com/savoryramp/savoryramp/pkg/lease"
+)
+
+// coordination joins the database groups' guards with the fleet: leases over peers
+// and the table, and views of servers.
+type coordination struct {
+	Self  platform.VMName
+	Table platform.Table
+	Fleet *peer.Fleet
+
+	mu     sync.Mutex
+	leases map[string]*lease.Lease
+	tasks  sync.WaitGroup
+}
+
+// Run waits for the leases to end, which they do with their groups.
+func (c *coordination) Run(ctx context.Context) error {
+	<-ctx.Done()
+	c.tasks.Wait()
+	return nil
+}
+
+// Drain hands the leases over to their successors.
+func (c *coordination) Drain(ctx context.Context) error {
+	c.mu.Lock()
+	var held []*lease.Lease
+	for _, l := range c.leases {
+		held = append(held, l)
+	}
+	c.mu.Unlock()
+	for _, l := range held {
+		// A successor that doesn't hear takes over when its promise ends.
+		_ = l.HandOver(ctx)
+	}
+	return nil
+}
+
+// Lease takes part in a lease until ctx ends.
+func (c *coordination) Lease(ctx context.Context, name string) func() bool {
+	l := &lease.Lease{
+		Self:       lease.Member{Name: lease.Name(c.Self), Incarnation: lease.Incarnation(uuid.NewString())},
+		Table:      leaseRow{c.Table, platform.RowKey("lease/" + name)},
+		Peers:      leasePeers{c.Fleet, name},
+		Candidates: c.candidates,
+		Listed:     c.listed,
+		NewChange:  func() lease.Change { return lease.Change(uuid.NewString()) },
+	}
+	c.mu.Lock()
+	if c.leases == nil {
+		c.leases = map[string]*lease.Lease{}
+	}
+	c.leases[name] = l
+	c.mu.Unlock()
+	c.tasks.Go(func() { _ = l.Run(ctx) })
+	return func() bool {
+		_, held := l.Held()
+		return held
+	}
+}
+
+// candidates for successor are the other live VMs.
+func (c *coordination) candidates() []lease.Name {
+	var names []lease.Name
+	for _, m := range c.Fleet.Members() {
+		if m.State == peer.Live && m.Name != c.Self {
+			names = append(names, lease.Name(m.Name))
+		}
+	}
+	return names
+}
+
+// listed gives the VMs of the platform's list.
+func (c *coordination) listed() ([]lease.Name, bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	list, err := platform.VMRows{Table: c.Table}.List(ctx)
+	if err != nil {
+		return nil, false
+	}
+	names := make([]lease.Name, 0, len(list))
+	for _, m := range list {
+		names = append(names, lease.Name(m.Name))
+	}
+	return names, true
+}
+
+// Opinions counts the live VMs that told whether they can use a server.
+func (c *coordination) Opinions(server platform.ServerName) (heard, against int) {
+	live := map[platform.VMName]bool{}
+	for _, m := range c.Fleet.Members() {
+		live[m.Name] = m.State == peer.Live && m.Name != c.Self
+	}
+	for _, s := range c.Fleet.Views() {
+		v, found := s.View.(peer.Server)
+		if !found || v.Name != server || !live[s.Origin] {
+			continue
+		}
+		heard++
+		if !v.Usable {
+			against++
+		}
+	}
+	return heard, against
+}
+
+// Tell lets the other VMs know whether this one can use a server.
+func (c *coordination) Tell(server platform.ServerName, usable bool) {
+	c.Fleet.PublishNow(peer.Server{Name: server, Usable: usable})
+}
+
+// answer answers another VM's request about a lease.
+func (c *coordination) answer(_ context.Context, _ peer.Caller, name string, body []byte) ([]byte, error) {
+	c.mu.Lock()
+	l := c.leases[name]
+	c.mu.Unlock()
+	if l == nil {
+		return nil, ErrBroken.New("lease %q isn't known here", name)
+	}
+	var r lease.Request
+	if err := json.Unmarshal(body, &r); err != nil {
+		return nil, ErrBroken.Wrap(err, "request about lease %q", name)
+	}
+	return json.Marshal(l.Answer(r))
+}
+
+// state is what a dump shows of the leases.
+func (c *coordination) state() any {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	all := map[string]lease.State{}
+	for name, l := range c.leases {
+		all[name] = l.State()
+	}
+	return all
+}
+
+// leasePeers carries a lease's requests to other VMs.
+type leasePeers struct {
+	fleet *peer.Fleet
+	name  string
+}
+
+// Ask gives the answer of whichever incarnation bears the name.
+func (p leasePeers) Ask(ctx context.Context, to lease.Name, r lease.Request) (lease.Answer, error) {
+	body, err := json.Marshal(r)
+	if err != nil {
+		return lease.Answer{}, ErrBroken.Wrap(err, "request about lease %q", p.name)
+	}
+	text, err := p.fleet.Promise(ctx, platform.VMName(to), p.name, body)
+	if err != nil {
+		return lease.Answer{}, err
+	}
+	var a lease.Answer
+	if err := json.Unmarshal(text, &a); err != nil {
+		return lease.Answer{}, ErrBroken.Wrap(err, "answer about lease %q", p.name)
+	}
+	return a, nil
+}
+
+// leaseRow is a lease's row of the platform's table.
+type leaseRow struct {
+	table platform.Table
+	key   platform.RowKey
+}
+
+// Read gives the row; version 0 if there is none.
+func (r leaseRow) Read(ctx context.Context) (lease.Row, error) {
+	row, err := r.table.Get(ctx, r.key)
+	if errorx.IsOfType(err, platform.ErrNoRow) {
+		return lease.Row{}, nil
+	}
+	if err != nil {
+		return lease.Row{}, lease.ErrUnavailable.Wrap(err, "row %s", r.key)
+	}
+	return r.parse(row)
+}
+
+// Swap writes the row if it is still at row.Version.
+func (r leaseRow) Swap(ctx context.Context, row lease.Row) (lease.Row, error) {
+	body, err := json.Marshal(row)
+	if err != nil {
+		return lease.Row{}, lease.ErrUnavailable.Wrap(err, "row %s", r.key)
+	}
+	stored, err := r.table.Put(ctx, platform.Row{
+		Key: r.key, Version: platform.Version(row.Version), Change: platform.ChangeID(row.Change), Body: body,
+	})
+	switch {
+	case err == nil:
+		return r.parse(stored)
+	case errorx.IsOfType(err, platform.ErrConflict):
+		return lease.Row{}, lease.ErrConflict.Wrap(err, "row %s", r.key)
+	case errorx.IsOfType(err, platform.ErrUnavailable):
+		return lease.Row{}, lease.ErrUnavailable.Wrap(err, "row %s", r.key)
+	}
+	return lease.Row{}, lease.ErrOutcomeUnknown.Wrap(err, "row %s", r.key)
+}
+
+// parse reads a stored row; the table's own version and change count.
+func (r leaseRow) parse(row platform.Row) (lease.Row, error) {
+	var l lease.Row
+	if err := json.Unmarshal(row.Body, &l); err != nil {
+		return lease.Row{}, lease.ErrUnavailable.Wrap(err, "row %s", r.key)
+	}
+	l.Version, l.Change = lease.Version(row.Version), lease.Change(row.Change)
+	return l, nil
+}
--- a/internal/operator/daemon.go
+++ b/internal/operator/daemon.go
@@ -58,6 +58,10 @@
 		{Name: "configuration", Run: d.Configuration.Run},
 		{Name: "upstreams", Run: d.serving.upstreams.Run},
 		{Name: "callers", Run: d.serving.callers.Run, Drain: d.serving.callers.Drain},
+		{Name: "coordination", Run: d.serving.coordination.Run},
+		{Name: "announcement", Run: d.announce},
+		{Name: "spread", Run: d.spread},
+		{Name: "fleet", Run: d.serving.fleet.Run, Drain: d.leave},
 	}
 }
 
--- a/internal/operator/events.go
+++ b/internal/operator/events.go
@@ -27,4 +27,6 @@
 		"The table doesn't answer at the start; the document is awaited from the seed peers.")
 	eventNoTokens = event.Define(1012, "no-session-tokens", event.Warn,
 		"The key of session tokens can't be read; the VM gives no tokens and asks upstreams for floors instead.")
+	eventDocumentRefused = event.Define(1013, "peer-document-refused", event.Warn,
+		"A peer gave a document whose text doesn't match its hash or isn't valid.")
 )
--- a/internal/operator/serve.go
+++ b/internal/operator/serve.go
@@ -5,6 +5,7 @@
 	"net"
 
 	"github.com/savoryramp/savoryramp/internal/caller"
+	"github.com/savoryramp/savoryramp/internal/peer"
 	"github.com/savoryramp/savoryramp/internal/platform"
 	"github.com/savoryramp/savoryramp/internal/upstream"
 )
@@ -18,8 +19,12 @@
 
 // serving is the part of the daemon between callers and upstreams.
 type serving struct {
-	upstreams *upstream.Upstreams
-	callers   *caller.Server
+	upstreams    *upstream.Upstreams
+	callers      *caller.Server
+	fleet        *peer.Fleet
+	coordination *coordination
+	// entered is true once this VM is in the platform's list.
+	entered bool
 }
 
 // newServing makes the callers' and upstreams' parts and takes the callers' address.
@@ -28,19 +33,34 @@
 	if err != nil {
 		return nil, err
 	}
+	fleet, err := d.newFleet()
+	if err != nil {
+		_ = listener.Close()
+		return nil, err
+	}
+	joined := &coordination{Self: platform.VMName(d.Options.VM), Table: d.Table, Fleet: fleet}
+	fleet.OnPromise = joined.answer
 	var dialer net.Dialer
 	u := &upstream.Upstreams{
 		Dial: dialer.DialContext, Logger: d.Logger, Documents: d.Configuration, Share: d.share,
-		Reads: upstream.WaitOrPrimary{}, Order: upstream.DeficitRoundRobin, MaxQueue: maxQueue,
+		Coordination: joined, Table: d.Table, Reads: upstream.WaitOrPrimary{}, Order: upstream.DeficitRoundRobin, MaxQueue: maxQueue,
 	}
 	c := &caller.Server{
 		VM: platform.VMName(d.Options.VM), Listener: listener, TLS: d.Certificates.callers(), Documents: d.Configuration,
 		Upstreams: u, TokenKey: d.tokenKey(), MaxWait: d.Options.MaxWait, Deadline: d.Options.StatementDeadline,
-		Logger: d.Logger, Meter: d.Metrics.Meter("caller"),
+		ForwardCancel: d.forwardCancel, Logger: d.Logger, Meter: d.Metrics.Meter("caller"),
 	}
 	d.Admin.Register("callers", c.State)
 	d.Admin.Register("upstreams", u.State)
-	return &serving{u, c}, nil
+	d.Admin.Register("leases", joined.state)
+	d.Admin.Register("peers", func() any { return peersState(fleet) })
+	fleet.OnCancel = func(ctx context.Context, process uint32, secret []byte) error {
+		if !c.Cancel(ctx, caller.SessionID(process), secret) {
+			return ErrBroken.New("no such session")
+		}
+		return nil
+	}
+	return &serving{upstreams: u, callers: c, fleet: fleet, coordination: joined, entered: d.enter()}, nil
 }
 
 // tokenKey asks the platform for the key of session tokens; without it the VM
@@ -67,3 +87,17 @@
 	}
 	return 1
 }
+
+// peersState is what a dump shows of the fleet.
+func peersState(f *peer.Fleet) any {
+	type member struct {
+		AvailabilityZone platform.AvailabilityZone `json:"availability-zone"`
+		Address          platform.Address          `json:"address"`
+		State            peer.State                `json:"state"`
+	}
+	all := map[platform.VMName]member{}
+	for _, m := range f.Members() {
+		all[m.Name] = member{m.AvailabilityZone, m.Address, m.State}
+	}
+	return all
+}
--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -23,6 +23,8 @@
 	ErrSilent = errs.NewType("silent")
 	// ErrBroken means that a connection ended or spoke out of protocol.
 	ErrBroken = errs.NewType("broken")
+	// ErrTerm means that a server has accepted a higher term.
+	ErrTerm = errs.NewType("term")
 	// ErrServer carries a server's own error answer to one of our questions.
 	ErrServer = errs.NewType("server")
 )
--- a/internal/upstream/group.go
+++ b/internal/upstream/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,6 +23,10 @@
 	// Leased tells whether this VM holds a validity of a term, for groups that are
 	// acknowledged term-leased; may be nil.
 	Leased func(position.Term) bool
+	// Coordination joins this VM with the others; without it nobody promotes here.
+	Coordination Coordination
+	// Table keeps the record of the group's terms.
+	Table platform.Table
 	// Reads decides where reads go.
 	Reads ReadPolicy
 	// Order of the servers' queues.
@@ -42,6 +47,8 @@
 	// ctx ends with the group.
 	ctx    context.Context
 	cancel context.CancelFunc
+	// unguard ends the guard of the present members.
+	unguard context.CancelFunc
 }
 
 // member is one server of the group as this VM sees it.
@@ -50,6 +57,10 @@
 	pool   *Pool
 	watch  *watch
 	cancel context.CancelFunc
+	// movedAt is when the server's log last grew or changed.
+	movedAt time.Time
+	// followedAt is when the server was last told whom to follow.
+	followedAt time.Time
 	// status is the last one reported. While usable is false it is old, but its
 	// positions stay lower bounds within their term.
 	status Status
@@ -70,6 +81,21 @@
 	for _, s := range g.Upstream.Servers {
 		g.add(s)
 	}
+	g.watchPrimary()
+}
+
+// watchPrimary starts a guard for the present members; g.mu is held.
+func (g *Group) watchPrimary() {
+	if g.Coordination == nil {
+		return
+	}
+	if g.unguard != nil {
+		g.unguard()
+	}
+	ctx, cancel := context.WithCancel(g.ctx)
+	g.unguard = cancel
+	guard := newGuard(g)
+	g.tasks.Go(func() { guard.run(ctx) })
 }
 
 // add makes a server a member; g.mu is held, since its watch reports at once.
@@ -106,10 +132,18 @@
 			g.remove(m)
 		}
 	}
+	before := g.Upstream
 	g.Upstream = up
+	if !sameNames(before.Servers, up.Servers) {
+		g.watchPrimary()
+	}
 	g.signal()
 }
 
+func sameNames(a, b []platform.Server) bool {
+	return slices.EqualFunc(a, b, func(x, y platform.Server) bool { return x.Name == y.Name })
+}
+
 // remove ends a member's watch and pool; g.mu is held. Connections in use end with
 // their transactions.
 func (g *Group) remove(m *member) {
@@ -140,12 +174,16 @@
 		g.mu.Unlock()
 		return
 	}
+	turned := m.usable != usable
 	m.usable = usable
 	if usable {
 		g.learn(m, s)
 	}
 	g.signal()
 	g.mu.Unlock()
+	if turned && g.Coordination != nil {
+		g.Coordination.Tell(name, usable)
+	}
 	if !usable {
 		m.pool.drop()
 	}
@@ -155,6 +193,9 @@
 func (g *Group) learn(m *member, s Status) {
 	now := time.Now()
 	m.rate.observe(now, m.status.Applied, s.Applied)
+	if s.Received != m.status.Received {
+		m.movedAt = now
+	}
 	m.status, m.heardAt = s, now
 	for _, start := range s.Starts {
 		g.starts[start.Term] = start
--- /dev/null
+++ b/internal/upstream/record.go
@@ -0,0 +1,126 @@
+package upstream
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/savoryramp/savoryramp/internal/platform"
+	"github.com/savoryramp/savoryramp/pkg/position"
+	"github.com/savoryramp/savoryramp/pkg/term"
+)
+
+// tableWithin bounds one call to the table during a promotion.
+const tableWithin = 500 * time.Millisecond
+
+// record is the group's record of terms, as a row of the platform's table.
+type record struct {
+	group *Group
+}
+
+func (r record) key() platform.RowKey {
+	return platform.RowKey("group/" + string(r.group.Upstream.Name))
+}
+
+// Read gives the stored record; before there is one, what the servers report.
+func (r record) Read(ctx context.Context) (term.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, tableWithin)
+	defer cancel()
+	row, err := r.group.Table.Get(ctx, r.key())
+	if errorx.IsOfType(err, platform.ErrNoRow) {
+		return term.Row{Record: r.group.firstRecord()}, nil
+	}
+	if err != nil {
+		return term.Row{}, term.ErrUnavailable.Wrap(err, "record of upstream %s", r.group.Upstream.Name)
+	}
+	return termRow(row)
+}
+
+// Swap writes the record if it is still at row.Version.
+func (r record) Swap(ctx context.Context, row term.Row) (term.Row, error) {
+	body, err := json.Marshal(row.Record)
+	if err != nil {
+		return term.Row{}, term.ErrUnavailable.Wrap(err, "record")
+	}
+	ctx, cancel := context.WithTimeout(ctx, tableWithin)
+	defer cancel()
+	stored, err := r.group.Table.Put(ctx, platform.Row{
+		Key: r.key(), Version: platform.Version(row.Version), Change: platform.ChangeID(row.Change), Body: body,
+	})
+	switch {
+	case err == nil:
+		return termRow(stored)
+	case errorx.IsOfType(err, platform.ErrConflict):
+		return term.Row{}, term.ErrConflict.Wrap(err, "record of upstream %s", r.group.Upstream.Name)
+	case errorx.IsOfType(err, platform.ErrUnavailable):
+		return term.Row{}, term.ErrUnavailable.Wrap(err, "record of upstream %s", r.group.Upstream.Name)
+	}
+	return term.Row{}, term.ErrOutcomeUnknown.Wrap(err, "record of upstream %s", r.group.Upstream.Name)
+}
+
+func termRow(row platform.Row) (term.Row, error) {
+	t := term.Row{Version: term.Version(row.Version), Change: term.Change(row.Change)}
+	if err := json.Unmarshal(row.Body, &t.Record); err != nil {
+		return term.Row{}, term.ErrUnavailable.Wrap(err, "row %s", row.Key)
+	}
+	return t, nil
+}
+
+// firstRecord describes the group as its servers report it.
+func (g *Group) firstRecord() term.Record {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := term.Record{Term: g.term, State: term.Active, Starts: g.list()}
+	if m := g.leader(); m != nil {
+		r.Primary = term.Server(m.server.Name)
+	}
+	return r
+}
+
+// control runs the term statements at the group's servers.
+type control struct {
+	group *Group
+}
+
+// Fence makes a server refuse all terms before t.
+func (c control) Fence(ctx context.Context, name term.Server, t position.Term) (term.Status, error) {
+	return c.ask(ctx, name, fmt.Sprintf("SELECT savoryramp_fence(%d)", t))
+}
+
+// Promote makes a server that was fenced with t primary of t.
+func (c control) Promote(ctx context.Context, name term.Server, t position.Term) (term.Status, error) {
+	return c.ask(ctx, name, fmt.Sprintf("SELECT savoryramp_promote(%d)", t))
+}
+
+// Follow makes a server replicate from the primary of t.
+func (c control) Follow(ctx context.Context, name term.Server, t position.Term, primary term.Server) error {
+	_, err := c.ask(ctx, name, fmt.Sprintf("SELECT savoryramp_follow(%d, '%s')", t, primary))
+	return err
+}
+
+// Status asks a server for its status.
+func (c control) Status(ctx context.Context, name term.Server) (term.Status, error) {
+	return c.ask(ctx, name, statusQuery)
+}
+
+func (c control) ask(ctx context.Context, name term.Server, sql string) (term.Status, error) {
+	c.group.mu.Lock()
+	m := c.group.members[platform.ServerName(name)]
+	c.group.mu.Unlock()
+	if m == nil {
+		return term.Status{}, ErrNoServer.New("upstream %s has no server %s", c.group.Upstream.Name, name)
+	}
+	s, err := m.watch.ask(ctx, sql)
+	if errorx.IsOfType(err, ErrTerm) {
+		return term.Status{}, term.ErrStale.Wrap(err, "server %s", name)
+	}
+	if err != nil {
+		return term.Status{}, err
+	}
+	return term.Status{
+		Server: name, Primary: s.Role == Primary, Term: s.Term, Received: s.Received, Starts: s.Starts,
+	}, nil
+}
--- a/internal/upstream/status.go
+++ b/internal/upstream/status.go
@@ -38,10 +38,7 @@
 		Term     position.Term       `json:"term"`
 		Received string              `json:"received"`
 		Applied  string              `json:"applied"`
-		Starts   []struct {
-			Term   position.Term   `json:"term"`
-			Offset position.Offset `json:"offset"`
-		} `json:"starts"`
+		Starts   []position.Start    `json:"starts"`
 	}
 	if err := json.Unmarshal([]byte(text), &wire); err != nil {
 		return Status{}, ErrBroken.Wrap(err, "status %q", text)
@@ -54,9 +51,8 @@
 	if err != nil {
 		return Status{}, ErrBroken.Wrap(err, "applied position")
 	}
-	st := Status{Server: wire.Server, Role: wire.Role, Term: wire.Term, Received: received, Applied: applied}
-	for _, s := range wire.Starts {
-		st.Starts = append(st.Starts, position.Start{Term: s.Term, Offset: s.Offset})
-	}
-	return st, nil
+	return Status{
+		Server: wire.Server, Role: wire.Role, Term: wire.Term,
+		Received: received, Applied: applied, Starts: wire.Starts,
+	}, nil
 }
--- a/internal/upstream/watch.go
+++ b/internal/upstream/watch.go
@@ -19,7 +19,9 @@
 	// reconnectAfter is the pause before a lost watch connects again.
 	reconnectAfter = 100 * time.Millisecond
 	statusQuery    = "SELECT savoryramp_status()"
-	listenQuery    = "LISTEN savoryramp_position"
+	// codeTerm is the SQLSTATE of a server that has accepted a higher term.
+	codeTerm    = "55000"
+	listenQuery = "LISTEN savoryramp_position"
 )
 
 // watch holds one connection to a server, over which positions are pushed and
@@ -96,7 +98,7 @@
 		case *pgproto3.DataRow:
 			text = string(m.Values[0])
 		case *pgproto3.ErrorResponse:
-			failure = ErrServer.New("server %s: %s: %s", w.server.Name, m.Code, m.Message)
+			failure = w.refusal(m)
 		case *pgproto3.ReadyForQuery:
 			err = w.answered(text, failure)
 			text, failure = "", nil
@@ -107,6 +109,14 @@
 	}
 }
 
+// refusal types a server's error answer.
+func (w *watch) refusal(m *pgproto3.ErrorResponse) error {
+	if m.Code == codeTerm {
+		return ErrTerm.New("server %s: %s", w.server.Name, m.Message)
+	}
+	return ErrServer.New("server %s: %s: %s", w.server.Name, m.Code, m.Message)
+}
+
 // status reports a pushed or asked status.
 func (w *watch) status(text string) error {
 	s, err := parseStatus(text)
--- a/pkg/position/position.go
+++ b/pkg/position/position.go
@@ -22,16 +22,16 @@
 // Position is a place in a group's log.
 type Position struct {
 	// Term in which the entry at Offset was written.
-	Term Term
+	Term Term `json:"term"`
 	// Offset of the last entry; never falls within one term.
-	Offset Offset
+	Offset Offset `json:"offset"`
 }
 
 // Start is where a term begins.
 type Start struct {
-	Term Term
+	Term Term `json:"term"`
 	// Offset of the last entry inherited from earlier terms.
-	Offset Offset
+	Offset Offset `json:"offset"`
 }
 
 var (
