--- a/pkg/term/promoter.go
+++ b/pkg/term/promoter.go
@@ -29,6 +29,8 @@
 	Retry time.Duration
 
 	mutex sync.Mutex
+	// busy has room for one attempt; what follows belongs to the one inside.
+	busy chan struct{}
 	// reserved is the record that this promoter wrote with its reservation, or zero.
 	reserved Record
 	// chosen is fixed for the reserved term once the first server was chosen.
@@ -43,8 +45,10 @@
 // and any promoter may try again. Else the table's error. After any error the
 // outcome is in the record, perhaps later.
 func (p *Promoter) Promote(ctx context.Context, reason string, avoid Server) (Record, error) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
+	if err := p.enter(ctx); err != nil {
+		return Record{}, err
+	}
+	defer p.leave()
 	row, err := p.Table.Read(ctx)
 	if err != nil {
 		return Record{}, err
@@ -91,8 +95,10 @@
 // Reserve writes the right to the next term for this promoter into an active record,
 // unless it has it already. It goes past an unspent number of another promoter.
 func (p *Promoter) Reserve(ctx context.Context) (Record, error) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
+	if err := p.enter(ctx); err != nil {
+		return Record{}, err
+	}
+	defer p.leave()
 	row, err := p.Table.Read(ctx)
 	if err != nil {
 		return Record{}, err
@@ -118,8 +124,10 @@
 // once chosen stays. ErrNotReserved: there is no term to use. ErrStale,
 // ErrNoMajority: as in Promote.
 func (p *Promoter) PromoteReserved(ctx context.Context, reason string, avoid Server) (Record, error) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
+	if err := p.enter(ctx); err != nil {
+		return Record{}, err
+	}
+	defer p.leave()
 	if p.outcome != nil {
 		return *p.outcome, nil
 	}
@@ -149,8 +157,10 @@
 // Record writes the outcome of PromoteReserved; nil if there is none to write.
 // ErrSuperseded: the record is past it; the outcome is dropped.
 func (p *Promoter) Record(ctx context.Context) error {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
+	if err := p.enter(ctx); err != nil {
+		return err
+	}
+	defer p.leave()
 	if p.outcome == nil {
 		return nil
 	}
@@ -170,6 +180,23 @@
 	return err
 }
 
+// enter waits for the attempt under way to end.
+func (p *Promoter) enter(ctx context.Context) error {
+	p.mutex.Lock()
+	if p.busy == nil {
+		p.busy = make(chan struct{}, 1)
+	}
+	p.mutex.Unlock()
+	select {
+	case p.busy <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (p *Promoter) leave() { <-p.busy }
+
 func (p *Promoter) claim(r Record, reason string) Record {
 	r.Term, r.State = r.next(), Electing
 	r.Promoter, r.Reason = p.ID, reason
