term: denser acknowledged writes in the proof

Cause: without the fence, and with the least advanced server chosen, 6000 checks passed: too few writes were acknowledged before a promotion. Change: an action that commits, replicates and acknowledges in one go; the reserved term is tried again after an error.

--- a/pkg/term/term_test.go
+++ b/pkg/term/term_test.go
@@ -73,6 +73,12 @@
 		if e, at, ok := w.commit(w.record.Primary, w.record.Term); ok {
 			w.waiting = append(w.waiting, waiting{e, at, w.record.Primary})
 		}
+	case "write":
+		w.act(t, "commit", k, ps, cancels, running)
+		w.replicate(name, 200)
+		w.act(t, "status", slices.Index(w.names, w.record.Primary), ps, cancels, running)
+		w.act(t, "status", k, ps, cancels, running)
+		w.acknowledge()
 	case "replicate":
 		w.replicate(name, 1+k%3)
 	case "status":
@@ -112,14 +118,18 @@
 	case "reserve":
 		_, _ = p.Reserve(ctx)
 	case "promote reserved":
-		_, _ = p.PromoteReserved(ctx, "test", "")
+		for range 4 {
+			if _, err := p.PromoteReserved(ctx, "test", "r0"); err == nil {
+				return
+			}
+		}
 	case "record":
 		_ = p.Record(ctx)
 	}
 }
 
 var actions = []string{
-	"commit", "commit", "replicate", "replicate", "status", "status", "acknowledge", "read record", "table",
+	"write", "write", "write", "write", "commit", "replicate", "replicate", "status", "status", "acknowledge", "read record", "table",
 	"promote", "promote", "hand over", "reserve", "promote reserved", "record", "kill",
 }
 
