--- /dev/null
+++ b/pkg/term/fence.go
@@ -0,0 +1,97 @@
+package term
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/savoryramp/savoryramp/pkg/position"
+)
+
+type fencing struct {
+	status Status
+	err    error
+}
+
+// fence fences all servers at once and gives a majority or more.
+func (p *Promoter) fence(ctx context.Context, t position.Term) ([]Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.step())
+	defer cancel()
+	answers := make(chan fencing, len(p.Group))
+	for _, s := range p.Group {
+		go func() {
+			status, err := p.Servers.Fence(ctx, s, t)
+			answers <- fencing{status, err}
+		}()
+	}
+	var fenced []Status
+	var grace <-chan time.Time
+	for range p.Group {
+		select {
+		case a := <-answers:
+			if errorx.IsOfType(a.err, ErrStale) {
+				return nil, a.err
+			}
+			if a.err == nil && a.status.Term == t {
+				fenced = append(fenced, a.status)
+			}
+		case <-grace:
+			return p.inOrder(fenced), nil
+		}
+		if grace == nil && len(fenced) >= Majority(len(p.Group)) {
+			grace = time.After(p.grace())
+		}
+	}
+	if len(fenced) < Majority(len(p.Group)) {
+		return nil, ErrNoMajority.New("term %d: %d of %d servers are fenced", t, len(fenced), len(p.Group))
+	}
+	return p.inOrder(fenced), nil
+}
+
+func (p *Promoter) inOrder(fenced []Status) []Status {
+	slices.SortFunc(fenced, func(a, b Status) int {
+		return slices.Index(p.Group, a.Server) - slices.Index(p.Group, b.Server)
+	})
+	return fenced
+}
+
+func (p *Promoter) promote(ctx context.Context, s Server, t position.Term) (Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.step())
+	defer cancel()
+	return p.Servers.Promote(ctx, s, t)
+}
+
+// follow tells the other servers; one that doesn't hear is told by whoever watches it.
+func (p *Promoter) follow(ctx context.Context, r Record) {
+	ctx, cancel := context.WithTimeout(ctx, p.step())
+	defer cancel()
+	var done sync.WaitGroup
+	for _, s := range p.Group {
+		if s != r.Primary {
+			done.Go(func() { _ = p.Servers.Follow(ctx, s, r.Term, r.Primary) })
+		}
+	}
+	done.Wait()
+}
+
+// caughtUp tells whether a replica has received all that the primary had just before.
+func (p *Promoter) caughtUp(ctx context.Context, primary Server) bool {
+	ctx, cancel := context.WithTimeout(ctx, p.step())
+	defer cancel()
+	all, err := p.Servers.Status(ctx, primary)
+	if err != nil {
+		return false
+	}
+	for _, s := range p.Group {
+		if s == primary {
+			continue
+		}
+		if status, err := p.Servers.Status(ctx, s); err == nil && status.Received.Compare(all.Received) >= 0 {
+			return true
+		}
+	}
+	return false
+}
