--- a/pkg/term/promoter.go
+++ b/pkg/term/promoter.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -29,6 +28,8 @@
 	Retry time.Duration
 
 	mutex sync.Mutex
+	// busy has room for one attempt; what follows belongs to the one inside.
+	busy chan struct{}
 	// reserved is the record that this promoter wrote with its reservation, or zero.
 	reserved Record
 	// chosen is fixed for the reserved term once the first server was chosen.
@@ -43,8 +44,10 @@
 // and any promoter may try again. Else the table's error. After any error the
 // outcome is in the record, perhaps later.
 func (p *Promoter) Promote(ctx context.Context, reason string, avoid Server) (Record, error) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
+	if err := p.enter(ctx); err != nil {
+		return Record{}, err
+	}
+	defer p.leave()
 	row, err := p.Table.Read(ctx)
 	if err != nil {
 		return Record{}, err
@@ -91,8 +94,10 @@
 // Reserve writes the right to the next term for this promoter into an active record,
 // unless it has it already. It goes past an unspent number of another promoter.
 func (p *Promoter) Reserve(ctx context.Context) (Record, error) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
+	if err := p.enter(ctx); err != nil {
+		return Record{}, err
+	}
+	defer p.leave()
 	row, err := p.Table.Read(ctx)
 	if err != nil {
 		return Record{}, err
@@ -118,8 +123,10 @@
 // once chosen stays. ErrNotReserved: there is no term to use. ErrStale,
 // ErrNoMajority: as in Promote.
 func (p *Promoter) PromoteReserved(ctx context.Context, reason string, avoid Server) (Record, error) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
+	if err := p.enter(ctx); err != nil {
+		return Record{}, err
+	}
+	defer p.leave()
 	if p.outcome != nil {
 		return *p.outcome, nil
 	}
@@ -149,8 +156,10 @@
 // Record writes the outcome of PromoteReserved; nil if there is none to write.
 // ErrSuperseded: the record is past it; the outcome is dropped.
 func (p *Promoter) Record(ctx context.Context) error {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
+	if err := p.enter(ctx); err != nil {
+		return err
+	}
+	defer p.leave()
 	if p.outcome == nil {
 		return nil
 	}
@@ -170,6 +179,23 @@
 	return err
 }
 
+// enter waits for the attempt under way to end.
+func (p *Promoter) enter(ctx context.Context) error {
+	p.mutex.Lock()
+	if p.busy == nil {
+		p.busy = make(chan struct{}, 1)
+	}
+	p.mutex.Unlock()
+	select {
+	case p.busy <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (p *Promoter) leave() { <-p.busy }
+
 func (p *Promoter) claim(r Record, reason string) Record {
 	r.Term, r.State = r.next(), Electing
 	r.Promoter, r.Reason = p.ID, reason
@@ -228,91 +254,6 @@
 	}
 }
 
-type fencing struct {
-	status Status
-	err    error
-}
-
-// fence fences all servers at once and gives a majority or more.
-func (p *Promoter) fence(ctx context.Context, t position.Term) ([]Status, error) {
-	ctx, cancel := context.WithTimeout(ctx, p.step())
-	defer cancel()
-	answers := make(chan fencing, len(p.Group))
-	for _, s := range p.Group {
-		go func() {
-			status, err := p.Servers.Fence(ctx, s, t)
-			answers <- fencing{status, err}
-		}()
-	}
-	var fenced []Status
-	var grace <-chan time.Time
-	for range p.Group {
-		select {
-		case a := <-answers:
-			if errorx.IsOfType(a.err, ErrStale) {
-				return nil, a.err
-			}
-			if a.err == nil && a.status.Term == t {
-				fenced = append(fenced, a.status)
-			}
-		case <-grace:
-			return p.inOrder(fenced), nil
-		}
-		if grace == nil && len(fenced) >= Majority(len(p.Group)) {
-			grace = time.After(p.grace())
-		}
-	}
-	if len(fenced) < Majority(len(p.Group)) {
-		return nil, ErrNoMajority.New("term %d: %d of %d servers are fenced", t, len(fenced), len(p.Group))
-	}
-	return p.inOrder(fenced), nil
-}
-
-func (p *Promoter) inOrder(fenced []Status) []Status {
-	slices.SortFunc(fenced, func(a, b Status) int {
-		return slices.Index(p.Group, a.Server) - slices.Index(p.Group, b.Server)
-	})
-	return fenced
-}
-
-func (p *Promoter) promote(ctx context.Context, s Server, t position.Term) (Status, error) {
-	ctx, cancel := context.WithTimeout(ctx, p.step())
-	defer cancel()
-	return p.Servers.Promote(ctx, s, t)
-}
-
-// follow tells the other servers; one that doesn't hear is told by whoever watches it.
-func (p *Promoter) follow(ctx context.Context, r Record) {
-	ctx, cancel := context.WithTimeout(ctx, p.step())
-	defer cancel()
-	var done sync.WaitGroup
-	for _, s := range p.Group {
-		if s != r.Primary {
-			done.Go(func() { _ = p.Servers.Follow(ctx, s, r.Term, r.Primary) })
-		}
-	}
-	done.Wait()
-}
-
-// caughtUp tells whether a replica has received all that the primary had just before.
-func (p *Promoter) caughtUp(ctx context.Context, primary Server) bool {
-	ctx, cancel := context.WithTimeout(ctx, p.step())
-	defer cancel()
-	all, err := p.Servers.Status(ctx, primary)
-	if err != nil {
-		return false
-	}
-	for _, s := range p.Group {
-		if s == primary {
-			continue
-		}
-		if status, err := p.Servers.Status(ctx, s); err == nil && status.Received.Compare(all.Received) >= 0 {
-			return true
-		}
-	}
-	return false
-}
-
 func pause(ctx context.Context, d time.Duration) error {
 	select {
 	case <-ctx.Done():
