--- a/pkg/contract/fleet_test.go
+++ b/pkg/contract/fleet_test.go
@@ -56,6 +56,7 @@
 	stop   func()
 	alive  bool
 	leads  bool
+	cut    bool          // from VMs and table, while callers still reach it
 	gate   chan struct{} // closed unless paused
 	drift  float64
 }
@@ -173,6 +174,13 @@
 	<-gate
 }
 
+// reach tells whether messages pass; to is nil for the table.
+func (w *wire) reach(to *vm) bool {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	return !w.vm.cut && (to == nil || !to.cut)
+}
+
 func (w *wire) Held() bool {
 	w.fleet.mu.Lock()
 	defer w.fleet.mu.Unlock()
@@ -182,12 +190,18 @@
 func (w *wire) Read(ctx context.Context) (contract.Row, error) {
 	w.wait()
 	defer w.wait()
+	if !w.reach(nil) {
+		return contract.Row{}, contract.ErrUnavailable.New("cut")
+	}
 	return w.fleet.table.Read(ctx)
 }
 
 func (w *wire) Swap(ctx context.Context, r contract.Row) error {
 	w.wait()
 	defer w.wait()
+	if !w.reach(nil) {
+		return contract.ErrUnavailable.New("cut")
+	}
 	return w.fleet.table.Swap(ctx, r)
 }
 
@@ -202,7 +216,7 @@
 		default:
 			continue
 		}
-		if v != w.vm && v.alive {
+		if v != w.vm && v.alive && !v.cut {
 			list = append(list, contract.Member{Holder: contract.Holder{VM: v.name, Incarnation: v.life}})
 		}
 	}
@@ -267,6 +281,10 @@
 	if v == nil {
 		return nil, contract.ErrUnavailable.New("dead")
 	}
+	if !w.reach(v) {
+		<-ctx.Done()
+		return nil, contract.ErrUnavailable.New("cut")
+	}
 	w.fleet.mu.Lock()
 	gate := v.gate
 	w.fleet.mu.Unlock()
--- a/pkg/contract/shares_test.go
+++ b/pkg/contract/shares_test.go
@@ -41,7 +41,7 @@
 		load:  rapid.Float64Range(0.5, 3).Draw(t, "load"),
 		loss:  rapid.SampledFrom([]float64{0, 0.1, 0.4}).Draw(t, "loss"),
 	}
-	kinds := []string{"kill", "start", "nap", "nap", "pause", "resume", "lead", "follow", "outage", "heal", "lose-answers", "quiet"}
+	kinds := []string{"kill", "start", "nap", "nap", "pause", "resume", "cut", "join", "lead", "follow", "outage", "heal", "lose-answers", "quiet"}
 	for range rapid.IntRange(0, 14).Draw(t, "happenings") {
 		s.happen = append(s.happen, happening{
 			after: time.Duration(rapid.IntRange(0, 9000).Draw(t, "after")) * time.Millisecond,
@@ -94,6 +94,10 @@
 		time.AfterFunc(p.after/2+time.Second, func() { f.resume(p.vm) })
 	case "resume":
 		f.resume(p.vm)
+	case "cut", "join":
+		f.mu.Lock()
+		v.cut = p.what == "cut"
+		f.mu.Unlock()
 	case "lead", "follow":
 		f.mu.Lock()
 		v.leads = p.what == "lead"
@@ -198,6 +202,7 @@
 		"paused within the validity":   {[]happening{{8 * second, "pause", 1}, {4 * second, "resume", 1}}, 0.6},
 		"paused past the validity":     {[]happening{{8 * second, "pause", 1}, {9 * second, "resume", 1}}, 0.6},
 		"died":                         {[]happening{{8 * second, "kill", 1}, {9 * second, "quiet", 0}}, 0.6},
+		"cut off with its callers":     {[]happening{{8 * second, "cut", 1}, {14 * second, "join", 1}}, 0.5},
 		"restarted":                    {[]happening{{8 * second, "start", 1}, {3 * second, "start", 2}}, 0.5},
 		"two masters":                  {[]happening{{5 * second, "lead", 1}, {2 * second, "kill", 3}}, 0.6},
 		"master died in an outage":     {[]happening{{5 * second, "outage", 0}, {second, "kill", 0}, {20 * second, "quiet", 0}}, 0.6},
