--- /dev/null
+++ b/pkg/contract/compare_test.go
@@ -0,0 +1,280 @@
+package contract_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/savoryramp/savoryramp/pkg/contract"
+)
+
+// The trace that all ways are compared on: demand below the rate that moves between
+// nine VMs, an outage of the table, and the death of the first VM.
+const (
+	compareSeed  = 11
+	compareVMs   = 9
+	compareRate  = 200.0
+	compareBurst = 45
+	compareLoad  = 0.85
+	compareLast  = 60 * time.Second
+	outageFrom   = 20 * time.Second
+	outageTo     = 35 * time.Second
+	deathAt      = 45 * time.Second
+	warmUp       = 3 * time.Second
+)
+
+type ask struct {
+	at time.Duration
+	vm int
+}
+
+func compareTrace() []ask {
+	random := rand.New(rand.NewPCG(compareSeed, compareSeed))
+	var trace []ask
+	favourite := 0
+	for at, next := warmUp, warmUp; at < compareLast; {
+		if at >= next {
+			favourite, next = random.IntN(compareVMs), at+5*time.Second
+		}
+		vm := random.IntN(compareVMs)
+		if random.Float64() < 0.6 {
+			vm = favourite
+		}
+		if vm == 0 && at >= deathAt {
+			vm = 1
+		}
+		trace = append(trace, ask{at, vm})
+		at += time.Duration(random.ExpFloat64() / (compareRate * compareLoad) * float64(time.Second))
+	}
+	return trace
+}
+
+// way is one way to share the rate out, as a test double but for lending.
+type way interface {
+	admit(vm int) error
+	fault(what string)
+	costs() (tableCalls, messages, bytes int)
+	stop()
+}
+
+// staticWay gives each VM a ninth for good.
+type staticWay struct{ buckets []*contract.Bucket }
+
+func newStatic() way {
+	w := &staticWay{}
+	for range compareVMs {
+		r := contract.Rate{PerSecond: compareRate / compareVMs, Burst: compareBurst / compareVMs}
+		w.buckets = append(w.buckets, contract.NewSoleBucket(r, time.Second, nil))
+	}
+	return w
+}
+
+func (w *staticWay) admit(vm int) error     { return w.buckets[vm].Take(context.Background()) }
+func (w *staticWay) fault(string)           {}
+func (w *staticWay) costs() (int, int, int) { return 0, 0, 0 }
+func (w *staticWay) stop()                  {}
+
+// homeWay asks one VM for each request; after its death another takes over once the
+// validity is over, with an empty bucket.
+type homeWay struct {
+	mu       sync.Mutex
+	bucket   *contract.Bucket
+	home     int
+	dead     bool
+	messages int
+}
+
+func newHome() way { return &homeWay{bucket: soleBucket()} }
+
+func soleBucket() *contract.Bucket {
+	return contract.NewSoleBucket(contract.Rate{PerSecond: compareRate, Burst: compareBurst}, time.Second, nil)
+}
+
+func (w *homeWay) admit(vm int) error {
+	w.mu.Lock()
+	b, dead, away := w.bucket, w.dead, vm != w.home
+	if away {
+		w.messages += 2
+	}
+	w.mu.Unlock()
+	if dead {
+		return contract.ErrUnavailable.New("home is dead")
+	}
+	if away {
+		time.Sleep(time.Millisecond)
+		defer time.Sleep(time.Millisecond)
+	}
+	return b.Take(context.Background())
+}
+
+func (w *homeWay) fault(what string) {
+	if what != "death" {
+		return
+	}
+	w.mu.Lock()
+	w.dead = true
+	w.mu.Unlock()
+	time.AfterFunc(contract.DefaultValidity, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.bucket, w.home, w.dead = soleBucket(), 1, false
+	})
+}
+
+func (w *homeWay) costs() (int, int, int) { return 0, w.messages, w.messages * 40 }
+func (w *homeWay) stop()                  {}
+
+// tableWay takes batches from a bucket in the table, a conditional write for each.
+type tableWay struct {
+	mu     sync.Mutex
+	bucket *contract.Bucket
+	left   [compareVMs]int
+	turn   [compareVMs]chan struct{}
+	out    bool
+	calls  int
+}
+
+const tableBatch = 5
+
+func newTable() way {
+	w := &tableWay{bucket: soleBucket()}
+	for i := range w.turn {
+		w.turn[i] = make(chan struct{}, 1)
+	}
+	return w
+}
+
+func (w *tableWay) admit(vm int) error {
+	for deadline := time.Now().Add(time.Second); time.Now().Before(deadline); {
+		w.turn[vm] <- struct{}{}
+		if w.left[vm] > 0 || w.batch(vm) {
+			w.left[vm]--
+			<-w.turn[vm]
+			return nil
+		}
+		<-w.turn[vm]
+	}
+	return contract.ErrExhausted.New("no batch")
+}
+
+func (w *tableWay) batch(vm int) bool {
+	time.Sleep(6 * time.Millisecond)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.calls += 2
+	for !w.out && w.left[vm] < tableBatch && w.bucket.TryTake() {
+		w.left[vm]++
+	}
+	return w.left[vm] > 0
+}
+
+func (w *tableWay) fault(what string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.out = what == "outage"
+}
+
+func (w *tableWay) costs() (int, int, int) { return w.calls, 0, 0 }
+func (w *tableWay) stop()                  {}
+
+// lendingWay is the package itself.
+type lendingWay struct{ f *fleet }
+
+func newLending() way {
+	f := newFleet(compareSeed, compareVMs, map[contract.Name]contract.Limit{
+		tenant: contract.Rate{PerSecond: compareRate, Burst: compareBurst},
+	})
+	f.startAll(1)
+	return lendingWay{f}
+}
+
+func (w lendingWay) admit(vm int) error {
+	return w.f.vms[vm].shares.Admit(context.Background(), tenant)
+}
+
+func (w lendingWay) fault(what string) {
+	switch what {
+	case "death":
+		w.f.kill(0)
+	default:
+		w.f.play(happening{what: what})
+	}
+}
+
+func (w lendingWay) costs() (int, int, int) { return w.f.table.calls, w.f.messages, w.f.bytes }
+func (w lendingWay) stop()                  { w.f.stopAll() }
+
+// outcome of one way on the trace.
+type outcome struct {
+	history
+	refusedAt []time.Duration
+	line      string
+}
+
+func (o *outcome) play(w way, trace []ask) {
+	start := time.Now()
+	for after, what := range map[time.Duration]string{outageFrom: "outage", outageTo: "heal", deathAt: "death"} {
+		time.AfterFunc(after, func() { w.fault(what) })
+	}
+	var asks sync.WaitGroup
+	for _, a := range trace {
+		time.Sleep(time.Until(start.Add(a.at)))
+		asks.Go(func() {
+			err := w.admit(a.vm)
+			o.mu.Lock()
+			defer o.mu.Unlock()
+			if err != nil {
+				o.refusedAt = append(o.refusedAt, a.at)
+				return
+			}
+			o.admitted = append(o.admitted, time.Now())
+			o.waits = append(o.waits, time.Since(start.Add(a.at)))
+		})
+	}
+	asks.Wait()
+}
+
+func compare(t *testing.T, title string, make func() way) *outcome {
+	o := &outcome{}
+	synctest.Test(t, func(*testing.T) {
+		w := make()
+		o.play(w, compareTrace())
+		calls, messages, bytes := w.costs()
+		w.stop()
+		sort.Slice(o.waits, func(i, j int) bool { return o.waits[i] < o.waits[j] })
+		at := func(q float64) float64 {
+			return float64(o.waits[int(q*float64(len(o.waits)-1))].Microseconds()) / 1000
+		}
+		s := compareLast.Seconds()
+		o.line = fmt.Sprintf("%-24s %8d %10.1f %12.1f %10.0f %9.2f %9.2f %9.2f", title, len(o.refusedAt),
+			float64(calls)/s, float64(messages)/s, float64(bytes)/s, at(0.5), at(0.99), at(0.999))
+	})
+	return o
+}
+
+func TestCompareWays(t *testing.T) {
+	ways := map[string]func() way{
+		"static shares": newStatic, "one home VM": newHome, "holders with lending": newLending, "table write per batch": newTable,
+	}
+	lines := []string{fmt.Sprintf("%-24s %8s %10s %12s %10s %9s %9s %9s", "way", "refused", "table/s", "messages/s", "bytes/s", "p50 ms", "p99 ms", "p99.9 ms")}
+	refused := map[string]int{}
+	for title, make := range ways {
+		o := compare(t, title, make)
+		refused[title] = len(o.refusedAt)
+		lines = append(lines, o.line)
+		assert.Assert(t, o.most(compareRate, compareBurst) <= 1e-6, title)
+	}
+	sort.Strings(lines[1:])
+	t.Logf("seed %d, %d requests at 85%% of the rate:\n%s", compareSeed, len(compareTrace()), strings.Join(lines, "\n"))
+	for title, n := range refused {
+		assert.Assert(t, refused["holders with lending"] <= n, "%s refused fewer", title)
+	}
+}
