--- a/pkg/contract/doc.go
+++ b/pkg/contract/doc.go
@@ -47,5 +47,5 @@
 //
 // Units of a count are lent in the same way; a loan is extended while its units are in
 // use. A VM whose share, validity or loan ends must release its Excess; the master
-// waits besides for what outlives its holder (Master.Linger).
+// waits besides for what outlives its holder (Shares.Linger).
 package contract
--- a/pkg/contract/fleet_test.go
+++ b/pkg/contract/fleet_test.go
@@ -97,7 +97,7 @@
 	began := f.began
 	drift := v.drift
 	s := &contract.Shares{
-		Self: contract.Holder{VM: v.name, Incarnation: v.life}, Bound: time.Second,
+		Self: contract.Holder{VM: v.name, Incarnation: v.life}, Bound: time.Second, Linger: f.linger,
 		Now: func() time.Time {
 			d := time.Since(began)
 			return began.Add(d + time.Duration(float64(d)*drift))
@@ -110,7 +110,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	f.mu.Unlock()
 	var work sync.WaitGroup
-	m := &contract.Master{Group: "g", Shares: s, Leadership: w, Linger: f.linger}
+	m := &contract.Master{Group: "g", Shares: s, Leadership: w}
 	work.Go(func() { _ = s.Run(ctx) })
 	work.Go(func() { _ = m.Run(ctx) })
 	v.stop = func() {
--- a/pkg/contract/master.go
+++ b/pkg/contract/master.go
@@ -24,9 +24,6 @@
 	Group      string
 	Shares     *Shares
 	Leadership Leadership
-	// Linger is added to all waits for a holder that can't be asked: how long what it
-	// used may outlive it, such as connections that a server hasn't noticed to be dead.
-	Linger time.Duration
 
 	row Row
 	// fresh: row is the newest as far as this VM knows from the table.
@@ -226,7 +223,7 @@
 }
 
 // wait is d on a clock that may run fast, with what lingers.
-func (m *Master) wait(d time.Duration) time.Duration { return d + 2*d/drift + m.Linger }
+func (m *Master) wait(d time.Duration) time.Duration { return d + 2*d/drift + m.Shares.Linger }
 
 // write takes the next step towards the wanted shares. It tells whether it wrote.
 func (m *Master) write(ctx context.Context) bool {
--- a/pkg/contract/shares.go
+++ b/pkg/contract/shares.go
@@ -27,6 +27,10 @@
 	Validity, LoanValidity time.Duration
 	// Bound is the longest wait of a request for a token.
 	Bound time.Duration
+	// Linger is how long units in use may outlive the holder that used them, such as
+	// connections that a server hasn't noticed to be dead. It is the same on all VMs and
+	// is added to all waits for a VM that may be dead.
+	Linger time.Duration
 	// Now is a monotonic clock; nil for time.Now.
 	Now func() time.Time
 
@@ -109,7 +113,7 @@
 		b.spare, b.ahead, b.short = from.supply, from.ahead, from.wake
 		p = b
 	case Count:
-		u := newUnits(s.Bound, s.Now)
+		u := newUnits(s.Bound, s.Linger, s.Now)
 		u.short = from.wake
 		p = u
 	}
--- a/pkg/contract/units.go
+++ b/pkg/contract/units.go
@@ -11,8 +11,10 @@
 	mu    sync.Mutex
 	now   func() time.Time
 	bound time.Duration
-	cap   Tokens
-	valid time.Time
+	// linger keeps the place of a loan that wasn't given back.
+	linger time.Duration
+	cap    Tokens
+	valid  time.Time
 	// used is at most cap less the places of loans out, plus loans held, except for
 	// Excess after one of these shrank.
 	used  Tokens
@@ -25,8 +27,8 @@
 	excess chan struct{}
 }
 
-func newUnits(bound time.Duration, now func() time.Time) *Units {
-	return &Units{now: now, bound: bound, out: map[LoanID]place{}, excess: make(chan struct{}, 1)}
+func newUnits(bound, linger time.Duration, now func() time.Time) *Units {
+	return &Units{now: now, bound: bound, linger: linger, out: map[LoanID]place{}, excess: make(chan struct{}, 1)}
 }
 
 // Acquire waits for a unit. ErrExhausted: none within the bound; or ctx's error.
@@ -217,7 +219,7 @@
 		a.Tokens = 0
 		return a
 	}
-	u.out[id] = place{tokens: a.Tokens, until: now.Add(valid + valid/drift)}
+	u.out[id] = place{tokens: a.Tokens, until: now.Add(valid + valid/drift + u.linger)}
 	a.Loan = id
 	a.Valid = valid - valid/drift
 	return a
@@ -248,7 +250,7 @@
 		if !found {
 			continue
 		}
-		p.until = now.Add(valid + valid/drift)
+		p.until = now.Add(valid + valid/drift + u.linger)
 		u.out[id] = p
 		kept = append(kept, id)
 	}
