Share rates and connections out over the fleet

Cause: every VM admitted without limit and took a fixed part of each server's connections. Ruled out: a static part for each VM (a VM that needs more can't get more); being ready before shares came (the first requests were refused, 53400, in the demo). Change: pkg/contract's shares and master run in the daemon under the contracts' lease; pools acquire a unit for each connection and give idle ones back; a VM is ready once it holds shares, or after 15 s by borrowing. Conclusion: limits hold over the fleet by pkg/contract's proofs; the daemon's own proof is open.

--- a/internal/operator/coordination.go
+++ b/internal/operator/coordination.go
@@ -23,15 +23,30 @@
 	mu     sync.Mutex
 	leases map[string]*lease.Lease
 	tasks  sync.WaitGroup
+	// lead tells whether this VM writes the contracts' row; nil before Run.
+	lead func() bool
 }
 
-// Run waits for the leases to end, which they do with their groups.
+// Run takes part in the contracts' lease, and waits for the other leases to end, which
+// they do with their groups.
 func (c *coordination) Run(ctx context.Context) error {
+	lead := c.Lease(ctx, "contract/"+contractGroup)
+	c.mu.Lock()
+	c.lead = lead
+	c.mu.Unlock()
 	<-ctx.Done()
 	c.tasks.Wait()
 	return nil
 }
 
+// held tells whether this VM writes the contracts' row.
+func (c *coordination) held() bool {
+	c.mu.Lock()
+	lead := c.lead
+	c.mu.Unlock()
+	return lead != nil && lead()
+}
+
 // Drain hands the leases over to their successors.
 func (c *coordination) Drain(ctx context.Context) error {
 	c.mu.Lock()
--- a/internal/operator/daemon.go
+++ b/internal/operator/daemon.go
@@ -46,6 +46,8 @@
 	// Configuration follows the document in force.
 	Configuration *platform.Configuration
 	serving       *serving
+	// started is when the parts were made.
+	started time.Time
 	// Exit ends the process at once, on a second signal.
 	Exit func(ExitCode)
 	// Signals delivers SIGTERM and SIGINT.
@@ -59,6 +61,9 @@
 		{Name: "upstreams", Run: d.serving.upstreams.Run},
 		{Name: "callers", Run: d.serving.callers.Run, Drain: d.serving.callers.Drain},
 		{Name: "coordination", Run: d.serving.coordination.Run},
+		{Name: "shares", Run: d.serving.contracts.shares.Run},
+		{Name: "share-master", Run: d.serving.contracts.master.Run},
+		{Name: "limits", Run: func(ctx context.Context) error { return d.serving.contracts.follow(ctx, d.Configuration) }},
 		{Name: "announcement", Run: d.announce},
 		{Name: "spread", Run: d.spread},
 		{Name: "fleet", Run: d.serving.fleet.Run, Drain: d.leave},
@@ -113,6 +118,7 @@
 	}
 	err := d.findPlatform()
 	if err == nil {
+		d.started = time.Now()
 		d.serving, err = d.newServing()
 	}
 	if err != nil {
@@ -147,7 +153,10 @@
 }
 
 func (d *Daemon) ready() bool {
-	return d.Configuration.Current().Version > 0
+	if d.Configuration.Current().Version == 0 || d.serving == nil {
+		return false
+	}
+	return d.serving.contracts.ready() || time.Since(d.started) > sharesWithin
 }
 
 // runGroup runs the parts until the first returns, then stops the others.
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -24,7 +24,8 @@
 	}
 	o := d.Options
 	f := &peer.Fleet{
-		Self: platform.VMName(o.VM), Address: o.Peer, AvailabilityZone: platform.AvailabilityZone(o.AvailabilityZone),
+		Incarnation: peer.Incarnation(time.Now().UnixNano()),
+		Self:        platform.VMName(o.VM), Address: o.Peer, AvailabilityZone: platform.AvailabilityZone(o.AvailabilityZone),
 		VMs: platform.VMRows{Table: d.Table}, Listener: listener, Logger: d.Logger,
 	}
 	if t := o.PeerTLS; t != (TLSFiles{}) {
--- a/internal/operator/serve.go
+++ b/internal/operator/serve.go
@@ -10,12 +10,8 @@
 	"github.com/savoryramp/savoryramp/internal/upstream"
 )
 
-const (
-	// fleetSize is how many VMs a server's connections are divided among.
-	fleetSize = 9
-	// maxQueue bounds the requests of one VM that wait for one server.
-	maxQueue = 512
-)
+// maxQueue bounds the requests of one VM that wait for one server.
+const maxQueue = 512
 
 // serving is the part of the daemon between callers and upstreams.
 type serving struct {
@@ -23,6 +19,7 @@
 	callers      *caller.Server
 	fleet        *peer.Fleet
 	coordination *coordination
+	contracts    *contracts
 	// entered is true once this VM is in the platform's list.
 	entered bool
 }
@@ -40,14 +37,15 @@
 	}
 	joined := &coordination{Self: platform.VMName(d.Options.VM), Table: d.Table, Fleet: fleet}
 	fleet.OnPromise = joined.answer
+	limits := newContracts(d.Table, fleet, joined.held)
 	var dialer net.Dialer
 	u := &upstream.Upstreams{
-		Dial: dialer.DialContext, Logger: d.Logger, Documents: d.Configuration, Share: d.share,
+		Dial: dialer.DialContext, Logger: d.Logger, Documents: d.Configuration, Allowance: limits.allowance,
 		Coordination: joined, Table: d.Table, Reads: upstream.WaitOrPrimary{}, Order: upstream.DeficitRoundRobin, MaxQueue: maxQueue,
 	}
 	c := &caller.Server{
 		VM: platform.VMName(d.Options.VM), Listener: listener, TLS: d.Certificates.callers(), Documents: d.Configuration,
-		Upstreams: u, TokenKey: d.tokenKey(), MaxWait: d.Options.MaxWait, Deadline: d.Options.StatementDeadline,
+		Upstreams: u, Limiter: limits, TokenKey: d.tokenKey(), MaxWait: d.Options.MaxWait, Deadline: d.Options.StatementDeadline,
 		ForwardCancel: d.forwardCancel, Logger: d.Logger, Meter: d.Metrics.Meter("caller"),
 	}
 	d.Admin.Register("callers", c.State)
@@ -60,7 +58,7 @@
 		}
 		return nil
 	}
-	return &serving{upstreams: u, callers: c, fleet: fleet, coordination: joined, entered: d.enter()}, nil
+	return &serving{upstreams: u, callers: c, fleet: fleet, coordination: joined, contracts: limits, entered: d.enter()}, nil
 }
 
 // tokenKey asks the platform for the key of session tokens; without it the VM
@@ -75,19 +73,6 @@
 	return key
 }
 
-// share divides a server's connections, less one held by each VM for positions.
-func (d *Daemon) share(name platform.ServerName) int {
-	document := d.Configuration.Current().Document
-	for _, u := range document.Upstreams {
-		for _, s := range u.Servers {
-			if s.Name == name {
-				return max(1, (int(s.Connections)-fleetSize)/fleetSize)
-			}
-		}
-	}
-	return 1
-}
-
 // peersState is what a dump shows of the fleet.
 func peersState(f *peer.Fleet) any {
 	type member struct {
--- a/internal/upstream/group.go
+++ b/internal/upstream/group.go
@@ -20,6 +20,8 @@
 	Logger   log.Logger
 	// Share is how many connections this VM may have to a server at this moment.
 	Share func(platform.ServerName) int
+	// Allowance gives this VM's part of a server's connections; nil to go by Share.
+	Allowance func(platform.ServerName) Allowance
 	// Leased tells whether this VM holds a validity of a term, for groups that are
 	// acknowledged term-leased; may be nil.
 	Leased func(position.Term) bool
@@ -105,11 +107,15 @@
 		Server: s, Login: g.Login, Dial: g.Dial, Order: g.Order, MaxQueue: g.MaxQueue,
 		Limit: func() int { return g.Share(s.Name) },
 	}
+	if g.Allowance != nil {
+		m.pool.Allowance = g.Allowance(s.Name)
+	}
 	m.watch = &watch{server: s, login: g.Login, dial: g.Dial, logger: g.Logger, report: g.report}
 	ctx, cancel := context.WithCancel(g.ctx)
 	m.cancel = cancel
 	g.members[s.Name] = m
 	g.tasks.Go(func() { m.watch.run(ctx) })
+	g.tasks.Go(func() { m.pool.run(ctx) })
 }
 
 // update follows a changed document: members that stay keep their connections.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -20,9 +20,12 @@
 	Server platform.Server
 	Login  Login
 	Dial   Dial
-	// Limit is how many connections this VM may have to the server at this moment.
+	// Limit is how many connections this VM may have to the server at this moment;
+	// it counts only without an Allowance.
 	Limit func() int
-	Order Order
+	// Allowance gives the right to connections one by one; may be nil.
+	Allowance Allowance
+	Order     Order
 	// MaxQueue bounds the requests that wait at once.
 	MaxQueue int
 
@@ -32,6 +35,11 @@
 	queue  queue
 	closed bool
 	limit  limit
+	// held are the places had from Allowance; inUse plus idle is at most held.
+	held int
+	// growing is true while a task asks for places.
+	growing bool
+	tasks   sync.WaitGroup
 }
 
 // Request is one transaction's claim on a server.
@@ -73,6 +81,7 @@
 	}
 	p.queue.order = p.Order
 	w := p.queue.push(r.Workspace, r.Weight)
+	p.grow()
 	p.mu.Unlock()
 	select {
 	case <-w.granted:
@@ -92,18 +101,28 @@
 
 // room is how many connections may be in use at once; p.mu is held.
 func (p *Pool) room() int {
-	if p.Limit == nil {
-		return 1
+	switch {
+	case p.Allowance != nil:
+		return p.held
+	case p.Limit != nil:
+		return p.Limit()
 	}
-	return p.Limit()
+	return 1
 }
 
 // pass hands one turn on; it is called by whoever gave a turn up.
 func (p *Pool) pass() {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.inUse--
+	give := p.Allowance != nil && p.closed
+	if give {
+		p.held--
+	}
 	p.grant()
+	p.mu.Unlock()
+	if give {
+		p.Allowance.Release()
+	}
 }
 
 // grant lets waiters go ahead while there is room; p.mu is held.
@@ -155,18 +174,26 @@
 
 func (p *Pool) release(c *Conn, keep bool) {
 	c.idleSince = time.Now()
+	excess := p.Allowance != nil && p.Allowance.Excess() > 0
 	p.mu.Lock()
 	p.limit.observe(c.idleSince.Sub(c.takenAt))
-	keep = keep && !p.closed && p.inUse+len(p.idle) <= p.room()
+	keep = keep && !p.closed && !excess && p.inUse+len(p.idle) <= p.room()
 	if keep {
 		p.idle = append(p.idle, c)
 	}
 	p.inUse--
+	give := p.Allowance != nil && (excess || p.closed)
+	if give {
+		p.held--
+	}
 	p.grant()
 	p.mu.Unlock()
 	if !keep {
 		c.close()
 	}
+	if give {
+		p.Allowance.Release()
+	}
 }
 
 // load is the part of the pool in use or waited for, 1 when every turn is taken.
@@ -200,6 +227,7 @@
 	p.closed = true
 	p.mu.Unlock()
 	p.drop()
+	p.giveUp()
 }
 
 // counts gives connections in use, idle, and requests waiting.
--- a/internal/upstream/upstreams.go
+++ b/internal/upstream/upstreams.go
@@ -18,6 +18,8 @@
 	Logger log.Logger
 	// Share is how many connections this VM may have to a server at this moment.
 	Share func(platform.ServerName) int
+	// Allowance gives this VM's part of a server's connections; nil to go by Share.
+	Allowance func(platform.ServerName) Allowance
 	// Coordination joins this VM with the others; without it nobody promotes here.
 	Coordination Coordination
 	// Table keeps the records of the groups' terms.
@@ -88,9 +90,9 @@
 func (u *Upstreams) group(ctx context.Context, up platform.Upstream) *Group {
 	g := &Group{
 		Upstream: up, Dial: u.Dial, Logger: log.With(u.Logger, "upstream", up.Name),
-		Login:        Login{User: up.User, Database: up.Database, Password: password(up.PasswordVariable)},
-		Share:        u.Share,
-		Coordination: u.Coordination, Table: u.Table, Reads: u.Reads, Order: u.Order, MaxQueue: u.MaxQueue,
+		Login:     Login{User: up.User, Database: up.Database, Password: password(up.PasswordVariable)},
+		Share:     u.Share,
+		Allowance: u.Allowance, Coordination: u.Coordination, Table: u.Table, Reads: u.Reads, Order: u.Order, MaxQueue: u.MaxQueue,
 	}
 	g.start(ctx)
 	eventGroupAdded.Log(g.Logger, "servers", len(up.Servers))
