Stand-in: tell the position before a read's rows

Cause: the position came only before ReadyForQuery, so an answer under the floor was seen after its rows had been passed on. Ruled out: holding back whole answers in the proxy (rows must stream). Change: a read's position goes before its rows as well.

--- a/internal/fakeupstream/run.go
+++ b/internal/fakeupstream/run.go
@@ -155,6 +155,7 @@
 	v, p := s.server.viewNow()
 	if s.read == nil {
 		s.read = &p
+		s.tellPosition(p)
 	}
 	if s.tx.read == nil {
 		s.tx.read = &p
--- a/internal/fakeupstream/session.go
+++ b/internal/fakeupstream/session.go
@@ -238,7 +238,7 @@
 		p = *s.read
 	}
 	s.read = nil
-	s.backend.Send(&pgproto3.ParameterStatus{Name: positionParameter, Value: p.String()})
+	s.tellPosition(p)
 	s.backend.Send(&pgproto3.ReadyForQuery{TxStatus: s.tx.status()})
 	if sleep(s.ctx, s.server.delay()) != nil {
 		return false
@@ -246,6 +246,11 @@
 	return s.flush() == nil
 }
 
+// tellPosition goes before the rows of a read, and before ReadyForQuery.
+func (s *session) tellPosition(p position.Position) {
+	s.backend.Send(&pgproto3.ParameterStatus{Name: positionParameter, Value: p.String()})
+}
+
 func (s *session) flush() error {
 	if !s.thaw() {
 		return ErrEnded.New("session ended")
