--- a/internal/operator/alerts.go
+++ b/internal/operator/alerts.go
@@ -24,6 +24,12 @@
 	"savoryramp_caller_requests_total",
 	"savoryramp_caller_refused_total",
 	"savoryramp_caller_request_duration_seconds",
+	"savoryramp_upstream_primary_usable",
+	"savoryramp_upstream_replica_lag",
+	"savoryramp_upstream_connections",
+	"savoryramp_upstream_requests_waiting",
+	"savoryramp_configuration_version",
+	"savoryramp_configuration_read_timestamp_seconds",
 }
 
 // besides are metrics of Prometheus itself.
--- a/internal/operator/daemon.go
+++ b/internal/operator/daemon.go
@@ -110,7 +110,7 @@
 
 // prepare takes the addresses, asks for the platform and makes the parts.
 func (d *Daemon) prepare() error {
-	d.Configuration = &platform.Configuration{Table: d.Table, Store: d.Store, Every: pollEvery, Logger: d.Logger}
+	d.Configuration = &platform.Configuration{Table: d.Table, Store: d.Store, Every: pollEvery, Logger: d.Logger, Meter: d.Metrics.Meter("platform")}
 	d.Admin = &Admin{Address: d.Options.Admin, Ready: d.ready, Metrics: d.Metrics.Handler(), Logger: d.Logger}
 	d.register(time.Now())
 	if err := d.Admin.Listen(); err != nil {
--- a/internal/operator/serve.go
+++ b/internal/operator/serve.go
@@ -41,6 +41,7 @@
 	var dialer net.Dialer
 	u := &upstream.Upstreams{
 		Dial: dialer.DialContext, Logger: d.Logger, Documents: d.Configuration, Allowance: limits.allowance,
+		Meter:        d.Metrics.Meter("upstream"),
 		Coordination: joined, Table: d.Table, Reads: upstream.WaitOrPrimary{}, Order: upstream.DeficitRoundRobin, MaxQueue: maxQueue,
 	}
 	c := &caller.Server{
--- a/internal/upstream/upstreams.go
+++ b/internal/upstream/upstreams.go
@@ -8,6 +8,7 @@
 	"sync"
 
 	"github.com/go-kit/log"
+	"go.opentelemetry.io/otel/metric"
 
 	"github.com/savoryramp/savoryramp/internal/platform"
 )
@@ -20,6 +21,8 @@
 	Share func(platform.ServerName) int
 	// Allowance gives this VM's part of a server's connections; nil to go by Share.
 	Allowance func(platform.ServerName) Allowance
+	// Meter exports the groups' state; may be nil.
+	Meter metric.Meter
 	// Coordination joins this VM with the others; without it nobody promotes here.
 	Coordination Coordination
 	// Table keeps the records of the groups' terms.
@@ -40,6 +43,7 @@
 // Run follows the document until ctx ends, then closes all connections.
 func (u *Upstreams) Run(ctx context.Context) error {
 	var version platform.DocumentVersion
+	u.observe()
 	defer u.stop()
 	for {
 		snapshot, err := u.Documents.Wait(ctx, version)
