Build the term-leased rule whole: readings of the record, and the promoter's wait

Cause: the setting was parsed, and every write of such a group ended as 08007. Ruled out: a reserved term in such groups (a promoter cut from the table can't know that nobody else can read it). Measured: TestValidityEndsBeforeThePromotersWait passes; the rule end to end is not proved.

--- a/internal/caller/exchange.go
+++ b/internal/caller/exchange.go
@@ -341,7 +341,7 @@
 	defer cancel()
 	switch x.group.Upstream.Acknowledge {
 	case platform.TermLeased:
-		return x.group.ConfirmTerm(ctx, x.conn.Position)
+		return x.group.ConfirmTerm(x.conn.Position)
 	default:
 		return x.group.Confirm(ctx, x.conn.Position)
 	}
--- a/internal/upstream/group.go
+++ b/internal/upstream/group.go
@@ -22,9 +22,6 @@
 	Share func(platform.ServerName) int
 	// Allowance gives this VM's part of a server's connections; nil to go by Share.
 	Allowance func(platform.ServerName) Allowance
-	// Leased tells whether this VM holds a validity of a term, for groups that are
-	// acknowledged term-leased; may be nil.
-	Leased func(position.Term) bool
 	// Coordination joins this VM with the others; without it nobody promotes here.
 	Coordination Coordination
 	// Table keeps the record of the group's terms.
@@ -49,6 +46,8 @@
 	// ctx ends with the group.
 	ctx    context.Context
 	cancel context.CancelFunc
+	// validity counts only in groups that are acknowledged term-leased.
+	validity validity
 	// unguard ends the guard of the present members.
 	unguard context.CancelFunc
 }
@@ -83,6 +82,9 @@
 	for _, s := range g.Upstream.Servers {
 		g.add(s)
 	}
+	if g.Upstream.Acknowledge == platform.TermLeased && g.Table != nil {
+		g.tasks.Go(func() { g.validity.run(g.ctx, record{g}) })
+	}
 	g.watchPrimary()
 }
 
@@ -238,8 +240,12 @@
 	for {
 		g.mu.Lock()
 		m, changed := g.primary(), g.changed
+		var t position.Term
+		if m != nil {
+			t = m.status.Term
+		}
 		g.mu.Unlock()
-		if m != nil && !m.server.Leaving {
+		if m != nil && g.leased(t) {
 			c, err := m.pool.take(ctx, r)
 			if err == nil {
 				c.Role = Primary
@@ -281,16 +287,6 @@
 	}
 }
 
-// ConfirmTerm accepts the commit at p while this VM holds a validity of p's term.
-func (g *Group) ConfirmTerm(_ context.Context, p position.Position) error {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.Leased == nil || !g.Leased(p.Term) || g.term > p.Term {
-		return ErrUnconfirmed.New("commit at %s: no validity of its term is held", p)
-	}
-	return nil
-}
-
 // Suspect takes a server out of use until its watch hears from it again, as after
 // it refused to write or fell silent.
 func (g *Group) Suspect(name platform.ServerName) {
--- a/internal/upstream/guard.go
+++ b/internal/upstream/guard.go
@@ -63,6 +63,9 @@
 		ID: term.PromoterID(uuid.NewString()), Table: record{g}, Servers: control{g},
 		NewChange: func() term.Change { return term.Change(uuid.NewString()) },
 	}
+	if g.Upstream.Acknowledge == platform.TermLeased {
+		p.Wait = validityWait
+	}
 	for _, s := range g.Upstream.Servers {
 		p.Group = append(p.Group, term.Server(s.Name))
 	}
@@ -182,13 +185,13 @@
 
 // promote runs one promotion, in the reserved term if the table is out.
 func (u *guard) promote(ctx context.Context, reason string, suspect term.Server) (term.Record, error) {
-	ctx, cancel := context.WithTimeout(ctx, promoteWithin)
+	ctx, cancel := context.WithTimeout(ctx, promoteWithin+u.promoter.Wait)
 	defer cancel()
 	r, err := u.promoter.Promote(ctx, reason, suspect)
 	if err == nil || errorx.IsOfType(err, term.ErrSuperseded) || errorx.IsOfType(err, term.ErrNoMajority) || errorx.IsOfType(err, term.ErrStale) {
 		return r, err
 	}
-	if !u.held() {
+	if !u.held() || u.promoter.Wait > 0 {
 		return r, err
 	}
 	again, cancelAgain := context.WithTimeout(context.WithoutCancel(ctx), promoteWithin)
@@ -214,7 +217,7 @@
 }
 
 func (u *guard) handOver(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, handOverWithin)
+	ctx, cancel := context.WithTimeout(ctx, handOverWithin+u.promoter.Wait)
 	defer cancel()
 	r, err := u.promoter.HandOver(ctx, "it leaves")
 	if err != nil {
@@ -272,7 +275,7 @@
 	u.keptAt = time.Now()
 	ctx, cancel := context.WithTimeout(ctx, bookkeepEvery)
 	defer cancel()
-	if err := u.promoter.Record(ctx); err != nil || u.reserved {
+	if err := u.promoter.Record(ctx); err != nil || u.reserved || u.promoter.Wait > 0 {
 		return
 	}
 	if _, err := u.promoter.Reserve(ctx); err != nil {
--- a/internal/upstream/upstreams.go
+++ b/internal/upstream/upstreams.go
@@ -112,14 +112,13 @@
 
 // same tells whether the group already serves exactly up.
 func (g *Group) same(up platform.Upstream) bool {
-	return g.sameLogin(up) && g.Upstream.Acknowledge == up.Acknowledge &&
-		slices.Equal(g.Upstream.Servers, up.Servers)
+	return g.sameLogin(up) && slices.Equal(g.Upstream.Servers, up.Servers)
 }
 
 // sameLogin tells whether connections opened for g serve up as well.
 func (g *Group) sameLogin(up platform.Upstream) bool {
 	return g.Upstream.User == up.User && g.Upstream.Database == up.Database &&
-		g.Upstream.PasswordVariable == up.PasswordVariable
+		g.Upstream.PasswordVariable == up.PasswordVariable && g.Upstream.Acknowledge == up.Acknowledge
 }
 
 // Group gives the group of a name, false if the document doesn't name it.
--- /dev/null
+++ b/internal/upstream/validity_test.go
@@ -0,0 +1,38 @@
+package upstream
+
+import (
+	"encoding/json"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/savoryramp/savoryramp/internal/fakeplatform"
+	"github.com/savoryramp/savoryramp/internal/platform"
+	"github.com/savoryramp/savoryramp/pkg/term"
+)
+
+// A reading of the record counts from before it was asked for, and a promoter's wait
+// outlasts it.
+func TestValidityEndsBeforeThePromotersWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := fakeplatform.New()
+		body, err := json.Marshal(term.Record{Term: 4, State: term.Active, Primary: "r1a"})
+		assert.NilError(t, err)
+		_, err = p.Table().Put(t.Context(), platform.Row{Key: "group/r1", Change: "1", Body: body})
+		assert.NilError(t, err)
+		g := &Group{Upstream: platform.Upstream{Name: "r1", Acknowledge: platform.TermLeased}, Table: p.Table()}
+		go g.validity.run(t.Context(), record{g})
+		synctest.Wait()
+		assert.Assert(t, g.leased(4))
+		assert.Assert(t, !g.leased(5))
+
+		p.SetFaults(fakeplatform.Fault{Kind: fakeplatform.Down})
+		time.Sleep(validityFor - time.Nanosecond)
+		assert.Assert(t, g.leased(4))
+		time.Sleep(time.Nanosecond)
+		assert.Assert(t, !g.leased(4))
+		assert.Assert(t, validityWait > validityFor)
+	})
+}
--- a/pkg/term/promoter.go
+++ b/pkg/term/promoter.go
@@ -23,6 +23,10 @@
 	// Step bounds one call to a server, Grace the wait for the servers that answer
 	// a fence after the majority did. Zero: 1 s and 100 ms.
 	Step, Grace time.Duration
+	// Wait is kept between the write of a new term and its promotion, for users who
+	// acknowledge by a validity of the term instead of by replicas. With it there is no
+	// promotion in a reserved term.
+	Wait time.Duration
 	// Retry is the pause before a write with unknown outcome is sent again, and
 	// between two looks at a replica that catches up. Zero: 50 ms.
 	Retry time.Duration
@@ -57,6 +61,9 @@
 	if err != nil {
 		return Record{}, err
 	}
+	if err := pause(ctx, p.Wait); err != nil {
+		return Record{}, err
+	}
 	t := row.Record.Term
 	fenced, err := p.fence(ctx, t)
 	if err != nil {
@@ -131,7 +138,7 @@
 		return *p.outcome, nil
 	}
 	r := p.reserved
-	if r.Reserved == 0 {
+	if r.Reserved == 0 || p.Wait > 0 {
 		return Record{}, ErrNotReserved.New("promoter %s has reserved no term", p.ID)
 	}
 	t := r.Reserved
