Remember goodbyes after the member is dropped

A heartbeat that was sent before a goodbye and came after it brought the VM back as leaving, since the note of the goodbye went with the member: TestUnlistedVMIsHeard failed in 1 of 20 runs under load. Goodbyes now outlast members.

--- a/internal/peer/contracts.go
+++ b/internal/peer/contracts.go
@@ -69,10 +69,13 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	m := f.members[Name(h.VM)]
+	n, life := Name(h.VM), Incarnation(h.Incarnation)
+	if f.ended[n] >= life {
+		return true
+	}
+	m := f.members[n]
 	if m == nil {
-		return f.removed[Name(h.VM)]
+		return f.removed[n]
 	}
-	life := Incarnation(h.Incarnation)
-	return m.life > life || m.ended >= life
+	return m.life > life
 }
--- a/internal/peer/fleet.go
+++ b/internal/peer/fleet.go
@@ -83,6 +83,9 @@
 	// document is the newest that this VM has.
 	document *peerpb.Document
 	draining bool
+	// ended are the greatest incarnations that said goodbye; they outlast the members,
+	// since a heartbeat sent earlier may come later.
+	ended map[Name]Incarnation
 	// removed are the VMs that this process saw go from the list and hears no more.
 	removed map[Name]bool
 	// talk starts a neighbour's goroutine; nil before and after Run.
@@ -106,6 +109,7 @@
 		f.board = newBoard(f.Self, f.Incarnation)
 		f.members = map[Name]*member{}
 		f.removed = map[Name]bool{}
+		f.ended = map[Name]Incarnation{}
 		f.document = &peerpb.Document{}
 	})
 }
@@ -196,7 +200,7 @@
 func (f *Fleet) member(n Name) *member {
 	m := f.members[n]
 	if m == nil {
-		m = &member{name: n, since: time.Now(), state: Suspect}
+		m = &member{name: n, since: time.Now(), state: Suspect, ended: f.ended[n]}
 		m.link = newLink(f, n)
 		f.members[n] = m
 	}
--- a/internal/peer/member.go
+++ b/internal/peer/member.go
@@ -49,7 +49,7 @@
 	address platform.Address
 	zone    platform.AvailabilityZone
 	life    Incarnation
-	// ended is the greatest incarnation that said goodbye.
+	// ended is the greatest incarnation that said goodbye, as in the fleet's ended.
 	ended Incarnation
 	heard time.Time
 	// since is when this VM learned of it.
@@ -72,7 +72,7 @@
 	}
 	silent := now.Sub(last)
 	switch {
-	case m.life != 0 && m.ended >= m.life, silent >= goneBeats*beat:
+	case m.saidGoodbye(), silent >= goneBeats*beat:
 		return Gone
 	case silent >= suspectBeats*beat, m.heard.IsZero():
 		return Suspect
@@ -82,6 +82,8 @@
 	return Live
 }
 
+func (m *member) saidGoodbye() bool { return m.life != 0 && m.ended >= m.life }
+
 func (m *member) public() Member {
 	return Member{
 		Name: m.name, Address: m.address, AvailabilityZone: m.zone,
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -81,8 +81,11 @@
 func (f *Fleet) note(from Caller, h *peerpb.Heartbeat) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if from.Incarnation <= f.ended[from.Name] {
+		return false
+	}
 	m := f.member(from.Name)
-	if from.Incarnation < m.life || from.Incarnation <= m.ended {
+	if from.Incarnation < m.life {
 		return false
 	}
 	if o := h.GetHello(); o != nil {
@@ -161,8 +164,9 @@
 func (s *service) Goodbye(_ context.Context, r *peerpb.GoodbyeRequest) (*peerpb.GoodbyeAnswer, error) {
 	f := s.fleet
 	f.mu.Lock()
-	m := f.member(Name(r.GetVm()))
-	m.ended = max(m.ended, Incarnation(r.GetIncarnation()))
+	n := Name(r.GetVm())
+	f.ended[n] = max(f.ended[n], Incarnation(r.GetIncarnation()))
+	f.member(n).ended = f.ended[n]
 	f.mu.Unlock()
 	f.judge()
 	return &peerpb.GoodbyeAnswer{}, nil
