--- /dev/null
+++ b/internal/caller/overhead_test.go
@@ -0,0 +1,219 @@
+package caller_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"runtime"
+	"sort"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"gotest.tools/v3/assert"
+
+	"github.com/savoryramp/savoryramp/internal/caller"
+	"github.com/savoryramp/savoryramp/internal/platform"
+	"github.com/savoryramp/savoryramp/internal/upstream"
+)
+
+// instant answers every statement with one row at once, so that what is measured is
+// the way there.
+type instant struct {
+	net.Listener
+	role string
+}
+
+func listenInstant(b *testing.B, role string) *instant {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(b, err)
+	s := &instant{l, role}
+	b.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c)
+		}
+	}()
+	return s
+}
+
+func (s *instant) serve(c net.Conn) {
+	defer c.Close()
+	back := pgproto3.NewBackend(c, c)
+	if _, err := back.ReceiveStartupMessage(); err != nil {
+		return
+	}
+	back.Send(&pgproto3.AuthenticationOk{})
+	back.Send(&pgproto3.BackendKeyData{ProcessID: 1, SecretKey: []byte{1, 2, 3, 4}})
+	s.ready(back)
+	status := fmt.Sprintf(`{"server":"r","role":%q,"term":1,"received":"1/7","applied":"1/7"}`, s.role)
+	for {
+		m, err := back.Receive()
+		if err != nil {
+			return
+		}
+		q, found := m.(*pgproto3.Query)
+		if !found {
+			continue
+		}
+		value := "1"
+		if strings.Contains(q.String, "savoryramp_status") {
+			value = status
+		}
+		if strings.HasPrefix(q.String, "LISTEN") {
+			back.Send(&pgproto3.NotificationResponse{Channel: "savoryramp_position", Payload: status})
+			back.Send(&pgproto3.CommandComplete{CommandTag: []byte("LISTEN")})
+			s.ready(back)
+			continue
+		}
+		back.Send(&pgproto3.ParameterStatus{Name: "savoryramp.position", Value: "1/7"})
+		back.Send(&pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{{Name: []byte("n"), DataTypeOID: 23, DataTypeSize: 4}}})
+		back.Send(&pgproto3.DataRow{Values: [][]byte{[]byte(value)}})
+		back.Send(&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")})
+		s.ready(back)
+	}
+}
+
+func (s *instant) ready(back *pgproto3.Backend) {
+	back.Send(&pgproto3.ParameterStatus{Name: "savoryramp.position", Value: "1/7"})
+	back.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	_ = back.Flush()
+}
+
+// fixed is a document that never changes.
+type fixed struct{ snapshot platform.Snapshot }
+
+func (f fixed) Current() platform.Snapshot { return f.snapshot }
+
+func (f fixed) Wait(ctx context.Context, after platform.DocumentVersion) (platform.Snapshot, error) {
+	if after < f.snapshot.Version {
+		return f.snapshot, nil
+	}
+	<-ctx.Done()
+	return platform.Snapshot{}, ctx.Err()
+}
+
+// startProxy serves an open database before a primary and two replicas.
+func startProxy(b *testing.B) (proxy, direct string) {
+	up := platform.Upstream{Name: "u", Acknowledge: platform.ReplicaConfirmed, User: "s", Database: "d"}
+	for i, role := range []string{"primary", "replica", "replica"} {
+		l := listenInstant(b, role)
+		direct = l.Addr().String()
+		up.Servers = append(up.Servers, platform.Server{Name: platform.ServerName(fmt.Sprint("r", i)), Address: platform.Address(direct), Connections: 64})
+	}
+	documents := fixed{platform.Snapshot{Version: 1, Document: &platform.Document{
+		Upstreams:  []platform.Upstream{up},
+		Databases:  []platform.Database{{Name: "d", Upstream: "u", Open: true, OpenWorkspace: "w"}},
+		Workspaces: []platform.Workspace{{Name: "w", Weight: 1, Rate: 1, Burst: 1}},
+	}}}
+	u := &upstream.Upstreams{
+		Dial: (&net.Dialer{}).DialContext, Documents: documents, Reads: upstream.WaitOrPrimary{},
+		Order: upstream.DeficitRoundRobin, MaxQueue: 1000, Share: func(platform.ServerName) int { return 32 },
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(b, err)
+	s := &caller.Server{
+		VM: "vm-1", Listener: l, Documents: documents, Upstreams: u, TokenKey: caller.TokenKey("k"),
+		MaxWait: 5 * time.Second, Deadline: 5 * time.Second,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 2)
+	go func() { done <- u.Run(ctx) }()
+	go func() { done <- s.Run(ctx) }()
+	b.Cleanup(func() {
+		cancel()
+		assert.NilError(b, <-done)
+		assert.NilError(b, <-done)
+	})
+	return l.Addr().String(), direct
+}
+
+func connect(b *testing.B, address string) *pgx.Conn {
+	config, err := pgx.ParseConfig("postgres://u:p@" + address + "/d?sslmode=disable")
+	assert.NilError(b, err)
+	config.DefaultQueryExecMode = pgx.QueryExecModeSimpleProtocol
+	c, err := pgx.ConnectConfig(context.Background(), config)
+	assert.NilError(b, err)
+	b.Cleanup(func() { _ = c.Close(context.Background()) })
+	return c
+}
+
+// BenchmarkOverhead alternates statements on a direct connection and through the
+// proxy, and reports the medians and their difference.
+func BenchmarkOverhead(b *testing.B) {
+	proxy, direct := startProxy(b)
+	connections := []*pgx.Conn{connect(b, direct), connect(b, proxy)}
+	took := [2][]time.Duration{}
+	for range b.N {
+		for i, c := range connections {
+			before := time.Now()
+			_, err := c.Exec(context.Background(), "SELECT 1")
+			assert.NilError(b, err)
+			took[i] = append(took[i], time.Since(before))
+		}
+	}
+	for i := range took {
+		sort.Slice(took[i], func(x, y int) bool { return took[i][x] < took[i][y] })
+	}
+	added := func(part float64) float64 {
+		at := int(part * float64(b.N-1))
+		return float64((took[1][at] - took[0][at]).Nanoseconds()) / 1000
+	}
+	b.ReportMetric(float64(took[0][b.N/2].Nanoseconds())/1000, "direct-p50-us")
+	b.ReportMetric(added(0.5), "added-p50-us")
+	b.ReportMetric(added(0.99), "added-p99-us")
+}
+
+// BenchmarkIdle reports the proxy's memory for each idle client connection. The
+// callers are in the same process, as bare connections past their login.
+func BenchmarkIdle(b *testing.B) {
+	for _, n := range []int{100, 1_000, 5_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			proxy, _ := startProxy(b)
+			for range b.N {
+				before := memory()
+				conns := login(b, proxy, n)
+				b.ReportMetric(float64(memory()-before)/float64(n), "B/conn")
+				for _, c := range conns {
+					c.Close()
+				}
+			}
+		})
+	}
+}
+
+// login opens n connections, whose own side holds only the socket.
+func login(b *testing.B, address string, n int) []net.Conn {
+	var conns []net.Conn
+	start, err := (&pgproto3.StartupMessage{
+		ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": "u", "database": "d"},
+	}).Encode(nil)
+	assert.NilError(b, err)
+	buffer := make([]byte, 4096)
+	for range n {
+		c, err := net.Dial("tcp", address)
+		assert.NilError(b, err)
+		_, err = c.Write(start)
+		assert.NilError(b, err)
+		got, err := c.Read(buffer)
+		assert.NilError(b, err)
+		assert.Assert(b, got > 0)
+		conns = append(conns, c)
+	}
+	return conns
+}
+
+// memory is what the heap and the stacks hold.
+func memory() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc + m.StackInuse
+}
--- a/internal/upstream/upstreams.go
+++ b/internal/upstream/upstreams.go
@@ -43,6 +43,9 @@
 // Run follows the document until ctx ends, then closes all connections.
 func (u *Upstreams) Run(ctx context.Context) error {
 	var version platform.DocumentVersion
+	if u.Logger == nil {
+		u.Logger = log.NewNopLogger()
+	}
 	u.observe()
 	defer u.stop()
 	for {
