--- a/script/demo.sh
+++ b/script/demo.sh
@@ -1,15 +1,21 @@
 #!/usr/bin/env bash
 # Runs savoryramp on this machine: the platform's stand-in, one database group of
-# three servers, three VMs in three availability zones, and a checked load.
+# three servers, three VMs (VMS=9 for nine) in three availability zones, and a checked
+# load.
 # Exits with 1 on any wrong answer. KEEP=1 leaves all running until Ctrl-C.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
 tries=100 # of 0.1 s each
-zones=(amman-a amman-b amman-c)
-callers=(127.0.0.1:17201 127.0.0.1:17202 127.0.0.1:17203)
-admins=(127.0.0.1:17211 127.0.0.1:17212 127.0.0.1:17213)
-peers=(127.0.0.1:17221 127.0.0.1:17222 127.0.0.1:17223)
+vms_wanted=${VMS:-3}
+zone_names=(amman-a amman-b amman-c)
+zones=() callers=() admins=() peers=()
+for i in $(seq "$vms_wanted"); do
+  zones+=("${zone_names[$((i % 3))]}")
+  callers+=("127.0.0.1:$((17200 + i))")
+  admins+=("127.0.0.1:$((17300 + i))")
+  peers+=("127.0.0.1:$((17400 + i))")
+done
 platform=127.0.0.1:17000
 upstream=127.0.0.1:17100
 export SAVORYRAMP_TABLE_ENDPOINT=http://$platform
@@ -61,7 +67,7 @@
 echo "building"
 make -s build
 
-echo "starting the platform, three database servers and three VMs"
+echo "starting the platform, three database servers and $vms_wanted VMs"
 start platform bin/savoryramp-platform --listen="$platform"
 await platform "$last" answers "$platform/state"
 start upstream bin/savoryramp-upstream --group=r1 --admin="$upstream" \
@@ -69,29 +75,28 @@
 await upstream "$last" answers "$upstream/state"
 bin/savoryramp-load certificates "$work"
 vms=()
-for i in 0 1 2; do
+for i in $(seq 0 $((vms_wanted - 1))); do
   start "vm-$i" bin/savoryramp run --vm="vm-$i" --availability-zone="${zones[$i]}" \
     --listen="${callers[$i]}" --admin="${admins[$i]}" --peer="${peers[$i]}" \
     --peer-cert="$work/peer.pem" --peer-key="$work/peer.key" --peer-ca="$work/ca.pem"
   vms+=("$last")
 done
-for i in 0 1 2; do await "vm-$i" "${vms[$i]}" answers "${admins[$i]}/live"; done
+for i in $(seq 0 $((vms_wanted - 1))); do await "vm-$i" "${vms[$i]}" answers "${admins[$i]}/live"; done
 
 echo "applying examples/demo.yaml and making a key"
 bin/savoryramp apply examples/demo.yaml
 secret=$(bin/savoryramp key create desk demo 2>"$work/key.log")
 version=$(bin/savoryramp show | sed -n '1s/^# savoryramp: version \([0-9]*\),.*/\1/p')
-for i in 0 1 2; do
+for i in $(seq 0 $((vms_wanted - 1))); do
   await "vm-$i" "${vms[$i]}" answers "${admins[$i]}/ready"
   await "vm-$i (version $version)" "${vms[$i]}" has_version "${admins[$i]}" "$version"
 done
-echo "version $version is in force on all three VMs"
+echo "version $version is in force on all $vms_wanted VMs"
 
 echo "writing receipts"
 export SAVORYRAMP_LOAD_SECRET=$secret
 bin/savoryramp-load ledger --user=demo --time="${DEMO_TIME:-10s}" --seed="${SEED:-1}" \
-  --vm="${callers[0]}" --vm="${callers[1]}" --vm="${callers[2]}" \
-  --admin="${admins[0]}" --admin="${admins[1]}" --admin="${admins[2]}" 2>"$work/load.log" || {
+  "${callers[@]/#/--vm=}" "${admins[@]/#/--admin=}" 2>"$work/load.log" || {
   tail -n 5 "$work/load.log" >&2
   exit 1
 }
