End the wait for a primary that was replaced

Cause: a statement sent to a frozen primary waited its whole deadline, 30 s, although another server led by then; its answer could not count any more. Ruled out: a shorter statement deadline (long statements are allowed). Change: when a newer term is seen, connections taken for the old primary are broken 300 ms later; a broken connection gives no more answers, also when its deadline was set again meanwhile. TestWaitForReplacedPrimaryEnds fails with the call taken out (waited 30s) and passed 40 of 40 with it; one earlier run failed and was not explained. Conclusion: mended.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -54,6 +55,8 @@
 	idleSince  time.Time
 	takenAt    time.Time
 	parameters map[string]string
+	// aborted connections give no more answers.
+	aborted atomic.Bool
 }
 
 // open connects and logs in.
@@ -165,6 +168,9 @@
 	if err := c.net.SetReadDeadline(deadline); err != nil {
 		return nil, ErrBroken.Wrap(err, "server %s", c.Server)
 	}
+	if c.aborted.Load() {
+		return nil, ErrBroken.New("server %s: the wait for its answer was ended", c.Server)
+	}
 	m, err := c.Front.Receive()
 	if err != nil {
 		return nil, c.broken(err)
@@ -239,7 +245,10 @@
 }
 
 // Abort breaks the connection from another task, so that its user stops waiting.
-func (c *Conn) Abort() { _ = c.net.SetDeadline(time.Unix(1, 0)) }
+func (c *Conn) Abort() {
+	c.aborted.Store(true)
+	_ = c.net.SetDeadline(time.Unix(1, 0))
+}
 
 func (c *Conn) close() { _ = c.net.Close() }
 
--- a/internal/upstream/group.go
+++ b/internal/upstream/group.go
@@ -209,6 +209,7 @@
 		g.starts[start.Term] = start
 	}
 	if s.Term > g.term {
+		g.replace(now)
 		g.term = s.Term
 		eventNewTerm.Log(g.Logger, "upstream", g.Upstream.Name, "server", s.Server, "term", s.Term)
 	}
@@ -217,6 +218,18 @@
 	}
 }
 
+// replacedGrace lets a replaced primary that still answers refuse what it runs, so
+// that it can be run again elsewhere.
+const replacedGrace = 300 * time.Millisecond
+
+// replace ends what still waits for the primary of the term that is over; g.mu is
+// held. No commit of it can be confirmed any more.
+func (g *Group) replace(now time.Time) {
+	if m := g.leader(); m != nil {
+		time.AfterFunc(replacedGrace, func() { m.pool.abort(now) })
+	}
+}
+
 // signal wakes everyone who waits for a change; g.mu is held.
 func (g *Group) signal() {
 	close(g.changed)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -35,6 +35,8 @@
 	queue  queue
 	closed bool
 	limit  limit
+	// taken are the connections in use.
+	taken map[*Conn]bool
 	// held are the places had from Allowance; inUse plus idle is at most held.
 	held int
 	// growing is true while a task asks for places.
@@ -60,9 +62,27 @@
 		return nil, err
 	}
 	c.takenAt = time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.taken == nil {
+		p.taken = map[*Conn]bool{}
+	}
+	p.taken[c] = true
 	return c, nil
 }
 
+// abort breaks the connections taken up to a time, so that nobody waits for answers
+// that can't count any more.
+func (p *Pool) abort(upTo time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.taken {
+		if !c.takenAt.After(upTo) {
+			c.Abort()
+		}
+	}
+}
+
 // turn waits until one more connection may be used.
 func (p *Pool) turn(ctx context.Context, r Request) error {
 	p.mu.Lock()
@@ -176,6 +196,7 @@
 	c.idleSince = time.Now()
 	excess := p.Allowance != nil && p.Allowance.Excess() > 0
 	p.mu.Lock()
+	delete(p.taken, c)
 	p.limit.observe(c.idleSince.Sub(c.takenAt))
 	keep = keep && !p.closed && !excess && p.inUse+len(p.idle) <= p.room()
 	if keep {
--- /dev/null
+++ b/internal/upstream/replaced_test.go
@@ -0,0 +1,78 @@
+package upstream_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"gotest.tools/v3/assert"
+
+	"github.com/savoryramp/savoryramp/internal/fakenet"
+	"github.com/savoryramp/savoryramp/internal/fakeupstream"
+	"github.com/savoryramp/savoryramp/internal/platform"
+	"github.com/savoryramp/savoryramp/internal/upstream"
+)
+
+// still is a document that never changes.
+type still struct{ document *platform.Document }
+
+func (s still) Wait(ctx context.Context, after platform.DocumentVersion) (platform.Snapshot, error) {
+	if after == 0 {
+		return platform.Snapshot{Version: 1, Document: s.document}, nil
+	}
+	<-ctx.Done()
+	return platform.Snapshot{}, ctx.Err()
+}
+
+// Nobody waits for the answer of a frozen primary once another one leads.
+func TestWaitForReplacedPrimaryEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := fakenet.New()
+		servers := &fakeupstream.Group{Name: "r1"}
+		up := platform.Upstream{Name: "r1"}
+		for _, name := range []string{"a", "b", "c"} {
+			l, err := network.Listen(fakenet.Host(name), name+":1")
+			assert.NilError(t, err)
+			servers.Servers = append(servers.Servers, &fakeupstream.Server{
+				Name: fakeupstream.ServerName(name), Listener: l,
+				Listen: func() (net.Listener, error) { return network.Listen(fakenet.Host(name), name+":1") },
+			})
+			up.Servers = append(up.Servers, platform.Server{Name: platform.ServerName(name), Address: platform.Address(name + ":1")})
+		}
+		u := &upstream.Upstreams{
+			Dial: network.Dialer("vm"), Documents: still{&platform.Document{Upstreams: []platform.Upstream{up}}},
+			Share: func(platform.ServerName) int { return 4 }, Reads: upstream.WaitOrPrimary{}, MaxQueue: 10,
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 2)
+		go func() { done <- servers.Run(ctx) }()
+		go func() { done <- u.Run(ctx) }()
+		defer func() {
+			cancel()
+			assert.NilError(t, <-done)
+			assert.NilError(t, <-done)
+		}()
+		time.Sleep(time.Second)
+
+		g, found := u.Group("r1")
+		assert.Assert(t, found)
+		c, err := g.Write(ctx, upstream.Request{Workspace: "w", Weight: 1})
+		assert.NilError(t, err)
+		servers.Server("a").Freeze(true)
+		c.Front.Send(&pgproto3.Query{String: "create table t (n int)"})
+		assert.NilError(t, c.Flush())
+		for _, name := range []fakeupstream.ServerName{"b", "c"} {
+			assert.NilError(t, servers.Server(name).Fence(2))
+		}
+		assert.NilError(t, servers.Server("b").Promote(ctx, 2))
+
+		began := time.Now()
+		_, err = c.Receive(began.Add(30 * time.Second))
+		assert.Assert(t, err != nil)
+		assert.Assert(t, time.Since(began) < time.Second, "waited %s", time.Since(began))
+		c.Release(false)
+	})
+}
