Load tool: play scenarios with faults, measure, compare

Cause: the users weigh replica reads, the worst-served workspace, the failover gap and wrongful refusals, and nothing measured them.

Platform, servers and VMs run in the tool's process. Ruled out: daemon processes of their own, since a process of the system starts no other, and in process the daemon is the same code (operator.Daemon, by RunTrial with other policies for the baselines) while faults and true positions need no protocol.

The oracle of admitted requests first was a schedule by earliest end; a property showed that it calls spans over that a bucket can have admitted (rate 38, burst 1, arrivals at 0, 27, 54 ms), since tokens can be kept. It is now the worst window: more wholly inside it than burst + rate x length.

--- a/cmd/savoryramp-load/main.go
+++ b/cmd/savoryramp-load/main.go
@@ -11,10 +11,12 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/go-kit/log"
 	"github.com/joomcode/errorx"
+
+	"github.com/savoryramp/savoryramp/internal/load"
 )
 
 var (
-	errs = errorx.NewNamespace("load")
+	errs = errorx.NewNamespace("load-tool")
 	// ErrWrong means that at least one answer was wrong.
 	ErrWrong = errs.NewType("wrong")
 	// ErrSetup means that the load couldn't begin or did nothing.
@@ -25,6 +27,10 @@
 	app := kingpin.New("savoryramp-load", "Puts a checked load on savoryramp.").DefaultEnvars()
 	l := &Ledger{Out: os.Stdout, Logger: log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr))}
 	ledger := l.define(app)
+	s := &scenarioRun{Out: os.Stdout}
+	scenario := s.define(app)
+	c := &comparison{}
+	compare := c.define(app)
 	certificates := app.Command("certificates", "Makes an authority and a certificate for trials: ca.pem, peer.pem, peer.key.")
 	dir := certificates.Arg("directory", "Where the files go.").Required().String()
 
@@ -34,6 +40,12 @@
 	case ledger.FullCommand():
 		app.FatalIfError(l.Run(ctx), "ledger")
 	case certificates.FullCommand():
-		app.FatalIfError(writeCertificates(*dir), "certificates")
+		made, err := load.NewCertificates()
+		app.FatalIfError(err, "certificates")
+		app.FatalIfError(made.Write(*dir), "certificates")
+	case scenario.FullCommand():
+		app.FatalIfError(s.run(ctx), "run")
+	case compare.FullCommand():
+		app.FatalIfError(c.run(os.Stdout), "compare")
 	}
 }
--- a/cmd/savoryramp-load/certificates.go
+++ b/internal/load/certificate.go
@@ -1,9 +1,10 @@
-package main
+package load
 
 import (
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
+	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
@@ -17,16 +18,24 @@
 // validity is how long the certificates of a trial last.
 const validity = 24 * time.Hour
 
-// writeCertificates makes an authority, and one certificate by it for every process
-// on this machine, good for both sides of mutual TLS.
-func writeCertificates(dir string) error {
+// Certificates are an authority, and one certificate by it for every process on this
+// machine, good for both sides of mutual TLS. All are PEM texts.
+type Certificates struct {
+	Authority []byte
+	Peer      []byte
+	PeerKey   []byte
+}
+
+// NewCertificates makes the authority and the certificate. ErrSetup.
+func NewCertificates() (Certificates, error) {
+	var c Certificates
 	authority := template(1, "savoryramp trial authority")
 	authority.IsCA = true
 	authority.BasicConstraintsValid = true
 	authority.KeyUsage = x509.KeyUsageCertSign
 	authorityKey, authorityDER, err := sign(authority, authority, nil)
 	if err != nil {
-		return err
+		return c, err
 	}
 	peer := template(2, "savoryramp trial peer")
 	peer.IPAddresses = []net.IP{net.IPv4(127, 0, 0, 1)}
@@ -34,19 +43,37 @@
 	peer.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
 	peerKey, peerDER, err := sign(peer, authority, authorityKey)
 	if err != nil {
-		return err
+		return c, err
 	}
 	keyDER, err := x509.MarshalPKCS8PrivateKey(peerKey)
 	if err != nil {
-		return ErrSetup.Wrap(err, "key")
+		return c, ErrSetup.Wrap(err, "key")
 	}
-	if err := writePEM(dir, "ca.pem", "CERTIFICATE", authorityDER); err != nil {
-		return err
+	c.Authority = pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: authorityDER})
+	c.Peer = pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: peerDER})
+	c.PeerKey = pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: keyDER})
+	return c, nil
+}
+
+// Write puts ca.pem, peer.pem and peer.key into a directory. ErrSetup.
+func (c Certificates) Write(dir string) error {
+	for name, text := range map[string][]byte{"ca.pem": c.Authority, "peer.pem": c.Peer, "peer.key": c.PeerKey} {
+		if err := os.WriteFile(filepath.Join(dir, name), text, 0o600); err != nil {
+			return ErrSetup.Wrap(err, "file")
+		}
 	}
-	if err := writePEM(dir, "peer.pem", "CERTIFICATE", peerDER); err != nil {
-		return err
+	return nil
+}
+
+// pair gives the peers' certificate and the authority in the form that TLS takes.
+func (c Certificates) pair() (tls.Certificate, *x509.CertPool, error) {
+	pool := x509.NewCertPool()
+	pool.AppendCertsFromPEM(c.Authority)
+	pair, err := tls.X509KeyPair(c.Peer, c.PeerKey)
+	if err != nil {
+		return pair, nil, ErrSetup.Wrap(err, "certificate")
 	}
-	return writePEM(dir, "peer.key", "PRIVATE KEY", keyDER)
+	return pair, pool, nil
 }
 
 func template(serial int64, name string) *x509.Certificate {
@@ -73,11 +100,3 @@
 	}
 	return key, der, nil
 }
-
-func writePEM(dir, name, kind string, der []byte) error {
-	text := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
-	if err := os.WriteFile(filepath.Join(dir, name), text, 0o600); err != nil {
-		return ErrSetup.Wrap(err, "file")
-	}
-	return nil
-}
--- /dev/null
+++ b/internal/load/policy.go
@@ -0,0 +1,43 @@
+package load
+
+import (
+	"github.com/savoryramp/savoryramp/internal/operator"
+	"github.com/savoryramp/savoryramp/internal/upstream"
+)
+
+// The baselines: what a user would have without savoryramp's choice of servers.
+const (
+	// BaselineNone is savoryramp's own choice.
+	BaselineNone = "none"
+	// BaselinePrimary sends all to the primary.
+	BaselinePrimary = "primary-only"
+	// BaselineNaive sends reads to any replica, whatever its position.
+	BaselineNaive = "naive-splitter"
+)
+
+// PoliciesOf gives the policies of a baseline and an order of queues. ErrSetup.
+func PoliciesOf(baseline, order string) (operator.Policies, error) {
+	p := operator.Policies{Order: upstream.Order(order)}
+	switch baseline {
+	case BaselineNone:
+		p.Reads = upstream.WaitOrPrimary{}
+	case BaselinePrimary:
+		p.Reads = upstream.PrimaryOnly{}
+	case BaselineNaive:
+		p.Reads = upstream.AnyReplica{}
+	default:
+		return p, ErrSetup.New("no baseline %q", baseline)
+	}
+	return p, nil
+}
+
+// readsName is how a summary names a policy.
+func readsName(p upstream.ReadPolicy) string {
+	switch p.(type) {
+	case upstream.PrimaryOnly:
+		return BaselinePrimary
+	case upstream.AnyReplica:
+		return BaselineNaive
+	}
+	return "savoryramp"
+}
