Load tool: peers with certificates, a VM list that lags

Cause: since the VMs form a fleet, a trial has to have their certificates and a list that is behind, as they do. The load begins 4 s after the VMs are ready.

--- a/internal/load/certificate.go
+++ b/internal/load/certificate.go
@@ -4,7 +4,6 @@
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
-	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
@@ -18,6 +17,13 @@
 // validity is how long the certificates of a trial last.
 const validity = 24 * time.Hour
 
+// The files' names.
+const (
+	authorityFile = "ca.pem"
+	peerFile      = "peer.pem"
+	keyFile       = "peer.key"
+)
+
 // Certificates are an authority, and one certificate by it for every process on this
 // machine, good for both sides of mutual TLS. All are PEM texts.
 type Certificates struct {
@@ -57,7 +63,7 @@
 
 // Write puts ca.pem, peer.pem and peer.key into a directory. ErrSetup.
 func (c Certificates) Write(dir string) error {
-	for name, text := range map[string][]byte{"ca.pem": c.Authority, "peer.pem": c.Peer, "peer.key": c.PeerKey} {
+	for name, text := range map[string][]byte{authorityFile: c.Authority, peerFile: c.Peer, keyFile: c.PeerKey} {
 		if err := os.WriteFile(filepath.Join(dir, name), text, 0o600); err != nil {
 			return ErrSetup.Wrap(err, "file")
 		}
@@ -65,17 +71,6 @@
 	return nil
 }
 
-// pair gives the peers' certificate and the authority in the form that TLS takes.
-func (c Certificates) pair() (tls.Certificate, *x509.CertPool, error) {
-	pool := x509.NewCertPool()
-	pool.AppendCertsFromPEM(c.Authority)
-	pair, err := tls.X509KeyPair(c.Peer, c.PeerKey)
-	if err != nil {
-		return pair, nil, ErrSetup.Wrap(err, "certificate")
-	}
-	return pair, pool, nil
-}
-
 func template(serial int64, name string) *x509.Certificate {
 	return &x509.Certificate{
 		SerialNumber: big.NewInt(serial),
--- a/internal/load/site.go
+++ b/internal/load/site.go
@@ -2,11 +2,10 @@
 
 import (
 	"context"
-	"crypto/tls"
-	"crypto/x509"
 	"net"
 	"net/http"
 	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -37,8 +36,10 @@
 	maxWait     = 2 * time.Second
 	// statementDeadline is the longest silence of a server in a statement.
 	statementDeadline = 5 * time.Second
-	readyTries        = 200
-	readyEvery        = 50 * time.Millisecond
+	// vmListLag is how far the platform's list of VMs is behind.
+	vmListLag  = time.Second
+	readyTries = 200
+	readyEvery = 50 * time.Millisecond
 )
 
 const createTable = "CREATE TABLE receipts (id INTEGER, person INTEGER); CREATE INDEX receipts_person ON receipts (person)"
@@ -58,10 +59,10 @@
 	Platform *fakeplatform.Platform
 	VMs      []*VM
 
-	certificate tls.Certificate
-	authority   *x509.CertPool
-	cancel      context.CancelFunc
-	tasks       sync.WaitGroup
+	// dir holds the peers' certificates.
+	dir    string
+	cancel context.CancelFunc
+	tasks  sync.WaitGroup
 }
 
 // VM is one daemon.
@@ -93,11 +94,7 @@
 	if err := s.apply(ctx); err != nil {
 		return err
 	}
-	c, err := NewCertificates()
-	if err == nil {
-		s.certificate, s.authority, err = c.pair()
-	}
-	if err != nil {
+	if err := s.certify(); err != nil {
 		return err
 	}
 	addresses, err := free(3 * vmCount)
@@ -105,7 +102,7 @@
 		return err
 	}
 	for i := range vmCount {
-		s.VMs = append(s.VMs, newVM(i, addresses[3*i:3*i+3]))
+		s.VMs = append(s.VMs, s.newVM(i, addresses[3*i:3*i+3]))
 		if err := s.run(s.VMs[i]); err != nil {
 			return err
 		}
@@ -123,6 +120,19 @@
 	}
 	s.cancel()
 	s.tasks.Wait()
+	_ = os.RemoveAll(s.dir)
+}
+
+// certify writes the peers' certificates into a directory of the trial's own.
+func (s *Site) certify() error {
+	c, err := NewCertificates()
+	if err != nil {
+		return err
+	}
+	if s.dir, err = os.MkdirTemp("", "savoryramp-load-"); err != nil {
+		return ErrSetup.Wrap(err, "certificates")
+	}
+	return c.Write(s.dir)
 }
 
 // startGroup serves the first upstream of the document, under new addresses.
@@ -175,6 +185,7 @@
 // trial knows.
 func (s *Site) apply(ctx context.Context) error {
 	s.Platform = fakeplatform.New()
+	s.Platform.VMLag = vmListLag
 	snapshot, err := platform.Apply(ctx, s.Platform.Table(), s.Platform.Store(), "trial", s.Text)
 	if err != nil {
 		return ErrSetup.Wrap(err, "document")
@@ -194,14 +205,16 @@
 	return nil
 }
 
-func newVM(i int, addresses []platform.Address) *VM {
+func (s *Site) newVM(i int, addresses []platform.Address) *VM {
 	return &VM{
 		Name: vmName(i), Address: addresses[0],
 		options: operator.RunOptions{
 			VM: string(vmName(i)), AvailabilityZone: "zone-" + strconv.Itoa(i),
 			Listen: addresses[0], Admin: addresses[1], Peer: addresses[2],
 			BalancerLag: balancerLag, DrainTime: drainTime, StatementDeadline: statementDeadline, MaxWait: maxWait,
-			LogLevel: "info", LogFormat: "logfmt",
+			PeerTLS: operator.TLSFiles{
+				Certificate: filepath.Join(s.dir, peerFile), Key: filepath.Join(s.dir, keyFile), Authority: filepath.Join(s.dir, authorityFile),
+			},
 		},
 	}
 }
@@ -215,8 +228,7 @@
 	v.signals, v.done = make(chan os.Signal, 2), make(chan struct{})
 	d := &operator.Daemon{
 		Version: "trial", Options: v.options, Logger: log.With(s.Logger, "vm", v.Name), Metrics: metrics,
-		Certificates: operator.Certificates{Peer: s.certificate, PeerAuthority: s.authority},
-		Table:        s.Platform.Table(), Store: s.Platform.Store(),
+		Table: s.Platform.Table(), Store: s.Platform.Store(),
 		Signals: v.signals, Exit: func(operator.ExitCode) {},
 	}
 	done := v.done
--- a/internal/load/trial.go
+++ b/internal/load/trial.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	// settleTime is waited before the load, so that pools and shares are up.
-	settleTime = 500 * time.Millisecond
+	// settleTime is waited before the load, so that the VMs know each other and hold
+	// their leases.
+	settleTime = 4 * time.Second
 	// requestTimeout bounds one attempt with its connection.
 	requestTimeout = 10 * time.Second
 	// attempts bounds how often a caller tries a request that wasn't run because its
