Wait for replicas by their lag, not by a rate of entries

Cause: a session's first read asks for a floor, which is ahead of every replica by its usual lag of some milliseconds. worthWaiting estimated the wait as entries behind by entries a second, but a replica that keeps up applies as many a second as are written: one entry behind at 100 writes/s was taken for 10 ms, over the 3 ms that were waited, and the read went to the primary.

Ruled out: floors too high (they are what a majority holds, needed for callers without a token).

Now the VM remembers when the log first reached which offset, and how long after that each replica applied it.

--- a/internal/upstream/group.go
+++ b/internal/upstream/group.go
@@ -43,6 +43,7 @@
 	// changed is closed and replaced at every change of what is known.
 	changed chan struct{}
 	samples samples
+	heads   heads
 	tasks   sync.WaitGroup
 	// ctx ends with the group.
 	ctx    context.Context
@@ -67,7 +68,7 @@
 	usable bool
 	// heardAt is when status came.
 	heardAt time.Time
-	rate    applyRate
+	lag     lag
 }
 
 // start opens the watches.
@@ -192,7 +193,7 @@
 // learn merges a status; g.mu is held.
 func (g *Group) learn(m *member, s Status) {
 	now := time.Now()
-	m.rate.observe(now, m.status.Applied, s.Applied)
+	before := m.status.Applied
 	if s.Received != m.status.Received {
 		m.movedAt = now
 	}
@@ -202,8 +203,15 @@
 	}
 	if s.Term > g.term {
 		g.term = s.Term
+		g.heads.reset()
 		eventNewTerm.Log(g.Logger, "upstream", g.Upstream.Name, "server", s.Server, "term", s.Term)
 	}
+	if s.Received.Term == g.term {
+		g.heads.reach(s.Received.Offset, now)
+	}
+	if s.Role == Replica && s.Applied.Offset > before.Offset {
+		m.lag.observe(&g.heads, s.Applied.Offset, now)
+	}
 	if s.Role == Primary && s.Term == g.term {
 		g.samples.add(now, s.Applied)
 	}
--- /dev/null
+++ b/internal/upstream/lag_test.go
@@ -0,0 +1,62 @@
+package upstream
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/savoryramp/savoryramp/pkg/position"
+)
+
+func TestLagUntil(t *testing.T) {
+	ms := time.Millisecond
+	start := time.Unix(1000, 0)
+	// The log reached 10 at 0 ms, 20 at 100 ms, 30 at 200 ms.
+	var h heads
+	for i, o := range []position.Offset{10, 20, 20, 15, 30} {
+		h.reach(o, start.Add([]time.Duration{0, 100, 150, 160, 200}[i]*ms))
+	}
+	tests := map[string]struct {
+		usual          time.Duration
+		applied, floor position.Offset
+		now            time.Duration
+		want           time.Duration
+	}{
+		"already there":             {5 * ms, 30, 30, 300 * ms, 0},
+		"due after the usual lag":   {8 * ms, 20, 30, 201 * ms, 7 * ms},
+		"between two heads":         {8 * ms, 20, 25, 201 * ms, 7 * ms},
+		"not heard of yet":          {8 * ms, 30, 31, 201 * ms, 8 * ms},
+		"waits longer than usual":   {8 * ms, 10, 30, 201 * ms, 100 * ms},
+		"no observation, no growth": {0, 30, 31, 300 * ms, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := lag{usual: test.usual}
+			assert.Equal(t, l.until(&h, test.applied, test.floor, start.Add(test.now)), test.want)
+		})
+	}
+}
+
+func TestLagObserve(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var h heads
+	h.reach(10, now)
+	var l lag
+	l.observe(&h, 10, now.Add(10*time.Millisecond))
+	assert.Equal(t, l.usual, 10*time.Millisecond)
+	l.observe(&h, 10, now.Add(20*time.Millisecond))
+	assert.Equal(t, l.usual, 12*time.Millisecond)
+	h.reset()
+	assert.Equal(t, h.since(10, now), now)
+}
+
+func TestHeadsAreBounded(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var h heads
+	for o := range position.Offset(3 * maxHeads) {
+		h.reach(o+1, now.Add(time.Duration(o)))
+	}
+	assert.Assert(t, len(h.list) <= maxHeads)
+	assert.Equal(t, h.since(3*maxHeads, now), now.Add(3*maxHeads-1))
+}
--- a/internal/upstream/read.go
+++ b/internal/upstream/read.go
@@ -11,7 +11,9 @@
 	// waitAtMost bounds waiting for a replica to reach a floor.
 	waitAtMost = 50 * time.Millisecond
 	// waitAtLeast is waited for a replica even when the primary is idle.
-	waitAtLeast = 3 * time.Millisecond
+	waitAtLeast = 10 * time.Millisecond
+	// waitSlack is waited beyond the time at which a replica is expected at a floor.
+	waitSlack = 5 * time.Millisecond
 )
 
 // ReadPolicy decides where reads go: WaitOrPrimary, PrimaryOnly or AnyReplica.
@@ -125,47 +127,17 @@
 		return max(left, 0)
 	}
 	budget := max(primary.pool.wait(), waitAtLeast)
-	shortest := time.Duration(0)
+	now := time.Now()
+	shortest := budget + 1
 	for _, m := range g.members {
-		if !m.usable || m.status.Role != Replica || m.status.Applied.Term < f.Floor.Term {
-			continue
-		}
-		d := m.rate.until(m.status.Applied.Offset, f.Floor.Offset)
-		if d > 0 && (shortest == 0 || d < shortest) {
-			shortest = d
+		if m.usable && m.status.Role == Replica && m.status.Applied.Term >= f.Floor.Term {
+			shortest = min(shortest, m.lag.until(&g.heads, m.status.Applied.Offset, f.Floor.Offset, now))
 		}
 	}
-	if shortest == 0 || shortest > budget {
-		return 0
-	}
-	return min(left, 2*shortest)
-}
-
-// applyRate is how fast a replica applies while it is behind.
-type applyRate struct {
-	// perSecond is in log entries, smoothed.
-	perSecond float64
-	at        time.Time
-}
-
-const applySmoothing = 0.2
-
-func (a *applyRate) observe(now time.Time, before, after position.Position) {
-	elapsed := now.Sub(a.at).Seconds()
-	moved := float64(after.Offset - before.Offset)
-	a.at = now
-	if moved <= 0 || elapsed <= 0 {
-		return
-	}
-	a.perSecond += applySmoothing * (moved/elapsed - a.perSecond)
-}
-
-// until estimates the time to apply up to floor, 0 if nothing is known.
-func (a *applyRate) until(applied, floor position.Offset) time.Duration {
-	if a.perSecond <= 0 || floor <= applied {
+	if shortest > budget {
 		return 0
 	}
-	return time.Duration(float64(floor-applied) / a.perSecond * float64(time.Second))
+	return min(left, shortest+waitSlack)
 }
 
 // samples remembers how far the primary's log reached at what time.
--- a/internal/upstream/state.go
+++ b/internal/upstream/state.go
@@ -9,18 +9,18 @@
 
 // serverState is what a dump shows of one server.
 type serverState struct {
-	Role            Role    `json:"role"`
-	Usable          bool    `json:"usable"`
-	Term            int64   `json:"term"`
-	Received        string  `json:"received"`
-	Applied         string  `json:"applied"`
-	HeardMs         int64   `json:"heard-ms-ago"`
-	InUse           int     `json:"connections-in-use"`
-	Idle            int     `json:"connections-idle"`
-	Share           int     `json:"connections-share"`
-	Waiting         int     `json:"requests-waiting"`
-	AppliedPerSec   float64 `json:"applied-per-second"`
-	TypicalUseMicro int64   `json:"typical-use-us"`
+	Role            Role   `json:"role"`
+	Usable          bool   `json:"usable"`
+	Term            int64  `json:"term"`
+	Received        string `json:"received"`
+	Applied         string `json:"applied"`
+	HeardMs         int64  `json:"heard-ms-ago"`
+	InUse           int    `json:"connections-in-use"`
+	Idle            int    `json:"connections-idle"`
+	Share           int    `json:"connections-share"`
+	Waiting         int    `json:"requests-waiting"`
+	UsualLagMicro   int64  `json:"usual-lag-us"`
+	TypicalUseMicro int64  `json:"typical-use-us"`
 }
 
 // groupState is what a dump shows of one group.
@@ -58,7 +58,7 @@
 	s := serverState{
 		Role: m.status.Role, Usable: m.usable, Term: int64(m.status.Term),
 		Received: m.status.Received.String(), Applied: m.status.Applied.String(),
-		AppliedPerSec: m.rate.perSecond,
+		UsualLagMicro: m.lag.usual.Microseconds(),
 	}
 	if !m.heardAt.IsZero() {
 		s.HeardMs = time.Since(m.heardAt).Milliseconds()
