--- a/cmd/savoryramp-load/run.go
+++ b/cmd/savoryramp-load/run.go
@@ -89,7 +89,7 @@
 	logger = level.NewFilter(logger, level.AllowDebug())
 	t := &load.Trial{
 		Site: &load.Site{Text: text, Policies: policies, Logger: logger}, Scenario: scenario,
-		Seed: s.Seed, Duration: s.Duration, Logger: logger,
+		Seed: s.Seed, Duration: s.Duration, Settle: load.UsualSettle, Logger: logger,
 	}
 	if isatty.IsTerminal(s.Out.Fd()) {
 		t.Progress = s.progress
--- a/internal/load/site.go
+++ b/internal/load/site.go
@@ -36,9 +36,7 @@
 	maxWait     = 2 * time.Second
 	// statementDeadline is the longest silence of a server in a statement.
 	statementDeadline = 5 * time.Second
-	// vmListLag is how far the platform's list of VMs is behind.
-	vmListLag  = time.Second
-	readyTries = 200
+	readyTries        = 600
 	readyEvery = 50 * time.Millisecond
 )
 
@@ -185,7 +183,6 @@
 // trial knows.
 func (s *Site) apply(ctx context.Context) error {
 	s.Platform = fakeplatform.New()
-	s.Platform.VMLag = vmListLag
 	snapshot, err := platform.Apply(ctx, s.Platform.Table(), s.Platform.Store(), "trial", s.Text)
 	if err != nil {
 		return ErrSetup.Wrap(err, "document")
--- a/internal/load/trial.go
+++ b/internal/load/trial.go
@@ -13,9 +13,8 @@
 )
 
 const (
-	// settleTime is waited before the load, so that the VMs know each other and hold
-	// their leases.
-	settleTime = 4 * time.Second
+	// UsualSettle lets the VMs know each other and take their leases.
+	UsualSettle = 4 * time.Second
 	// requestTimeout bounds one attempt with its connection.
 	requestTimeout = 10 * time.Second
 	// attempts bounds how often a caller tries a request that wasn't run because its
@@ -64,6 +63,8 @@
 	Logger   log.Logger
 	// Progress is called once a second with what was told so far; may be nil.
 	Progress func(elapsed time.Duration, told map[Outcome]int)
+	// Settle is waited before the load, so that the VMs know each other.
+	Settle time.Duration
 
 	demand  []Request
 	began   time.Time
@@ -95,7 +96,7 @@
 	t.gather()
 	defer t.disperse()
 	t.warm(ctx)
-	pause(ctx, settleTime)
+	pause(ctx, t.Settle)
 	t.began = time.Now()
 	t.play(ctx)
 	return t.results, ctx.Err()
--- a/internal/upstream/read.go
+++ b/internal/upstream/read.go
@@ -66,6 +66,9 @@
 				c.Role = m.role()
 				return c, nil
 			}
+			if isMoved(err) && ctx.Err() == nil {
+				continue
+			}
 			if !isConnect(err) || ctx.Err() != nil {
 				return nil, err
 			}
