--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -12,8 +12,6 @@
 	ErrBusy = errs.NewType("busy", NotRun)
 	// ErrConnect means that a new connection could not be opened.
 	ErrConnect = errs.NewType("connect", NotRun)
-	// errMoved means that the server waited for can't serve the request any more.
-	errMoved = errs.NewType("moved", NotRun)
 	// ErrFloorLost means that the session's own write did not survive a promotion.
 	ErrFloorLost = errs.NewType("floor-lost", NotRun)
 	// ErrNoQuorum means that too few servers said how far their logs reach.
@@ -34,5 +32,3 @@
 func isSilent(err error) bool { return errorx.IsOfType(err, ErrSilent) }
 
 func isConnect(err error) bool { return errorx.IsOfType(err, ErrConnect) }
-
-func isMoved(err error) bool { return errorx.IsOfType(err, errMoved) }
--- a/internal/upstream/group.go
+++ b/internal/upstream/group.go
@@ -195,14 +195,13 @@
 	}
 	if !usable {
 		m.pool.drop()
-		m.pool.evict()
 	}
 }
 
 // learn merges a status; g.mu is held.
 func (g *Group) learn(m *member, s Status) {
 	now := time.Now()
-	before := m.status
+	before := m.status.Applied
 	if s.Received != m.status.Received {
 		m.movedAt = now
 	}
@@ -213,16 +212,12 @@
 	if s.Term > g.term {
 		g.term = s.Term
 		g.heads.reset()
-		g.dethrone()
 		eventNewTerm.Log(g.Logger, "upstream", g.Upstream.Name, "server", s.Server, "term", s.Term)
 	}
-	if before.Role == Primary && s.Role != Primary {
-		m.pool.evict()
-	}
 	if s.Received.Term == g.term {
 		g.heads.reach(s.Received.Offset, now)
 	}
-	if s.Role == Replica && s.Applied.Offset > before.Applied.Offset {
+	if s.Role == Replica && s.Applied.Offset > before.Offset {
 		m.lag.observe(&g.heads, s.Applied.Offset, now)
 	}
 	if s.Role == Primary && s.Term == g.term {
@@ -230,15 +225,6 @@
 	}
 }
 
-// dethrone sends those away who wait for the primary of an earlier term; g.mu is held.
-func (g *Group) dethrone() {
-	for _, m := range g.members {
-		if m.status.Role == Primary && m.status.Term < g.term {
-			m.pool.evict()
-		}
-	}
-}
-
 // signal wakes everyone who waits for a change; g.mu is held.
 func (g *Group) signal() {
 	close(g.changed)
@@ -273,9 +259,6 @@
 				c.Role = Primary
 				return c, nil
 			}
-			if isMoved(err) && ctx.Err() == nil {
-				continue
-			}
 			if !isConnect(err) || ctx.Err() != nil {
 				return nil, err
 			}
@@ -319,7 +302,6 @@
 	defer g.mu.Unlock()
 	if m := g.members[name]; m != nil {
 		m.usable = false
-		m.pool.evict()
 		g.signal()
 	}
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -85,38 +85,20 @@
 	p.mu.Unlock()
 	select {
 	case <-w.granted:
-		return p.granted(w)
+		return nil
 	case <-ctx.Done():
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	select {
 	case <-w.granted:
-		return p.granted(w)
+		return nil
 	default:
 	}
 	p.queue.remove(w)
 	return ErrBusy.Wrap(ctx.Err(), "no connection to server %s became free", p.Server.Name)
 }
 
-// granted tells whether a waiter that was woken has its turn.
-func (p *Pool) granted(w *waiter) error {
-	if w.evicted {
-		return errMoved.New("server %s is not to be waited for", p.Server.Name)
-	}
-	return nil
-}
-
-// evict sends all waiters away, to look for another server.
-func (p *Pool) evict() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for w := p.queue.pop(); w != nil; w = p.queue.pop() {
-		w.evicted = true
-		close(w.granted)
-	}
-}
-
 // room is how many connections may be in use at once; p.mu is held.
 func (p *Pool) room() int {
 	switch {
--- a/internal/upstream/queue.go
+++ b/internal/upstream/queue.go
@@ -32,9 +32,8 @@
 // waiter is a request that waits.
 type waiter struct {
 	workspace platform.WorkspaceName
-	// granted is closed once the request may take a connection, or was evicted.
+	// granted is closed once the request may take a connection.
 	granted chan struct{}
-	evicted bool
 	gone    bool
 }
 
