--- /dev/null
+++ b/internal/upstream/watch_test.go
@@ -0,0 +1,67 @@
+package upstream
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"gotest.tools/v3/assert"
+
+	"github.com/savoryramp/savoryramp/internal/platform"
+)
+
+// talk answers a login and then tells a position every 10 ms for as long as it can.
+func talk(c net.Conn) {
+	defer c.Close()
+	back := pgproto3.NewBackend(c, c)
+	if _, err := back.ReceiveStartupMessage(); err != nil {
+		return
+	}
+	back.Send(&pgproto3.AuthenticationOk{})
+	back.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	if back.Flush() != nil {
+		return
+	}
+	if _, err := back.Receive(); err != nil {
+		return
+	}
+	for {
+		back.Send(&pgproto3.NotificationResponse{Channel: "savoryramp_position", Payload: `{"server":"a","role":"primary","term":1,"received":"1/1","applied":"1/1"}`})
+		if back.Flush() != nil {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// A watch ends with its context at once, also while its server has much to tell.
+func TestWatchEndsWhileServerTalks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var servers sync.WaitGroup
+		told := 0
+		w := &watch{
+			server: platform.Server{Name: "a"},
+			dial: func(context.Context, string, string) (net.Conn, error) {
+				near, far := net.Pipe()
+				servers.Go(func() { talk(far) })
+				return near, nil
+			},
+			report: func(_ platform.ServerName, _ Status, usable bool) {
+				if usable {
+					told++
+				}
+			},
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		began := time.Now()
+		w.run(ctx)
+		assert.Assert(t, told > 50, "%d", told)
+		assert.Equal(t, time.Since(began), time.Second)
+		servers.Wait()
+	})
+}
