--- a/cmd/savoryramp-load/certificates.go
+++ b/internal/load/certificate.go
@@ -1,4 +1,4 @@
-package main
+package load
 
 import (
 	"crypto/ecdsa"
@@ -17,16 +17,31 @@
 // validity is how long the certificates of a trial last.
 const validity = 24 * time.Hour
 
-// writeCertificates makes an authority, and one certificate by it for every process
-// on this machine, good for both sides of mutual TLS.
-func writeCertificates(dir string) error {
+// The files' names.
+const (
+	authorityFile = "ca.pem"
+	peerFile      = "peer.pem"
+	keyFile       = "peer.key"
+)
+
+// Certificates are an authority, and one certificate by it for every process on this
+// machine, good for both sides of mutual TLS. All are PEM texts.
+type Certificates struct {
+	Authority []byte
+	Peer      []byte
+	PeerKey   []byte
+}
+
+// NewCertificates makes the authority and the certificate. ErrSetup.
+func NewCertificates() (Certificates, error) {
+	var c Certificates
 	authority := template(1, "savoryramp trial authority")
 	authority.IsCA = true
 	authority.BasicConstraintsValid = true
 	authority.KeyUsage = x509.KeyUsageCertSign
 	authorityKey, authorityDER, err := sign(authority, authority, nil)
 	if err != nil {
-		return err
+		return c, err
 	}
 	peer := template(2, "savoryramp trial peer")
 	peer.IPAddresses = []net.IP{net.IPv4(127, 0, 0, 1)}
@@ -34,19 +49,26 @@
 	peer.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
 	peerKey, peerDER, err := sign(peer, authority, authorityKey)
 	if err != nil {
-		return err
+		return c, err
 	}
 	keyDER, err := x509.MarshalPKCS8PrivateKey(peerKey)
 	if err != nil {
-		return ErrSetup.Wrap(err, "key")
-	}
-	if err := writePEM(dir, "ca.pem", "CERTIFICATE", authorityDER); err != nil {
-		return err
+		return c, ErrSetup.Wrap(err, "key")
 	}
-	if err := writePEM(dir, "peer.pem", "CERTIFICATE", peerDER); err != nil {
-		return err
+	c.Authority = pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: authorityDER})
+	c.Peer = pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: peerDER})
+	c.PeerKey = pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: keyDER})
+	return c, nil
+}
+
+// Write puts ca.pem, peer.pem and peer.key into a directory. ErrSetup.
+func (c Certificates) Write(dir string) error {
+	for name, text := range map[string][]byte{authorityFile: c.Authority, peerFile: c.Peer, keyFile: c.PeerKey} {
+		if err := os.WriteFile(filepath.Join(dir, name), text, 0o600); err != nil {
+			return ErrSetup.Wrap(err, "file")
+		}
 	}
-	return writePEM(dir, "peer.key", "PRIVATE KEY", keyDER)
+	return nil
 }
 
 func template(serial int64, name string) *x509.Certificate {
@@ -73,11 +95,3 @@
 	}
 	return key, der, nil
 }
-
-func writePEM(dir, name, kind string, der []byte) error {
-	text := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
-	if err := os.WriteFile(filepath.Join(dir, name), text, 0o600); err != nil {
-		return ErrSetup.Wrap(err, "file")
-	}
-	return nil
-}
