upstream: end a watch with its context

Cause: BenchmarkWatch with 111 groups took 133 s, nearly all of it in ending the groups. When a watch's context ended, its deadline was set to the past, and the next read set it anew: the watch went on until its server had been silent for a second (for good, where writes still passed). Groups are stopped one after the other, so a VM took a second for each group to leave or to follow a document: half an hour at 1,800.

Ruled out: the pools' tasks, which end at once; starting groups (11 ms for three).

Change: the connection is closed when the context ends, and the read fails for good.

TestWatchEndsAtOnce fails without the change: the watch doesn't end.

--- /dev/null
+++ b/internal/upstream/cost_test.go
@@ -0,0 +1,212 @@
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"gotest.tools/v3/assert"
+
+	"github.com/savoryramp/savoryramp/internal/platform"
+	"github.com/savoryramp/savoryramp/pkg/position"
+)
+
+// answering tells a fixed status to every question.
+func answering(b testing.TB, name, role string) platform.Server {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(b, err)
+	b.Cleanup(func() { l.Close() })
+	status := fmt.Sprintf(`{"server":%q,"role":%q,"term":1,"received":"1/1742","applied":"1/1740","slots":3,"busy":1}`, name, role)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go answerStatus(c, status)
+		}
+	}()
+	return platform.Server{Name: platform.ServerName(name), Address: platform.Address(l.Addr().String()), Connections: 24}
+}
+
+func answerStatus(c net.Conn, status string) {
+	defer c.Close()
+	back := pgproto3.NewBackend(c, c)
+	if _, err := back.ReceiveStartupMessage(); err != nil {
+		return
+	}
+	back.Send(&pgproto3.AuthenticationOk{})
+	back.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	for back.Flush() == nil {
+		m, err := back.Receive()
+		if err != nil {
+			return
+		}
+		if q, found := m.(*pgproto3.Query); found && strings.HasPrefix(q.String, "LISTEN") {
+			back.Send(&pgproto3.NotificationResponse{Channel: "savoryramp_position", Payload: status})
+			back.Send(&pgproto3.CommandComplete{CommandTag: []byte("LISTEN")})
+		} else {
+			back.Send(&pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{{Name: []byte("savoryramp_status"), DataTypeOID: 25, DataTypeSize: -1}}})
+			back.Send(&pgproto3.DataRow{Values: [][]byte{[]byte(status)}})
+			back.Send(&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")})
+		}
+		back.Send(&pgproto3.ParameterStatus{Name: positionParameter, Value: "1/1740"})
+		back.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	}
+}
+
+type meteredConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c meteredConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c meteredConn) Write(p []byte) (int, error) {
+	c.bytes.Add(int64(len(p)))
+	return c.Conn.Write(p)
+}
+
+// always holds every lease.
+type always struct{}
+
+func (always) Lease(context.Context, string) func() bool         { return func() bool { return true } }
+func (always) Opinions(platform.ServerName) (heard, against int) { return 0, 0 }
+func (always) Tell(platform.ServerName, bool)                    {}
+
+// startGroups watches n groups of three servers.
+func startGroups(b *testing.B, n int, c Coordination) ([]*Group, *atomic.Int64) {
+	var groups []*Group
+	bytes := &atomic.Int64{}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		return meteredConn{c, bytes}, err
+	}
+	for i := range n {
+		up := platform.Upstream{Name: platform.UpstreamName(fmt.Sprint("group-", i)), Acknowledge: platform.ReplicaConfirmed}
+		for j, role := range []string{"primary", "replica", "replica"} {
+			up.Servers = append(up.Servers, answering(b, fmt.Sprintf("group-%d-%d", i, j), role))
+		}
+		g := &Group{
+			Upstream: up, Dial: dial, Logger: log.NewNopLogger(), Login: Login{User: "s", Database: "d"},
+			Share: func(platform.ServerName) int { return 0 }, Coordination: c, Reads: WaitOrPrimary{}, Order: DeficitRoundRobin,
+		}
+		g.start(context.Background())
+		b.Cleanup(g.stop)
+		groups = append(groups, g)
+	}
+	for _, g := range groups {
+		for !g.allUsable() {
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	return groups, bytes
+}
+
+func (g *Group) allUsable() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.usable() == len(g.members)
+}
+
+func costMemory() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc + m.StackInuse)
+}
+
+func costProcessor() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkWatch reports what watching the servers of quiet groups costs. The servers
+// are in the same process, so processor time and memory hold their side too.
+func BenchmarkWatch(b *testing.B) {
+	for _, n := range []int{1, 10, 100} {
+		b.Run(fmt.Sprintf("groups=%d", n), func(b *testing.B) {
+			before := costMemory()
+			_, bytes := startGroups(b, n, nil)
+			time.Sleep(time.Second)
+			held := costMemory() - before
+			sent, used, began := bytes.Load(), costProcessor(), time.Now()
+			for b.Loop() {
+				time.Sleep(4 * time.Second)
+			}
+			servers := float64(3 * n)
+			part := time.Since(began).Seconds() * servers
+			b.ReportMetric(float64((costProcessor()-used).Microseconds())/part, "cpu-us/s/server")
+			b.ReportMetric(float64(bytes.Load()-sent)/part, "B/s/server")
+			b.ReportMetric(float64(held)/servers, "mem-B/server")
+		})
+	}
+}
+
+// BenchmarkStop reports ending a group's watches, one of 1,800 in turn when a VM leaves.
+func BenchmarkStop(b *testing.B) {
+	for b.Loop() {
+		b.StopTimer()
+		groups, _ := startGroups(b, 1, nil)
+		b.StartTimer()
+		groups[0].stop()
+	}
+}
+
+// BenchmarkPush reports taking in one pushed position.
+func BenchmarkPush(b *testing.B) {
+	groups, _ := startGroups(b, 1, nil)
+	w := groups[0].watches()[0]
+	text := fmt.Sprintf(`{"server":%q,"role":"replica","term":1,"received":"1/1742","applied":"1/1740","slots":3,"busy":1}`, w.server.Name)
+	for b.Loop() {
+		assert.NilError(b, w.status(text))
+	}
+	b.ReportMetric(float64(len(text)+len("savoryramp_position")+11), "B/push")
+}
+
+// BenchmarkLook reports one look of a guard at a healthy group.
+func BenchmarkLook(b *testing.B) {
+	groups, _ := startGroups(b, 1, nil)
+	groups[0].Coordination = always{}
+	u := newGuard(groups[0])
+	u.held, u.keptAt = func() bool { return true }, time.Now().Add(time.Hour)
+	for b.Loop() {
+		u.look(b.Context())
+	}
+}
+
+// BenchmarkFloor reports asking a group's servers how far their logs reach, as the
+// first read of a session without a token does.
+func BenchmarkFloor(b *testing.B) {
+	groups, bytes := startGroups(b, 1, nil)
+	sent, used := bytes.Load(), costProcessor()
+	for b.Loop() {
+		_, err := groups[0].Floor(b.Context())
+		assert.NilError(b, err)
+	}
+	b.ReportMetric(float64(bytes.Load()-sent)/float64(b.N), "B/floor")
+	b.ReportMetric(float64((costProcessor()-used).Nanoseconds())/1000/float64(b.N), "cpu-us")
+}
+
+// BenchmarkConfirm reports confirming a commit that the replicas have told already.
+func BenchmarkConfirm(b *testing.B) {
+	groups, _ := startGroups(b, 1, nil)
+	p := position.Position{Term: 1, Offset: 1742}
+	for b.Loop() {
+		assert.NilError(b, groups[0].Confirm(b.Context(), p))
+	}
+}
--- a/internal/upstream/watch.go
+++ b/internal/upstream/watch.go
@@ -68,7 +68,7 @@
 		return err
 	}
 	defer c.close()
-	stop := context.AfterFunc(ctx, c.Abort)
+	stop := context.AfterFunc(ctx, c.close)
 	defer stop()
 	w.mu.Lock()
 	w.conn = c
--- /dev/null
+++ b/internal/upstream/watch_test.go
@@ -0,0 +1,56 @@
+package upstream
+
+import (
+	"context"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	"gotest.tools/v3/assert"
+
+	"github.com/savoryramp/savoryramp/internal/fakenet"
+	"github.com/savoryramp/savoryramp/internal/platform"
+)
+
+// A watch ends with its context, not at the end of the server's silence: a VM that
+// leaves stops its groups one after the other.
+func TestWatchEndsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := fakenet.New()
+		l, err := network.Listen("server", "server:1")
+		assert.NilError(t, err)
+		t.Cleanup(func() { l.Close() })
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go answerStatus(c, `{"server":"r","role":"primary","term":1,"received":"1/7","applied":"1/7"}`)
+			}
+		}()
+		up := make(chan struct{}, 100)
+		w := &watch{
+			server: platform.Server{Name: "r", Address: "server:1"}, login: Login{User: "s", Database: "d"}, logger: log.NewNopLogger(),
+			dial: func(ctx context.Context, n, a string) (net.Conn, error) { return network.Dialer("vm")(ctx, n, a) },
+			report: func(_ platform.ServerName, _ Status, usable bool) {
+				if usable {
+					up <- struct{}{}
+				}
+			},
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			w.run(ctx)
+		}()
+		<-up
+		ended := time.Now()
+		cancel()
+		<-done
+		assert.Assert(t, time.Since(ended) < 10*time.Millisecond, "%v", time.Since(ended))
+	})
+}
