--- /dev/null
+++ b/pkg/contract/cost_test.go
@@ -0,0 +1,139 @@
+package contract_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/savoryramp/savoryramp/pkg/contract"
+)
+
+func workspaces(n int) map[contract.Name]contract.Limit {
+	all := map[contract.Name]contract.Limit{}
+	for i := range n {
+		all[contract.Name(fmt.Sprintf("workspace/w-%04d", i))] = contract.Rate{PerSecond: 1000, Burst: 200}
+	}
+	return all
+}
+
+// rowOf shares n contracts out over holders.
+func rowOf(holders, n int) contract.Row {
+	r := contract.Row{Version: 1}
+	for i := range holders {
+		h := contract.Holder{VM: contract.VMName(fmt.Sprintf("vm-%04d", i)), Incarnation: 1_764_828_000_000_000_000}
+		shares := map[contract.Name]contract.Share{}
+		for name := range workspaces(n) {
+			shares[name] = contract.Share{Cap: contract.Tokens(200 / holders), Refill: contract.Refill(1e9 / holders)}
+		}
+		r.Holders = append(r.Holders, contract.Grant{Holder: h, Shares: shares})
+	}
+	return r
+}
+
+// BenchmarkRow reports the row in the table: its size, and writing and reading it.
+func BenchmarkRow(b *testing.B) {
+	for _, holders := range []int{3, 9, 16} {
+		for _, n := range []int{10, 100, 1_000} {
+			b.Run(fmt.Sprintf("holders=%d/contracts=%d", holders, n), func(b *testing.B) {
+				r := rowOf(holders, n)
+				var size int
+				for b.Loop() {
+					body, err := json.Marshal(r)
+					assert.NilError(b, err)
+					size = len(body)
+					var back contract.Row
+					assert.NilError(b, json.Unmarshal(body, &back))
+				}
+				b.ReportMetric(float64(size), "B/row")
+			})
+		}
+	}
+}
+
+// BenchmarkRenew reports one renewal's answer, with all contracts quiet or in demand.
+func BenchmarkRenew(b *testing.B) {
+	for _, n := range []int{10, 100, 1_000} {
+		for _, state := range []string{"quiet", "in-demand"} {
+			b.Run(fmt.Sprintf("contracts=%d/%s", n, state), func(b *testing.B) {
+				s := newSharesOf(n)
+				if state == "in-demand" {
+					demand(b, s, n)
+				}
+				request, err := json.Marshal(contract.RenewRequest{Version: 1})
+				assert.NilError(b, err)
+				first, err := s.HandleRenew(request)
+				assert.NilError(b, err)
+				for b.Loop() {
+					_, err = s.HandleRenew(request)
+					assert.NilError(b, err)
+				}
+				b.ReportMetric(float64(len(request)+len(first)), "B/renewal")
+			})
+		}
+	}
+}
+
+func newSharesOf(n int) *contract.Shares {
+	r := rowOf(9, n)
+	s := &contract.Shares{Self: r.Holders[0].Holder, Bound: time.Nanosecond}
+	s.SetLimits(workspaces(n))
+	s.Adopt(r)
+	return s
+}
+
+// demand asks for every contract until it counts as demand.
+func demand(b *testing.B, s *contract.Shares, n int) {
+	for name := range workspaces(n) {
+		for range 20 {
+			_ = s.Admit(b.Context(), name)
+		}
+	}
+}
+
+// BenchmarkLend reports one loan's request and answer at the lender.
+func BenchmarkLend(b *testing.B) {
+	s := newSharesOf(1)
+	request, err := json.Marshal(contract.BorrowRequest{Contract: "workspace/w-0000", Tokens: 5, Done: []contract.LoanID{1}})
+	assert.NilError(b, err)
+	var size int
+	for b.Loop() {
+		answer, err := s.HandleBorrow(request)
+		assert.NilError(b, err)
+		size = len(request) + len(answer)
+	}
+	b.ReportMetric(float64(size), "B/loan")
+}
+
+// TestRenewalCost prints what a quiet VM sends and receives by the fleet's size and
+// the number of contracts, after the row has settled.
+func TestRenewalCost(t *testing.T) {
+	lines := []string{" VMs contracts  messages/s and VM  bytes/s and VM  table calls/s"}
+	for _, size := range []int{3, 9, 27} {
+		for _, n := range []int{1, 10, 100} {
+			synctest.Test(t, func(*testing.T) {
+				f := newFleet(1, size, workspaces(n))
+				f.startAll(0)
+				time.Sleep(time.Minute)
+				messages, bytes, calls := lendingWay{f}.counts()
+				const span = 60
+				time.Sleep(span * time.Second)
+				m, by, c := lendingWay{f}.counts()
+				per := span * float64(size)
+				lines = append(lines, fmt.Sprintf("%4d %9d %18.1f %15.0f %14.2f",
+					size, n, float64(m-messages)/per, float64(by-bytes)/per, float64(c-calls)/span))
+				f.stopAll()
+			})
+		}
+	}
+	t.Log("\n" + strings.Join(lines, "\n"))
+}
+
+func (w lendingWay) counts() (messages, bytes, calls int) {
+	calls, messages, bytes = w.costs()
+	return messages, bytes, calls
+}
--- /dev/null
+++ b/pkg/lease/cost_test.go
@@ -0,0 +1,135 @@
+package lease_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/savoryramp/savoryramp/pkg/lease"
+)
+
+// counted is a table and a network of leases in one process that counts calls; bodies
+// are encoded as the daemon does.
+type counted struct {
+	mu     sync.Mutex
+	table  table
+	reads  *atomic.Int64
+	asks   *atomic.Int64
+	bytes  *atomic.Int64
+	leases map[lease.Name]*lease.Lease
+}
+
+func (c *counted) Read(ctx context.Context) (lease.Row, error) {
+	c.reads.Add(1)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.Read(ctx)
+}
+
+func (c *counted) Swap(ctx context.Context, row lease.Row) (lease.Row, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.Swap(ctx, row)
+}
+
+func (c *counted) Ask(_ context.Context, to lease.Name, r lease.Request) (lease.Answer, error) {
+	c.asks.Add(1)
+	var a lease.Answer
+	var request lease.Request
+	c.pass(r, &request)
+	c.pass(c.leases[to].Answer(request), &a)
+	return a, nil
+}
+
+func (c *counted) pass(from, to any) {
+	body, _ := json.Marshal(from)
+	c.bytes.Add(int64(len(body)))
+	_ = json.Unmarshal(body, to)
+}
+
+const uuidLike = "0c8f5d0e-6b0e-4d0b-9a39-3f6f0f0a7b%02d"
+
+// startLeases runs n leases on each of a number of VMs.
+func startLeases(b *testing.B, n, vms int) *counted {
+	var members []lease.Name
+	for i := range vms {
+		members = append(members, lease.Name(fmt.Sprintf("vm-%04d", i)))
+	}
+	total := &counted{reads: &atomic.Int64{}, asks: &atomic.Int64{}, bytes: &atomic.Int64{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	for range n {
+		c := &counted{reads: total.reads, asks: total.asks, bytes: total.bytes, leases: map[lease.Name]*lease.Lease{}}
+		for i, m := range members {
+			c.leases[m] = &lease.Lease{
+				Self:  lease.Member{Name: m, Incarnation: lease.Incarnation(fmt.Sprintf(uuidLike, i))},
+				Table: c, Peers: c, Candidates: func() []lease.Name { return members },
+				Listed:    func() ([]lease.Name, bool) { return members, true },
+				NewChange: func() lease.Change { return lease.Change(fmt.Sprintf(uuidLike, 10+i)) },
+			}
+		}
+		for _, l := range c.leases {
+			running.Go(func() { _ = l.Run(ctx) })
+		}
+	}
+	b.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	return total
+}
+
+// BenchmarkLeases reports what taking part in leases costs a VM, as the mean over
+// holder, successor and the others, without the way over the network.
+func BenchmarkLeases(b *testing.B) {
+	for _, c := range []struct{ leases, vms int }{{1, 3}, {10, 3}, {100, 3}, {1000, 3}, {100, 9}, {100, 27}} {
+		b.Run(fmt.Sprintf("leases=%d/vms=%d", c.leases, c.vms), func(b *testing.B) {
+			before := leaseMemory()
+			w := startLeases(b, c.leases, c.vms)
+			time.Sleep(3 * time.Second)
+			held := leaseMemory() - before
+			asks, bytes, used, began := w.asks.Load(), w.bytes.Load(), leaseProcessor(), time.Now()
+			for b.Loop() {
+				time.Sleep(4 * time.Second)
+			}
+			leases, vms := time.Since(began).Seconds()*float64(c.leases), float64(c.vms)
+			b.ReportMetric(float64((leaseProcessor()-used).Microseconds())/leases/vms, "cpu-us/s/vm")
+			b.ReportMetric(float64(w.asks.Load()-asks)/leases, "asks/s/lease")
+			b.ReportMetric(float64(w.bytes.Load()-bytes)/float64(w.asks.Load()-asks), "B/ask")
+			b.ReportMetric(float64(held)/float64(c.leases)/vms, "mem-B/vm")
+		})
+	}
+}
+
+// BenchmarkAnswer reports a promise without its way over the network.
+func BenchmarkAnswer(b *testing.B) {
+	l := &lease.Lease{Self: lease.Member{Name: "vm-2", Incarnation: "1"}}
+	r := lease.Request{Kind: lease.Renew, From: lease.Member{Name: "vm-1", Incarnation: "1"}, Row: lease.Row{
+		Version: 1, Holder: lease.Member{Name: "vm-1", Incarnation: "1"}, Successor: l.Self,
+	}}
+	for b.Loop() {
+		assert.Assert(b, l.Answer(r).Promised)
+	}
+}
+
+func leaseMemory() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc + m.StackInuse)
+}
+
+func leaseProcessor() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
