--- a/internal/caller/cost_test.go
+++ b/internal/caller/cost_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"syscall"
 	"testing"
@@ -45,3 +46,26 @@
 		})
 	}
 }
+
+// BenchmarkRows reports the processor time and allocations of each row that passes
+// through the proxy, the caller's and the server's own included: compare with direct.
+func BenchmarkRows(b *testing.B) {
+	proxy, direct := startProxy(b)
+	for _, way := range []struct{ name, address string }{{"direct", direct}, {"proxy", proxy}} {
+		b.Run(way.name, func(b *testing.B) {
+			c := connect(b, way.address)
+			sql := fmt.Sprintf("SELECT rows(%d)", rowsOfAnswer)
+			b.ReportAllocs()
+			used := processorTime()
+			for b.Loop() {
+				tag, err := c.Exec(context.Background(), sql)
+				assert.NilError(b, err)
+				assert.Equal(b, tag.RowsAffected(), int64(rowsOfAnswer))
+			}
+			b.ReportMetric(float64((processorTime()-used).Nanoseconds())/float64(b.N*rowsOfAnswer), "cpu-ns/row")
+		})
+	}
+}
+
+// rowsOfAnswer is how many rows a statement with "rows(" is answered with.
+const rowsOfAnswer = 10_000
--- a/pkg/contract/compare_test.go
+++ b/pkg/contract/compare_test.go
@@ -217,7 +217,7 @@
 	return w.f.table.calls, w.f.messages, w.f.bytes
 }
 
-func (w lendingWay) stop()                  { w.f.stopAll() }
+func (w lendingWay) stop() { w.f.stopAll() }
 
 // outcome of one way on the trace.
 type outcome struct {
