Promote in the reserved term first, and never on one VM's own cut

A race too: a changed document replaced fields that requests read without the lock.

Change: the guard uses its reserved term first and the table only after that fails; a VM that hears no other one doesn't promote while another server's log grows; servers that this VM can't use count only as most others see them.

A group that nobody writes to may still be moved by a VM all alone, since it can't tell that case from being the last one left.

--- a/internal/caller/exchange.go
+++ b/internal/caller/exchange.go
@@ -339,7 +339,7 @@
 func (x *exchange) confirm(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), x.session.server.Deadline)
 	defer cancel()
-	switch x.group.Upstream.Acknowledge {
+	switch x.group.Acknowledge() {
 	case platform.TermLeased:
 		return x.group.ConfirmTerm(ctx, x.conn.Position)
 	default:
--- /dev/null
+++ b/internal/upstream/failover_rig_test.go
@@ -0,0 +1,369 @@
+package upstream_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/joomcode/errorx"
+
+	"github.com/savoryramp/savoryramp/internal/fakenet"
+	"github.com/savoryramp/savoryramp/internal/fakeplatform"
+	"github.com/savoryramp/savoryramp/internal/fakeupstream"
+	"github.com/savoryramp/savoryramp/internal/platform"
+	"github.com/savoryramp/savoryramp/internal/upstream"
+	"github.com/savoryramp/savoryramp/pkg/lease"
+	"github.com/savoryramp/savoryramp/pkg/position"
+)
+
+// rig is three VMs in front of a group of three servers, in a bubble.
+type rig struct {
+	network  *fakenet.Network
+	servers  *fakeupstream.Group
+	platform *fakeplatform.Platform
+	logger   log.Logger
+	began    time.Time
+	// always: every VM believes that it holds every lease.
+	always bool
+	// oneView: each VM goes by its own view alone.
+	oneView bool
+	// noViews: every VM tells the others that it can use every server.
+	noViews bool
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	tasks  sync.WaitGroup
+
+	mu       sync.Mutex
+	vms      []*vm
+	document *platform.Document
+	version  platform.DocumentVersion
+	changed  chan struct{}
+	lastID   int
+	writes   []write
+	// leaders by term, as seen.
+	leaders map[position.Term]fakeupstream.ServerName
+	wrong   string
+}
+
+const (
+	serverDelay = time.Millisecond
+	// writeWithin bounds the wait for a primary, answerWithin that for its answer.
+	writeWithin  = 2 * time.Second
+	answerWithin = 2 * time.Second
+)
+
+// newRig starts servers a, b, c and VMs v1, v2, v3 and waits until they have settled.
+func newRig(change func(*rig)) *rig {
+	r := &rig{
+		network: fakenet.New(), platform: fakeplatform.New(), began: time.Now().Add(-time.Second), logger: log.NewNopLogger(),
+		servers: &fakeupstream.Group{Name: "r1"}, changed: make(chan struct{}), version: 1,
+		leaders: map[position.Term]fakeupstream.ServerName{},
+	}
+	if change != nil {
+		change(r)
+	}
+	r.ctx, r.cancel = context.WithCancel(context.Background())
+	up := platform.Upstream{Name: "r1", Acknowledge: platform.ReplicaConfirmed, User: "u", Database: "d"}
+	for _, name := range []string{"a", "b", "c"} {
+		listen := func() (net.Listener, error) { return r.network.Listen(fakenet.Host(name), name+":1") }
+		l, _ := listen()
+		r.servers.Servers = append(r.servers.Servers, &fakeupstream.Server{
+			Name: fakeupstream.ServerName(name), Listener: l, Listen: listen, Connections: 100, Slots: 8,
+		})
+		up.Servers = append(up.Servers, platform.Server{Name: platform.ServerName(name), Address: platform.Address(name + ":1"), Connections: 100, Slots: 8})
+	}
+	r.document = &platform.Document{Upstreams: []platform.Upstream{up}}
+	r.servers.Primary()
+	r.tasks.Go(func() { _ = r.servers.Run(r.ctx) })
+	r.vms = make([]*vm, 3)
+	for i := range r.vms {
+		r.boot(i)
+	}
+	r.tasks.Go(r.observe)
+	time.Sleep(3 * time.Second)
+	r.write(r.list()[0], "create table kv (k int primary key, v int)")
+	return r
+}
+
+func (r *rig) stop() {
+	r.cancel()
+	for _, v := range r.list() {
+		v.gate.open()
+	}
+	r.tasks.Wait()
+	time.Sleep(30 * time.Second)
+}
+
+// boot starts a new incarnation of a VM.
+func (r *rig) boot(i int) {
+	name := fmt.Sprintf("v%d", i+1)
+	v := &vm{rig: r, name: lease.Name(name), gate: &gate{}, views: map[platform.ServerName]view{}, leases: map[string]*lease.Lease{}}
+	dial := r.network.Dialer(fakenet.Host(name))
+	for _, s := range r.servers.Servers {
+		r.network.Delay(fakenet.Host(name), fakenet.Host(s.Name), serverDelay)
+	}
+	v.upstreams = &upstream.Upstreams{
+		Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := dial(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &gatedConn{Conn: c, gate: v.gate}, nil
+		},
+		Logger: log.With(r.logger, "vm", name), Share: func(platform.ServerName) int { return 8 }, Coordination: v,
+		Table: v.table(), Reads: upstream.WaitOrPrimary{}, Order: upstream.FirstCome, MaxQueue: 100, Documents: r,
+	}
+	var ctx context.Context
+	ctx, v.cancel = context.WithCancel(r.ctx)
+	r.mu.Lock()
+	r.vms[i] = v
+	r.mu.Unlock()
+	r.tasks.Go(func() { _ = v.upstreams.Run(ctx) })
+}
+
+// kill ends a VM without any hand-over.
+func (v *vm) kill() {
+	v.mu.Lock()
+	v.dead = true
+	v.mu.Unlock()
+	v.gate.kill()
+	v.cancel()
+}
+
+func (r *rig) list() []*vm {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(r.vms), func(v *vm) bool { return v == nil })
+}
+
+func (r *rig) believes() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.always
+}
+
+// holder is the VM that holds the group's lease, the first one if none does.
+func (r *rig) holder() int {
+	for i, v := range r.list() {
+		if v.holds() {
+			return i
+		}
+	}
+	return 0
+}
+
+// Wait gives the next document.
+func (r *rig) Wait(ctx context.Context, after platform.DocumentVersion) (platform.Snapshot, error) {
+	for {
+		r.mu.Lock()
+		s, changed := platform.Snapshot{Version: r.version, Document: r.document}, r.changed
+		r.mu.Unlock()
+		if s.Version > after {
+			return s, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return platform.Snapshot{}, ctx.Err()
+		}
+	}
+}
+
+// leave marks a server as leaving in a new document.
+func (r *rig) leave(name platform.ServerName) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	up := r.document.Upstreams[0]
+	up.Servers = append([]platform.Server(nil), up.Servers...)
+	for i := range up.Servers {
+		up.Servers[i].Leaving = up.Servers[i].Name == name
+	}
+	r.document = &platform.Document{Upstreams: []platform.Upstream{up}}
+	r.version++
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// observe looks for two primaries of one term.
+func (r *rig) observe() {
+	for r.ctx.Err() == nil {
+		for _, s := range r.servers.Servers {
+			status := s.Status()
+			if status.Role != fakeupstream.Primary {
+				continue
+			}
+			r.mu.Lock()
+			if before, found := r.leaders[status.Term]; found && before != s.Name {
+				r.wrong = fmt.Sprintf("term %d has the primaries %s and %s", status.Term, before, s.Name)
+			}
+			r.leaders[status.Term] = s.Name
+			r.mu.Unlock()
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// outcome of a write, as its caller is told.
+type outcome string
+
+const (
+	acknowledged outcome = "acknowledged"
+	refused      outcome = "refused"
+	unknown      outcome = "unknown"
+)
+
+type write struct {
+	sql        string
+	key, value int
+	client     int
+	begin, end time.Time
+	outcome    outcome
+	position   position.Position
+	server     platform.ServerName
+	err        error
+}
+
+// write runs one statement at the primary and waits for its confirmation, as the
+// callers' exchange does.
+func (r *rig) write(v *vm, sql string) (w write) {
+	w = write{sql: sql, begin: time.Now(), outcome: refused}
+	defer func() { w.end = time.Now() }()
+	g := v.group()
+	if g == nil {
+		return w
+	}
+	ctx, cancel := context.WithTimeout(r.ctx, writeWithin)
+	defer cancel()
+	c, err := g.Write(ctx, upstream.Request{Workspace: "w", Weight: 1})
+	if err != nil {
+		w.err = err
+		return w
+	}
+	_, err = c.Ask(sql, time.Now().Add(answerWithin))
+	c.Release(err == nil)
+	w.server, w.position, w.err = c.Server, c.Position, err
+	if errorx.IsOfType(err, upstream.ErrServer) {
+		g.Suspect(c.Server)
+		return w
+	}
+	w.outcome = unknown
+	if err != nil {
+		return w
+	}
+	ctx, cancelConfirm := context.WithTimeout(r.ctx, answerWithin)
+	defer cancelConfirm()
+	if w.err = g.Confirm(ctx, c.Position); w.err == nil {
+		w.outcome = acknowledged
+	}
+	return w
+}
+
+// put writes a value never written before under a key.
+func (r *rig) put(v *vm, client, key int) write {
+	r.mu.Lock()
+	r.lastID++
+	id := r.lastID
+	r.mu.Unlock()
+	w := r.write(v, fmt.Sprintf("insert into kv values (%d, %d) on conflict (k) do update set v = %d", key, id, id))
+	w.client, w.key, w.value = client, key, id
+	r.mu.Lock()
+	r.writes = append(r.writes, w)
+	r.mu.Unlock()
+	return w
+}
+
+// work has a new caller write now and then through a VM until the context ends.
+func (r *rig) work(ctx context.Context, i int, every time.Duration) {
+	for client := i; ctx.Err() == nil; client += 3 {
+		r.tasks.Go(func() { r.put(r.list()[i], client, i) })
+		time.Sleep(every)
+	}
+}
+
+// check compares what was acknowledged with the final history.
+func (r *rig) check() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.wrong != "" {
+		return r.wrong
+	}
+	history := map[string]position.Position{}
+	for _, e := range r.servers.History() {
+		for _, s := range e.Statements {
+			history[s.SQL] = e.Position
+		}
+	}
+	for _, w := range r.writes {
+		if w.outcome != acknowledged {
+			continue
+		}
+		p, found := history[w.sql]
+		if !found {
+			return fmt.Sprintf("acknowledged write of %d at %s by %s is lost", w.value, w.position, w.server)
+		}
+		if p != w.position {
+			return fmt.Sprintf("write of %d was acknowledged at %s and is at %s", w.value, w.position, p)
+		}
+	}
+	return ""
+}
+
+// acknowledgedAfter gives when the first write begun after t was acknowledged by
+// another server, zero if none was.
+func (r *rig) acknowledgedAfter(t time.Time, not platform.ServerName) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var first time.Time
+	for _, w := range r.writes {
+		if w.outcome != acknowledged || w.server == not || w.end.Before(t) {
+			continue
+		}
+		if first.IsZero() || w.end.Before(first) {
+			first = w.end
+		}
+	}
+	return first
+}
+
+// spread gives links delays of their own.
+func (r *rig) spread(random *rand.Rand) {
+	for _, s := range r.servers.Servers {
+		for _, v := range r.list() {
+			r.network.Delay(fakenet.Host(v.name), fakenet.Host(s.Name), time.Duration(200+random.IntN(5000))*time.Microsecond)
+		}
+		for _, other := range r.servers.Servers {
+			r.servers.SetLink(s.Name, other.Name, fakeupstream.Link{Delay: time.Duration(random.IntN(10)) * time.Millisecond})
+		}
+		s.SetLag(time.Duration(random.IntN(30)) * time.Millisecond)
+		s.SetService(time.Duration(random.IntN(3)) * time.Millisecond)
+	}
+}
+
+// replicas are all servers but the primary.
+func (r *rig) replicas() []*fakeupstream.Server {
+	p := r.primary()
+	return slices.DeleteFunc(slices.Clone(r.servers.Servers), func(s *fakeupstream.Server) bool { return s == p })
+}
+
+// terms counts those that had a primary.
+func (r *rig) terms() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.leaders)
+}
+
+func (r *rig) primary() *fakeupstream.Server { return r.servers.Primary() }
+
+func verbose(t *testing.T) log.Logger {
+	return log.LoggerFunc(func(pairs ...any) error {
+		t.Log(append([]any{time.Now().Format("05.000")}, pairs...)...)
+		return nil
+	})
+}
--- a/internal/upstream/group.go
+++ b/internal/upstream/group.go
@@ -14,6 +14,7 @@
 
 // Group serves the requests for one database group.
 type Group struct {
+	// Upstream is what the document says; its Servers and Acknowledge are guarded by mu.
 	Upstream platform.Upstream
 	Login    Login
 	Dial     Dial
@@ -132,9 +133,9 @@
 			g.remove(m)
 		}
 	}
-	before := g.Upstream
-	g.Upstream = up
-	if !sameNames(before.Servers, up.Servers) {
+	before := g.Upstream.Servers
+	g.Upstream.Servers, g.Upstream.Acknowledge = up.Servers, up.Acknowledge
+	if !sameNames(before, up.Servers) {
 		g.watchPrimary()
 	}
 	g.signal()
@@ -232,8 +233,9 @@
 	for {
 		g.mu.Lock()
 		m, changed := g.primary(), g.changed
+		takes := m != nil && !m.server.Leaving
 		g.mu.Unlock()
-		if m != nil && !m.server.Leaving {
+		if takes {
 			c, err := m.pool.take(ctx, r)
 			if err == nil {
 				c.Role = Primary
@@ -242,7 +244,7 @@
 			if !isConnect(err) || ctx.Err() != nil {
 				return nil, err
 			}
-			g.Suspect(m.server.Name)
+			g.Suspect(m.pool.Server.Name)
 			continue
 		}
 		select {
@@ -253,6 +255,13 @@
 	}
 }
 
+// Acknowledge is the rule by which the group's writes are acknowledged.
+func (g *Group) Acknowledge() platform.Acknowledge {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.Upstream.Acknowledge
+}
+
 // Confirm waits until the commit at p is held by a majority of the group's servers
 // that have accepted p's term and no later one. ErrUnconfirmed when a later term
 // was seen first or ctx ended.
--- a/internal/upstream/guard.go
+++ b/internal/upstream/guard.go
@@ -19,6 +19,9 @@
 	failedFor = 500 * time.Millisecond
 	// stalledFor is how long a primary may move on while no replica receives.
 	stalledFor = time.Second
+	// quietFor is how long no log may have grown before a VM that hears no other one
+	// takes a primary for failed.
+	quietFor = time.Second
 	// promoteWithin bounds one attempt at a promotion.
 	promoteWithin = 3 * time.Second
 	// handOverWithin bounds a planned hand-over.
@@ -111,14 +114,13 @@
 	defer g.mu.Unlock()
 	m := g.leader()
 	if m == nil {
-		if g.usable() <= len(g.members)/2 {
+		if g.usable() <= len(g.members)/2 || !u.unseenGone() {
 			return ""
 		}
 		return "no server leads the newest term"
 	}
 	if !m.usable {
-		heard, against := g.Coordination.Opinions(m.server.Name)
-		if 2*against >= heard {
+		if u.gone(m) {
 			return "this VM and most others can't use it"
 		}
 		return ""
@@ -129,13 +131,54 @@
 	return ""
 }
 
+// gone tells whether a server that this VM can't use has failed: most VMs that answer
+// can't use it either. Without any to ask, this VM may be the one that is cut off; then
+// it has failed if no other server's log grows. The group's mu is held.
+func (u *guard) gone(m *member) bool {
+	heard, against := u.group.Coordination.Opinions(m.server.Name)
+	if heard > 0 {
+		return 2*against >= heard
+	}
+	for _, other := range u.group.members {
+		if other != m && other.usable && time.Since(other.movedAt) < quietFor {
+			return false
+		}
+	}
+	return true
+}
+
+// unseenGone tells whether all servers that this VM can't use have failed; the group's
+// mu is held.
+func (u *guard) unseenGone() bool {
+	for _, m := range u.group.members {
+		if !m.usable && !u.gone(m) {
+			return false
+		}
+	}
+	return true
+}
+
+// mayReceive tells whether a replica that this VM can't use may be receiving: fewer
+// than half of the others say that they can't use it either. The group's mu is held.
+func (u *guard) mayReceive(m *member) bool {
+	heard, against := u.group.Coordination.Opinions(m.server.Name)
+	return heard == 0 || 2*against < heard
+}
+
 // stalled tells whether the replicas have stopped to receive what the primary
 // commits; the group's mu is held.
 func (u *guard) stalled(primary *member) bool {
 	var furthest position.Offset
 	usable := 0
 	for _, m := range u.group.members {
-		if m == primary || !m.usable {
+		if m == primary {
+			continue
+		}
+		if !m.usable && u.mayReceive(m) {
+			u.stalledSince = time.Time{}
+			return false
+		}
+		if !m.usable {
 			continue
 		}
 		usable++
@@ -166,7 +209,7 @@
 		eventPromotionFailed.Log(u.group.Logger, "err", err)
 		return
 	}
-	u.failedSince, u.stalledSince, u.reserved = time.Time{}, time.Time{}, false
+	u.failedSince, u.stalledSince, u.keptAt, u.reserved = time.Time{}, time.Time{}, time.Time{}, false
 	eventPromoted.Log(u.group.Logger, "term", r.Term, "server", r.Primary)
 }
 
@@ -180,20 +223,21 @@
 	return ""
 }
 
-// promote runs one promotion, in the reserved term if the table is out.
+// promote runs one promotion: in the reserved term if there is one, since that needs
+// no table, else in a new one.
 func (u *guard) promote(ctx context.Context, reason string, suspect term.Server) (term.Record, error) {
+	if u.reserved {
+		ctx, cancel := context.WithTimeout(ctx, promoteWithin)
+		defer cancel()
+		r, err := u.promoter.PromoteReserved(ctx, reason, suspect)
+		if err == nil || errorx.IsOfType(err, term.ErrNoMajority) {
+			return r, err
+		}
+		u.reserved = false
+	}
 	ctx, cancel := context.WithTimeout(ctx, promoteWithin)
 	defer cancel()
-	r, err := u.promoter.Promote(ctx, reason, suspect)
-	if err == nil || errorx.IsOfType(err, term.ErrSuperseded) || errorx.IsOfType(err, term.ErrNoMajority) || errorx.IsOfType(err, term.ErrStale) {
-		return r, err
-	}
-	if !u.held() {
-		return r, err
-	}
-	again, cancelAgain := context.WithTimeout(context.WithoutCancel(ctx), promoteWithin)
-	defer cancelAgain()
-	return u.promoter.PromoteReserved(again, reason, suspect)
+	return u.promoter.Promote(ctx, reason, suspect)
 }
 
 // leaving tells whether the primary is to leave while a replica stays.
--- a/internal/upstream/read.go
+++ b/internal/upstream/read.go
@@ -67,7 +67,7 @@
 			if !isConnect(err) || ctx.Err() != nil {
 				return nil, err
 			}
-			g.Suspect(m.server.Name)
+			g.Suspect(m.pool.Server.Name)
 			continue
 		}
 		if wait <= 0 {
