--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -48,15 +48,17 @@
 	// Dirty connections carry a caller's settings and are closed when released.
 	Dirty bool
 
-	net        net.Conn
-	pool       *Pool
+	net  net.Conn
+	pool *Pool
+	// aborted connections receive nothing more.
+	aborted atomic.Bool
+	// workspace is the one that used the connection last.
+	workspace  platform.WorkspaceName
 	pid        uint32
 	secret     []byte
 	idleSince  time.Time
 	takenAt    time.Time
 	parameters map[string]string
-	// aborted connections give no more answers.
-	aborted atomic.Bool
 }
 
 // open connects and logs in.
@@ -168,6 +170,7 @@
 	if err := c.net.SetReadDeadline(deadline); err != nil {
 		return nil, ErrBroken.Wrap(err, "server %s", c.Server)
 	}
+	// Looked at after the deadline was set, so that an Abort before that isn't lost.
 	if c.aborted.Load() {
 		return nil, ErrBroken.New("server %s: the wait for its answer was ended", c.Server)
 	}
@@ -182,7 +185,7 @@
 }
 
 func (c *Conn) broken(err error) error {
-	if timeout, found := err.(net.Error); found && timeout.Timeout() {
+	if timeout, found := err.(net.Error); found && timeout.Timeout() && !c.aborted.Load() {
 		return ErrSilent.New("server %s gave no answer within the deadline", c.Server)
 	}
 	return ErrBroken.Wrap(err, "server %s", c.Server)
@@ -252,6 +255,19 @@
 
 func (c *Conn) close() { _ = c.net.Close() }
 
+// enter makes a kept connection ready for a workspace: another's prepared statements,
+// settings and whatever else the server keeps for a connection are discarded.
+func (c *Conn) enter(w platform.WorkspaceName, within time.Duration) bool {
+	if c.workspace == w {
+		return true
+	}
+	if _, err := c.Ask("DISCARD ALL", time.Now().Add(within)); err != nil {
+		return false
+	}
+	c.workspace, c.Prepared, c.Unnamed = w, map[string]bool{}, ""
+	return true
+}
+
 // alive probes a connection that has idled.
 func (c *Conn) alive(within time.Duration) bool {
 	if time.Since(c.idleSince) < idleProbeAfter {
