Stand-ins: end a session after its notifier; no timers for deadlines that have passed

Cause: end() rolled back while the notifier read the transaction (race detector, TestRoamingSessionsAreConsistent); a deadline long past made a timer that crashed the runtime inside a test bubble under -race. Ruled out: a race in the session itself, which holds its turn in every message. Change: end() takes the turn first; a past deadline only wakes readers. Result: go test -race ./internal/fakeupstream ./internal/fakenet passes.

--- a/internal/fakenet/conn.go
+++ b/internal/fakenet/conn.go
@@ -164,8 +164,8 @@
 		s.timer.Stop()
 		s.timer = nil
 	}
-	if !t.IsZero() {
-		s.timer = time.AfterFunc(time.Until(t), s.broadcast)
+	if left := time.Until(t); !t.IsZero() && left > 0 {
+		s.timer = time.AfterFunc(left, s.broadcast)
 	}
 	s.changed.Broadcast()
 }
--- a/internal/fakeupstream/session.go
+++ b/internal/fakeupstream/session.go
@@ -150,8 +150,10 @@
 	stop()
 	s.cancel(refuse(stateShutdown, "connection closed"))
 	_ = s.conn.Close()
+	s.turn <- struct{}{}
 	s.closePortals()
 	s.rollback()
+	<-s.turn
 	g := s.server.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
