Upstream: floors that outlive a replica, silence that costs one deadline

When the one replica that confirmed a commit lost its tail, a majority without the primary gave too low a floor, and a session that roamed without a token read 0 in place of 1. Floor now waits for the primary of the newest term among a majority; without its answer, for all that answer. - Ten requests after connections fell silent took 2.05 s with a deadline of 1 s: each met the next silent connection. A silent one now drops the idle ones. - A cancel request that came late hit the next session on the connection (57014). Conn.Doubt keeps such a connection from being used again. - Read spun until its patience was over after its context had ended. - Role and leaving were read outside of the lock (race detector).

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -47,6 +48,10 @@
 	// Dirty connections carry a caller's settings and are closed when released.
 	Dirty bool
 
+	// silent is set once the server left a deadline pass.
+	silent bool
+	// doubtful connections may yet be hit by a cancel request and aren't reused.
+	doubtful   atomic.Bool
 	net        net.Conn
 	pool       *Pool
 	pid        uint32
@@ -177,6 +182,7 @@
 
 func (c *Conn) broken(err error) error {
 	if timeout, found := err.(net.Error); found && timeout.Timeout() {
+		c.silent = true
 		return ErrSilent.New("server %s gave no answer within the deadline", c.Server)
 	}
 	return ErrBroken.Wrap(err, "server %s", c.Server)
@@ -228,6 +234,10 @@
 	_ = front.Flush()
 }
 
+// Doubt keeps the connection from being used by another transaction. It must be
+// called before a cancel request is sent, while the one it is meant for still runs.
+func (c *Conn) Doubt() { c.doubtful.Store(true) }
+
 // Release gives the connection back. Only one that answered ReadyForQuery idle and
 // nothing after it may be kept; any doubt closes it, so that a late answer has no
 // reader to reach.
@@ -235,7 +245,7 @@
 	if len(c.Prepared) > maxPrepared {
 		keep = false
 	}
-	c.pool.release(c, keep && !c.Dirty)
+	c.pool.release(c, keep && !c.Dirty && !c.doubtful.Load())
 }
 
 // Abort breaks the connection from another task, so that its user stops waiting.
--- a/internal/upstream/group.go
+++ b/internal/upstream/group.go
@@ -254,7 +254,7 @@
 			if !isConnect(err) || ctx.Err() != nil {
 				return nil, err
 			}
-			g.Suspect(m.server.Name)
+			g.Suspect(m.pool.Server.Name)
 			continue
 		}
 		select {
@@ -312,8 +312,10 @@
 }
 
 // Floor asks the servers how far their logs reach. An acknowledged write is held by
-// a majority, so the furthest of any majority's logs covers everything that was
-// acknowledged before the question. ErrNoQuorum.
+// its primary and by a majority, so the furthest log among a majority with the
+// primary of the newest term covers everything that was acknowledged before the
+// question. Without an answer of the primary any majority has to do: it doesn't
+// cover a write whose only replica lost it since. ErrNoQuorum.
 func (g *Group) Floor(ctx context.Context) (position.Position, error) {
 	watches := g.watches()
 	answers := make(chan Status, len(watches))
@@ -325,20 +327,43 @@
 			answers <- s
 		}()
 	}
-	var floor position.Position
-	heard := 0
+	var heard []Status
 	for range watches {
 		s := <-answers
 		if s.Term == 0 {
 			continue
 		}
-		floor = position.Max(floor, s.Received)
-		heard++
-		if heard > len(watches)/2 {
-			return floor, nil
+		heard = append(heard, s)
+		if len(heard) > len(watches)/2 && led(heard) {
+			return furthest(heard), nil
 		}
 	}
-	return position.Position{}, ErrNoQuorum.New("upstream %s: %d of %d servers answered", g.Upstream.Name, heard, len(watches))
+	if len(heard) > len(watches)/2 {
+		return furthest(heard), nil
+	}
+	return position.Position{}, ErrNoQuorum.New("upstream %s: %d of %d servers answered", g.Upstream.Name, len(heard), len(watches))
+}
+
+// led tells whether the primary of the newest term heard of is among the servers.
+func led(heard []Status) bool {
+	var newest position.Term
+	for _, s := range heard {
+		newest = max(newest, s.Term)
+	}
+	for _, s := range heard {
+		if s.Role == Primary && s.Term == newest {
+			return true
+		}
+	}
+	return false
+}
+
+func furthest(heard []Status) position.Position {
+	var floor position.Position
+	for _, s := range heard {
+		floor = position.Max(floor, s.Received)
+	}
+	return floor
 }
 
 func (g *Group) watches() []*watch {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -148,6 +148,7 @@
 			return c, nil
 		}
 		c.close()
+		p.drop()
 	}
 	ctx, cancel := context.WithTimeout(ctx, connectWithin)
 	defer cancel()
@@ -194,6 +195,9 @@
 	if give {
 		p.Allowance.Release()
 	}
+	if c.silent {
+		p.drop()
+	}
 }
 
 // load is the part of the pool in use or waited for, 1 when every turn is taken.
@@ -210,7 +214,8 @@
 	return time.Duration(p.queue.size) * p.limit.typical / time.Duration(max(p.room(), 1))
 }
 
-// drop closes the idle connections, as after the server was lost.
+// drop closes the idle connections, as after the server was lost, or after one of
+// them was silent: whatever made it so may have made the others, too.
 func (p *Pool) drop() {
 	p.mu.Lock()
 	idle := p.idle
--- a/internal/upstream/read.go
+++ b/internal/upstream/read.go
@@ -57,17 +57,21 @@
 		g.mu.Lock()
 		m, changed := g.replica(f), g.changed
 		wait := g.worthWaiting(f, patience)
+		var role Role
+		if m != nil {
+			role = m.role()
+		}
 		g.mu.Unlock()
 		if m != nil {
 			c, err := m.pool.take(ctx, r)
 			if err == nil {
-				c.Role = m.role()
+				c.Role = role
 				return c, nil
 			}
 			if !isConnect(err) || ctx.Err() != nil {
 				return nil, err
 			}
-			g.Suspect(m.server.Name)
+			g.Suspect(m.pool.Server.Name)
 			continue
 		}
 		if wait <= 0 {
@@ -81,6 +85,9 @@
 		case <-ctx.Done():
 		}
 		timer.Stop()
+		if ctx.Err() != nil {
+			return nil, ErrNoServer.Wrap(ctx.Err(), "no server of upstream %s is at %s", g.Upstream.Name, f.Floor)
+		}
 	}
 }
 
