Callers: prove read-your-writes, at most once, unmixed transactions and whole answers

Adds a rig of two VMs before one group in memory, and tests over it. What they found, each seen failing before it was mended: - A batch of BEGIN, a write and COMMIT, and a write hidden in a WITH, were taken for reads, so they were sent again after a lost answer: ran 2 times.

--- /dev/null
+++ b/internal/caller/confirm_test.go
@@ -0,0 +1,53 @@
+package caller_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestUnconfirmedCommitIsNotDone cuts the primary from replicas while callers still
+// reach it: without any replica nothing is answered as done, and when one comes back
+// it works again.
+func TestUnconfirmedCommitIsNotDone(t *testing.T) {
+	for form, write := range writes {
+		t.Run(form, func(t *testing.T) {
+			in(t, nil, func(t *testing.T, r *rig) {
+				r.exec(r.connect("vm1", ""), "create table w (id int)")
+				r.server("c").Cut(true)
+				assert.NilError(t, write(r, r.connect("vm1", ""), "insert into w select 1"))
+				r.server("a").Cut(true)
+				c := r.connect("vm1", "")
+				before := token(c)
+				began := time.Now()
+				err := write(r, c, "insert into w select 2")
+				assert.Equal(t, code(err), "08007", "%v", err)
+				assert.Assert(t, time.Since(began) >= deadline)
+				assert.Equal(t, token(c), before, "a token for a write that isn't acknowledged")
+				r.server("a").Cut(false)
+				time.Sleep(3 * time.Second)
+				assert.NilError(t, write(r, r.connect("vm1", ""), "insert into w select 3"))
+			})
+		})
+	}
+}
+
+// TestReplacedPrimaryAcknowledgesNothing writes to a primary that was replaced while
+// this VM reaches no other server.
+func TestReplacedPrimaryAcknowledgesNothing(t *testing.T) {
+	in(t, nil, func(t *testing.T, r *rig) {
+		c := r.connect("vm1", "")
+		assert.NilError(t, r.put(c, 1, 1))
+		r.network.Cut("vm1", "b")
+		r.network.Cut("vm1", "c")
+		r.server("a").Cut(true)
+		r.promote(2, "b", "c")
+		assert.Equal(t, code(r.put(c, 1, 2)), "08007")
+		d := r.connect("vm2", "")
+		assert.NilError(t, r.put(d, 1, 3))
+		v, err := r.value(d, 1)
+		assert.NilError(t, err)
+		assert.Equal(t, v, 3)
+	})
+}
--- a/internal/caller/exchange.go
+++ b/internal/caller/exchange.go
@@ -28,6 +28,8 @@
 	mayCommit bool
 	// unsynced requests end with Flush: their answer has no ReadyForQuery.
 	unsynced bool
+	// maybeRan is true once an attempt was sent that may have written something.
+	maybeRan bool
 }
 
 // exchange is one attempt at a request on one connection.
@@ -40,8 +42,9 @@
 	inTransaction bool
 	// implicit is true when that transaction ends at the next Sync.
 	implicit bool
-	// before is the server's position when the answer began.
-	before position.Position
+	// guarded attempts run in a read-only transaction of savoryramp's own, in which
+	// what was taken for a read can't write.
+	guarded bool
 	// seen is true once the server told its position in this answer.
 	seen bool
 	// sent is true once a byte may have left for the server.
@@ -57,6 +60,8 @@
 	committed bool
 	steps     []step
 	status    byte
+	// answered is true once the server was ready after the request.
+	answered bool
 	// failedBy is true once the server answered with an error.
 	failedBy bool
 }
@@ -130,12 +135,14 @@
 			err = x.run(ctx)
 		}
 		if err == nil {
-			return x.conn.Role, s.settle(x)
+			role := x.conn.Role
+			return role, s.settle(x)
 		}
 		if isType(err, errCaller) {
 			x.drop()
 			return "", err
 		}
+		r.maybeRan = r.maybeRan || x.mayHaveRun(err)
 		again := attempt < maxAttempts && x.repeatable(err) && ctx.Err() == nil
 		x.abandon(err)
 		if again {
@@ -201,12 +208,19 @@
 
 // run sends the request and relays its answer.
 func (x *exchange) run(ctx context.Context) error {
-	x.before = x.conn.Position
-	x.steps = x.request.sends(x.conn)
+	x.guarded = x.conn.Role == upstream.Primary && x.request.kind == kindRead && x.request.runs && !x.inTransaction && !x.request.unsynced
+	x.send()
 	x.sent = true
 	if err := x.conn.Flush(); err != nil {
 		return err
 	}
+	if err := x.guard(); err != nil {
+		return err
+	}
+	if x.guarded && x.status != 'T' {
+		x.guarded = false
+		return upstream.ErrBroken.New("server %s began no transaction", x.conn.Server)
+	}
 	x.synthesize()
 	for !x.over() {
 		m, err := x.conn.Receive(time.Now().Add(x.session.server.Deadline))
@@ -217,7 +231,7 @@
 			return err
 		}
 	}
-	return nil
+	return x.guard()
 }
 
 // over tells whether the answer is whole.
@@ -225,7 +239,7 @@
 	if x.request.unsynced {
 		return len(x.steps) == 0 || x.failedBy
 	}
-	return x.status != 0
+	return x.answered
 }
 
 // relay passes one message of the answer on.
@@ -238,7 +252,7 @@
 	case *pgproto3.ErrorResponse:
 		return x.failure(m)
 	case *pgproto3.ReadyForQuery:
-		x.status = m.TxStatus
+		x.answered, x.status = true, m.TxStatus
 		return x.finish(ctx)
 	case *pgproto3.CopyInResponse, *pgproto3.CopyOutResponse, *pgproto3.CopyBothResponse:
 		return ErrUnsupported.New("COPY isn't passed through")
@@ -254,8 +268,11 @@
 	if m.Name != "savoryramp.position" || x.seen {
 		return nil
 	}
-	x.seen, x.before = true, x.conn.Position
-	if !x.request.runs || x.request.kind != kindRead && x.request.kind != kindBeginReadOnly || x.inTransaction {
+	x.seen = true
+	if !x.request.runs || x.request.kind != kindRead && x.request.kind != kindBeginReadOnly {
+		return nil
+	}
+	if x.inTransaction && x.conn.Role == upstream.Primary {
 		return nil
 	}
 	if _, naive := x.group.Reads.(upstream.AnyReplica); naive {
@@ -273,11 +290,12 @@
 
 // failure passes an error of the server on, unless the request can go elsewhere.
 func (x *exchange) failure(m *pgproto3.ErrorResponse) error {
-	if m.Code == string(CodeReadOnly) && !x.forwarded && !x.inTransaction && x.request.kind != kindBeginReadOnly {
+	if m.Code == string(CodeReadOnly) && !x.forwarded && !x.committed && !x.inTransaction && x.request.kind != kindBeginReadOnly {
 		return errReadOnly.New("server %s refused to write", x.conn.Server)
 	}
 	x.failedBy = true
 	x.steps = nil
+	x.conn.Unnamed = ""
 	return x.forward(m)
 }
 
@@ -292,6 +310,9 @@
 		x.tag = string(c.CommandTag)
 		x.committed = x.tag == "COMMIT"
 	}
+	if c, found := m.(*pgproto3.CommandComplete); found && !leavesNothing(string(c.CommandTag)) {
+		x.conn.Dirty = true
+	}
 	if err := o.send(m); err != nil {
 		return err
 	}
@@ -332,7 +353,7 @@
 	if x.status != 'I' || x.failedBy || x.tag == "ROLLBACK" {
 		return false
 	}
-	return x.request.kind != kindRead || x.conn.Position != x.before
+	return x.request.kind != kindRead
 }
 
 // confirm waits until the commit can't be lost by a promotion.
@@ -352,7 +373,6 @@
 	if x.tag != "SET" && x.tag != "RESET" {
 		return
 	}
-	x.conn.Dirty = true
 	if q := x.request.text(); q != "" && len(x.session.held) < maxHeld {
 		x.session.held = append(x.session.held, q)
 	}
@@ -394,73 +414,4 @@
 	return s.flush()
 }
 
-// repeatable tells whether the request may be sent again: it hasn't run, or it may
-// run twice; and the caller has seen nothing of its answer.
-func (x *exchange) repeatable(err error) bool {
-	if x.inTransaction || x.forwarded {
-		return false
-	}
-	if isType(err, errStale) || isType(err, errReadOnly) {
-		return true
-	}
-	if !isType(err, upstream.ErrSilent) && !isType(err, upstream.ErrBroken) {
-		return false
-	}
-	switch x.request.kind {
-	case kindRead, kindBegin, kindBeginReadOnly:
-		return true
-	}
-	return !x.sent || !x.request.runs || x.session.settings.idempotent
-}
-
-// abandon closes the connection of a failed attempt; its answer has no reader now.
-func (x *exchange) abandon(err error) {
-	o := &x.session.out
-	o.takeBack()
-	if !x.forwarded {
-		o.bytes = o.bytes[:min(x.began, len(o.bytes))]
-	}
-	if isType(err, errReadOnly) && x.conn != nil {
-		x.request.kind = kindWrite
-		if x.conn.Role == upstream.Primary {
-			x.group.Suspect(x.conn.Server)
-		}
-	}
-	x.drop()
-}
-
-func (x *exchange) drop() {
-	x.session.use(nil)
-	if x.conn != nil {
-		x.conn.Release(false)
-	}
-	x.session.conn, x.session.implicit = nil, false
-}
-
-// fail tells the caller what became of its request.
-func (s *Session) fail(x *exchange, err error) error {
-	s.refuse(x.verdict(err))
-	if x.inTransaction && !x.request.mayCommit && !x.implicit {
-		s.failed = true
-	}
-	return s.endRefused(x.request)
-}
-
-// verdict says of a failed attempt whether the request ran.
-func (x *exchange) verdict(err error) error {
-	switch {
-	case errorx.HasTrait(err, upstream.NotRun) && !x.sent:
-		return err
-	case isType(err, errStale), isType(err, errReadOnly):
-		return err
-	case isType(err, upstream.ErrUnconfirmed):
-		return err
-	case x.inTransaction && !x.request.mayCommit:
-		return ErrTransactionLost.Wrap(err, "the transaction was lost before its commit was sent")
-	case x.request.kind == kindRead, x.request.kind == kindBegin, x.request.kind == kindBeginReadOnly, !x.request.runs:
-		return err
-	}
-	return ErrUnknownOutcome.Wrap(err, "no answer after the statement was sent")
-}
-
 func isType(err error, t *errorx.Type) bool { return errorx.IsOfType(err, t) }
--- a/internal/caller/extended.go
+++ b/internal/caller/extended.go
@@ -70,13 +70,17 @@
 	case s.conn == nil && len(messages) == 0:
 		return s.flush()
 	}
-	if p.kind == kindEnd && p.runs && !sync {
+	if p.ends && p.runs && !sync {
 		s.refuse(ErrUnsupported.New("the end of a transaction must be followed by Sync, not Flush"))
 		s.skipping = true
 		return s.flush()
 	}
+	if !sync && p.kind == kindRead {
+		// What follows before the Sync belongs to the same transaction and may write.
+		p.kind = kindWrite
+	}
 	s.carry(&p, sync)
-	ends := sync && (s.implicit || p.kind == kindEnd)
+	ends := sync && (s.implicit || p.ends)
 	return s.perform(ctx, &request{kind: p.kind, runs: p.runs, mayCommit: ends, unsynced: !sync, sends: func(c *upstream.Conn) []step {
 		return s.put(c, messages, sync)
 	}})
@@ -100,6 +104,8 @@
 // plan is what a batch of extended messages means.
 type plan struct {
 	kind kind
+	// ends is true when a statement may end a transaction.
+	ends bool
 	// runs is true when something executes.
 	runs bool
 	// sends is false when all can be answered here.
@@ -141,17 +147,22 @@
 }
 
 // see takes a statement of the batch into account: one that may write makes all of
-// it go to the primary.
+// it go to the primary, and so do several that begin or end transactions.
 func (p *plan) see(st *prepared) {
 	if st == nil {
 		return
 	}
+	p.ends = p.ends || st.kind == kindEnd
 	switch st.kind {
 	case kindOwn:
 		p.own = true
-	case kindRead, kindEmpty:
+	case kindRead, kindEmpty, p.kind:
 	default:
-		p.kind = st.kind
+		if p.kind == kindRead {
+			p.kind = st.kind
+			return
+		}
+		p.kind = kindWrite
 	}
 }
 
@@ -220,6 +231,7 @@
 	if m.Name == "" {
 		b.conn.Front.Send(st.parse(""))
 		b.conn.Unnamed = st.name
+		b.conn.Dirty = b.conn.Dirty || leavesState(st.sql)
 		b.steps = append(b.steps, step{what: partParse})
 		return
 	}
@@ -238,6 +250,7 @@
 	if st == nil {
 		return name
 	}
+	b.conn.Dirty = b.conn.Dirty || leavesState(st.sql)
 	if name == "" {
 		if b.conn.Unnamed != st.name {
 			b.conn.Front.Send(st.parse(""))
--- /dev/null
+++ b/internal/caller/history_test.go
@@ -0,0 +1,250 @@
+package caller_test
+
+import (
+	"context"
+	"flag"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/jackc/pgx/v5"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/savoryramp/savoryramp/internal/fakeupstream"
+	"github.com/savoryramp/savoryramp/internal/upstream"
+	"github.com/savoryramp/savoryramp/pkg/position"
+)
+
+// init keeps the normal run short; -rapid.checks raises it.
+func init() { _ = flag.Set("rapid.checks", "3") }
+
+// act is an operation on one session's row, as porcupine sees it.
+type act struct {
+	row   int
+	write bool
+	value int
+}
+
+// register is the model of a row: a read gives the value written last. Each row has
+// one session, so this is that session's consistent view of its own work.
+var register = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byRow := map[int][]porcupine.Operation{}
+		for _, op := range history {
+			row := op.Input.(act).row
+			byRow[row] = append(byRow[row], op)
+		}
+		var parts [][]porcupine.Operation
+		for _, part := range byRow {
+			parts = append(parts, part)
+		}
+		return parts
+	},
+	Init: func() any { return 0 },
+	Step: func(state, input, output any) (bool, any) {
+		a := input.(act)
+		if a.write {
+			return true, a.value
+		}
+		return output.(int) == state.(int), state
+	},
+}
+
+// history gathers operations of concurrent sessions.
+type history struct {
+	mu        sync.Mutex
+	list      []porcupine.Operation
+	done      int
+	abandoned int
+}
+
+func (h *history) add(a act, output int, began time.Time, known bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	op := porcupine.Operation{ClientId: a.row, Input: a, Call: began.UnixNano(), Output: output, Return: time.Now().UnixNano()}
+	if !known {
+		op.Return = math.MaxInt64
+		h.abandoned++
+	} else {
+		h.done++
+	}
+	h.list = append(h.list, op)
+}
+
+// roamer is one session that moves between VMs.
+type roamer struct {
+	*rig
+	history *history
+	random  *rand.Rand
+	row     int
+	newest  int
+	token   string
+	conn    *pgx.Conn
+}
+
+// run writes and reads the session's row until the faults are over.
+func (m *roamer) run(over *atomic.Bool) {
+	for n := 0; n < 30 || !over.Load(); n++ {
+		if m.conn == nil || m.conn.IsClosed() || m.random.IntN(4) == 0 {
+			m.roam()
+		}
+		if m.conn != nil {
+			m.step()
+		}
+		time.Sleep(time.Duration(m.random.IntN(60)) * time.Millisecond)
+	}
+	m.leave()
+}
+
+func (m *roamer) leave() {
+	if m.conn != nil {
+		_ = m.conn.Close(m.ctx)
+	}
+	m.conn = nil
+}
+
+func (m *roamer) roam() {
+	m.leave()
+	token := ""
+	switch m.random.IntN(3) {
+	case 0:
+		token = m.token
+	case 1:
+		token = "e30.forged"
+	}
+	c, err := m.dial([]string{"vm1", "vm2"}[m.random.IntN(2)], token, "receipts")
+	if err == nil {
+		m.conn = c
+	}
+}
+
+// step does one operation and notes what is known of it.
+func (m *roamer) step() {
+	ctx, cancel := context.WithTimeout(m.ctx, 10*time.Second)
+	defer cancel()
+	began := time.Now()
+	if m.random.IntN(2) == 0 {
+		var v int
+		err := m.conn.QueryRow(ctx, "select coalesce(max(v), 0) from t where id = $1", m.row).Scan(&v)
+		if err == nil {
+			m.history.add(act{row: m.row}, v, began, true)
+		}
+		return
+	}
+	m.newest++
+	_, err := m.conn.Exec(ctx, "insert into t values ($1, $2) on conflict (id) do update set v = excluded.v", m.row, m.newest)
+	if err == nil {
+		m.token = token(m.conn)
+	}
+	if !notRun(err) {
+		m.history.add(act{row: m.row, write: true, value: m.newest}, 0, began, err == nil)
+	}
+}
+
+// disturb breaks something for a moment.
+func (r *rig) disturb(random *rand.Rand, term *int) {
+	s := r.group.Servers[random.IntN(3)]
+	rest := func() { time.Sleep(time.Duration(random.IntN(300)) * time.Millisecond) }
+	switch random.IntN(7) {
+	case 0:
+		s.SetLag(time.Duration(random.IntN(2000)) * time.Millisecond)
+	case 1:
+		s.Cut(true)
+		rest()
+		s.Cut(false)
+	case 2:
+		s.Kill(0)
+		rest()
+		s.Start()
+	case 3:
+		s.DropAnswer()
+	case 4:
+		s.Freeze(true)
+		rest()
+		s.Freeze(false)
+	case 5:
+		name := []string{"vm1", "vm2"}[random.IntN(2)]
+		r.vms[name].kill()
+		rest()
+		r.startVM(name)
+	case 6:
+		*term++
+		r.failover(*term, random)
+	}
+	rest()
+}
+
+// failover promotes the furthest of two fenced servers; the third follows later.
+func (r *rig) failover(term int, random *rand.Rand) {
+	order := random.Perm(3)
+	x, y, z := r.group.Servers[order[0]], r.group.Servers[order[1]], r.group.Servers[order[2]]
+	assert.NilError(r.t, x.Fence(position.Term(term)))
+	time.Sleep(time.Duration(random.IntN(50)) * time.Millisecond)
+	assert.NilError(r.t, y.Fence(position.Term(term)))
+	if further(y, x) {
+		x, y = y, x
+	}
+	assert.NilError(r.t, x.Promote(r.ctx, position.Term(term)))
+	assert.NilError(r.t, y.Follow(position.Term(term), x.Name))
+	time.Sleep(time.Duration(random.IntN(500)) * time.Millisecond)
+	assert.NilError(r.t, z.Follow(position.Term(term), x.Name))
+}
+
+func further(x, y *fakeupstream.Server) bool {
+	p, _ := position.Parse(x.Status().Received)
+	q, _ := position.Parse(y.Status().Received)
+	return p.Compare(q) > 0
+}
+
+// observe runs roaming sessions under faults and gives what they saw.
+func observe(t assert.TestingT, seed uint64, faults int, reads upstream.ReadPolicy) *history {
+	r := begin(t, func(r *rig) { r.reads = reads })
+	defer r.stop()
+	h := &history{}
+	var sessions sync.WaitGroup
+	var over atomic.Bool
+	for row := range 3 {
+		m := &roamer{rig: r, history: h, random: rand.New(rand.NewPCG(seed, uint64(row))), row: row}
+		sessions.Go(func() { m.run(&over) })
+	}
+	random, term := rand.New(rand.NewPCG(seed, 99)), 1
+	for range faults {
+		r.disturb(random, &term)
+	}
+	over.Store(true)
+	sessions.Wait()
+	return h
+}
+
+// TestRoamingSessionsAreConsistent checks the histories of concurrent sessions that
+// roam between VMs, under random faults and promotions.
+func TestRoamingSessionsAreConsistent(t *testing.T) {
+	done, abandoned := 0, 0
+	rapid.Check(t, func(c *rapid.T) {
+		seed := rapid.Uint64().Draw(c, "seed")
+		faults := rapid.IntRange(0, 8).Draw(c, "faults")
+		var h *history
+		synctest.Test(t, func(t *testing.T) { h = observe(t, seed, faults, upstream.WaitOrPrimary{}) })
+		done, abandoned = done+h.done, abandoned+h.abandoned
+		if !porcupine.CheckOperations(register, h.list) {
+			c.Fatalf("a session lost its own work: seed %d, %d faults", seed, faults)
+		}
+	})
+	t.Logf("%d operations answered, %d writes of unknown outcome", done, abandoned)
+}
+
+// TestNaiveHistoriesAreInconsistent shows that the check above finds what it looks for.
+func TestNaiveHistoriesAreInconsistent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const seed = 5
+		t.Log("seed", seed)
+		h := observe(t, seed, 4, upstream.AnyReplica{})
+		assert.Assert(t, !porcupine.CheckOperations(register, h.list))
+	})
+}
--- /dev/null
+++ b/internal/caller/mixing_test.go
@@ -0,0 +1,241 @@
+package caller_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/savoryramp/savoryramp/internal/fakeupstream"
+)
+
+// steps is how many statements a caller sends in one transaction.
+const steps = 3
+
+// transact runs a transaction whose statements carry its name, and is disturbed in
+// the way that is drawn.
+func transact(r *rig, random *rand.Rand, vm, name string) {
+	c, err := r.dial(vm, "", "receipts")
+	if err != nil {
+		return
+	}
+	defer c.Close(r.ctx)
+	ctx, cancel := context.WithCancel(r.ctx)
+	defer cancel()
+	switch random.IntN(4) {
+	case 0:
+		// The caller vanishes.
+		after(random, func() { _ = c.PgConn().Conn().Close() })
+	case 1:
+		after(random, func() { _ = c.PgConn().CancelRequest(r.ctx) })
+	case 2:
+		// pgx gives up, asks for a cancel and closes.
+		after(random, cancel)
+	}
+	_ = pgx.BeginFunc(ctx, c, func(tx pgx.Tx) error {
+		for n := range steps {
+			if _, err := tx.Exec(ctx, fmt.Sprintf("insert into s values ('%s', %d)", name, n)); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+func after(random *rand.Rand, do func()) {
+	time.AfterFunc(time.Duration(random.IntN(20_000))*time.Microsecond, do)
+}
+
+// trouble breaks servers and VMs under transactions.
+func (r *rig) trouble(random *rand.Rand) {
+	time.Sleep(time.Duration(random.IntN(40)) * time.Millisecond)
+	s := r.group.Primary()
+	if s == nil {
+		return
+	}
+	switch random.IntN(6) {
+	case 0:
+		r.vms["vm1"].kill()
+		time.Sleep(100 * time.Millisecond)
+		r.startVM("vm1")
+	case 1:
+		s.SetLate(time.Duration(random.IntN(2000)) * time.Millisecond)
+		time.Sleep(50 * time.Millisecond)
+		s.SetLate(0)
+	case 2:
+		s.Silence()
+	case 3:
+		s.Kill(0)
+		s.Start()
+	case 4:
+		s.DropAnswer()
+	case 5:
+		r.replace(s)
+	}
+}
+
+// TestTransactionsAreNotMixed runs transactions that are cancelled, time out, lose
+// their caller, VM or server, and looks into each server's record: the statements of
+// a transaction there are of one caller's, and a commit holds all of them.
+func TestTransactionsAreNotMixed(t *testing.T) {
+	rapid.Check(t, func(c *rapid.T) {
+		seed := rapid.Uint64().Draw(c, "seed")
+		synctest.Test(t, func(t *testing.T) {
+			r := begin(t, func(r *rig) { r.share = 2 })
+			defer r.stop()
+			r.exec(r.connect("vm2", ""), "create table s (name text, n int)")
+			var callers sync.WaitGroup
+			for n := range 12 {
+				random := rand.New(rand.NewPCG(seed, uint64(n)))
+				callers.Go(func() { transact(r, random, []string{"vm1", "vm2"}[n%2], fmt.Sprint("caller", n)) })
+			}
+			random := rand.New(rand.NewPCG(seed, 99))
+			for range 3 {
+				r.trouble(random)
+			}
+			callers.Wait()
+			time.Sleep(5 * time.Second)
+			checkUnmixed(t, r.group.Recorder, seed)
+		})
+	})
+}
+
+func checkUnmixed(t *testing.T, recorder *fakeupstream.Recorder, seed uint64) {
+	type transaction struct {
+		server fakeupstream.ServerName
+		id     fakeupstream.TransactionID
+	}
+	owners := map[transaction]string{}
+	for _, run := range recorder.Runs() {
+		name := owner(run.Statement.SQL)
+		if name == "" {
+			continue
+		}
+		at := transaction{run.Server, run.Transaction}
+		assert.Assert(t, owners[at] == "" || owners[at] == name, "seed %d: %s and %s in one transaction", seed, owners[at], name)
+		owners[at] = name
+	}
+	for _, e := range recorder.Commits() {
+		parts := 0
+		for _, st := range e.Statements {
+			if owner(st.SQL) != "" {
+				parts++
+			}
+		}
+		assert.Assert(t, parts == 0 || parts == steps, "seed %d: a commit of %d statements", seed, parts)
+	}
+}
+
+// owner is the name that a statement carries, empty for others.
+func owner(sql string) string {
+	if !strings.HasPrefix(sql, "insert into s") {
+		return ""
+	}
+	return strings.Split(sql, "'")[1]
+}
+
+// TestLateCancelHitsNobodyElse lets a cancel request reach the server when another
+// session's statement would run on the connection that it was meant for.
+func TestLateCancelHitsNobodyElse(t *testing.T) {
+	in(t, func(r *rig) { r.share = 1 }, func(t *testing.T, r *rig) {
+		first, second := r.connect("vm1", ""), r.connect("vm1", "")
+		r.exec(first, "update t set v = 0")
+		r.server("a").SetService(20 * time.Millisecond)
+		r.server("a").SetConnectDelay(30 * time.Millisecond)
+		done := make(chan error, 2)
+		go func() { done <- script(r, first, "update t set v = 1") }()
+		time.Sleep(3 * time.Millisecond)
+		go func() { done <- script(r, second, "update t set v = 2") }()
+		assert.NilError(t, first.PgConn().CancelRequest(r.ctx))
+		assert.NilError(t, <-done)
+		assert.NilError(t, <-done)
+	})
+}
+
+// TestSavepointOfALostTransactionStaysLost refuses to go on after the connection of
+// a transaction was lost: what follows would run outside of it.
+func TestSavepointOfALostTransactionStaysLost(t *testing.T) {
+	in(t, nil, func(t *testing.T, r *rig) {
+		c := r.connect("vm1", "")
+		for _, sql := range []string{"begin", "insert into t values (1, 1)", "savepoint one"} {
+			assert.NilError(t, script(r, c, sql))
+		}
+		r.server("a").Kill(0)
+		r.server("a").Start()
+		time.Sleep(time.Second)
+		assert.Equal(t, code(script(r, c, "insert into t values (2, 1)")), "08006")
+		assert.Equal(t, code(script(r, c, "rollback to savepoint one")), "25P02")
+		assert.Equal(t, code(script(r, c, "insert into t values (3, 1)")), "25P02")
+		assert.NilError(t, script(r, c, "commit"))
+		v, err := r.value(c, 3)
+		assert.NilError(t, err)
+		assert.Equal(t, v, 0)
+	})
+}
+
+// TestSettingsStayWithTheirSession sets something in all ways and looks for it in
+// another session on the same connection.
+func TestSettingsStayWithTheirSession(t *testing.T) {
+	for name, set := range map[string]func(r *rig, c *pgx.Conn) error{
+		"simple":             func(r *rig, c *pgx.Conn) error { return script(r, c, "set app.who = 'first'") },
+		"several statements": func(r *rig, c *pgx.Conn) error { return script(r, c, "set app.who = 'first'; select 1") },
+		"extended": func(r *rig, c *pgx.Conn) error {
+			return batch(r, c, "set app.who = 'first'")
+		},
+		"batch": func(r *rig, c *pgx.Conn) error {
+			return batch(r, c, "set app.who = 'first'", "select 1")
+		},
+		"transaction": func(r *rig, c *pgx.Conn) error {
+			return pgx.BeginFunc(r.ctx, c, func(tx pgx.Tx) error {
+				_, err := tx.Exec(r.ctx, "set app.who = 'first'")
+				return err
+			})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			in(t, func(r *rig) { r.share = 1 }, func(t *testing.T, r *rig) {
+				first, second := r.connect("vm1", ""), r.connect("vm1", "")
+				assert.NilError(t, set(r, first))
+				var who string
+				assert.NilError(t, second.QueryRow(r.ctx, "show app.who", pgx.QueryExecModeSimpleProtocol).Scan(&who))
+				assert.Equal(t, who, "")
+			})
+		})
+	}
+}
+
+// TestPreparedStatementsStayWithTheirSession gives two sessions statements of one
+// name, on one connection.
+func TestPreparedStatementsStayWithTheirSession(t *testing.T) {
+	for _, name := range []string{"q", ""} {
+		in(t, func(r *rig) { r.share = 1 }, func(t *testing.T, r *rig) {
+			conns := []*pgx.Conn{r.connect("vm1", ""), r.connect("vm1", "")}
+			for n, c := range conns {
+				_, err := c.PgConn().Prepare(r.ctx, name, fmt.Sprintf("select %d where $1 > 0", n), nil)
+				assert.NilError(t, err)
+			}
+			// One whose Parse fails leaves the connection's unnamed statement as it was.
+			_, err := conns[0].PgConn().Prepare(r.ctx, "", "select n from missing", nil)
+			assert.Equal(t, code(err), "42P01")
+			for range 3 {
+				for n, c := range conns {
+					if n == 0 && name == "" {
+						continue
+					}
+					result := c.PgConn().ExecPrepared(r.ctx, name, [][]byte{[]byte("1")}, nil, nil).Read()
+					assert.NilError(t, result.Err)
+					assert.Equal(t, string(result.Rows[0][0]), fmt.Sprint(n))
+				}
+			}
+			assert.Assert(t, code(conns[1].PgConn().ExecPrepared(r.ctx, "unknown", nil, nil, nil).Read().Err) == "26000")
+		})
+	}
+}
--- /dev/null
+++ b/internal/caller/rig_test.go
@@ -0,0 +1,224 @@
+package caller_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"gotest.tools/v3/assert"
+
+	"github.com/savoryramp/savoryramp/internal/caller"
+	"github.com/savoryramp/savoryramp/internal/fakenet"
+	"github.com/savoryramp/savoryramp/internal/fakeupstream"
+	"github.com/savoryramp/savoryramp/internal/platform"
+	"github.com/savoryramp/savoryramp/internal/upstream"
+	"github.com/savoryramp/savoryramp/pkg/position"
+)
+
+const (
+	// oneWay is the delay between any two hosts of the rig.
+	oneWay = time.Millisecond
+	// deadline bounds a server's silence, maxWait the wait for a server.
+	deadline = time.Second
+	maxWait  = 3 * time.Second
+)
+
+// rig is one group of three servers a, b, c behind some VMs, in memory.
+type rig struct {
+	t       assert.TestingT
+	ctx     context.Context
+	network *fakenet.Network
+	group   *fakeupstream.Group
+	vms     map[string]*vm
+	reads   upstream.ReadPolicy
+	share   int
+	stop    func()
+}
+
+// vm is one VM's callers and upstreams.
+type vm struct {
+	callers   *caller.Server
+	upstreams *upstream.Upstreams
+	kill      func()
+}
+
+// still gives one document for good.
+type still platform.Snapshot
+
+func (f still) Current() platform.Snapshot { return platform.Snapshot(f) }
+
+func (f still) Wait(ctx context.Context, after platform.DocumentVersion) (platform.Snapshot, error) {
+	if after < f.Version {
+		return f.Current(), nil
+	}
+	<-ctx.Done()
+	return platform.Snapshot{}, ctx.Err()
+}
+
+func document() *platform.Document {
+	d := &platform.Document{
+		Upstreams: []platform.Upstream{{Name: "r1", Acknowledge: platform.ReplicaConfirmed, User: "savoryramp", Database: "db"}},
+		Databases: []platform.Database{
+			{Name: "receipts", Upstream: "r1", Open: true, OpenWorkspace: "desk"},
+			{Name: "others", Upstream: "r1", Open: true, OpenWorkspace: "portal"},
+		},
+		Workspaces: []platform.Workspace{{Name: "desk", Weight: 1}, {Name: "portal", Weight: 1}},
+	}
+	for _, name := range []platform.ServerName{"a", "b", "c"} {
+		d.Upstreams[0].Servers = append(d.Upstreams[0].Servers, platform.Server{Name: name, Address: platform.Address(name + ":1")})
+	}
+	return d
+}
+
+// in runs a test in a bubble with a rig of two VMs that stands and holds table t.
+func in(t *testing.T, change func(r *rig), test func(t *testing.T, r *rig)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		r := begin(t, change)
+		defer r.stop()
+		test(t, r)
+	})
+}
+
+// begin starts a rig; it is called in a bubble.
+func begin(t assert.TestingT, change func(r *rig)) *rig {
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &rig{t: t, ctx: ctx, network: fakenet.New(), vms: map[string]*vm{}, reads: upstream.WaitOrPrimary{}, share: 4}
+	r.group = &fakeupstream.Group{Name: "r1", Recorder: &fakeupstream.Recorder{}}
+	for _, name := range []string{"a", "b", "c"} {
+		listen := func() (net.Listener, error) { return r.network.Listen(fakenet.Host(name), name+":1") }
+		l, err := listen()
+		assert.NilError(t, err)
+		s := &fakeupstream.Server{Name: fakeupstream.ServerName(name), Listener: l, Listen: listen, Service: 100 * time.Microsecond, Connections: 60}
+		r.group.Servers = append(r.group.Servers, s)
+		for _, v := range []fakenet.Host{"vm1", "vm2"} {
+			r.network.Delay(v, fakenet.Host(name), oneWay)
+			r.network.Delay(v, "client", oneWay)
+		}
+	}
+	if change != nil {
+		change(r)
+	}
+	done := make(chan error, 1)
+	go func() { done <- r.group.Run(ctx) }()
+	for _, name := range []string{"vm1", "vm2"} {
+		r.startVM(name)
+	}
+	r.stop = func() {
+		for _, v := range r.vms {
+			v.kill()
+		}
+		cancel()
+		<-done
+	}
+	time.Sleep(time.Second)
+	r.exec(r.connect("vm1", ""), "create table t (id int primary key, v int)")
+	time.Sleep(time.Second)
+	return r
+}
+
+// startVM runs one VM until it is killed.
+func (r *rig) startVM(name string) {
+	l, err := r.network.Listen(fakenet.Host(name), name+":1")
+	assert.NilError(r.t, err)
+	documents := still{Version: 1, Document: document()}
+	u := &upstream.Upstreams{
+		Dial: r.network.Dialer(fakenet.Host(name)), Logger: log.NewNopLogger(), Documents: documents,
+		Share: func(platform.ServerName) int { return r.share }, Reads: r.reads, Order: upstream.DeficitRoundRobin, MaxQueue: 64,
+	}
+	c := &caller.Server{
+		VM: platform.VMName(name), Listener: l, Documents: documents, Upstreams: u, TokenKey: caller.TokenKey("fleet"),
+		MaxWait: maxWait, Deadline: deadline, Logger: log.NewNopLogger(),
+	}
+	ctx, cancel := context.WithCancel(r.ctx)
+	done := make(chan error, 2)
+	go func() { done <- u.Run(ctx) }()
+	go func() { done <- c.Run(ctx) }()
+	r.vms[name] = &vm{callers: c, upstreams: u, kill: sync.OnceFunc(func() {
+		r.network.Kill(fakenet.Host(name))
+		cancel()
+		<-done
+		<-done
+	})}
+}
+
+// dial opens a caller's connection, with a session token unless it is empty.
+func (r *rig) dial(vm, token, database string) (*pgx.Conn, error) {
+	config, err := pgx.ParseConfig("postgres://desk@" + vm + ":1/" + database + "?sslmode=disable")
+	assert.NilError(r.t, err)
+	config.DialFunc = r.network.Dialer("client")
+	config.LookupFunc = func(_ context.Context, host string) ([]string, error) { return []string{host}, nil }
+	config.DefaultQueryExecMode = pgx.QueryExecModeExec
+	if token != "" {
+		config.RuntimeParams["savoryramp.session"] = token
+	}
+	ctx, cancel := context.WithTimeout(r.ctx, 5*time.Second)
+	defer cancel()
+	return pgx.ConnectConfig(ctx, config)
+}
+
+func (r *rig) connect(vm, token string) *pgx.Conn {
+	c, err := r.dial(vm, token, "receipts")
+	assert.NilError(r.t, err)
+	return c
+}
+
+func (r *rig) exec(c *pgx.Conn, sql string, args ...any) {
+	_, err := c.Exec(r.ctx, sql, args...)
+	assert.NilError(r.t, err, sql)
+}
+
+// value reads v of a row; 0 when there is no such row.
+func (r *rig) value(c *pgx.Conn, id int) (int, error) {
+	var v int
+	err := c.QueryRow(r.ctx, "select coalesce(max(v), 0) from t where id = $1", id).Scan(&v)
+	return v, err
+}
+
+// put writes a row.
+func (r *rig) put(c *pgx.Conn, id, v int) error {
+	_, err := c.Exec(r.ctx, "insert into t values ($1, $2) on conflict (id) do update set v = excluded.v", id, v)
+	return err
+}
+
+func (r *rig) server(name string) *fakeupstream.Server {
+	return r.group.Server(fakeupstream.ServerName(name))
+}
+
+// promote moves the primary to a server, after a majority without the others has
+// accepted the term, and lets followers follow.
+func (r *rig) promote(term int, to string, followers ...string) {
+	t := position.Term(term)
+	for _, name := range append([]string{to}, followers...) {
+		assert.NilError(r.t, r.server(name).Fence(t))
+	}
+	assert.NilError(r.t, r.server(to).Promote(r.ctx, t))
+	for _, name := range followers {
+		assert.NilError(r.t, r.server(name).Follow(t, fakeupstream.ServerName(to)))
+	}
+}
+
+// token is the session token that the caller's driver holds.
+func token(c *pgx.Conn) string { return c.PgConn().ParameterStatus("savoryramp.session") }
+
+func code(err error) string {
+	var e *pgconn.PgError
+	if errors.As(err, &e) {
+		return e.Code
+	}
+	return ""
+}
+
+// notRun tells whether an error says that nothing has run.
+func notRun(err error) bool {
+	var e *pgconn.PgError
+	return errors.As(err, &e) && strings.HasPrefix(e.Message, "savoryramp:") && e.Detail == "not run"
+}
--- a/internal/caller/session.go
+++ b/internal/caller/session.go
@@ -230,6 +230,9 @@
 func (s *Session) cancel(ctx context.Context) {
 	s.mu.Lock()
 	c := s.running
+	if c != nil {
+		c.Doubt()
+	}
 	s.mu.Unlock()
 	if c != nil {
 		c.Cancel(ctx)
--- a/internal/caller/simple.go
+++ b/internal/caller/simple.go
@@ -19,6 +19,8 @@
 		return s.ready()
 	}
 	return s.perform(ctx, &request{kind: k, runs: true, mayCommit: k == kindEnd || several(sql), sends: func(c *upstream.Conn) []step {
+		c.Unnamed = ""
+		c.Dirty = c.Dirty || leavesState(sql)
 		c.Front.Send(&pgproto3.Query{String: sql})
 		return nil
 	}, sql: sql})
--- a/internal/caller/statement.go
+++ b/internal/caller/statement.go
@@ -1,6 +1,9 @@
 package caller
 
-import "strings"
+import (
+	"slices"
+	"strings"
+)
 
 // kind is what a statement means to routing.
 type kind string
@@ -38,6 +41,9 @@
 		}
 		return kindBegin
 	case "commit", "end", "rollback", "abort":
+		if more || toSavepoint(words) {
+			return kindWrite
+		}
 		return kindEnd
 	case "set", "show", "reset":
 		if !more && own(words) {
@@ -51,6 +57,32 @@
 	return kindWrite
 }
 
+// toSavepoint tells whether a ROLLBACK leaves its transaction open.
+func toSavepoint(words []string) bool {
+	return words[0] == "rollback" && slices.Contains(words[1:min(len(words), 3)], "to")
+}
+
+// leavesState tells whether a statement may change what the connection's next user
+// would see, beyond its tag.
+func leavesState(sql string) bool {
+	lower := strings.ToLower(sql)
+	return strings.Contains(lower, "set_config") || strings.Contains(lower, "advisory_lock")
+}
+
+// stateless are the first words of the tags whose statements leave nothing behind on
+// their connection.
+var stateless = map[string]bool{
+	"SELECT": true, "INSERT": true, "UPDATE": true, "DELETE": true, "MERGE": true, "SHOW": true,
+	"BEGIN": true, "START": true, "COMMIT": true, "ROLLBACK": true, "SAVEPOINT": true, "RELEASE": true,
+	"FETCH": true, "MOVE": true, "CLOSE": true,
+}
+
+// leavesNothing tells by its tag whether a statement left its connection as it was.
+func leavesNothing(tag string) bool {
+	word, _, _ := strings.Cut(tag, " ")
+	return stateless[word]
+}
+
 // several tells whether a text may hold more than one statement.
 func several(sql string) bool {
 	return strings.Contains(strings.TrimRight(sql, " \t\r\n;"), ";")
