--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -200,6 +200,7 @@
 			return c, nil
 		}
 		c.close()
+		p.drop()
 	}
 	ctx, cancel := context.WithTimeout(ctx, connectWithin)
 	defer cancel()
@@ -254,6 +255,9 @@
 	if give {
 		p.Allowance.Release()
 	}
+	if c.silent {
+		p.drop()
+	}
 }
 
 // load is the part of the pool in use or waited for, 1 when every turn is taken.
@@ -270,7 +274,8 @@
 	return time.Duration(p.queue.size) * p.limit.typical / time.Duration(max(p.room(), 1))
 }
 
-// drop closes the idle connections, as after the server was lost.
+// drop closes the idle connections, as after the server was lost, or after one of
+// them was silent: whatever made it so may have made the others, too.
 func (p *Pool) drop() {
 	p.mu.Lock()
 	idle := p.idle
