--- a/internal/upstream/group.go
+++ b/internal/upstream/group.go
@@ -319,46 +319,6 @@
 	return holders > len(g.members)/2
 }
 
-// Floor asks the servers how far their logs reach. An acknowledged write is held by
-// a majority, so the furthest of any majority's logs covers everything that was
-// acknowledged before the question. ErrNoQuorum.
-func (g *Group) Floor(ctx context.Context) (position.Position, error) {
-	watches := g.watches()
-	answers := make(chan Status, len(watches))
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	for _, w := range watches {
-		go func() {
-			s, _ := w.ask(ctx, statusQuery)
-			answers <- s
-		}()
-	}
-	var floor position.Position
-	heard := 0
-	for range watches {
-		s := <-answers
-		if s.Term == 0 {
-			continue
-		}
-		floor = position.Max(floor, s.Received)
-		heard++
-		if heard > len(watches)/2 {
-			return floor, nil
-		}
-	}
-	return position.Position{}, ErrNoQuorum.New("upstream %s: %d of %d servers answered", g.Upstream.Name, heard, len(watches))
-}
-
-func (g *Group) watches() []*watch {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	var list []*watch
-	for _, m := range g.members {
-		list = append(list, m.watch)
-	}
-	return list
-}
-
 // Check tells whether a session's floor still names a part of the group's history.
 // ErrFloorLost.
 func (g *Group) Check(floor position.Position) error {
