--- a/internal/load/plot.go
+++ b/internal/load/plot.go
@@ -47,10 +47,7 @@
 		return err
 	}
 	top.Title.Text = string(t.Scenario.Name)
-	bottom, err := t.panel("p99, ms", []curve{
-		t.tail("reads", green, results, Read),
-		t.tail("writes", blue, results, Write),
-	})
+	bottom, err := t.panel("p99, ms", t.tails(results))
 	if err != nil {
 		return err
 	}
@@ -135,12 +132,28 @@
 	return curve{name, c, points}
 }
 
+// tails are the latencies of reads and writes, or, when a workspace surges, of it and
+// of all others.
+func (t *Trial) tails(results []Result) []curve {
+	if t.Scenario.Surge == 0 {
+		return []curve{
+			t.tail("reads", green, results, func(r Result) bool { return r.Kind == Read }),
+			t.tail("writes", blue, results, func(r Result) bool { return r.Kind == Write }),
+		}
+	}
+	name := surging(t.Site.Document)
+	return []curve{
+		t.tail(string(name), red, results, func(r Result) bool { return r.Workspace == name }),
+		t.tail("all other workspaces", green, results, func(r Result) bool { return r.Workspace != name }),
+	}
+}
+
 // tail gives the 99th percentile of latency, by when requests were meant to start.
-func (t *Trial) tail(name string, c color.Color, results []Result, kind Kind) curve {
+func (t *Trial) tail(name string, c color.Color, results []Result, chosen func(Result) bool) curve {
 	points := t.steps()
 	for i := range points {
 		points[i].Y = float64(latency(results, func(r Result) bool {
-			return r.Kind == kind && int(r.At/plotStep) == i
+			return chosen(r) && int(r.At/plotStep) == i
 		}).P99)
 	}
 	return curve{name, c, points}
--- a/internal/load/site.go
+++ b/internal/load/site.go
@@ -3,13 +3,9 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"os"
-	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -63,20 +59,6 @@
 	tasks  sync.WaitGroup
 }
 
-// VM is one daemon.
-type VM struct {
-	Name platform.VMName
-	// Address is for callers.
-	Address platform.Address
-	options operator.RunOptions
-	signals chan os.Signal
-	done    chan struct{}
-	// listed is false while the balancer sends no new callers.
-	listed atomic.Bool
-}
-
-func vmName(i int) platform.VMName { return platform.VMName("vm-" + strconv.Itoa(i)) }
-
 // secret is the secret of a workspace's key in a trial.
 func secret(w platform.WorkspaceName) string { return "trial-" + string(w) }
 
@@ -202,53 +184,6 @@
 	return nil
 }
 
-func (s *Site) newVM(i int, addresses []platform.Address) *VM {
-	return &VM{
-		Name: vmName(i), Address: addresses[0],
-		options: operator.RunOptions{
-			VM: string(vmName(i)), AvailabilityZone: "zone-" + strconv.Itoa(i),
-			Listen: addresses[0], Admin: addresses[1], Peer: addresses[2],
-			BalancerLag: balancerLag, DrainTime: drainTime, StatementDeadline: statementDeadline, MaxWait: maxWait,
-			PeerTLS: operator.TLSFiles{
-				Certificate: filepath.Join(s.dir, peerFile), Key: filepath.Join(s.dir, keyFile), Authority: filepath.Join(s.dir, authorityFile),
-			},
-		},
-	}
-}
-
-// run starts a VM's daemon.
-func (s *Site) run(v *VM) error {
-	metrics, err := operator.NewMetrics()
-	if err != nil {
-		return ErrSetup.Wrap(err, "metrics")
-	}
-	v.signals, v.done = make(chan os.Signal, 2), make(chan struct{})
-	d := &operator.Daemon{
-		Version: "trial", Options: v.options, Logger: log.With(s.Logger, "vm", v.Name), Metrics: metrics,
-		Table: s.Platform.Table(), Store: s.Platform.Store(),
-		Signals: v.signals, Exit: func(operator.ExitCode) {},
-	}
-	done := v.done
-	s.tasks.Go(func() {
-		defer close(done)
-		if err := d.RunTrial(s.Policies); err != nil {
-			eventVMFailed.Log(s.Logger, "vm", v.Name, "error", err)
-		}
-	})
-	return nil
-}
-
-// restart drains a VM, with the balancer's help, and starts it again.
-func (s *Site) restart(ctx context.Context, v *VM) error {
-	v.listed.Store(false)
-	v.signals <- syscall.SIGTERM
-	<-v.done
-	if err := s.run(v); err != nil {
-		return err
-	}
-	return v.awaitReady(ctx)
-}
-
 func (s *Site) awaitReady(ctx context.Context) error {
 	for _, v := range s.VMs {
 		if err := v.awaitReady(ctx); err != nil {
@@ -258,47 +193,6 @@
 	return nil
 }
 
-// awaitReady lists the VM with the balancer once it says that it is ready.
-func (v *VM) awaitReady(ctx context.Context) error {
-	for range readyTries {
-		if v.ready() {
-			v.listed.Store(true)
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return ErrSetup.Wrap(ctx.Err(), "%s", v.Name)
-		case <-v.done:
-			return ErrSetup.New("%s ended", v.Name)
-		case <-time.After(readyEvery):
-		}
-	}
-	return ErrSetup.New("%s isn't ready", v.Name)
-}
-
-func (v *VM) ready() bool {
-	answer, err := http.Get("http://" + string(v.options.Admin) + "/ready")
-	if err != nil {
-		return false
-	}
-	defer answer.Body.Close()
-	return answer.StatusCode == http.StatusOK
-}
-
-// free finds loopback addresses that nothing listens on.
-func free(count int) ([]platform.Address, error) {
-	var list []platform.Address
-	for range count {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, ErrSetup.Wrap(err, "address")
-		}
-		defer l.Close()
-		list = append(list, platform.Address(l.Addr().String()))
-	}
-	return list, nil
-}
-
 // inflict brings a fault about.
 func (s *Site) inflict(ctx context.Context, f Fault) error {
 	switch f := f.(type) {
