--- a/internal/upstream/group.go
+++ b/internal/upstream/group.go
@@ -14,6 +14,7 @@
 
 // Group serves the requests for one database group.
 type Group struct {
+	// Upstream is what the document says; its Servers and Acknowledge are guarded by mu.
 	Upstream platform.Upstream
 	Login    Login
 	Dial     Dial
@@ -141,9 +142,9 @@
 			g.remove(m)
 		}
 	}
-	before := g.Upstream
-	g.Upstream = up
-	if !sameNames(before.Servers, up.Servers) {
+	before := g.Upstream.Servers
+	g.Upstream.Servers, g.Upstream.Acknowledge = up.Servers, up.Acknowledge
+	if !sameNames(before, up.Servers) {
 		g.watchPrimary()
 	}
 	g.signal()
@@ -210,6 +211,7 @@
 		g.starts[start.Term] = start
 	}
 	if s.Term > g.term {
+		g.replace(now)
 		g.term = s.Term
 		g.heads.reset()
 		eventNewTerm.Log(g.Logger, "upstream", g.Upstream.Name, "server", s.Server, "term", s.Term)
@@ -225,6 +227,18 @@
 	}
 }
 
+// replacedGrace lets a replaced primary that still answers refuse what it runs, so
+// that it can be run again elsewhere.
+const replacedGrace = 300 * time.Millisecond
+
+// replace ends what still waits for the primary of the term that is over; g.mu is
+// held. No commit of it can be confirmed any more.
+func (g *Group) replace(now time.Time) {
+	if m := g.leader(); m != nil {
+		time.AfterFunc(replacedGrace, func() { m.pool.abort(now) })
+	}
+}
+
 // signal wakes everyone who waits for a change; g.mu is held.
 func (g *Group) signal() {
 	close(g.changed)
@@ -262,7 +276,7 @@
 			if !isConnect(err) || ctx.Err() != nil {
 				return nil, err
 			}
-			g.Suspect(m.server.Name)
+			g.Suspect(m.pool.Server.Name)
 			continue
 		}
 		select {
@@ -273,6 +287,13 @@
 	}
 }
 
+// Acknowledge is the rule by which the group's writes are acknowledged.
+func (g *Group) Acknowledge() platform.Acknowledge {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.Upstream.Acknowledge
+}
+
 // Confirm waits until the commit at p is held by a majority of the group's servers
 // that have accepted p's term and no later one. ErrUnconfirmed when a later term
 // was seen first or ctx ended.
