--- /dev/null
+++ b/internal/caller/consistency/roaming_test.go
@@ -0,0 +1,134 @@
+package consistency_test
+
+import (
+	"encoding/base64"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/savoryramp/savoryramp/internal/fakenet"
+	"github.com/savoryramp/savoryramp/internal/upstream"
+)
+
+// roams are ways in which a session comes to another VM: its token there, from its
+// own and from one of another workspace that is older than its write.
+var roams = map[string]func(own, foreign string) string{
+	"with token":    func(own, _ string) string { return own },
+	"without token": func(string, string) string { return "" },
+	"forged token":  func(own, _ string) string { return forge(own) },
+	"foreign token": func(_, foreign string) string { return foreign },
+}
+
+// forge makes a token say that nothing has to be seen, and keeps its signature.
+func forge(token string) string {
+	_, signature, _ := strings.Cut(token, ".")
+	body := `{"workspace":"desk","floors":{"r1":"1/0"}}`
+	return base64.RawURLEncoding.EncodeToString([]byte(body)) + "." + signature
+}
+
+// breaks are what happens between a session's write and its next read.
+var breaks = map[string]func(r *rig){
+	"nothing":       func(*rig) {},
+	"replicas lag":  func(*rig) {},
+	"first VM dies": func(r *rig) { r.vms["vm1"].kill() },
+	"replica rejoins after losing its tail": func(r *rig) {
+		r.server("b").Cut(true)
+		r.server("b").Kill(1)
+		r.server("b").Start()
+	},
+	"promotion": func(r *rig) { r.promote(2, "b", "c"); time.Sleep(100 * time.Millisecond) },
+	"promotion, the old primary is still there for the VM": func(r *rig) {
+		r.network.Cut("vm2", "b")
+		r.promote(2, "b", "c")
+		time.Sleep(2 * time.Second)
+	},
+}
+
+func TestSessionReadsItsOwnWriteAfterRoaming(t *testing.T) {
+	for broken, happens := range breaks {
+		for way, roam := range roams {
+			t.Run(broken+"/"+way, func(t *testing.T) {
+				in(t, nil, func(t *testing.T, r *rig) {
+					v, err := roamed(r, happens, roam)
+					assert.Assert(t, err == nil && v == 2 || notRun(err), "read %d, %v", v, err)
+				})
+			})
+		}
+	}
+}
+
+// TestNaiveSplitterMissesOwnWrites shows that the test above finds what it looks for.
+func TestNaiveSplitterMissesOwnWrites(t *testing.T) {
+	in(t, func(r *rig) { r.reads = upstream.AnyReplica{} }, func(t *testing.T, r *rig) {
+		v, err := roamed(r, breaks["replicas lag"], roams["with token"])
+		assert.NilError(t, err)
+		assert.Equal(t, v, 1)
+	})
+}
+
+// roamed writes at one VM and reads at the other.
+func roamed(r *rig, happens func(r *rig), roam func(own, foreign string) string) (int, error) {
+	c := r.connect("vm1", "")
+	other, err := r.dial("vm2", "", "others")
+	assert.NilError(r.t, err)
+	assert.NilError(r.t, r.put(other, 2, 1))
+	assert.NilError(r.t, r.put(c, 1, 1))
+	time.Sleep(time.Second)
+	for _, s := range r.group.Servers {
+		s.SetLag(time.Minute)
+	}
+	assert.NilError(r.t, r.put(c, 1, 2))
+	presented := roam(token(c), token(other))
+	happens(r)
+	return r.value(r.connect("vm2", presented), 1)
+}
+
+// TestFloorOutlivesAReplicaThatLostIt takes away the log entry of the replica that
+// confirmed it, and lets the primary answer last.
+func TestFloorOutlivesAReplicaThatLostIt(t *testing.T) {
+	in(t, nil, func(t *testing.T, r *rig) {
+		r.server("c").Cut(true)
+		c := r.connect("vm1", "")
+		assert.NilError(t, r.put(c, 1, 1))
+		r.server("b").Cut(true)
+		r.server("b").Kill(1)
+		r.server("b").Start()
+		r.network.Delay("vm2", fakenet.Host("a"), 50*time.Millisecond)
+		time.Sleep(time.Second)
+		v, err := r.value(r.connect("vm2", ""), 1)
+		assert.NilError(t, err)
+		assert.Equal(t, v, 1)
+	})
+}
+
+// TestVMDiesInTheMiddleOfACommit kills the first VM at every quarter millisecond of a
+// write. Whatever became of it, the session sees it whole or not at all elsewhere,
+// and what it has once seen doesn't vanish, not even in a promotion.
+func TestVMDiesInTheMiddleOfACommit(t *testing.T) {
+	in(t, nil, func(t *testing.T, r *rig) {
+		seen := map[int]int{}
+		for n := 1; n <= 32; n++ {
+			c := r.connect("vm1", "")
+			time.AfterFunc(time.Duration(n)*oneWay/4, r.vms["vm1"].kill)
+			err := r.put(c, n, 1)
+			v, errRead := r.value(r.connect("vm2", ""), n)
+			assert.NilError(t, errRead)
+			assert.Assert(t, err != nil || v == 1, "killed after %v: acknowledged and not seen", time.Duration(n)*oneWay/4)
+			seen[n] = v
+			r.startVM("vm1")
+			time.Sleep(time.Second)
+		}
+		r.promote(2, "c", "b")
+		time.Sleep(time.Second)
+		done := 0
+		for n, v := range seen {
+			now, err := r.value(r.connect("vm2", ""), n)
+			assert.NilError(t, err)
+			assert.Equal(t, now, v)
+			done += v
+		}
+		assert.Assert(t, done > 0 && done < len(seen), "%d of %d writes took effect", done, len(seen))
+	})
+}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -56,7 +56,7 @@
 	draining atomic.Bool
 	// open counts connections, those that haven't logged in yet included.
 	open    atomic.Int64
-	metrics instruments
+	metrics *instruments
 }
 
 // SessionID numbers the sessions of one VM; it is the process id that a caller's
--- a/internal/operator/daemon.go
+++ b/internal/operator/daemon.go
@@ -46,6 +46,8 @@
 	// Configuration follows the document in force.
 	Configuration *platform.Configuration
 	serving       *serving
+	// started is when the parts were made.
+	started time.Time
 	// Exit ends the process at once, on a second signal.
 	Exit func(ExitCode)
 	// Signals delivers SIGTERM and SIGINT.
@@ -58,6 +60,13 @@
 		{Name: "configuration", Run: d.Configuration.Run},
 		{Name: "upstreams", Run: d.serving.upstreams.Run},
 		{Name: "callers", Run: d.serving.callers.Run, Drain: d.serving.callers.Drain},
+		{Name: "coordination", Run: d.serving.coordination.Run},
+		{Name: "shares", Run: d.serving.contracts.shares.Run},
+		{Name: "share-master", Run: d.serving.contracts.master.Run},
+		{Name: "limits", Run: func(ctx context.Context) error { return d.serving.contracts.follow(ctx, d.Configuration) }},
+		{Name: "announcement", Run: d.announce},
+		{Name: "spread", Run: d.spread},
+		{Name: "fleet", Run: d.serving.fleet.Run, Drain: d.leave},
 	}
 }
 
@@ -101,7 +110,7 @@
 
 // prepare takes the addresses, asks for the platform and makes the parts.
 func (d *Daemon) prepare() error {
-	d.Configuration = &platform.Configuration{Table: d.Table, Store: d.Store, Every: pollEvery, Logger: d.Logger}
+	d.Configuration = &platform.Configuration{Table: d.Table, Store: d.Store, Every: pollEvery, Logger: d.Logger, Meter: d.Metrics.Meter("platform")}
 	d.Admin = &Admin{Address: d.Options.Admin, Ready: d.ready, Metrics: d.Metrics.Handler(), Logger: d.Logger}
 	d.register(time.Now())
 	if err := d.Admin.Listen(); err != nil {
@@ -109,6 +118,7 @@
 	}
 	err := d.findPlatform()
 	if err == nil {
+		d.started = time.Now()
 		d.serving, err = d.newServing()
 	}
 	if err != nil {
@@ -143,7 +153,10 @@
 }
 
 func (d *Daemon) ready() bool {
-	return d.Configuration.Current().Version > 0
+	if d.Configuration.Current().Version == 0 || d.serving == nil {
+		return false
+	}
+	return d.serving.contracts.ready() || time.Since(d.started) > sharesWithin
 }
 
 // runGroup runs the parts until the first returns, then stops the others.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -13,6 +13,10 @@
 	"github.com/savoryramp/savoryramp/internal/platform"
 )
 
+// window is fixed, in bytes: sizing it by measurement would send a ping with each
+// heartbeat.
+const window = 256 << 10
+
 // service answers peers.
 type service struct {
 	peerpb.UnimplementedPeerServer
@@ -20,10 +24,11 @@
 }
 
 func (f *Fleet) newServer() *grpc.Server {
-	s := grpc.NewServer(grpc.KeepaliveParams(keepalive.ServerParameters{
-		Time:    10 * time.Second,
-		Timeout: 5 * time.Second,
-	}))
+	s := grpc.NewServer(
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: 10 * time.Second, Timeout: 5 * time.Second}),
+		grpc.StaticStreamWindowSize(window),
+		grpc.StaticConnWindowSize(window),
+	)
 	peerpb.RegisterPeerServer(s, &service{fleet: f})
 	return s
 }
@@ -76,8 +81,11 @@
 func (f *Fleet) note(from Caller, h *peerpb.Heartbeat) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if from.Incarnation <= f.ended[from.Name] {
+		return false
+	}
 	m := f.member(from.Name)
-	if from.Incarnation < m.life || from.Incarnation <= m.ended {
+	if from.Incarnation < m.life {
 		return false
 	}
 	if o := h.GetHello(); o != nil {
@@ -85,6 +93,7 @@
 		m.setAddress(platform.Address(o.GetAddress()))
 	}
 	m.life = from.Incarnation
+	delete(f.removed, from.Name)
 	m.heard = time.Now()
 	m.draining = h.GetDraining()
 	return true
@@ -155,8 +164,9 @@
 func (s *service) Goodbye(_ context.Context, r *peerpb.GoodbyeRequest) (*peerpb.GoodbyeAnswer, error) {
 	f := s.fleet
 	f.mu.Lock()
-	m := f.member(Name(r.GetVm()))
-	m.ended = max(m.ended, Incarnation(r.GetIncarnation()))
+	n := Name(r.GetVm())
+	f.ended[n] = max(f.ended[n], Incarnation(r.GetIncarnation()))
+	f.member(n).ended = f.ended[n]
 	f.mu.Unlock()
 	f.judge()
 	return &peerpb.GoodbyeAnswer{}, nil
--- a/internal/upstream/group.go
+++ b/internal/upstream/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,15 +14,19 @@
 
 // Group serves the requests for one database group.
 type Group struct {
+	// Upstream is what the document says; its Servers and Acknowledge are guarded by mu.
 	Upstream platform.Upstream
 	Login    Login
 	Dial     Dial
 	Logger   log.Logger
 	// Share is how many connections this VM may have to a server at this moment.
 	Share func(platform.ServerName) int
-	// Leased tells whether this VM holds a validity of a term, for groups that are
-	// acknowledged term-leased; may be nil.
-	Leased func(position.Term) bool
+	// Allowance gives this VM's part of a server's connections; nil to go by Share.
+	Allowance func(platform.ServerName) Allowance
+	// Coordination joins this VM with the others; without it nobody promotes here.
+	Coordination Coordination
+	// Table keeps the record of the group's terms.
+	Table platform.Table
 	// Reads decides where reads go.
 	Reads ReadPolicy
 	// Order of the servers' queues.
@@ -38,10 +43,15 @@
 	// changed is closed and replaced at every change of what is known.
 	changed chan struct{}
 	samples samples
+	heads   heads
 	tasks   sync.WaitGroup
 	// ctx ends with the group.
 	ctx    context.Context
 	cancel context.CancelFunc
+	// validity counts only in groups that are acknowledged term-leased.
+	validity validity
+	// unguard ends the guard of the present members.
+	unguard context.CancelFunc
 }
 
 // member is one server of the group as this VM sees it.
@@ -50,13 +60,17 @@
 	pool   *Pool
 	watch  *watch
 	cancel context.CancelFunc
+	// movedAt is when the server's log last grew or changed.
+	movedAt time.Time
+	// followedAt is when the server was last told whom to follow.
+	followedAt time.Time
 	// status is the last one reported. While usable is false it is old, but its
 	// positions stay lower bounds within their term.
 	status Status
 	usable bool
 	// heardAt is when status came.
 	heardAt time.Time
-	rate    applyRate
+	lag     lag
 }
 
 // start opens the watches.
@@ -70,6 +84,24 @@
 	for _, s := range g.Upstream.Servers {
 		g.add(s)
 	}
+	if g.Upstream.Acknowledge == platform.TermLeased && g.Table != nil {
+		g.tasks.Go(func() { g.validity.run(g.ctx, record{g}) })
+	}
+	g.watchPrimary()
+}
+
+// watchPrimary starts a guard for the present members; g.mu is held.
+func (g *Group) watchPrimary() {
+	if g.Coordination == nil {
+		return
+	}
+	if g.unguard != nil {
+		g.unguard()
+	}
+	ctx, cancel := context.WithCancel(g.ctx)
+	g.unguard = cancel
+	guard := newGuard(g)
+	g.tasks.Go(func() { guard.run(ctx) })
 }
 
 // add makes a server a member; g.mu is held, since its watch reports at once.
@@ -79,12 +111,16 @@
 		Server: s, Login: g.Login, Dial: g.Dial, Order: g.Order, MaxQueue: g.MaxQueue,
 		Limit: func() int { return g.Share(s.Name) },
 	}
+	if g.Allowance != nil {
+		m.pool.Allowance = g.Allowance(s.Name)
+	}
 	m.pool.leave(s.Leaving)
 	m.watch = &watch{server: s, login: g.Login, dial: g.Dial, logger: g.Logger, report: g.report}
 	ctx, cancel := context.WithCancel(g.ctx)
 	m.cancel = cancel
 	g.members[s.Name] = m
 	g.tasks.Go(func() { m.watch.run(ctx) })
+	g.tasks.Go(func() { m.pool.run(ctx) })
 }
 
 // update follows a changed document: members that stay keep their connections.
@@ -108,10 +144,18 @@
 			g.remove(m)
 		}
 	}
-	g.Upstream = up
+	before := g.Upstream.Servers
+	g.Upstream.Servers, g.Upstream.Acknowledge = up.Servers, up.Acknowledge
+	if !sameNames(before, up.Servers) {
+		g.watchPrimary()
+	}
 	g.signal()
 }
 
+func sameNames(a, b []platform.Server) bool {
+	return slices.EqualFunc(a, b, func(x, y platform.Server) bool { return x.Name == y.Name })
+}
+
 // remove ends a member's watch and pool; g.mu is held. Connections in use end with
 // their transactions.
 func (g *Group) remove(m *member) {
@@ -143,12 +187,16 @@
 		g.mu.Unlock()
 		return
 	}
+	turned := m.usable != usable
 	m.usable = usable
 	if usable {
 		g.learn(m, s)
 	}
 	g.signal()
 	g.mu.Unlock()
+	if turned && g.Coordination != nil {
+		g.Coordination.Tell(name, usable)
+	}
 	if !usable {
 		m.pool.drop()
 	}
@@ -157,20 +205,43 @@
 // learn merges a status; g.mu is held.
 func (g *Group) learn(m *member, s Status) {
 	now := time.Now()
-	m.rate.observe(now, m.status.Applied, s.Applied)
+	before := m.status.Applied
+	if s.Received != m.status.Received {
+		m.movedAt = now
+	}
 	m.status, m.heardAt = s, now
 	for _, start := range s.Starts {
 		g.starts[start.Term] = start
 	}
 	if s.Term > g.term {
+		g.replace(now)
 		g.term = s.Term
+		g.heads.reset()
 		eventNewTerm.Log(g.Logger, "upstream", g.Upstream.Name, "server", s.Server, "term", s.Term)
 	}
+	if s.Received.Term == g.term {
+		g.heads.reach(s.Received.Offset, now)
+	}
+	if s.Role == Replica && s.Applied.Offset > before.Offset {
+		m.lag.observe(&g.heads, s.Applied.Offset, now)
+	}
 	if s.Role == Primary && s.Term == g.term {
 		g.samples.add(now, s.Applied)
 	}
 }
 
+// replacedGrace lets a replaced primary that still answers refuse what it runs, so
+// that it can be run again elsewhere.
+const replacedGrace = 300 * time.Millisecond
+
+// replace ends what still waits for the primary of the term that is over; g.mu is
+// held. No commit of it can be confirmed any more.
+func (g *Group) replace(now time.Time) {
+	if m := g.leader(); m != nil {
+		time.AfterFunc(replacedGrace, func() { m.pool.abort(now) })
+	}
+}
+
 // signal wakes everyone who waits for a change; g.mu is held.
 func (g *Group) signal() {
 	close(g.changed)
@@ -194,11 +265,13 @@
 	for {
 		g.mu.Lock()
 		m, changed := g.primary(), g.changed
-		if m != nil && m.server.Leaving {
-			m = nil
+		var t position.Term
+		leaving := false
+		if m != nil {
+			t, leaving = m.status.Term, m.server.Leaving
 		}
 		g.mu.Unlock()
-		if m != nil {
+		if m != nil && !leaving && g.leased(t) {
 			c, err := m.pool.take(ctx, r)
 			if err == nil {
 				c.Role = Primary
@@ -221,6 +294,13 @@
 	}
 }
 
+// Acknowledge is the rule by which the group's writes are acknowledged.
+func (g *Group) Acknowledge() platform.Acknowledge {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.Upstream.Acknowledge
+}
+
 // Confirm waits until the commit at p is held by a majority of the group's servers
 // that have accepted p's term and no later one. ErrUnconfirmed when a later term
 // was seen first or ctx ended.
@@ -243,16 +323,6 @@
 	}
 }
 
-// ConfirmTerm accepts the commit at p while this VM holds a validity of p's term.
-func (g *Group) ConfirmTerm(_ context.Context, p position.Position) error {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.Leased == nil || !g.Leased(p.Term) || g.term > p.Term {
-		return ErrUnconfirmed.New("commit at %s: no validity of its term is held", p)
-	}
-	return nil
-}
-
 // Suspect takes a server out of use until its watch hears from it again, as after
 // it refused to write or fell silent.
 func (g *Group) Suspect(name platform.ServerName) {
@@ -277,46 +347,6 @@
 	return holders > len(g.members)/2
 }
 
-// Floor asks the servers how far their logs reach. An acknowledged write is held by
-// a majority, so the furthest of any majority's logs covers everything that was
-// acknowledged before the question. ErrNoQuorum.
-func (g *Group) Floor(ctx context.Context) (position.Position, error) {
-	watches := g.watches()
-	answers := make(chan Status, len(watches))
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	for _, w := range watches {
-		go func() {
-			s, _ := w.ask(ctx, statusQuery)
-			answers <- s
-		}()
-	}
-	var floor position.Position
-	heard := 0
-	for range watches {
-		s := <-answers
-		if s.Term == 0 {
-			continue
-		}
-		floor = position.Max(floor, s.Received)
-		heard++
-		if heard > len(watches)/2 {
-			return floor, nil
-		}
-	}
-	return position.Position{}, ErrNoQuorum.New("upstream %s: %d of %d servers answered", g.Upstream.Name, heard, len(watches))
-}
-
-func (g *Group) watches() []*watch {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	var list []*watch
-	for _, m := range g.members {
-		list = append(list, m.watch)
-	}
-	return list
-}
-
 // Check tells whether a session's floor still names a part of the group's history.
 // ErrFloorLost.
 func (g *Group) Check(floor position.Position) error {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -21,9 +21,12 @@
 	Server platform.Server
 	Login  Login
 	Dial   Dial
-	// Limit is how many connections this VM may have to the server at this moment.
+	// Limit is how many connections this VM may have to the server at this moment;
+	// it counts only without an Allowance.
 	Limit func() int
-	Order Order
+	// Allowance gives the right to connections one by one; may be nil.
+	Allowance Allowance
+	Order     Order
 	// MaxQueue bounds the requests that wait at once.
 	MaxQueue int
 
@@ -35,6 +38,13 @@
 	// leaving servers get no new work.
 	leaving bool
 	limit   limit
+	// taken are the connections in use.
+	taken map[*Conn]bool
+	// held are the places had from Allowance; inUse plus idle is at most held.
+	held int
+	// growing is true while a task asks for places.
+	growing bool
+	tasks   sync.WaitGroup
 }
 
 // Request is one transaction's claim on a server.
@@ -55,9 +65,27 @@
 		return nil, err
 	}
 	c.takenAt = time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.taken == nil {
+		p.taken = map[*Conn]bool{}
+	}
+	p.taken[c] = true
 	return c, nil
 }
 
+// abort breaks the connections taken up to a time, so that nobody waits for answers
+// that can't count any more.
+func (p *Pool) abort(upTo time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.taken {
+		if !c.takenAt.After(upTo) {
+			c.Abort()
+		}
+	}
+}
+
 // turn waits until one more connection may be used.
 func (p *Pool) turn(ctx context.Context, r Request) error {
 	p.mu.Lock()
@@ -76,6 +104,7 @@
 	}
 	p.queue.order = p.Order
 	w := p.queue.push(r.Workspace, r.Weight)
+	p.grow()
 	p.mu.Unlock()
 	select {
 	case <-w.granted:
@@ -123,18 +152,28 @@
 
 // room is how many connections may be in use at once; p.mu is held.
 func (p *Pool) room() int {
-	if p.Limit == nil {
-		return 1
+	switch {
+	case p.Allowance != nil:
+		return p.held
+	case p.Limit != nil:
+		return p.Limit()
 	}
-	return p.Limit()
+	return 1
 }
 
 // pass hands one turn on; it is called by whoever gave a turn up.
 func (p *Pool) pass() {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.inUse--
+	give := p.Allowance != nil && p.closed
+	if give {
+		p.held--
+	}
 	p.grant()
+	p.mu.Unlock()
+	if give {
+		p.Allowance.Release()
+	}
 }
 
 // grant lets waiters go ahead while there is room; p.mu is held.
@@ -161,6 +200,7 @@
 			return c, nil
 		}
 		c.close()
+		p.drop()
 	}
 	ctx, cancel := context.WithTimeout(ctx, connectWithin)
 	defer cancel()
@@ -194,18 +234,30 @@
 
 func (p *Pool) release(c *Conn, keep bool) {
 	c.idleSince = time.Now()
+	excess := p.Allowance != nil && p.Allowance.Excess() > 0
 	p.mu.Lock()
+	delete(p.taken, c)
 	p.limit.observe(c.idleSince.Sub(c.takenAt))
-	keep = keep && !p.closed && p.inUse+len(p.idle) <= p.room()
+	keep = keep && !p.closed && !excess && p.inUse+len(p.idle) <= p.room()
 	if keep {
 		p.idle = append(p.idle, c)
 	}
 	p.inUse--
+	give := p.Allowance != nil && (excess || p.closed)
+	if give {
+		p.held--
+	}
 	p.grant()
 	p.mu.Unlock()
 	if !keep {
 		c.close()
 	}
+	if give {
+		p.Allowance.Release()
+	}
+	if c.silent {
+		p.drop()
+	}
 }
 
 // load is the part of the pool in use or waited for, 1 when every turn is taken.
@@ -222,7 +274,8 @@
 	return time.Duration(p.queue.size) * p.limit.typical / time.Duration(max(p.room(), 1))
 }
 
-// drop closes the idle connections, as after the server was lost.
+// drop closes the idle connections, as after the server was lost, or after one of
+// them was silent: whatever made it so may have made the others, too.
 func (p *Pool) drop() {
 	p.mu.Lock()
 	idle := p.idle
@@ -240,6 +293,7 @@
 	p.sendAway()
 	p.mu.Unlock()
 	p.drop()
+	p.giveUp()
 }
 
 // counts gives connections in use, idle, and requests waiting.
