Confirm what a read on the primary shows; play failover at random

Cause: a caller that read at a primary cut from its replicas saw a commit that no replica had, and that the promotion then dropped: the history of a key wasn't linearizable. Replicas are no concern in a group of three: what one shows is held by it and by its primary.

Change: after a read on the primary the position is asked for on the same connection (a statement begun after the read, so at or past all that it saw) and confirmed like a commit, before the answer ends; unconfirmed reads fail as not run. Costs one round trip for each read on a primary. Also: a read took a member's role without the lock.

TestFailover draws kills, cuts, freezes, silence, lost tails, lag, pauses of the holder at each step, restarts, platform faults and VMs that all believe that they hold.

--- a/internal/caller/exchange.go
+++ b/internal/caller/exchange.go
@@ -316,6 +316,11 @@
 		}
 		s.out.free()
 		s.raise(s.database.Upstream, x.conn.Position)
+	} else if x.readPrimary() {
+		if err := x.confirmRead(ctx); err != nil {
+			s.out.takeBack()
+			return err
+		}
 	}
 	s.out.free()
 	return nil
@@ -335,6 +340,20 @@
 	return x.request.kind != kindRead || x.conn.Position != x.before
 }
 
+// readPrimary tells whether the answer shows what the primary has just committed, which
+// a promotion could still lose.
+func (x *exchange) readPrimary() bool {
+	return x.conn.Role == upstream.Primary && x.request.runs && x.status == 'I' && !x.failedBy && x.tag != "ROLLBACK" &&
+		x.group.Acknowledge() != platform.TermLeased
+}
+
+// confirmRead waits until what the answer shows can't be lost.
+func (x *exchange) confirmRead(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), x.session.server.Deadline)
+	defer cancel()
+	return x.group.ConfirmRead(ctx, x.conn)
+}
+
 // confirm waits until the commit can't be lost by a promotion.
 func (x *exchange) confirm(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), x.session.server.Deadline)
--- a/internal/upstream/failover_rig_test.go
+++ b/internal/upstream/failover_rig_test.go
@@ -47,6 +47,9 @@
 	changed  chan struct{}
 	lastID   int
 	writes   []write
+	reads    []read
+	// lost is a killed primary that lost the end of its log.
+	lost *fakeupstream.Server
 	// leaders by term, as seen.
 	leaders map[position.Term]fakeupstream.ServerName
 	wrong   string
--- a/internal/upstream/failover_vm_test.go
+++ b/internal/upstream/failover_vm_test.go
@@ -93,6 +93,18 @@
 	return v.isolated || v.dead
 }
 
+func (v *vm) isolate(on bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.isolated = on
+}
+
+func (v *vm) killed() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.dead
+}
+
 // Opinions counts the other VMs' views as they were a while ago.
 func (v *vm) Opinions(server platform.ServerName) (heard, against int) {
 	if v.rig.oneView {
--- a/internal/upstream/group.go
+++ b/internal/upstream/group.go
@@ -284,6 +284,21 @@
 	}
 }
 
+// ConfirmRead waits until all that a read on the primary's connection c may have seen
+// is confirmed; without that, the write seen could still be lost. Anything committed
+// before the read ended is before the position of a statement that begins after it.
+// ErrNoServer when it isn't confirmed within ctx, ErrSilent, ErrBroken.
+func (g *Group) ConfirmRead(ctx context.Context, c *Conn) error {
+	deadline, _ := ctx.Deadline()
+	if _, err := c.Ask(statusQuery, deadline); err != nil {
+		return err
+	}
+	if err := g.Confirm(ctx, c.Position); err != nil {
+		return ErrNoServer.Wrap(err, "what server %s answers may be lost", c.Server)
+	}
+	return nil
+}
+
 // ConfirmTerm accepts the commit at p while this VM holds a validity of p's term.
 func (g *Group) ConfirmTerm(_ context.Context, p position.Position) error {
 	g.mu.Lock()
--- a/internal/upstream/read.go
+++ b/internal/upstream/read.go
@@ -61,7 +61,7 @@
 		if m != nil {
 			c, err := m.pool.take(ctx, r)
 			if err == nil {
-				c.Role = m.role()
+				c.Role = g.role(m)
 				return c, nil
 			}
 			if !isConnect(err) || ctx.Err() != nil {
@@ -85,7 +85,9 @@
 }
 
 // role is what the group last heard that the member is.
-func (m *member) role() Role {
+func (g *Group) role(m *member) Role {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	if m.status.Role == Primary {
 		return Primary
 	}
