Pause the promoter at each step while the old primary works again

This one freezes the primary, pauses the lease's holder at each of the promotion's first 16 steps, thaws the primary and lets only the replica that isn't chosen receive.

--- a/internal/upstream/failover_gap_test.go
+++ b/internal/upstream/failover_gap_test.go
@@ -153,6 +153,7 @@
 // TestFailoverGap measures the time from a fault of the primary to the first write
 // acknowledged by another server.
 func TestFailoverGap(t *testing.T) {
+	t.Parallel()
 	var table strings.Builder
 	fmt.Fprintf(&table, "\n%-28s %-16s %5s %8s %8s %8s %8s %8s\n", "primary", "platform", "runs", "median", "p99", "worst", "refused", "unknown")
 	row := func(primary, platform string, results []result) {
@@ -235,6 +236,7 @@
 
 // TestOwnCut: a VM's own cut never moves a primary that others write to.
 func TestOwnCut(t *testing.T) {
+	t.Parallel()
 	for name, cut := range ownCuts {
 		t.Run(name, func(t *testing.T) {
 			for _, r := range runs(t, func(seed uint64) result { return gapRun(t, seed, nil, cut, 4*time.Second) }) {
@@ -247,6 +249,7 @@
 
 // TestDetection compares what a promotion goes by, in gap and in false promotions.
 func TestDetection(t *testing.T) {
+	t.Parallel()
 	var table strings.Builder
 	fmt.Fprintf(&table, "\n%-28s %-22s %5s %8s %8s %8s\n", "what happens", "goes by", "runs", "moved", "median", "worst")
 	cases := map[string]state{
--- /dev/null
+++ b/internal/upstream/failover_pause_test.go
@@ -0,0 +1,64 @@
+package upstream_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/savoryramp/savoryramp/internal/fakeupstream"
+)
+
+// promotionSteps is more than a promotion takes: statements sent and answered, and
+// calls to the table.
+const promotionSteps = 16
+
+// TestPausedPromoter pauses the promoter at each of its steps while the primary, taken
+// for failed, works again: callers write, and only the replica that isn't chosen
+// receives. When the promoter goes on, nothing acknowledged meanwhile may be missing.
+func TestPausedPromoter(t *testing.T) {
+	t.Parallel()
+	every := 4
+	if *seeds > 1 {
+		every = 1
+	}
+	for step := 1; step <= promotionSteps; step += every {
+		t.Run(fmt.Sprint(step), func(t *testing.T) {
+			var wrong string
+			acks := 0
+			synctest.Test(t, func(*testing.T) {
+				r := newRig(nil)
+				defer r.stop()
+				v := r.list()[r.holder()]
+				v.gate.pauseAfter(step, 900*time.Millisecond)
+				p := r.primary()
+				p.Freeze(true)
+				for at := time.Now(); !v.gate.shut() && time.Since(at) < 4*time.Second; {
+					time.Sleep(time.Millisecond)
+				}
+				r.servers.SetLink(p.Name, "b", fakeupstream.Link{Cut: true})
+				p.Freeze(false)
+				ctx, stop := context.WithCancel(r.ctx)
+				for c := range 3 {
+					r.tasks.Go(func() { r.work(ctx, c, 100*time.Millisecond) })
+				}
+				time.Sleep(7 * time.Second)
+				r.servers.SetLink(p.Name, "b", fakeupstream.Link{})
+				time.Sleep(3 * time.Second)
+				stop()
+				time.Sleep(5 * time.Second)
+				wrong = r.check()
+				for _, w := range r.writes {
+					if w.outcome == acknowledged {
+						acks++
+					}
+				}
+			})
+			assert.Equal(t, wrong, "")
+			assert.Assert(t, acks > 0)
+		})
+	}
+}
--- a/internal/upstream/failover_test.go
+++ b/internal/upstream/failover_test.go
@@ -315,6 +315,7 @@
 // term has two primaries, what callers see is linearizable for each key, and writes
 // succeed again soon after all has healed.
 func TestFailover(t *testing.T) {
+	t.Parallel()
 	fewer(t, 2)
 	rapid.Check(t, func(rt *rapid.T) {
 		seed := rapid.Uint64().Draw(rt, "seed")
