upstream: move a read's deadline only when it must move

Cause: a profile of an answer of 10,000 rows gave setting the read deadline, once for each message, 46 % of all processor time, most of what the proxy does with a row.

Ruled out: no deadline while the codec has bytes buffered: a message of which only a part is there would be waited for under a deadline that may be long past.

Change: a deadline less than 10 ms later than the present one isn't set, so an answer may count as silent that much early. Earlier ones are set at once.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -19,6 +19,9 @@
 	idleProbeAfter = 5 * time.Second
 	// maxPrepared bounds the statements kept prepared on one connection.
 	maxPrepared = 256
+	// deadlineStep is how much later than the present deadline a new one must be to be
+	// set: setting it costs more than reading a row.
+	deadlineStep = 10 * time.Millisecond
 )
 
 // Login is what savoryramp itself logs in to servers with.
@@ -47,7 +50,9 @@
 	// Dirty connections carry a caller's settings and are closed when released.
 	Dirty bool
 
-	net        net.Conn
+	net net.Conn
+	// deadline is that of reads, as Receive set it last.
+	deadline   time.Time
 	pool       *Pool
 	pid        uint32
 	secret     []byte
@@ -158,12 +163,13 @@
 	return nil
 }
 
-// Receive reads the next message, at the latest at deadline (zero: none).
+// Receive reads the next message, at the latest at deadline (zero: none), which may
+// come a deadlineStep early.
 // ParameterStatus messages are noted in the connection and returned as well.
 // ErrSilent when the deadline passed, ErrBroken when the connection ended.
 func (c *Conn) Receive(deadline time.Time) (pgproto3.BackendMessage, error) {
-	if err := c.net.SetReadDeadline(deadline); err != nil {
-		return nil, ErrBroken.Wrap(err, "server %s", c.Server)
+	if err := c.readUntil(deadline); err != nil {
+		return nil, err
 	}
 	m, err := c.Front.Receive()
 	if err != nil {
@@ -175,6 +181,17 @@
 	return m, nil
 }
 
+func (c *Conn) readUntil(deadline time.Time) error {
+	if later := deadline.Sub(c.deadline); later >= 0 && later < deadlineStep {
+		return nil
+	}
+	c.deadline = deadline
+	if err := c.net.SetReadDeadline(deadline); err != nil {
+		return ErrBroken.Wrap(err, "server %s", c.Server)
+	}
+	return nil
+}
+
 func (c *Conn) broken(err error) error {
 	if timeout, found := err.(net.Error); found && timeout.Timeout() {
 		return ErrSilent.New("server %s gave no answer within the deadline", c.Server)
--- /dev/null
+++ b/internal/upstream/conn_test.go
@@ -0,0 +1,46 @@
+package upstream
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/joomcode/errorx"
+	"gotest.tools/v3/assert"
+
+	"github.com/savoryramp/savoryramp/internal/fakenet"
+)
+
+// The deadline follows each message, later and earlier ones, to within deadlineStep.
+func TestReceiveDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := fakenet.New()
+		l, err := network.Listen("server", "server:1")
+		assert.NilError(t, err)
+		nc, err := network.Dialer("vm")(t.Context(), "tcp", "server:1")
+		assert.NilError(t, err)
+		server, err := l.Accept()
+		assert.NilError(t, err)
+		back := pgproto3.NewBackend(server, server)
+		c := &Conn{Front: pgproto3.NewFrontend(nc, nc), net: nc}
+		const patience = time.Second
+		for range 500 {
+			back.Send(&pgproto3.EmptyQueryResponse{})
+			assert.NilError(t, back.Flush())
+			_, err := c.Receive(time.Now().Add(patience))
+			assert.NilError(t, err)
+			time.Sleep(7 * time.Millisecond)
+		}
+		for _, d := range []time.Duration{patience, patience + 5*time.Millisecond, 100 * time.Millisecond, 2 * patience} {
+			began := time.Now()
+			_, err := c.Receive(began.Add(d))
+			assert.Assert(t, errorx.IsOfType(err, ErrSilent), "%v", err)
+			took := time.Since(began)
+			assert.Assert(t, took <= d && took > d-deadlineStep, "%v in place of %v", took, d)
+		}
+		nc.Close()
+		server.Close()
+		l.Close()
+	})
+}
