--- a/internal/caller/exchange.go
+++ b/internal/caller/exchange.go
@@ -130,7 +130,8 @@
 			err = x.run(ctx)
 		}
 		if err == nil {
-			return x.conn.Role, s.settle(x)
+			role := x.conn.Role
+			return role, s.settle(x)
 		}
 		if isType(err, errCaller) {
 			x.drop()
@@ -339,7 +340,7 @@
 func (x *exchange) confirm(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), x.session.server.Deadline)
 	defer cancel()
-	switch x.group.Upstream.Acknowledge {
+	switch x.group.Acknowledge() {
 	case platform.TermLeased:
 		return x.group.ConfirmTerm(x.conn.Position)
 	default:
--- a/internal/upstream/watch_test.go
+++ b/internal/upstream/watch_test.go
@@ -3,54 +3,65 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/go-kit/log"
+	"github.com/jackc/pgx/v5/pgproto3"
 	"gotest.tools/v3/assert"
 
-	"github.com/savoryramp/savoryramp/internal/fakenet"
 	"github.com/savoryramp/savoryramp/internal/platform"
 )
 
-// A watch ends with its context, not at the end of the server's silence: a VM that
-// leaves stops its groups one after the other.
-func TestWatchEndsAtOnce(t *testing.T) {
+// talk answers a login and then tells a position every 10 ms for as long as it can.
+func talk(c net.Conn) {
+	defer c.Close()
+	back := pgproto3.NewBackend(c, c)
+	if _, err := back.ReceiveStartupMessage(); err != nil {
+		return
+	}
+	back.Send(&pgproto3.AuthenticationOk{})
+	back.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	if back.Flush() != nil {
+		return
+	}
+	if _, err := back.Receive(); err != nil {
+		return
+	}
+	for {
+		back.Send(&pgproto3.NotificationResponse{Channel: "savoryramp_position", Payload: `{"server":"a","role":"primary","term":1,"received":"1/1","applied":"1/1"}`})
+		if back.Flush() != nil {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// A watch ends with its context at once, also while its server has much to tell.
+func TestWatchEndsWhileServerTalks(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		network := fakenet.New()
-		l, err := network.Listen("server", "server:1")
-		assert.NilError(t, err)
-		t.Cleanup(func() { l.Close() })
-		go func() {
-			for {
-				c, err := l.Accept()
-				if err != nil {
-					return
-				}
-				go answerStatus(c, `{"server":"r","role":"primary","term":1,"received":"1/7","applied":"1/7"}`)
-			}
-		}()
-		up := make(chan struct{}, 100)
+		var servers sync.WaitGroup
+		told := 0
 		w := &watch{
-			server: platform.Server{Name: "r", Address: "server:1"}, login: Login{User: "s", Database: "d"}, logger: log.NewNopLogger(),
-			dial: func(ctx context.Context, n, a string) (net.Conn, error) { return network.Dialer("vm")(ctx, n, a) },
+			server: platform.Server{Name: "a"},
+			dial: func(context.Context, string, string) (net.Conn, error) {
+				near, far := net.Pipe()
+				servers.Go(func() { talk(far) })
+				return near, nil
+			},
 			report: func(_ platform.ServerName, _ Status, usable bool) {
 				if usable {
-					up <- struct{}{}
+					told++
 				}
 			},
 		}
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			w.run(ctx)
-		}()
-		<-up
-		ended := time.Now()
-		cancel()
-		<-done
-		assert.Assert(t, time.Since(ended) < 10*time.Millisecond, "%v", time.Since(ended))
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		began := time.Now()
+		w.run(ctx)
+		assert.Assert(t, told > 50, "%d", told)
+		assert.Equal(t, time.Since(began), time.Second)
+		servers.Wait()
 	})
 }
