--- a/internal/upstream/group.go
+++ b/internal/upstream/group.go
@@ -14,6 +14,7 @@
 
 // Group serves the requests for one database group.
 type Group struct {
+	// Upstream is what the document says; its Servers and Acknowledge are guarded by mu.
 	Upstream platform.Upstream
 	Login    Login
 	Dial     Dial
@@ -42,6 +43,7 @@
 	// changed is closed and replaced at every change of what is known.
 	changed chan struct{}
 	samples samples
+	heads   heads
 	tasks   sync.WaitGroup
 	// ctx ends with the group.
 	ctx    context.Context
@@ -68,7 +70,7 @@
 	usable bool
 	// heardAt is when status came.
 	heardAt time.Time
-	rate    applyRate
+	lag     lag
 }
 
 // start opens the watches.
@@ -140,9 +142,9 @@
 			g.remove(m)
 		}
 	}
-	before := g.Upstream
-	g.Upstream = up
-	if !sameNames(before.Servers, up.Servers) {
+	before := g.Upstream.Servers
+	g.Upstream.Servers, g.Upstream.Acknowledge = up.Servers, up.Acknowledge
+	if !sameNames(before, up.Servers) {
 		g.watchPrimary()
 	}
 	g.signal()
@@ -200,7 +202,7 @@
 // learn merges a status; g.mu is held.
 func (g *Group) learn(m *member, s Status) {
 	now := time.Now()
-	m.rate.observe(now, m.status.Applied, s.Applied)
+	before := m.status.Applied
 	if s.Received != m.status.Received {
 		m.movedAt = now
 	}
@@ -209,14 +211,34 @@
 		g.starts[start.Term] = start
 	}
 	if s.Term > g.term {
+		g.replace(now)
 		g.term = s.Term
+		g.heads.reset()
 		eventNewTerm.Log(g.Logger, "upstream", g.Upstream.Name, "server", s.Server, "term", s.Term)
 	}
+	if s.Received.Term == g.term {
+		g.heads.reach(s.Received.Offset, now)
+	}
+	if s.Role == Replica && s.Applied.Offset > before.Offset {
+		m.lag.observe(&g.heads, s.Applied.Offset, now)
+	}
 	if s.Role == Primary && s.Term == g.term {
 		g.samples.add(now, s.Applied)
 	}
 }
 
+// replacedGrace lets a replaced primary that still answers refuse what it runs, so
+// that it can be run again elsewhere.
+const replacedGrace = 300 * time.Millisecond
+
+// replace ends what still waits for the primary of the term that is over; g.mu is
+// held. No commit of it can be confirmed any more.
+func (g *Group) replace(now time.Time) {
+	if m := g.leader(); m != nil {
+		time.AfterFunc(replacedGrace, func() { m.pool.abort(now) })
+	}
+}
+
 // signal wakes everyone who waits for a change; g.mu is held.
 func (g *Group) signal() {
 	close(g.changed)
@@ -265,6 +287,13 @@
 	}
 }
 
+// Acknowledge is the rule by which the group's writes are acknowledged.
+func (g *Group) Acknowledge() platform.Acknowledge {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.Upstream.Acknowledge
+}
+
 // Confirm waits until the commit at p is held by a majority of the group's servers
 // that have accepted p's term and no later one. ErrUnconfirmed when a later term
 // was seen first or ctx ended.
