--- a/internal/caller/cost_test.go
+++ b/internal/caller/cost_test.go
@@ -28,7 +28,7 @@
 			work := make(chan struct{})
 			var busy sync.WaitGroup
 			for range callers {
-				c := connect(b, way.address)
+				c := connectTo(b, way.address)
 				busy.Go(func() {
 					for range work {
 						_, err := c.Exec(context.Background(), "SELECT 1")
@@ -53,7 +53,7 @@
 	proxy, direct := startProxy(b)
 	for _, way := range []struct{ name, address string }{{"direct", direct}, {"proxy", proxy}} {
 		b.Run(way.name, func(b *testing.B) {
-			c := connect(b, way.address)
+			c := connectTo(b, way.address)
 			sql := fmt.Sprintf("SELECT rows(%d)", rowsOfAnswer)
 			b.ReportAllocs()
 			used := processorTime()
--- a/internal/caller/overhead_test.go
+++ b/internal/caller/overhead_test.go
@@ -93,12 +93,12 @@
 	_ = back.Flush()
 }
 
-// fixed is a document that never changes.
-type fixed struct{ snapshot platform.Snapshot }
+// steady is a document that never changes.
+type steady struct{ snapshot platform.Snapshot }
 
-func (f fixed) Current() platform.Snapshot { return f.snapshot }
+func (f steady) Current() platform.Snapshot { return f.snapshot }
 
-func (f fixed) Wait(ctx context.Context, after platform.DocumentVersion) (platform.Snapshot, error) {
+func (f steady) Wait(ctx context.Context, after platform.DocumentVersion) (platform.Snapshot, error) {
 	if after < f.snapshot.Version {
 		return f.snapshot, nil
 	}
@@ -114,7 +114,7 @@
 		direct = l.Addr().String()
 		up.Servers = append(up.Servers, platform.Server{Name: platform.ServerName(fmt.Sprint("r", i)), Address: platform.Address(direct), Connections: 64})
 	}
-	documents := fixed{platform.Snapshot{Version: 1, Document: &platform.Document{
+	documents := steady{platform.Snapshot{Version: 1, Document: &platform.Document{
 		Upstreams:  []platform.Upstream{up},
 		Databases:  []platform.Database{{Name: "d", Upstream: "u", Open: true, OpenWorkspace: "w"}},
 		Workspaces: []platform.Workspace{{Name: "w", Weight: 1, Rate: 1, Burst: 1}},
@@ -141,7 +141,7 @@
 	return l.Addr().String(), direct
 }
 
-func connect(b *testing.B, address string) *pgx.Conn {
+func connectTo(b *testing.B, address string) *pgx.Conn {
 	config, err := pgx.ParseConfig("postgres://u:p@" + address + "/d?sslmode=disable")
 	assert.NilError(b, err)
 	config.DefaultQueryExecMode = pgx.QueryExecModeSimpleProtocol
@@ -155,7 +155,7 @@
 // proxy, and reports the medians and their difference.
 func BenchmarkOverhead(b *testing.B) {
 	proxy, direct := startProxy(b)
-	connections := []*pgx.Conn{connect(b, direct), connect(b, proxy)}
+	connections := []*pgx.Conn{connectTo(b, direct), connectTo(b, proxy)}
 	took := [2][]time.Duration{}
 	for range b.N {
 		for i, c := range connections {
@@ -185,7 +185,7 @@
 			proxy, _ := startProxy(b)
 			for range b.N {
 				before := memory()
-				conns := login(b, proxy, n)
+				conns := openIdle(b, proxy, n)
 				b.ReportMetric(float64(memory()-before)/float64(n), "B/conn")
 				for _, c := range conns {
 					c.Close()
@@ -195,8 +195,8 @@
 	}
 }
 
-// login opens n connections, whose own side holds only the socket.
-func login(b *testing.B, address string, n int) []net.Conn {
+// openIdle opens n connections, whose own side holds only the socket.
+func openIdle(b *testing.B, address string, n int) []net.Conn {
 	var conns []net.Conn
 	start, err := (&pgproto3.StartupMessage{
 		ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": "u", "database": "d"},
