Stop VMs that can't learn of withdrawn keys

Cause: platform.Trust decided it, proved in process, but the daemon didn't ask it, and heartbeats said nothing of how fresh a VM's document is. Change: each heartbeat carries the version and the age of the last moment it was known to be the newest; callers are served while Trust holds.

--- a/internal/operator/serve.go
+++ b/internal/operator/serve.go
@@ -37,6 +37,8 @@
 	}
 	joined := &coordination{Self: platform.VMName(d.Options.VM), Table: d.Table, Fleet: fleet}
 	fleet.OnPromise = joined.answer
+	trust := &platform.Trust{Configuration: d.Configuration, Members: func() int { return len(fleet.Members()) + 1 }}
+	fleet.Word, fleet.OnWord = trust.Tell, trust.Hear
 	limits := newContracts(d.Table, fleet, joined.held)
 	var dialer net.Dialer
 	u := &upstream.Upstreams{
@@ -47,7 +49,7 @@
 	c := &caller.Server{
 		VM: platform.VMName(d.Options.VM), Listener: listener, TLS: d.Certificates.callers(), Documents: d.Configuration,
 		Upstreams: u, Limiter: limits, TokenKey: d.tokenKey(), MaxWait: d.Options.MaxWait, Deadline: d.Options.StatementDeadline,
-		ForwardCancel: d.forwardCancel, Logger: d.Logger, Meter: d.Metrics.Meter("caller"),
+		ForwardCancel: d.forwardCancel, Trusted: trust.Holds, Logger: d.Logger, Meter: d.Metrics.Meter("caller"),
 	}
 	d.Admin.Register("callers", c.State)
 	d.Admin.Register("upstreams", u.State)
--- a/internal/peer/fleet.go
+++ b/internal/peer/fleet.go
@@ -71,6 +71,10 @@
 	OnDocument func(ctx context.Context, v platform.DocumentVersion) (platform.DocumentHash, []byte, error)
 	// OnNewer learns of a document version greater than this VM's.
 	OnNewer func(from Name, v platform.DocumentVersion, h platform.DocumentHash)
+	// Word gives what each heartbeat tells of this VM's document, and OnWord gets what
+	// each peer's tells; both may be nil.
+	Word   func() platform.Word
+	OnWord func(from Name, w platform.Word)
 	// OnCancel gets a cancel request for a session of this VM.
 	OnCancel func(ctx context.Context, process uint32, secret []byte) error
 	// OnMembers gets the members after each change; it must not block.
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -218,9 +218,10 @@
 
 func (w *writer) next() *peerpb.Heartbeat {
 	f := w.fleet
+	word := f.word()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	h := &peerpb.Heartbeat{Draining: f.draining}
+	h := &peerpb.Heartbeat{Draining: f.draining, Word: word}
 	if !w.began {
 		w.began = true
 		h.Hello = &peerpb.Hello{
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -64,6 +64,7 @@
 		return false
 	}
 	f.hearDocument(from.Name, h.GetDocument())
+	f.hearWord(from.Name, h.GetWord())
 	news := false
 	for _, v := range h.GetViews() {
 		if f.board.take(v) && v.GetOrigin() != string(from.Name) {
@@ -99,6 +100,24 @@
 	return true
 }
 
+// word is what a heartbeat tells of this VM's document, nil if nobody asks.
+func (f *Fleet) word() *peerpb.Word {
+	if f.Word == nil {
+		return nil
+	}
+	w := f.Word()
+	return &peerpb.Word{Version: int64(w.Version), Known: w.Known, AgeMs: w.Age.Milliseconds()}
+}
+
+func (f *Fleet) hearWord(from Name, w *peerpb.Word) {
+	if w == nil || f.OnWord == nil {
+		return
+	}
+	// Rounded up, so that a document never counts as fresher than it is.
+	age := time.Duration(w.GetAgeMs()+1) * time.Millisecond
+	f.OnWord(from, platform.Word{Version: platform.DocumentVersion(w.GetVersion()), Known: w.GetKnown(), Age: age})
+}
+
 func (f *Fleet) hearDocument(from Name, d *peerpb.Document) {
 	if d == nil || f.OnNewer == nil {
 		return
