--- /dev/null
+++ b/internal/caller/consistency/answer_test.go
@@ -0,0 +1,215 @@
+package consistency_test
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/savoryramp/savoryramp/internal/fakenet"
+	"github.com/savoryramp/savoryramp/internal/upstream"
+)
+
+// answerRows is how many rows an answer has; some answers are larger than what is
+// gathered before it leaves.
+var answerRows = []int{1, 7, 1500}
+
+// ask sends a request whose answer is its own number and checks that the answer is
+// whole and this request's. An error is an answer, too.
+func ask(t assert.TestingT, r *rig, c *pgx.Conn, number, rows int) error {
+	sql := "with recursive n(i) as (select 1 union all select i + 1 from n where i < $1) " +
+		fmt.Sprintf("select i, %d, 'some text that makes the row longer' from n", number)
+	list, err := c.Query(r.ctx, sql, rows)
+	if err != nil {
+		return err
+	}
+	defer list.Close()
+	next := 1
+	for list.Next() {
+		var i, whose int
+		var text string
+		assert.NilError(t, list.Scan(&i, &whose, &text))
+		assert.Equal(t, i, next)
+		assert.Equal(t, whose, number, "an answer to another request")
+		next++
+	}
+	if list.Err() == nil {
+		assert.Equal(t, next, rows+1, "an answer that isn't whole")
+	}
+	return list.Err()
+}
+
+// TestAnswersAreWholeAndTheRequestsOwn asks on many sessions while answers are late,
+// connections end within a row or go silent, and servers freeze.
+func TestAnswersAreWholeAndTheRequestsOwn(t *testing.T) {
+	answered, refused := 0, 0
+	rapid.Check(t, func(c *rapid.T) {
+		seed := rapid.Uint64().Draw(c, "seed")
+		synctest.Test(t, func(t *testing.T) {
+			r := begin(t, func(r *rig) { r.share = 2 })
+			defer r.stop()
+			var callers sync.WaitGroup
+			var mu sync.Mutex
+			for n := range 6 {
+				random := rand.New(rand.NewPCG(seed, uint64(n)))
+				callers.Go(func() {
+					c := r.connect([]string{"vm1", "vm2"}[n%2], "")
+					for k := range 5 {
+						err := ask(t, r, c, n*1000+k, answerRows[random.IntN(3)])
+						mu.Lock()
+						if err == nil {
+							answered++
+						} else {
+							refused++
+						}
+						mu.Unlock()
+						if c.IsClosed() {
+							c = r.connect("vm2", "")
+						}
+					}
+				})
+			}
+			random := rand.New(rand.NewPCG(seed, 99))
+			for range 5 {
+				r.garble(random)
+			}
+			callers.Wait()
+		})
+	})
+	t.Logf("%d whole answers, %d errors", answered, refused)
+	assert.Assert(t, answered > refused)
+}
+
+// garble breaks answers of a server in some way.
+func (r *rig) garble(random *rand.Rand) {
+	s := r.group.Servers[random.IntN(3)]
+	time.Sleep(time.Duration(random.IntN(5_000)) * time.Microsecond)
+	switch random.IntN(5) {
+	case 0:
+		s.SetLate(2 * deadline)
+		time.Sleep(10 * time.Millisecond)
+		s.SetLate(0)
+	case 1:
+		s.Kill(0)
+		s.Start()
+	case 2:
+		s.Silence()
+	case 3:
+		r.network.Silence("vm1", fakenet.Host(s.Name))
+	case 4:
+		s.Freeze(true)
+		time.Sleep(time.Duration(random.IntN(3000)) * time.Millisecond)
+		s.Freeze(false)
+	}
+}
+
+// TestSilentConnectionCostsOneDeadline makes all present connections silent for good
+// while new ones work, and lets requests come one after the other.
+func TestSilentConnectionCostsOneDeadline(t *testing.T) {
+	for name, request := range map[string]func(r *rig, c *pgx.Conn) error{
+		"reads":  func(r *rig, c *pgx.Conn) error { _, err := r.value(c, 1); return err },
+		"writes": func(r *rig, c *pgx.Conn) error { return r.put(c, 1, 1) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			in(t, func(r *rig) { r.reads = upstream.PrimaryOnly{} }, func(t *testing.T, r *rig) {
+				warm(r)
+				c := r.connect("vm1", "")
+				assert.NilError(t, request(r, c))
+				r.network.Silence("vm1", "a")
+				began := time.Now()
+				var errs []error
+				for range 10 {
+					errs = append(errs, request(r, c))
+				}
+				took := time.Since(began)
+				assert.Assert(t, took < deadline+deadline/2, "ten requests took %v: %v", took, errs)
+				for _, err := range errs[1:] {
+					assert.NilError(t, err)
+				}
+			})
+		})
+	}
+}
+
+// warm makes the VM keep as many connections to the primary as it may.
+func warm(r *rig) {
+	var sessions sync.WaitGroup
+	for range r.share {
+		sessions.Go(func() {
+			c := r.connect("vm1", "")
+			assert.NilError(r.t, script(r, c, "begin; select 1 for update"))
+			time.Sleep(100 * time.Millisecond)
+			assert.NilError(r.t, script(r, c, "commit"))
+		})
+	}
+	sessions.Wait()
+}
+
+// cutter ends a connection once a number of bytes has been read from it.
+type cutter struct {
+	net.Conn
+	// left is shared by all connections; below 0 nothing is cut.
+	left *atomic.Int64
+}
+
+// Read gives what may still be read.
+func (c cutter) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	left := c.left.Load()
+	if left < 0 || err != nil {
+		return n, err
+	}
+	if int64(n) <= left {
+		c.left.Add(-int64(n))
+		return n, nil
+	}
+	c.left.Store(-1)
+	_ = c.Conn.Close()
+	return int(left), io.EOF
+}
+
+// TestHalfAnswersAreNotPassedOn ends the server's connection after each number of
+// bytes of an answer. The read runs again and its answer is whole.
+func TestHalfAnswersAreNotPassedOn(t *testing.T) {
+	var left atomic.Int64
+	left.Store(-1)
+	in(t, func(r *rig) { r.wrap = func(c net.Conn) net.Conn { return cutter{c, &left} } }, func(t *testing.T, r *rig) {
+		c := r.connect("vm1", "")
+		assert.NilError(t, ask(t, r, c, 0, 7))
+		for n := 0; n < 600; n += 5 {
+			left.Store(int64(n))
+			assert.NilError(t, ask(t, r, c, n, 7))
+			time.Sleep(time.Second)
+		}
+	})
+}
+
+// TestLateAnswerReachesNobody lets an answer come after its request was given up, and
+// another session ask next.
+func TestLateAnswerReachesNobody(t *testing.T) {
+	in(t, func(r *rig) { r.share, r.reads = 1, upstream.PrimaryOnly{} }, func(t *testing.T, r *rig) {
+		first, second := r.connect("vm1", ""), r.connect("vm1", "")
+		assert.NilError(t, ask(t, r, first, 1, 7))
+		for _, late := range []time.Duration{deadline + deadline/8, 2 * deadline} {
+			r.server("a").SetLate(late)
+			done := make(chan error)
+			go func() { done <- ask(t, r, first, 2, 7) }()
+			time.Sleep(10 * time.Millisecond)
+			r.server("a").SetLate(0)
+			assert.NilError(t, <-done)
+			for n := range 5 {
+				assert.NilError(t, ask(t, r, second, n+3, 7))
+				time.Sleep(300 * time.Millisecond)
+			}
+		}
+	})
+}
--- a/internal/fakeupstream/session.go
+++ b/internal/fakeupstream/session.go
@@ -46,7 +46,9 @@
 	// interrupt ends the running statement; guarded by group.mu, nil between statements.
 	interrupt context.CancelCauseFunc
 
-	settings   map[string]string
+	settings map[string]string
+	// defaults are the settings at the end of the start-up.
+	defaults   map[string]string
 	statements map[string]*prepared
 	portals    map[string]*portal
 	tx         transaction
@@ -150,8 +152,10 @@
 	stop()
 	s.cancel(refuse(stateShutdown, "connection closed"))
 	_ = s.conn.Close()
+	s.turn <- struct{}{}
 	s.closePortals()
 	s.rollback()
+	<-s.turn
 	g := s.server.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/upstream/floor.go
+++ b/internal/upstream/floor.go
@@ -2,57 +2,63 @@
 
 import (
 	"context"
-	"slices"
-	"time"
 
 	"github.com/savoryramp/savoryramp/pkg/position"
 )
 
-// floorWithin bounds how long a question for a floor waits for more servers once a
-// majority has answered.
-const floorWithin = 3 * time.Millisecond
-
 // Floor asks the servers how far their logs reach. An acknowledged write is held by
-// a majority, so the furthest of any majority's logs covers everything that was
-// acknowledged before the question. ErrNoQuorum.
+// its primary and by a majority, so the furthest log among a majority with the
+// primary of the newest term covers everything that was acknowledged before the
+// question. Without an answer of the primary any majority has to do: it doesn't
+// cover a write whose only replica lost it since. ErrNoQuorum.
 func (g *Group) Floor(ctx context.Context) (position.Position, error) {
 	watches := g.watches()
+	answers := make(chan Status, len(watches))
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	answers := make(chan Status, len(watches))
 	for _, w := range watches {
 		go func() {
 			s, _ := w.ask(ctx, statusQuery)
 			answers <- s
 		}()
 	}
-	majority := len(watches)/2 + 1
-	var heard []position.Position
-	var enough <-chan time.Time
+	var heard []Status
 	for range watches {
-		select {
-		case s := <-answers:
-			if s.Term > 0 {
-				heard = append(heard, s.Received)
-			}
-		case <-enough:
-			return lowestFloor(heard, majority), nil
+		s := <-answers
+		if s.Term == 0 {
+			continue
 		}
-		if len(heard) == majority && enough == nil {
-			enough = time.After(floorWithin)
+		heard = append(heard, s)
+		if len(heard) > len(watches)/2 && led(heard) {
+			return furthest(heard), nil
 		}
 	}
-	if len(heard) < majority {
-		return position.Position{}, ErrNoQuorum.New("upstream %s: %d of %d servers answered", g.Upstream.Name, len(heard), len(watches))
+	if len(heard) > len(watches)/2 {
+		return furthest(heard), nil
 	}
-	return lowestFloor(heard, majority), nil
+	return position.Position{}, ErrNoQuorum.New("upstream %s: %d of %d servers answered", g.Upstream.Name, len(heard), len(watches))
 }
 
-// lowestFloor is the furthest log of the majority that makes it lowest. So what only
-// a primary has, which replicas would have to be waited for, isn't asked for.
-func lowestFloor(heard []position.Position, majority int) position.Position {
-	slices.SortFunc(heard, position.Position.Compare)
-	return heard[majority-1]
+// led tells whether the primary of the newest term heard of is among the servers.
+func led(heard []Status) bool {
+	var newest position.Term
+	for _, s := range heard {
+		newest = max(newest, s.Term)
+	}
+	for _, s := range heard {
+		if s.Role == Primary && s.Term == newest {
+			return true
+		}
+	}
+	return false
+}
+
+func furthest(heard []Status) position.Position {
+	var floor position.Position
+	for _, s := range heard {
+		floor = position.Max(floor, s.Received)
+	}
+	return floor
 }
 
 func (g *Group) watches() []*watch {
--- a/internal/upstream/group.go
+++ b/internal/upstream/group.go
@@ -114,6 +114,7 @@
 	if g.Allowance != nil {
 		m.pool.Allowance = g.Allowance(s.Name)
 	}
+	m.pool.leave(s.Leaving)
 	m.watch = &watch{server: s, login: g.Login, dial: g.Dial, logger: g.Logger, report: g.report}
 	ctx, cancel := context.WithCancel(g.ctx)
 	m.cancel = cancel
@@ -132,6 +133,7 @@
 		m := g.members[s.Name]
 		if m != nil && m.server.Address == s.Address {
 			m.server = s
+			m.pool.leave(s.Leaving)
 			continue
 		}
 		g.remove(m)
@@ -174,6 +176,7 @@
 	for _, m := range g.members {
 		m.pool.close()
 	}
+	g.members = map[platform.ServerName]*member{}
 }
 
 // report takes note of a server's status.
@@ -263,16 +266,20 @@
 		g.mu.Lock()
 		m, changed := g.primary(), g.changed
 		var t position.Term
+		leaving := false
 		if m != nil {
-			t = m.status.Term
+			t, leaving = m.status.Term, m.server.Leaving
 		}
 		g.mu.Unlock()
-		if m != nil && g.leased(t) {
+		if m != nil && !leaving && g.leased(t) {
 			c, err := m.pool.take(ctx, r)
 			if err == nil {
 				c.Role = Primary
 				return c, nil
 			}
+			if isMoved(err) {
+				continue
+			}
 			if !isConnect(err) || ctx.Err() != nil {
 				return nil, err
 			}
@@ -316,6 +323,21 @@
 	}
 }
 
+// ConfirmRead waits until all that a read on the primary's connection c may have seen
+// is confirmed; without that, the write seen could still be lost. Anything committed
+// before the read ended is before the position of a statement that begins after it.
+// ErrNoServer when it isn't confirmed within ctx, ErrSilent, ErrBroken.
+func (g *Group) ConfirmRead(ctx context.Context, c *Conn) error {
+	deadline, _ := ctx.Deadline()
+	if _, err := c.Ask(statusQuery, deadline); err != nil {
+		return err
+	}
+	if err := g.Confirm(ctx, c.Position); err != nil {
+		return ErrNoServer.Wrap(err, "what server %s answers may be lost", c.Server)
+	}
+	return nil
+}
+
 // Suspect takes a server out of use until its watch hears from it again, as after
 // it refused to write or fell silent.
 func (g *Group) Suspect(name platform.ServerName) {
--- a/internal/upstream/read.go
+++ b/internal/upstream/read.go
@@ -58,14 +58,21 @@
 	for {
 		g.mu.Lock()
 		m, changed := g.replica(f), g.changed
+		var role Role
+		if m != nil {
+			role = m.role()
+		}
 		wait := g.worthWaiting(f, patience)
 		g.mu.Unlock()
 		if m != nil {
 			c, err := m.pool.take(ctx, r)
 			if err == nil {
-				c.Role = g.role(m)
+				c.Role = role
 				return c, nil
 			}
+			if isMoved(err) {
+				continue
+			}
 			if !isConnect(err) || ctx.Err() != nil {
 				return nil, err
 			}
@@ -81,15 +88,15 @@
 		case <-timer.C:
 			patience = time.Now()
 		case <-ctx.Done():
+			timer.Stop()
+			return nil, ErrBusy.Wrap(ctx.Err(), "no server of upstream %s is fresh enough yet", g.Upstream.Name)
 		}
 		timer.Stop()
 	}
 }
 
-// role is what the group last heard that the member is.
-func (g *Group) role(m *member) Role {
-	g.mu.Lock()
-	defer g.mu.Unlock()
+// role is what the group last heard that the member is; g.mu is held.
+func (m *member) role() Role {
 	if m.status.Role == Primary {
 		return Primary
 	}
@@ -132,7 +139,7 @@
 	now := time.Now()
 	shortest := budget + 1
 	for _, m := range g.members {
-		if m.usable && m.status.Role == Replica && m.status.Applied.Term >= f.Floor.Term {
+		if m.usable && !m.server.Leaving && m.status.Role == Replica && m.status.Applied.Term >= f.Floor.Term {
 			shortest = min(shortest, m.lag.until(&g.heads, m.status.Applied.Offset, f.Floor.Offset, now))
 		}
 	}
