--- a/internal/upstream/validity.go
+++ b/internal/upstream/validity.go
@@ -62,7 +62,7 @@
 
 // leased tells whether the group's rule lets this VM send writes to term t's primary.
 func (g *Group) leased(t position.Term) bool {
-	return g.Upstream.Acknowledge != platform.TermLeased || g.validity.holds(t)
+	return g.Acknowledge() != platform.TermLeased || g.validity.holds(t)
 }
 
 // ConfirmTerm accepts the commit at p while this VM holds a validity of p's term.
