Send requests that wait for a lost server elsewhere

Cause: requests queued for a frozen primary, or opening a connection to it, stayed there until their time was over, though another server led by then. Losing the server now ends the queue's waits and the attempts to connect with ErrConnect, on which Write and Read choose again; nothing of these requests was sent.

--- a/internal/upstream/failover_gap_test.go
+++ b/internal/upstream/failover_gap_test.go
@@ -163,6 +163,9 @@
 			median.Round(time.Millisecond), high.Round(time.Millisecond), worst.Round(time.Millisecond), refused, unknown)
 		assert.Check(t, high <= gapTarget, "%s, platform %s: p99 %s", primary, platform, high)
 		assert.Check(t, worst <= gapBound, "%s, platform %s: worst %s", primary, platform, worst)
+		if primary != "cut off" {
+			assert.Check(t, refused == 0, "%s, platform %s: %d writes were refused", primary, platform, refused)
+		}
 	}
 	states := []string{"down"}
 	if *seeds > 1 {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -32,6 +32,9 @@
 	queue  queue
 	closed bool
 	limit  limit
+	// connecting ends the attempts to connect that are under way; by number.
+	connecting map[int]context.CancelFunc
+	attempts   int
 }
 
 // Request is one transaction's claim on a server.
@@ -76,20 +79,28 @@
 	p.mu.Unlock()
 	select {
 	case <-w.granted:
-		return nil
+		return w.verdict(p.Server)
 	case <-ctx.Done():
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	select {
 	case <-w.granted:
-		return nil
+		return w.verdict(p.Server)
 	default:
 	}
 	p.queue.remove(w)
 	return ErrBusy.Wrap(ctx.Err(), "no connection to server %s became free", p.Server.Name)
 }
 
+// verdict tells whether the waiter got a turn or its server was lost.
+func (w *waiter) verdict(s platform.Server) error {
+	if w.failed {
+		return ErrConnect.New("server %s was lost", s.Name)
+	}
+	return nil
+}
+
 // room is how many connections may be in use at once; p.mu is held.
 func (p *Pool) room() int {
 	if p.Limit == nil {
@@ -132,6 +143,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, connectWithin)
 	defer cancel()
+	defer p.attempt(cancel)()
 	c, err := open(ctx, p.Dial, p.Server, p.Login)
 	if err != nil {
 		return nil, err
@@ -140,6 +152,23 @@
 	return c, nil
 }
 
+// attempt notes an attempt to connect, until the function that it gives is called.
+func (p *Pool) attempt(cancel context.CancelFunc) (over func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.connecting == nil {
+		p.connecting = map[int]context.CancelFunc{}
+	}
+	p.attempts++
+	n := p.attempts
+	p.connecting[n] = cancel
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		delete(p.connecting, n)
+	}
+}
+
 // kept takes the most recently used idle connection, nil if there is none.
 func (p *Pool) kept() *Conn {
 	p.mu.Lock()
@@ -183,11 +212,19 @@
 	return time.Duration(p.queue.size) * p.limit.typical / time.Duration(max(p.room(), 1))
 }
 
-// drop closes the idle connections, as after the server was lost.
+// drop closes the idle connections and sends the requests that wait or connect
+// elsewhere, as after the server was lost.
 func (p *Pool) drop() {
 	p.mu.Lock()
 	idle := p.idle
 	p.idle = nil
+	for w := p.queue.pop(); w != nil; w = p.queue.pop() {
+		w.failed = true
+		close(w.granted)
+	}
+	for _, cancel := range p.connecting {
+		cancel()
+	}
 	p.mu.Unlock()
 	for _, c := range idle {
 		c.close()
--- a/internal/upstream/queue.go
+++ b/internal/upstream/queue.go
@@ -34,7 +34,9 @@
 	workspace platform.WorkspaceName
 	// granted is closed once the request may take a connection.
 	granted chan struct{}
-	gone    bool
+	// failed is set before granted is closed when the server was lost instead.
+	failed bool
+	gone   bool
 }
 
 func (q *queue) push(workspace platform.WorkspaceName, weight platform.Weight) *waiter {
