--- a/internal/fakeupstream/session.go
+++ b/internal/fakeupstream/session.go
@@ -46,7 +46,9 @@
 	// interrupt ends the running statement; guarded by group.mu, nil between statements.
 	interrupt context.CancelCauseFunc
 
-	settings   map[string]string
+	settings map[string]string
+	// defaults are the settings at the end of the start-up.
+	defaults   map[string]string
 	statements map[string]*prepared
 	portals    map[string]*portal
 	tx         transaction
@@ -150,8 +152,10 @@
 	stop()
 	s.cancel(refuse(stateShutdown, "connection closed"))
 	_ = s.conn.Close()
+	s.turn <- struct{}{}
 	s.closePortals()
 	s.rollback()
+	<-s.turn
 	g := s.server.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -238,7 +242,7 @@
 		p = *s.read
 	}
 	s.read = nil
-	s.backend.Send(&pgproto3.ParameterStatus{Name: positionParameter, Value: p.String()})
+	s.tellPosition(p)
 	s.backend.Send(&pgproto3.ReadyForQuery{TxStatus: s.tx.status()})
 	if sleep(s.ctx, s.server.delay()) != nil {
 		return false
@@ -246,6 +250,11 @@
 	return s.flush() == nil
 }
 
+// tellPosition goes before the rows of a read, and before ReadyForQuery.
+func (s *session) tellPosition(p position.Position) {
+	s.backend.Send(&pgproto3.ParameterStatus{Name: positionParameter, Value: p.String()})
+}
+
 func (s *session) flush() error {
 	if !s.thaw() {
 		return ErrEnded.New("session ended")
--- a/internal/upstream/group.go
+++ b/internal/upstream/group.go
@@ -21,9 +21,8 @@
 	Logger   log.Logger
 	// Share is how many connections this VM may have to a server at this moment.
 	Share func(platform.ServerName) int
-	// Leased tells whether this VM holds a validity of a term, for groups that are
-	// acknowledged term-leased; may be nil.
-	Leased func(position.Term) bool
+	// Allowance gives this VM's part of a server's connections; nil to go by Share.
+	Allowance func(platform.ServerName) Allowance
 	// Coordination joins this VM with the others; without it nobody promotes here.
 	Coordination Coordination
 	// Table keeps the record of the group's terms.
@@ -44,10 +43,13 @@
 	// changed is closed and replaced at every change of what is known.
 	changed chan struct{}
 	samples samples
+	heads   heads
 	tasks   sync.WaitGroup
 	// ctx ends with the group.
 	ctx    context.Context
 	cancel context.CancelFunc
+	// validity counts only in groups that are acknowledged term-leased.
+	validity validity
 	// unguard ends the guard of the present members.
 	unguard context.CancelFunc
 }
@@ -68,7 +70,7 @@
 	usable bool
 	// heardAt is when status came.
 	heardAt time.Time
-	rate    applyRate
+	lag     lag
 }
 
 // start opens the watches.
@@ -82,6 +84,9 @@
 	for _, s := range g.Upstream.Servers {
 		g.add(s)
 	}
+	if g.Upstream.Acknowledge == platform.TermLeased && g.Table != nil {
+		g.tasks.Go(func() { g.validity.run(g.ctx, record{g}) })
+	}
 	g.watchPrimary()
 }
 
@@ -106,11 +111,16 @@
 		Server: s, Login: g.Login, Dial: g.Dial, Order: g.Order, MaxQueue: g.MaxQueue,
 		Limit: func() int { return g.Share(s.Name) },
 	}
+	if g.Allowance != nil {
+		m.pool.Allowance = g.Allowance(s.Name)
+	}
+	m.pool.leave(s.Leaving)
 	m.watch = &watch{server: s, login: g.Login, dial: g.Dial, logger: g.Logger, report: g.report}
 	ctx, cancel := context.WithCancel(g.ctx)
 	m.cancel = cancel
 	g.members[s.Name] = m
 	g.tasks.Go(func() { m.watch.run(ctx) })
+	g.tasks.Go(func() { m.pool.run(ctx) })
 }
 
 // update follows a changed document: members that stay keep their connections.
@@ -123,6 +133,7 @@
 		m := g.members[s.Name]
 		if m != nil && m.server.Address == s.Address {
 			m.server = s
+			m.pool.leave(s.Leaving)
 			continue
 		}
 		g.remove(m)
@@ -165,6 +176,7 @@
 	for _, m := range g.members {
 		m.pool.close()
 	}
+	g.members = map[platform.ServerName]*member{}
 }
 
 // report takes note of a server's status.
@@ -186,14 +198,14 @@
 		g.Coordination.Tell(name, usable)
 	}
 	if !usable {
-		m.pool.drop()
+		m.pool.lost()
 	}
 }
 
 // learn merges a status; g.mu is held.
 func (g *Group) learn(m *member, s Status) {
 	now := time.Now()
-	m.rate.observe(now, m.status.Applied, s.Applied)
+	before := m.status.Applied
 	if s.Received != m.status.Received {
 		m.movedAt = now
 	}
@@ -202,14 +214,34 @@
 		g.starts[start.Term] = start
 	}
 	if s.Term > g.term {
+		g.replace(now)
 		g.term = s.Term
+		g.heads.reset()
 		eventNewTerm.Log(g.Logger, "upstream", g.Upstream.Name, "server", s.Server, "term", s.Term)
 	}
+	if s.Received.Term == g.term {
+		g.heads.reach(s.Received.Offset, now)
+	}
+	if s.Role == Replica && s.Applied.Offset > before.Offset {
+		m.lag.observe(&g.heads, s.Applied.Offset, now)
+	}
 	if s.Role == Primary && s.Term == g.term {
 		g.samples.add(now, s.Applied)
 	}
 }
 
+// replacedGrace lets a replaced primary that still answers refuse what it runs, so
+// that it can be run again elsewhere.
+const replacedGrace = 300 * time.Millisecond
+
+// replace ends what still waits for the primary of the term that is over; g.mu is
+// held. No commit of it can be confirmed any more.
+func (g *Group) replace(now time.Time) {
+	if m := g.leader(); m != nil {
+		time.AfterFunc(replacedGrace, func() { m.pool.abort(now) })
+	}
+}
+
 // signal wakes everyone who waits for a change; g.mu is held.
 func (g *Group) signal() {
 	close(g.changed)
@@ -233,14 +265,21 @@
 	for {
 		g.mu.Lock()
 		m, changed := g.primary(), g.changed
-		takes := m != nil && !m.server.Leaving
+		var t position.Term
+		leaving := false
+		if m != nil {
+			t, leaving = m.status.Term, m.server.Leaving
+		}
 		g.mu.Unlock()
-		if takes {
+		if m != nil && !leaving && g.leased(t) {
 			c, err := m.pool.take(ctx, r)
 			if err == nil {
 				c.Role = Primary
 				return c, nil
 			}
+			if isMoved(err) {
+				continue
+			}
 			if !isConnect(err) || ctx.Err() != nil {
 				return nil, err
 			}
@@ -299,16 +338,6 @@
 	return nil
 }
 
-// ConfirmTerm accepts the commit at p while this VM holds a validity of p's term.
-func (g *Group) ConfirmTerm(_ context.Context, p position.Position) error {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.Leased == nil || !g.Leased(p.Term) || g.term > p.Term {
-		return ErrUnconfirmed.New("commit at %s: no validity of its term is held", p)
-	}
-	return nil
-}
-
 // Suspect takes a server out of use until its watch hears from it again, as after
 // it refused to write or fell silent.
 func (g *Group) Suspect(name platform.ServerName) {
@@ -333,46 +362,6 @@
 	return holders > len(g.members)/2
 }
 
-// Floor asks the servers how far their logs reach. An acknowledged write is held by
-// a majority, so the furthest of any majority's logs covers everything that was
-// acknowledged before the question. ErrNoQuorum.
-func (g *Group) Floor(ctx context.Context) (position.Position, error) {
-	watches := g.watches()
-	answers := make(chan Status, len(watches))
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	for _, w := range watches {
-		go func() {
-			s, _ := w.ask(ctx, statusQuery)
-			answers <- s
-		}()
-	}
-	var floor position.Position
-	heard := 0
-	for range watches {
-		s := <-answers
-		if s.Term == 0 {
-			continue
-		}
-		floor = position.Max(floor, s.Received)
-		heard++
-		if heard > len(watches)/2 {
-			return floor, nil
-		}
-	}
-	return position.Position{}, ErrNoQuorum.New("upstream %s: %d of %d servers answered", g.Upstream.Name, heard, len(watches))
-}
-
-func (g *Group) watches() []*watch {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	var list []*watch
-	for _, m := range g.members {
-		list = append(list, m.watch)
-	}
-	return list
-}
-
 // Check tells whether a session's floor still names a part of the group's history.
 // ErrFloorLost.
 func (g *Group) Check(floor position.Position) error {
--- a/internal/upstream/guard.go
+++ b/internal/upstream/guard.go
@@ -66,6 +66,9 @@
 		ID: term.PromoterID(uuid.NewString()), Table: record{g}, Servers: control{g},
 		NewChange: func() term.Change { return term.Change(uuid.NewString()) },
 	}
+	if g.Upstream.Acknowledge == platform.TermLeased {
+		p.Wait = validityWait
+	}
 	for _, s := range g.Upstream.Servers {
 		p.Group = append(p.Group, term.Server(s.Name))
 	}
@@ -235,7 +238,7 @@
 		}
 		u.reserved = false
 	}
-	ctx, cancel := context.WithTimeout(ctx, promoteWithin)
+	ctx, cancel := context.WithTimeout(ctx, promoteWithin+u.promoter.Wait)
 	defer cancel()
 	return u.promoter.Promote(ctx, reason, suspect)
 }
@@ -258,7 +261,7 @@
 }
 
 func (u *guard) handOver(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, handOverWithin)
+	ctx, cancel := context.WithTimeout(ctx, handOverWithin+u.promoter.Wait)
 	defer cancel()
 	r, err := u.promoter.HandOver(ctx, "it leaves")
 	if err != nil {
@@ -316,7 +319,7 @@
 	u.keptAt = time.Now()
 	ctx, cancel := context.WithTimeout(ctx, bookkeepEvery)
 	defer cancel()
-	if err := u.promoter.Record(ctx); err != nil || u.reserved {
+	if err := u.promoter.Record(ctx); err != nil || u.reserved || u.promoter.Wait > 0 {
 		return
 	}
 	if _, err := u.promoter.Reserve(ctx); err != nil {
--- a/internal/upstream/queue.go
+++ b/internal/upstream/queue.go
@@ -34,9 +34,10 @@
 	workspace platform.WorkspaceName
 	// granted is closed once the request may take a connection.
 	granted chan struct{}
-	// failed is set before granted is closed when the server was lost instead.
-	failed bool
-	gone   bool
+	// sentAway, set before granted is closed, means that the server is leaving
+	// or lost.
+	sentAway bool
+	gone     bool
 }
 
 func (q *queue) push(workspace platform.WorkspaceName, weight platform.Weight) *waiter {
--- a/internal/upstream/upstreams.go
+++ b/internal/upstream/upstreams.go
@@ -8,6 +8,7 @@
 	"sync"
 
 	"github.com/go-kit/log"
+	"go.opentelemetry.io/otel/metric"
 
 	"github.com/savoryramp/savoryramp/internal/platform"
 )
@@ -18,6 +19,10 @@
 	Logger log.Logger
 	// Share is how many connections this VM may have to a server at this moment.
 	Share func(platform.ServerName) int
+	// Allowance gives this VM's part of a server's connections; nil to go by Share.
+	Allowance func(platform.ServerName) Allowance
+	// Meter exports the groups' state; may be nil.
+	Meter metric.Meter
 	// Coordination joins this VM with the others; without it nobody promotes here.
 	Coordination Coordination
 	// Table keeps the records of the groups' terms.
@@ -38,6 +43,10 @@
 // Run follows the document until ctx ends, then closes all connections.
 func (u *Upstreams) Run(ctx context.Context) error {
 	var version platform.DocumentVersion
+	if u.Logger == nil {
+		u.Logger = log.NewNopLogger()
+	}
+	u.observe()
 	defer u.stop()
 	for {
 		snapshot, err := u.Documents.Wait(ctx, version)
@@ -88,9 +97,9 @@
 func (u *Upstreams) group(ctx context.Context, up platform.Upstream) *Group {
 	g := &Group{
 		Upstream: up, Dial: u.Dial, Logger: log.With(u.Logger, "upstream", up.Name),
-		Login:        Login{User: up.User, Database: up.Database, Password: password(up.PasswordVariable)},
-		Share:        u.Share,
-		Coordination: u.Coordination, Table: u.Table, Reads: u.Reads, Order: u.Order, MaxQueue: u.MaxQueue,
+		Login:     Login{User: up.User, Database: up.Database, Password: password(up.PasswordVariable)},
+		Share:     u.Share,
+		Allowance: u.Allowance, Coordination: u.Coordination, Table: u.Table, Reads: u.Reads, Order: u.Order, MaxQueue: u.MaxQueue,
 	}
 	g.start(ctx)
 	eventGroupAdded.Log(g.Logger, "servers", len(up.Servers))
@@ -106,14 +115,13 @@
 
 // same tells whether the group already serves exactly up.
 func (g *Group) same(up platform.Upstream) bool {
-	return g.sameLogin(up) && g.Upstream.Acknowledge == up.Acknowledge &&
-		slices.Equal(g.Upstream.Servers, up.Servers)
+	return g.sameLogin(up) && slices.Equal(g.Upstream.Servers, up.Servers)
 }
 
 // sameLogin tells whether connections opened for g serve up as well.
 func (g *Group) sameLogin(up platform.Upstream) bool {
 	return g.Upstream.User == up.User && g.Upstream.Database == up.Database &&
-		g.Upstream.PasswordVariable == up.PasswordVariable
+		g.Upstream.PasswordVariable == up.PasswordVariable && g.Upstream.Acknowledge == up.Acknowledge
 }
 
 // Group gives the group of a name, false if the document doesn't name it.
