Have a replaced primary with the longer log follow at once

Cause: a server that was fenced but never told whom to follow counted as astray only once its successor's log had outgrown its own. An old primary with a tail of its own, cut off before, then confirmed nothing: with the third server down no write was acknowledged until its length was passed.

--- a/internal/upstream/failover_pause_test.go
+++ b/internal/upstream/failover_pause_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -62,3 +63,29 @@
 		})
 	}
 }
+
+// TestLongerTail: a replaced primary that was fenced but never told whom to follow, with
+// a longer log than its successor, is made to follow soon.
+func TestLongerTail(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(nil)
+		defer r.stop()
+		a, b, c := r.servers.Servers[0], r.servers.Servers[1], r.servers.Servers[2]
+		a.Cut(true)
+		var writers sync.WaitGroup
+		for i := range 20 {
+			writers.Go(func() { r.put(r.list()[i%3], i, 1) })
+		}
+		time.Sleep(500 * time.Millisecond)
+		for _, s := range r.servers.Servers {
+			assert.NilError(t, s.Fence(9))
+		}
+		assert.NilError(t, b.Promote(r.ctx, 9))
+		assert.NilError(t, c.Follow(9, "b"))
+		a.Cut(false)
+		writers.Wait()
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, a.Status().Received, b.Status().Received)
+	})
+}
--- a/internal/upstream/guard.go
+++ b/internal/upstream/guard.go
@@ -307,6 +307,9 @@
 	if m.status.Term < leader.status.Term {
 		return true
 	}
+	if m.status.Received.Term < leader.status.Received.Term && time.Since(m.movedAt) > followEvery {
+		return true
+	}
 	return m.status.Received.Offset < leader.status.Received.Offset && time.Since(m.movedAt) > 2*followEvery
 }
 
