Tell the other VMs that a server is lost also after suspecting it

Cause: a request that failed to connect marks the server as suspected before its watch notices the loss. The loss then was no turn of this VM's view, and the others were never told; with every VM in that state each heard two that "can use" a dead primary, and nothing was promoted for good. Ruled out: the lease (held and renewed throughout).

Change: what was told is kept apart from what is used here.

--- a/internal/upstream/group.go
+++ b/internal/upstream/group.go
@@ -68,6 +68,8 @@
 	// positions stay lower bounds within their term.
 	status Status
 	usable bool
+	// told is what the other VMs were told of usable; a suspicion isn't told.
+	told bool
 	// heardAt is when status came.
 	heardAt time.Time
 	lag     lag
@@ -187,8 +189,8 @@
 		g.mu.Unlock()
 		return
 	}
-	turned := m.usable != usable
-	m.usable = usable
+	turned := m.told != usable
+	m.usable, m.told = usable, usable
 	if usable {
 		g.learn(m, s)
 	}
