--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -44,7 +44,10 @@
 	held int
 	// growing is true while a task asks for places.
 	growing bool
-	tasks   sync.WaitGroup
+	// connecting ends the attempts to connect that are under way; by number.
+	connecting map[int]context.CancelFunc
+	attempts   int
+	tasks      sync.WaitGroup
 }
 
 // Request is one transaction's claim on a server.
@@ -204,6 +207,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, connectWithin)
 	defer cancel()
+	defer p.attempt(cancel)()
 	c, err := open(ctx, p.Dial, p.Server, p.Login)
 	if err != nil {
 		return nil, err
@@ -212,6 +216,23 @@
 	return c, nil
 }
 
+// attempt notes an attempt to connect, until the function that it gives is called.
+func (p *Pool) attempt(cancel context.CancelFunc) (over func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.connecting == nil {
+		p.connecting = map[int]context.CancelFunc{}
+	}
+	p.attempts++
+	n := p.attempts
+	p.connecting[n] = cancel
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		delete(p.connecting, n)
+	}
+}
+
 // kept takes the idle connection that the workspace used last, else the one used
 // last by another, nil if there is none.
 func (p *Pool) kept(w platform.WorkspaceName) *Conn {
@@ -274,6 +295,18 @@
 	return time.Duration(p.queue.size) * p.limit.typical / time.Duration(max(p.room(), 1))
 }
 
+// lost sends the requests that wait or connect elsewhere and closes the idle
+// connections, as after the server was lost.
+func (p *Pool) lost() {
+	p.mu.Lock()
+	p.sendAway()
+	for _, cancel := range p.connecting {
+		cancel()
+	}
+	p.mu.Unlock()
+	p.drop()
+}
+
 // drop closes the idle connections, as after the server was lost, or after one of
 // them was silent: whatever made it so may have made the others, too.
 func (p *Pool) drop() {
--- a/internal/upstream/queue.go
+++ b/internal/upstream/queue.go
@@ -34,7 +34,8 @@
 	workspace platform.WorkspaceName
 	// granted is closed once the request may take a connection.
 	granted chan struct{}
-	// sentAway, set before granted is closed, means that the server is leaving.
+	// sentAway, set before granted is closed, means that the server is leaving
+	// or lost.
 	sentAway bool
 	gone     bool
 }
