Wait for the watches before a question for the floor is refused

A VM that started with others read the VM list once and then 10 s later. Ruled out: refusing logins until the watches stand (a reconnect later has the same gap). Change: Floor asks again at each change until its context ends; the list is read after 1, 2, 4, 8 s, then every 10 s. Conclusion: a wrongful refusal less.

--- a/internal/peer/fleet.go
+++ b/internal/peer/fleet.go
@@ -33,6 +33,9 @@
 	// beatEvery and listEvery are the defaults of Fleet.BeatEvery and Fleet.ListEvery.
 	beatEvery = 500 * time.Millisecond
 	listEvery = 10 * time.Second
+	// firstList is the first pause between two readings of the list; it doubles up to
+	// ListEvery.
+	firstList = time.Second
 )
 
 // Caller is the VM that sent a call.
@@ -160,7 +163,9 @@
 func (f *Fleet) follow(ctx context.Context) error {
 	beat := time.NewTicker(f.BeatEvery)
 	defer beat.Stop()
-	list := time.NewTicker(f.ListEvery)
+	// A VM that has just started looks more often, since others start with it.
+	pause := min(firstList, f.ListEvery)
+	list := time.NewTimer(pause)
 	defer list.Stop()
 	f.readList(ctx)
 	for {
@@ -171,6 +176,8 @@
 		case <-beat.C:
 		case <-list.C:
 			f.readList(ctx)
+			pause = min(2*pause, f.ListEvery)
+			list.Reset(pause)
 		}
 	}
 }
--- a/internal/upstream/floor.go
+++ b/internal/upstream/floor.go
@@ -10,8 +10,27 @@
 // its primary and by a majority, so the furthest log among a majority with the
 // primary of the newest term covers everything that was acknowledged before the
 // question. Without an answer of the primary any majority has to do: it doesn't
-// cover a write whose only replica lost it since. ErrNoQuorum.
+// cover a write whose only replica lost it since. While too few servers answer it asks
+// again at each change, as after a start; ErrNoQuorum when ctx ends first.
 func (g *Group) Floor(ctx context.Context) (position.Position, error) {
+	for {
+		g.mu.Lock()
+		changed := g.changed
+		g.mu.Unlock()
+		floor, err := g.askFloor(ctx)
+		if err == nil {
+			return floor, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return position.Position{}, err
+		}
+	}
+}
+
+// askFloor asks every server once. ErrNoQuorum.
+func (g *Group) askFloor(ctx context.Context) (position.Position, error) {
 	watches := g.watches()
 	answers := make(chan Status, len(watches))
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/upstream/replaced_test.go
+++ b/internal/upstream/replaced_test.go
@@ -27,34 +27,41 @@
 	return platform.Snapshot{}, ctx.Err()
 }
 
+// startGroup serves a group of three servers from one VM, until the test ends.
+func startGroup(t *testing.T, network *fakenet.Network) (*upstream.Upstreams, *fakeupstream.Group) {
+	t.Helper()
+	servers := &fakeupstream.Group{Name: "r1"}
+	up := platform.Upstream{Name: "r1"}
+	for _, name := range []string{"a", "b", "c"} {
+		l, err := network.Listen(fakenet.Host(name), name+":1")
+		assert.NilError(t, err)
+		servers.Servers = append(servers.Servers, &fakeupstream.Server{
+			Name: fakeupstream.ServerName(name), Listener: l,
+			Listen: func() (net.Listener, error) { return network.Listen(fakenet.Host(name), name+":1") },
+		})
+		up.Servers = append(up.Servers, platform.Server{Name: platform.ServerName(name), Address: platform.Address(name + ":1")})
+	}
+	u := &upstream.Upstreams{
+		Dial: network.Dialer("vm"), Documents: still{&platform.Document{Upstreams: []platform.Upstream{up}}},
+		Share: func(platform.ServerName) int { return 4 }, Reads: upstream.WaitOrPrimary{}, MaxQueue: 10,
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 2)
+	go func() { done <- servers.Run(ctx) }()
+	go func() { done <- u.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-done)
+		assert.NilError(t, <-done)
+	})
+	return u, servers
+}
+
 // Nobody waits for the answer of a frozen primary once another one leads.
 func TestWaitForReplacedPrimaryEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		network := fakenet.New()
-		servers := &fakeupstream.Group{Name: "r1"}
-		up := platform.Upstream{Name: "r1"}
-		for _, name := range []string{"a", "b", "c"} {
-			l, err := network.Listen(fakenet.Host(name), name+":1")
-			assert.NilError(t, err)
-			servers.Servers = append(servers.Servers, &fakeupstream.Server{
-				Name: fakeupstream.ServerName(name), Listener: l,
-				Listen: func() (net.Listener, error) { return network.Listen(fakenet.Host(name), name+":1") },
-			})
-			up.Servers = append(up.Servers, platform.Server{Name: platform.ServerName(name), Address: platform.Address(name + ":1")})
-		}
-		u := &upstream.Upstreams{
-			Dial: network.Dialer("vm"), Documents: still{&platform.Document{Upstreams: []platform.Upstream{up}}},
-			Share: func(platform.ServerName) int { return 4 }, Reads: upstream.WaitOrPrimary{}, MaxQueue: 10,
-		}
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan error, 2)
-		go func() { done <- servers.Run(ctx) }()
-		go func() { done <- u.Run(ctx) }()
-		defer func() {
-			cancel()
-			assert.NilError(t, <-done)
-			assert.NilError(t, <-done)
-		}()
+		u, servers := startGroup(t, fakenet.New())
+		ctx := t.Context()
 		time.Sleep(time.Second)
 
 		g, found := u.Group("r1")
