Try: take callers before own shares, by borrowing alone

Cause: a restarted VM is ready 11 s after its start, since its earlier life's shares are waited out. Change: ready as soon as other VMs hold shares to borrow.

--- a/internal/operator/contracts.go
+++ b/internal/operator/contracts.go
@@ -51,10 +51,12 @@
 	return &contracts{s, &contract.Master{Group: contractGroup, Shares: s, Leadership: leadership(held)}}
 }
 
-// ready tells whether this VM holds shares of the service's limits.
+// ready tells whether this VM can admit: by its own shares, or by borrowing from those
+// that other VMs hold.
 func (c *contracts) ready() bool {
-	for _, g := range c.shares.Row().Holders {
-		if g.Holder == c.shares.Self {
+	row := c.shares.Row()
+	for _, g := range row.Holders {
+		if g.Holder == c.shares.Self || g.Holder.VM != c.shares.Self.VM {
 			return true
 		}
 	}
