--- a/internal/operator/contracts.go
+++ b/internal/operator/contracts.go
@@ -51,12 +51,10 @@
 	return &contracts{s, &contract.Master{Group: contractGroup, Shares: s, Leadership: leadership(held)}}
 }
 
-// ready tells whether this VM can admit: by its own shares, or by borrowing from those
-// that other VMs hold.
+// ready tells whether this VM holds shares of the service's limits.
 func (c *contracts) ready() bool {
-	row := c.shares.Row()
-	for _, g := range row.Holders {
-		if g.Holder == c.shares.Self || g.Holder.VM != c.shares.Self.VM {
+	for _, g := range c.shares.Row().Holders {
+		if g.Holder == c.shares.Self {
 			return true
 		}
 	}
