Let one place type a failed write, and one wait

Cause: three table-row adapters typed a Put's errors with the same switch, and a bounded wait stood three times. Change: platform.PutError and platform.Pause. Conclusion: less written twice.

--- a/internal/fakeplatform/fault.go
+++ b/internal/fakeplatform/fault.go
@@ -141,12 +141,5 @@
 	if d <= 0 {
 		return ctx.Err() == nil
 	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return platform.Pause(ctx, d)
 }
--- a/internal/operator/contracts.go
+++ b/internal/operator/contracts.go
@@ -125,7 +125,7 @@
 		if err == nil {
 			return units.Acquire(ctx)
 		}
-		if !wait(ctx, unitsRetry) {
+		if !platform.Pause(ctx, unitsRetry) {
 			return err
 		}
 	}
@@ -191,13 +191,8 @@
 	_, err = r.table.Put(ctx, platform.Row{
 		Key: r.key, Version: platform.Version(row.Version) - 1, Change: platform.NewChangeID(), Body: body,
 	})
-	switch {
-	case err == nil:
-		return nil
-	case errorx.IsOfType(err, platform.ErrConflict):
-		return contract.ErrConflict.Wrap(err, "row %s", r.key)
-	case errorx.IsOfType(err, platform.ErrUnavailable):
-		return contract.ErrUnavailable.Wrap(err, "row %s", r.key)
+	if err != nil {
+		return platform.PutError(err, r.key, contract.ErrConflict, contract.ErrUnavailable, contract.ErrOutcomeUnknown)
 	}
-	return contract.ErrOutcomeUnknown.Wrap(err, "row %s", r.key)
+	return nil
 }
--- a/internal/operator/coordination.go
+++ b/internal/operator/coordination.go
@@ -211,15 +211,10 @@
 	stored, err := r.table.Put(ctx, platform.Row{
 		Key: r.key, Version: platform.Version(row.Version), Change: platform.ChangeID(row.Change), Body: body,
 	})
-	switch {
-	case err == nil:
-		return r.parse(stored)
-	case errorx.IsOfType(err, platform.ErrConflict):
-		return lease.Row{}, lease.ErrConflict.Wrap(err, "row %s", r.key)
-	case errorx.IsOfType(err, platform.ErrUnavailable):
-		return lease.Row{}, lease.ErrUnavailable.Wrap(err, "row %s", r.key)
+	if err != nil {
+		return lease.Row{}, platform.PutError(err, r.key, lease.ErrConflict, lease.ErrUnavailable, lease.ErrOutcomeUnknown)
 	}
-	return lease.Row{}, lease.ErrOutcomeUnknown.Wrap(err, "row %s", r.key)
+	return r.parse(stored)
 }
 
 // parse reads a stored row; the table's own version and change count.
--- a/internal/operator/daemon.go
+++ b/internal/operator/daemon.go
@@ -220,7 +220,7 @@
 	case <-d.Admin.Draining():
 	}
 	eventDraining.Log(d.Logger, "balancer-lag", d.Options.BalancerLag, "drain-time", d.Options.DrainTime)
-	if !wait(ctx, d.Options.BalancerLag) {
+	if !platform.Pause(ctx, d.Options.BalancerLag) {
 		return nil
 	}
 	bounded, cancel := context.WithTimeout(ctx, d.Options.DrainTime)
@@ -236,15 +236,3 @@
 	eventDrained.Log(d.Logger)
 	return nil
 }
-
-// wait is false if ctx ended first.
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/operator/daemon_test.go
+++ b/internal/operator/daemon_test.go
@@ -43,7 +43,7 @@
 			return Actor{Name: name, Drain: func(ctx context.Context) error {
 				assert.Equal(t, time.Since(asked), after)
 				drained = append(drained, name)
-				if !wait(ctx, takes) {
+				if !platform.Pause(ctx, takes) {
 					return ErrBroken.New("cut")
 				}
 				return nil
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -90,7 +90,7 @@
 
 // announce tries to enter this VM again until it is in the list, or ctx ends.
 func (d *Daemon) announce(ctx context.Context) error {
-	for !d.serving.entered && wait(ctx, announceEvery) {
+	for !d.serving.entered && platform.Pause(ctx, announceEvery) {
 		d.serving.entered = d.enter()
 	}
 	<-ctx.Done()
--- a/internal/platform/apply.go
+++ b/internal/platform/apply.go
@@ -94,7 +94,7 @@
 				return err
 			}
 		}
-		if attempt == applyAttempts || !pause(ctx, Backoff(attempt)) {
+		if attempt == applyAttempts || !Pause(ctx, Backoff(attempt)) {
 			return unfinished(err, unknown)
 		}
 	}
--- a/internal/platform/configuration.go
+++ b/internal/platform/configuration.go
@@ -99,7 +99,7 @@
 // rest waits for the next poll, a retry if something known is still to be read, or an
 // offer from a peer.
 func (c *Configuration) rest(ctx context.Context, failures int) {
-	if !pause(ctx, readSpacing) {
+	if !Pause(ctx, readSpacing) {
 		return
 	}
 	wait := Jitter(c.Every)
--- a/internal/platform/edit.go
+++ b/internal/platform/edit.go
@@ -54,7 +54,7 @@
 		if !errorx.IsOfType(err, ErrConflict) || attempt == editAttempts {
 			return snapshot, err
 		}
-		if !pause(ctx, Backoff(attempt)) {
+		if !Pause(ctx, Backoff(attempt)) {
 			return Snapshot{}, err
 		}
 	}
--- a/internal/platform/retry.go
+++ b/internal/platform/retry.go
@@ -68,7 +68,7 @@
 		if r.Budget != nil && !r.Budget.spend() {
 			return err
 		}
-		if !pause(ctx, Backoff(attempt)) {
+		if !Pause(ctx, Backoff(attempt)) {
 			return err
 		}
 	}
@@ -92,8 +92,8 @@
 	return errorx.IsOfType(err, ErrUnavailable) || errorx.IsOfType(err, ErrOutcomeUnknown)
 }
 
-// pause waits and reports whether it waited to the end.
-func pause(ctx context.Context, d time.Duration) bool {
+// Pause waits and reports whether it waited to the end.
+func Pause(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/internal/platform/table.go
+++ b/internal/platform/table.go
@@ -77,3 +77,15 @@
 	// ErrRow means that a row or row key isn't of the form that savoryramp writes.
 	ErrRow = errs.NewType("row")
 )
+
+// PutError gives a failed Put's error as one of another package's types: conflict,
+// unavailable (nothing was written) or, for all else, unknown.
+func PutError(err error, key RowKey, conflict, unavailable, unknown *errorx.Type) error {
+	switch {
+	case errorx.IsOfType(err, ErrConflict):
+		return conflict.Wrap(err, "row %s", key)
+	case errorx.IsOfType(err, ErrUnavailable):
+		return unavailable.Wrap(err, "row %s", key)
+	}
+	return unknown.Wrap(err, "row %s", key)
+}
--- a/internal/upstream/record.go
+++ b/internal/upstream/record.go
@@ -50,15 +50,10 @@
 	stored, err := r.group.Table.Put(ctx, platform.Row{
 		Key: r.key(), Version: platform.Version(row.Version), Change: platform.ChangeID(row.Change), Body: body,
 	})
-	switch {
-	case err == nil:
-		return termRow(stored)
-	case errorx.IsOfType(err, platform.ErrConflict):
-		return term.Row{}, term.ErrConflict.Wrap(err, "record of upstream %s", r.group.Upstream.Name)
-	case errorx.IsOfType(err, platform.ErrUnavailable):
-		return term.Row{}, term.ErrUnavailable.Wrap(err, "record of upstream %s", r.group.Upstream.Name)
+	if err != nil {
+		return term.Row{}, platform.PutError(err, r.key(), term.ErrConflict, term.ErrUnavailable, term.ErrOutcomeUnknown)
 	}
-	return term.Row{}, term.ErrOutcomeUnknown.Wrap(err, "record of upstream %s", r.group.Upstream.Name)
+	return termRow(stored)
 }
 
 func termRow(row platform.Row) (term.Row, error) {
