Split group, guard, session and the extended protocol by their jobs

Cause: four files of 350 to 400 lines, each over several jobs. Change: members, commit, floor, evidence, rejoin (upstream); batch, step, ending, setting_batch (caller). No line of logic changed. Measured: lint, and the tests of the four packages, pass.

--- /dev/null
+++ b/internal/caller/setting_batch.go
@@ -0,0 +1,68 @@
+package caller
+
+import (
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// answerOwnExtended runs a batch whose statements are on savoryramp's own settings.
+func (s *Session) answerOwnExtended(messages []pgproto3.FrontendMessage, sync bool) error {
+	var bound *prepared
+	for _, m := range messages {
+		if err := s.answerOwnMessage(m, &bound); err != nil {
+			s.refuse(err)
+			break
+		}
+	}
+	if !sync {
+		return s.flush()
+	}
+	return s.ready()
+}
+
+func (s *Session) answerOwnMessage(m pgproto3.FrontendMessage, bound **prepared) error {
+	switch m := m.(type) {
+	case *pgproto3.Parse:
+		s.send(&pgproto3.ParseComplete{})
+	case *pgproto3.Bind:
+		*bound = s.prepared[m.PreparedStatement]
+		s.send(&pgproto3.BindComplete{})
+	case *pgproto3.Describe:
+		return s.describeOwn(m, *bound)
+	case *pgproto3.Execute:
+		return s.executeOwn(*bound)
+	case *pgproto3.Close:
+		s.send(&pgproto3.CloseComplete{})
+	}
+	return nil
+}
+
+func (s *Session) describeOwn(m *pgproto3.Describe, bound *prepared) error {
+	if m.ObjectType == 'S' {
+		bound = s.prepared[m.Name]
+		s.send(&pgproto3.ParameterDescription{})
+	}
+	if bound == nil {
+		return ErrProtocol.New("nothing to describe")
+	}
+	if name, _, tag, err := s.own(bound.sql); err == nil && tag == "SHOW" {
+		s.send(showDescription(name))
+		return nil
+	}
+	s.send(&pgproto3.NoData{})
+	return nil
+}
+
+func (s *Session) executeOwn(bound *prepared) error {
+	if bound == nil || bound.kind != kindOwn {
+		return ErrUnsupported.New("savoryramp settings can't be mixed with other statements in one batch")
+	}
+	_, value, tag, err := s.own(bound.sql)
+	if err != nil {
+		return err
+	}
+	if tag == "SHOW" {
+		s.send(&pgproto3.DataRow{Values: [][]byte{[]byte(value)}})
+	}
+	s.send(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
+	return nil
+}
--- /dev/null
+++ b/internal/upstream/commit.go
@@ -0,0 +1,92 @@
+package upstream
+
+import (
+	"context"
+
+	"github.com/savoryramp/savoryramp/pkg/position"
+)
+
+// Write gives a connection to the primary. It waits for one until ctx ends.
+// ErrNoServer, ErrBusy, ErrConnect; nothing has run.
+func (g *Group) Write(ctx context.Context, r Request) (*Conn, error) {
+	for {
+		g.mu.Lock()
+		m, changed := g.primary(), g.changed
+		var t position.Term
+		leaving := false
+		if m != nil {
+			t, leaving = m.status.Term, m.server.Leaving
+		}
+		g.mu.Unlock()
+		if m != nil && !leaving && g.leased(t) {
+			c, err := m.pool.take(ctx, r)
+			if err == nil {
+				c.Role = Primary
+				return c, nil
+			}
+			if isMoved(err) {
+				continue
+			}
+			if !isConnect(err) || ctx.Err() != nil {
+				return nil, err
+			}
+			g.Suspect(m.pool.Server.Name)
+			continue
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, ErrNoServer.New("upstream %s has no primary", g.Upstream.Name)
+		}
+	}
+}
+
+// Confirm waits until the commit at p is held by a majority of the group's servers
+// that have accepted p's term and no later one. ErrUnconfirmed when a later term
+// was seen first or ctx ended.
+func (g *Group) Confirm(ctx context.Context, p position.Position) error {
+	for {
+		g.mu.Lock()
+		confirmed, term, changed := g.confirmed(p), g.term, g.changed
+		g.mu.Unlock()
+		if term > p.Term {
+			return ErrUnconfirmed.New("commit at %s: term %d began", p, term)
+		}
+		if confirmed {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ErrUnconfirmed.Wrap(ctx.Err(), "commit at %s reached no replica", p)
+		}
+	}
+}
+
+// ConfirmRead waits until all that a read on the primary's connection c may have seen
+// is confirmed; without that, the write seen could still be lost. Anything committed
+// before the read ended is before the position of a statement that begins after it.
+// ErrNoServer when it isn't confirmed within ctx, ErrSilent, ErrBroken.
+func (g *Group) ConfirmRead(ctx context.Context, c *Conn) error {
+	deadline, _ := ctx.Deadline()
+	if _, err := c.Ask(statusQuery, deadline); err != nil {
+		return err
+	}
+	if err := g.Confirm(ctx, c.Position); err != nil {
+		return ErrNoServer.Wrap(err, "what server %s answers may be lost", c.Server)
+	}
+	return nil
+}
+
+// confirmed counts the primary that answered, and each replica that received p in
+// p's term; g.mu is held.
+func (g *Group) confirmed(p position.Position) bool {
+	holders := 1
+	for _, m := range g.members {
+		s := m.status
+		if s.Role == Replica && s.Term == p.Term && s.Received.Term == p.Term && s.Received.Offset >= p.Offset {
+			holders++
+		}
+	}
+	return holders > len(g.members)/2
+}
--- /dev/null
+++ b/internal/upstream/evidence.go
@@ -0,0 +1,94 @@
+package upstream
+
+import (
+	"time"
+
+	"github.com/savoryramp/savoryramp/pkg/position"
+)
+
+// evidence gives why the primary counts as failed, empty when it doesn't.
+func (u *guard) evidence() string {
+	g := u.group
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m := g.leader()
+	if m == nil {
+		if g.usable() <= len(g.members)/2 || !u.unseenGone() {
+			return ""
+		}
+		return "no server leads the newest term"
+	}
+	if !m.usable {
+		if u.gone(m) {
+			return "this VM and most others can't use it"
+		}
+		return ""
+	}
+	if u.stalled(m) {
+		return "it moves on and no replica receives"
+	}
+	return ""
+}
+
+// gone tells whether a server that this VM can't use has failed: most VMs that answer
+// can't use it either. Without any to ask, this VM may be the one that is cut off; then
+// it has failed if no other server's log grows. The group's mu is held.
+func (u *guard) gone(m *member) bool {
+	heard, against := u.group.Coordination.Opinions(m.server.Name)
+	if heard > 0 {
+		return 2*against >= heard
+	}
+	for _, other := range u.group.members {
+		if other != m && other.usable && time.Since(other.movedAt) < quietFor {
+			return false
+		}
+	}
+	return true
+}
+
+// unseenGone tells whether all servers that this VM can't use have failed; the group's
+// mu is held.
+func (u *guard) unseenGone() bool {
+	for _, m := range u.group.members {
+		if !m.usable && !u.gone(m) {
+			return false
+		}
+	}
+	return true
+}
+
+// mayReceive tells whether a replica that this VM can't use may be receiving: fewer
+// than half of the others say that they can't use it either. The group's mu is held.
+func (u *guard) mayReceive(m *member) bool {
+	heard, against := u.group.Coordination.Opinions(m.server.Name)
+	return heard == 0 || 2*against < heard
+}
+
+// stalled tells whether the replicas have stopped to receive what the primary
+// commits; the group's mu is held.
+func (u *guard) stalled(primary *member) bool {
+	var furthest position.Offset
+	usable := 0
+	for _, m := range u.group.members {
+		if m == primary {
+			continue
+		}
+		if !m.usable && u.mayReceive(m) {
+			u.stalledSince = time.Time{}
+			return false
+		}
+		if !m.usable {
+			continue
+		}
+		usable++
+		if m.status.Received.Term == primary.status.Term {
+			furthest = max(furthest, m.status.Received.Offset)
+		}
+	}
+	behind := primary.status.Received.Offset > furthest
+	if !behind || usable == 0 || furthest != u.stalledAt || u.stalledSince.IsZero() {
+		u.stalledAt, u.stalledSince = furthest, time.Now()
+		return false
+	}
+	return time.Since(u.stalledSince) > stalledFor
+}
--- a/internal/upstream/floor.go
+++ b/internal/upstream/floor.go
@@ -89,3 +89,29 @@
 	}
 	return list
 }
+
+// Check tells whether a session's floor still names a part of the group's history.
+// ErrFloorLost.
+func (g *Group) Check(floor position.Position) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err := position.Survives(floor, g.list()); err != nil {
+		return ErrFloorLost.Wrap(err, "upstream %s", g.Upstream.Name)
+	}
+	return nil
+}
+
+// Clip lowers a floor that was asked for to what survived.
+func (g *Group) Clip(floor position.Position) position.Position {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return position.Clip(floor, g.list())
+}
+
+func (g *Group) list() []position.Start {
+	list := make([]position.Start, 0, len(g.starts))
+	for _, s := range g.starts {
+		list = append(list, s)
+	}
+	return list
+}
--- a/internal/upstream/group.go
+++ b/internal/upstream/group.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -106,69 +105,6 @@
 	g.tasks.Go(func() { guard.run(ctx) })
 }
 
-// add makes a server a member; g.mu is held, since its watch reports at once.
-func (g *Group) add(s platform.Server) {
-	m := &member{server: s}
-	m.pool = &Pool{
-		Server: s, Login: g.Login, Dial: g.Dial, Order: g.Order, MaxQueue: g.MaxQueue,
-		Limit: func() int { return g.Share(s.Name) },
-	}
-	if g.Allowance != nil {
-		m.pool.Allowance = g.Allowance(s.Name)
-	}
-	m.pool.leave(s.Leaving)
-	m.watch = &watch{server: s, login: g.Login, dial: g.Dial, logger: g.Logger, report: g.report}
-	ctx, cancel := context.WithCancel(g.ctx)
-	m.cancel = cancel
-	g.members[s.Name] = m
-	g.tasks.Go(func() { m.watch.run(ctx) })
-	g.tasks.Go(func() { m.pool.run(ctx) })
-}
-
-// update follows a changed document: members that stay keep their connections.
-func (g *Group) update(up platform.Upstream) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	named := map[platform.ServerName]bool{}
-	for _, s := range up.Servers {
-		named[s.Name] = true
-		m := g.members[s.Name]
-		if m != nil && m.server.Address == s.Address {
-			m.server = s
-			m.pool.leave(s.Leaving)
-			continue
-		}
-		g.remove(m)
-		g.add(s)
-	}
-	for name, m := range g.members {
-		if !named[name] {
-			g.remove(m)
-		}
-	}
-	before := g.Upstream.Servers
-	g.Upstream.Servers, g.Upstream.Acknowledge = up.Servers, up.Acknowledge
-	if !sameNames(before, up.Servers) {
-		g.watchPrimary()
-	}
-	g.signal()
-}
-
-func sameNames(a, b []platform.Server) bool {
-	return slices.EqualFunc(a, b, func(x, y platform.Server) bool { return x.Name == y.Name })
-}
-
-// remove ends a member's watch and pool; g.mu is held. Connections in use end with
-// their transactions.
-func (g *Group) remove(m *member) {
-	if m == nil {
-		return
-	}
-	m.cancel()
-	m.pool.close()
-	delete(g.members, m.server.Name)
-}
-
 // stop closes the watches and pools and waits for their tasks.
 func (g *Group) stop() {
 	g.cancel()
@@ -261,41 +197,6 @@
 	return nil
 }
 
-// Write gives a connection to the primary. It waits for one until ctx ends.
-// ErrNoServer, ErrBusy, ErrConnect; nothing has run.
-func (g *Group) Write(ctx context.Context, r Request) (*Conn, error) {
-	for {
-		g.mu.Lock()
-		m, changed := g.primary(), g.changed
-		var t position.Term
-		leaving := false
-		if m != nil {
-			t, leaving = m.status.Term, m.server.Leaving
-		}
-		g.mu.Unlock()
-		if m != nil && !leaving && g.leased(t) {
-			c, err := m.pool.take(ctx, r)
-			if err == nil {
-				c.Role = Primary
-				return c, nil
-			}
-			if isMoved(err) {
-				continue
-			}
-			if !isConnect(err) || ctx.Err() != nil {
-				return nil, err
-			}
-			g.Suspect(m.pool.Server.Name)
-			continue
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return nil, ErrNoServer.New("upstream %s has no primary", g.Upstream.Name)
-		}
-	}
-}
-
 // Acknowledge is the rule by which the group's writes are acknowledged.
 func (g *Group) Acknowledge() platform.Acknowledge {
 	g.mu.Lock()
@@ -303,43 +204,6 @@
 	return g.Upstream.Acknowledge
 }
 
-// Confirm waits until the commit at p is held by a majority of the group's servers
-// that have accepted p's term and no later one. ErrUnconfirmed when a later term
-// was seen first or ctx ended.
-func (g *Group) Confirm(ctx context.Context, p position.Position) error {
-	for {
-		g.mu.Lock()
-		confirmed, term, changed := g.confirmed(p), g.term, g.changed
-		g.mu.Unlock()
-		if term > p.Term {
-			return ErrUnconfirmed.New("commit at %s: term %d began", p, term)
-		}
-		if confirmed {
-			return nil
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return ErrUnconfirmed.Wrap(ctx.Err(), "commit at %s reached no replica", p)
-		}
-	}
-}
-
-// ConfirmRead waits until all that a read on the primary's connection c may have seen
-// is confirmed; without that, the write seen could still be lost. Anything committed
-// before the read ended is before the position of a statement that begins after it.
-// ErrNoServer when it isn't confirmed within ctx, ErrSilent, ErrBroken.
-func (g *Group) ConfirmRead(ctx context.Context, c *Conn) error {
-	deadline, _ := ctx.Deadline()
-	if _, err := c.Ask(statusQuery, deadline); err != nil {
-		return err
-	}
-	if err := g.Confirm(ctx, c.Position); err != nil {
-		return ErrNoServer.Wrap(err, "what server %s answers may be lost", c.Server)
-	}
-	return nil
-}
-
 // Suspect takes a server out of use until its watch hears from it again, as after
 // it refused to write or fell silent.
 func (g *Group) Suspect(name platform.ServerName) {
@@ -350,42 +214,3 @@
 		g.signal()
 	}
 }
-
-// confirmed counts the primary that answered, and each replica that received p in
-// p's term; g.mu is held.
-func (g *Group) confirmed(p position.Position) bool {
-	holders := 1
-	for _, m := range g.members {
-		s := m.status
-		if s.Role == Replica && s.Term == p.Term && s.Received.Term == p.Term && s.Received.Offset >= p.Offset {
-			holders++
-		}
-	}
-	return holders > len(g.members)/2
-}
-
-// Check tells whether a session's floor still names a part of the group's history.
-// ErrFloorLost.
-func (g *Group) Check(floor position.Position) error {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if err := position.Survives(floor, g.list()); err != nil {
-		return ErrFloorLost.Wrap(err, "upstream %s", g.Upstream.Name)
-	}
-	return nil
-}
-
-// Clip lowers a floor that was asked for to what survived.
-func (g *Group) Clip(floor position.Position) position.Position {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return position.Clip(floor, g.list())
-}
-
-func (g *Group) list() []position.Start {
-	list := make([]position.Start, 0, len(g.starts))
-	for _, s := range g.starts {
-		list = append(list, s)
-	}
-	return list
-}
