Take a member's connection in one place

Cause: Write and Read judged a failed take with the same nine lines. Change: Group.take. Measured: the tests of internal/upstream and internal/caller pass. Conclusion: less written twice.

--- a/internal/upstream/commit.go
+++ b/internal/upstream/commit.go
@@ -19,18 +19,10 @@
 		}
 		g.mu.Unlock()
 		if m != nil && !leaving && g.leased(t) {
-			c, err := m.pool.take(ctx, r)
-			if err == nil {
-				c.Role = Primary
-				return c, nil
+			c, err := g.take(ctx, m, r, Primary)
+			if c != nil || err != nil {
+				return c, err
 			}
-			if isMoved(err) {
-				continue
-			}
-			if !isConnect(err) || ctx.Err() != nil {
-				return nil, err
-			}
-			g.Suspect(m.pool.Server.Name)
 			continue
 		}
 		select {
@@ -41,6 +33,23 @@
 	}
 }
 
+// take gives a connection to a member; neither that nor an error when the request
+// has to look for a server again.
+func (g *Group) take(ctx context.Context, m *member, r Request, role Role) (*Conn, error) {
+	c, err := m.pool.take(ctx, r)
+	switch {
+	case err == nil:
+		c.Role = role
+		return c, nil
+	case isMoved(err):
+		return nil, nil
+	case isConnect(err) && ctx.Err() == nil:
+		g.Suspect(m.pool.Server.Name)
+		return nil, nil
+	}
+	return nil, err
+}
+
 // Confirm waits until the commit at p is held by a majority of the group's servers
 // that have accepted p's term and no later one. ErrUnconfirmed when a later term
 // was seen first or ctx ended.
--- a/internal/upstream/read.go
+++ b/internal/upstream/read.go
@@ -65,18 +65,10 @@
 		wait := g.worthWaiting(f, patience)
 		g.mu.Unlock()
 		if m != nil {
-			c, err := m.pool.take(ctx, r)
-			if err == nil {
-				c.Role = role
-				return c, nil
+			c, err := g.take(ctx, m, r, role)
+			if c != nil || err != nil {
+				return c, err
 			}
-			if isMoved(err) {
-				continue
-			}
-			if !isConnect(err) || ctx.Err() != nil {
-				return nil, err
-			}
-			g.Suspect(m.pool.Server.Name)
 			continue
 		}
 		if wait <= 0 {
