Go on accepting after a failed accept

Cause: without file descriptors Accept fails; the server left its loop for good and took no more callers. Found by BenchmarkIdle at 10,000 callers, over the process's limit. Ruled out: raising the limit (not ours to set). Change: it logs event 2008, waits 50 ms and goes on, until a drain or the end.

--- a/internal/caller/events.go
+++ b/internal/caller/events.go
@@ -17,4 +17,6 @@
 		"A caller sent bytes that the protocol doesn't allow; its connection was closed.")
 	eventTrust = event.Define(2007, "caller-trust-changed", event.Warn,
 		"The VM lost or regained the right to rely on its document; without it, no caller is served.")
+	eventAccept = event.Define(2008, "caller-accept-failed", event.Error,
+		"A caller's connection could not be accepted, as without file descriptors; it is tried again.")
 )
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -76,7 +76,13 @@
 	for {
 		nc, err := s.Listener.Accept()
 		if err != nil {
-			break
+			if s.closed(ctx) {
+				break
+			}
+			// Such as no file descriptors left; those who wait are accepted later.
+			eventAccept.Log(s.Logger, "err", err)
+			platform.Pause(ctx, acceptPause)
+			continue
 		}
 		s.open.Add(1)
 		tasks.Go(func() { s.serve(inner, nc) })
@@ -91,6 +97,12 @@
 	return nil
 }
 
+// acceptPause follows a failed accept.
+const acceptPause = 50 * time.Millisecond
+
+// closed tells whether the listener was closed by a drain or the end of ctx.
+func (s *Server) closed(ctx context.Context) bool { return ctx.Err() != nil || s.Draining() }
+
 func (s *Server) init() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
