Find the VM's own answer in one place

Cause: the load tool and its ledger each had the same function. Change: load.ServerError; SQLSTATE in its usual spelling. Measured: the tests of both packages pass.

--- a/cmd/savoryramp-load/caller.go
+++ b/cmd/savoryramp-load/caller.go
@@ -6,9 +6,10 @@
 	"time"
 
 	"github.com/jackc/pgx/v5"
-	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/prometheus/common/expfmt"
 	"github.com/prometheus/common/model"
+
+	"github.com/savoryramp/savoryramp/internal/load"
 )
 
 const (
@@ -17,7 +18,7 @@
 	// servedMetric counts requests that were answered, by the label servedLabel.
 	servedMetric = "savoryramp_caller_requests_total"
 	servedLabel  = "role"
-	// codeUnknown is the SQL state of a transaction whose outcome is unknown.
+	// codeUnknown is the SQLSTATE of a transaction whose outcome is unknown.
 	codeUnknown    = "08007"
 	metricsTimeout = 5 * time.Second
 )
@@ -89,28 +90,13 @@
 	if err == nil {
 		return acknowledged
 	}
-	answer := serverError(err)
+	answer := load.ServerError(err)
 	if answer == nil || answer.Code == codeUnknown {
 		return unknown
 	}
 	return notRun
 }
 
-// serverError finds the VM's own answer in a chain of errors, nil if there is none.
-func serverError(err error) *pgconn.PgError {
-	for err != nil {
-		if answer, ok := err.(*pgconn.PgError); ok {
-			return answer
-		}
-		w, ok := err.(interface{ Unwrap() error })
-		if !ok {
-			return nil
-		}
-		err = w.Unwrap()
-	}
-	return nil
-}
-
 // servedBy reads from a VM's metrics how many answers came from which role.
 func servedBy(ctx context.Context, admin string) (map[string]int, error) {
 	ctx, cancel := context.WithTimeout(ctx, metricsTimeout)
--- a/internal/load/person.go
+++ b/internal/load/person.go
@@ -143,8 +143,8 @@
 // Unwrap gives the failure itself.
 func (n notSent) Unwrap() error { return n.error }
 
-// serverError finds the VM's own answer in a chain of errors, nil if there is none.
-func serverError(err error) *pgconn.PgError {
+// ServerError finds the VM's own answer in a chain of errors, nil if there is none.
+func ServerError(err error) *pgconn.PgError {
 	for err != nil {
 		if answer, ok := err.(*pgconn.PgError); ok {
 			return answer
--- a/internal/load/trial.go
+++ b/internal/load/trial.go
@@ -228,7 +228,7 @@
 		if r.Kind == Write && r.Outcome == Unknown {
 			p.unknown++
 		}
-		if serverError(err) == nil {
+		if ServerError(err) == nil {
 			p.leave()
 		}
 	case r.Kind == Write:
@@ -263,7 +263,7 @@
 	if err == nil {
 		return Answered, ""
 	}
-	answer := serverError(err)
+	answer := ServerError(err)
 	_, unsent := err.(notSent)
 	switch {
 	case answer == nil && (unsent || pgconn.SafeToRetry(err)):
@@ -278,7 +278,7 @@
 
 // leaving tells whether the VM is ending or gone, so that another has to be asked.
 func leaving(err error) bool {
-	answer := serverError(err)
+	answer := ServerError(err)
 	if answer != nil {
 		return answer.Code == codeShutdown
 	}
