Look at a connection's silence before it is given back

Ruled out: the fixture; the race is the product's. Change: read first. Measured: TestReleasedConnectionIsItsNextUsers fails under -race before, passes 20 of 20 after. Conclusion: mended; the check stays.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -254,6 +254,8 @@
 }
 
 func (p *Pool) release(c *Conn, keep bool) {
+	// Once c is idle it belongs to its next user.
+	silent := c.silent
 	c.idleSince = time.Now()
 	excess := p.Allowance != nil && p.Allowance.Excess() > 0
 	p.mu.Lock()
@@ -276,7 +278,7 @@
 	if give {
 		p.Allowance.Release()
 	}
-	if c.silent {
+	if silent {
 		p.drop()
 	}
 }
