Know the race detector's native fault by its signal as well

Cause: of ten full runs, the detector's runtime ended a binary by its CHECK in four and by a SIGSEGV on goroutine 0 in one (pkg/contract, which is pure Go), each without a race, a failed test or a panic; the second shape failed the run. Ruled out: running on any signal (a Go fault prints a panic and still fails at once); leaving the detector off. Change: script/race.sh knows that shape too; the binary is run again under the detector, at most three times, and printed. Conclusion: the verdict rests on our code.

--- a/script/race.sh
+++ b/script/race.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Runs all tests under the race detector. The detector's runtime has a fault of its own:
 # with more than 255 goroutines at once it now and then ends a test binary with
-# "ThreadSanitizer: CHECK failed" or a fault inside itself, having reported nothing.
+# "ThreadSanitizer: CHECK failed" or a fault inside its native code (a SIGSEGV on
+# goroutine 0, which no Go code of ours runs on), having reported nothing.
 # Only such an end is run again, up to three times, and printed; a failed test, a data
 # race or any other panic fails at once.
 set -uo pipefail
@@ -16,6 +17,12 @@
   skip=(-skip "^($(cut -d'|' -f1 KNOWN-RED.txt | tr -d ' ' | paste -sd'|'))\$")
 fi
 
+# native_fault tells whether a binary ended in native code: the signal's line is followed
+# by goroutine 0, and there is no panic, which Go's own faults print.
+native_fault() {
+  grep -A3 '^SIGSEGV: segmentation violation' "$log" | grep -q '^goroutine 0 '
+}
+
 tries=4
 packages=("$@")
 [ ${#packages[@]} -gt 0 ] || packages=(./...)
@@ -25,7 +32,7 @@
 for try in $(seq "$tries"); do
   if go test -race -timeout 20m "${skip[@]}" "${packages[@]}" 2>&1 | tee "$log"; then exit 0; fi
   grep -qE 'DATA RACE|^ *--- FAIL|^panic:|\[build failed\]|\[setup failed\]|^fatal error' "$log" && exit 1
-  grep -qE 'ThreadSanitizer: CHECK failed|ThreadSanitizer:DEADLYSIGNAL' "$log" || exit 1
+  grep -qE 'ThreadSanitizer: CHECK failed|ThreadSanitizer:DEADLYSIGNAL' "$log" || native_fault || exit 1
   mapfile -t packages < <(awk '$1 == "FAIL" && $2 ~ /\// {print $2}' "$log")
   [ ${#packages[@]} -gt 0 ] || exit 1
   echo "race detector's own fault (try $try of $tries): ${packages[*]} run again"
