Ask a quiet server for a sign of life in place of its status

Cause: a watch asked a quiet server for its status every 250 ms, 244 B with question and answer, of which the status text, the description of its column and the question are 200. The server pushes each move already, and a busy server was never asked at all, so the status asked for said nothing new.

Ruled out: that asking less often would do: the quarter second is the detection of a silent server. That the status as a prepared statement would do: by count 203 B, the text is most of it. Peers' views in place of asking: they are evidence against a primary and mustn't rest on each other.

Change: a quiet server is asked by an empty query, answered with the position that comes with each answer. At the position that it told last it stands as it told; at another it is asked for its status at once; and in any case every 5 s. The bench's server answered an empty query with the whole status and now answers it as the stand-in does.

--- a/internal/upstream/cost_test.go
+++ b/internal/upstream/cost_test.go
@@ -50,10 +50,14 @@
 		if err != nil {
 			return
 		}
-		if q, found := m.(*pgproto3.Query); found && strings.HasPrefix(q.String, "LISTEN") {
+		q, found := m.(*pgproto3.Query)
+		switch {
+		case found && q.String == "":
+			back.Send(&pgproto3.EmptyQueryResponse{})
+		case found && strings.HasPrefix(q.String, "LISTEN"):
 			back.Send(&pgproto3.NotificationResponse{Channel: "savoryramp_position", Payload: status})
 			back.Send(&pgproto3.CommandComplete{CommandTag: []byte("LISTEN")})
-		} else {
+		default:
 			back.Send(&pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{{Name: []byte("savoryramp_status"), DataTypeOID: 25, DataTypeSize: -1}}})
 			back.Send(&pgproto3.DataRow{Values: [][]byte{[]byte(status)}})
 			back.Send(&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")})
--- a/internal/upstream/watch.go
+++ b/internal/upstream/watch.go
@@ -12,13 +12,17 @@
 )
 
 const (
-	// heartbeatEvery is how often a quiet server is asked for its position.
+	// heartbeatEvery is how often a quiet server is asked for a sign of life.
 	heartbeatEvery = 250 * time.Millisecond
+	// statusEvery is how often a quiet server is asked for its whole status.
+	statusEvery = 5 * time.Second
 	// silentAfter is how long a server may say nothing before it counts as silent.
 	silentAfter = time.Second
 	// reconnectAfter is the pause before a lost watch connects again.
 	reconnectAfter = 100 * time.Millisecond
 	statusQuery    = "SELECT savoryramp_status()"
+	// probeQuery is empty: the answer is the server's position and nothing else.
+	probeQuery = ""
 	// codeTerm is the SQLSTATE of a server that has accepted a higher term.
 	codeTerm    = "55000"
 	listenQuery = "LISTEN savoryramp_position"
@@ -37,8 +41,19 @@
 	mu   sync.Mutex
 	conn *Conn
 	// asked are the statements sent and not yet answered, oldest first.
-	asked []chan answer
+	asked []question
 	up    bool
+	// last is the newest status that the server told on conn, at toldAt; zero before.
+	last   Status
+	toldAt time.Time
+}
+
+// question is a statement sent and not yet answered.
+type question struct {
+	// asker is given the answer; nil if nobody waits for it.
+	asker chan answer
+	// probe asks for a sign of life only.
+	probe bool
 }
 
 // answer is what a control statement gave.
@@ -88,7 +103,7 @@
 			if !isSilent(err) || time.Since(heard) > silentAfter {
 				return err
 			}
-			w.send(statusQuery, nil)
+			w.heartbeat()
 			continue
 		}
 		heard = time.Now()
@@ -100,7 +115,7 @@
 		case *pgproto3.ErrorResponse:
 			failure = w.refusal(m)
 		case *pgproto3.ReadyForQuery:
-			err = w.answered(text, failure)
+			err = w.answered(c, text, failure)
 			text, failure = "", nil
 		}
 		if err != nil {
@@ -109,6 +124,18 @@
 	}
 }
 
+// heartbeat asks a quiet server for a sign of life, and now and then for its status.
+func (w *watch) heartbeat() {
+	w.mu.Lock()
+	due := time.Since(w.toldAt) >= statusEvery
+	w.mu.Unlock()
+	if due {
+		w.send(statusQuery, nil)
+		return
+	}
+	w.send(probeQuery, nil)
+}
+
 // refusal types a server's error answer.
 func (w *watch) refusal(m *pgproto3.ErrorResponse) error {
 	if m.Code == codeTerm {
@@ -125,7 +152,7 @@
 	}
 	w.mu.Lock()
 	first := !w.up
-	w.up = true
+	w.up, w.last, w.toldAt = true, s, time.Now()
 	w.mu.Unlock()
 	if first {
 		eventWatchUp.Log(w.logger, "server", w.server.Name, "role", s.Role, "applied", s.Applied)
@@ -135,24 +162,41 @@
 }
 
 // answered hands a finished statement's answer to whoever asked.
-func (w *watch) answered(text string, failure error) error {
+func (w *watch) answered(c *Conn, text string, failure error) error {
 	w.mu.Lock()
 	if len(w.asked) == 0 {
 		w.mu.Unlock()
 		return ErrBroken.New("server %s answered nobody's question", w.server.Name)
 	}
-	asker := w.asked[0]
+	q := w.asked[0]
 	w.asked = w.asked[1:]
 	w.mu.Unlock()
-	if asker != nil {
-		asker <- answer{text, failure}
+	if q.asker != nil {
+		q.asker <- answer{text, failure}
 	}
-	if failure == nil && text != "" {
+	switch {
+	case failure != nil:
+	case q.probe:
+		w.alive(c)
+	case text != "":
 		return w.status(text)
 	}
 	return nil
 }
 
+// alive takes a sign of life: at the position that the server told last it stands as it
+// told; at another it has moved without telling and is asked.
+func (w *watch) alive(c *Conn) {
+	w.mu.Lock()
+	last := w.last
+	w.mu.Unlock()
+	if c.Position != last.Applied {
+		w.send(statusQuery, nil)
+		return
+	}
+	w.report(w.server.Name, last, true)
+}
+
 // send puts a statement on the connection; asker may be nil.
 func (w *watch) send(sql string, asker chan answer) {
 	w.mu.Lock()
@@ -163,7 +207,7 @@
 		}
 		return
 	}
-	w.asked = append(w.asked, asker)
+	w.asked = append(w.asked, question{asker: asker, probe: sql == probeQuery})
 	w.conn.Front.Send(&pgproto3.Query{String: sql})
 	_ = w.conn.Front.Flush()
 }
@@ -189,10 +233,11 @@
 	w.mu.Lock()
 	asked, up := w.asked, w.up
 	w.conn, w.asked, w.up = nil, nil, false
+	w.last, w.toldAt = Status{}, time.Time{}
 	w.mu.Unlock()
-	for _, asker := range asked {
-		if asker != nil {
-			asker <- answer{err: ErrConnect.Wrap(err, "server %s", w.server.Name)}
+	for _, q := range asked {
+		if q.asker != nil {
+			q.asker <- answer{err: ErrConnect.Wrap(err, "server %s", w.server.Name)}
 		}
 	}
 	if up && ctx.Err() == nil {
--- /dev/null
+++ b/internal/upstream/watch_quiet_test.go
@@ -0,0 +1,127 @@
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"gotest.tools/v3/assert"
+
+	"github.com/savoryramp/savoryramp/internal/fakenet"
+	"github.com/savoryramp/savoryramp/internal/platform"
+	"github.com/savoryramp/savoryramp/pkg/position"
+)
+
+// mute is a server that never pushes; its answers are as its fields say.
+type mute struct {
+	mu     sync.Mutex
+	term   position.Term
+	offset position.Offset
+	silent bool
+}
+
+func (s *mute) set(change func(*mute)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(s)
+}
+
+func (s *mute) serve(c net.Conn) {
+	defer c.Close()
+	back := pgproto3.NewBackend(c, c)
+	if _, err := back.ReceiveStartupMessage(); err != nil {
+		return
+	}
+	back.Send(&pgproto3.AuthenticationOk{})
+	back.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	for back.Flush() == nil {
+		m, err := back.Receive()
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		silent, at := s.silent, fmt.Sprintf("1/%d", s.offset)
+		status := fmt.Sprintf(`{"server":"r","role":"primary","term":%d,"received":%q,"applied":%q}`, s.term, at, at)
+		s.mu.Unlock()
+		if silent {
+			continue
+		}
+		if q, found := m.(*pgproto3.Query); found && q.String == statusQuery {
+			back.Send(&pgproto3.DataRow{Values: [][]byte{[]byte(status)}})
+		}
+		back.Send(&pgproto3.ParameterStatus{Name: positionParameter, Value: at})
+		back.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	}
+}
+
+// A quiet server costs few bytes, and a server that moves, changes or falls silent
+// without telling is found out in time all the same.
+func TestWatchOfQuietServer(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(*mute)
+		// known tells whether the watch has found the change out.
+		known  func(Status, bool) bool
+		within time.Duration
+	}{
+		"moves":        {func(s *mute) { s.offset = 8 }, func(s Status, _ bool) bool { return s.Received.Offset == 8 }, 2 * heartbeatEvery},
+		"changes":      {func(s *mute) { s.term = 2 }, func(s Status, _ bool) bool { return s.Term == 2 }, statusEvery + heartbeatEvery},
+		"falls silent": {func(s *mute) { s.silent = true }, func(_ Status, usable bool) bool { return !usable }, silentAfter + 2*heartbeatEvery},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				server, bytes := &mute{term: 1, offset: 7}, &atomic.Int64{}
+				network := fakenet.New()
+				l, err := network.Listen("server", "server:1")
+				assert.NilError(t, err)
+				defer l.Close()
+				go func() {
+					for {
+						c, err := l.Accept()
+						if err != nil {
+							return
+						}
+						go server.serve(c)
+					}
+				}()
+				var mu sync.Mutex
+				var last Status
+				usable := false
+				var reports atomic.Int64
+				w := &watch{
+					server: platform.Server{Name: "r", Address: "server:1"}, login: Login{User: "s", Database: "d"}, logger: log.NewNopLogger(),
+					dial: func(ctx context.Context, n, a string) (net.Conn, error) {
+						c, err := network.Dialer("vm")(ctx, n, a)
+						return meteredConn{c, bytes}, err
+					},
+					report: func(_ platform.ServerName, s Status, up bool) {
+						mu.Lock()
+						defer mu.Unlock()
+						last, usable = s, up
+						reports.Add(1)
+					},
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				go w.run(ctx)
+				time.Sleep(12 * time.Second)
+				const quiet = 20
+				before, reported := bytes.Load(), reports.Load()
+				time.Sleep(quiet * time.Second)
+				assert.Assert(t, (bytes.Load()-before)/quiet < 250, "%d B/s", (bytes.Load()-before)/quiet)
+				assert.Assert(t, reports.Load()-reported >= 4*quiet-1, "%d signs of life in %d s", reports.Load()-reported, quiet)
+				server.set(c.change)
+				time.Sleep(c.within)
+				mu.Lock()
+				defer mu.Unlock()
+				assert.Assert(t, c.known(last, usable), "%+v, usable: %v", last, usable)
+			})
+		})
+	}
+}
