Go by heartbeats before asking a lease's holder again

Cause: a VM that is neither holder nor successor of a lease asked the holder twice a second whether it is gone, 737 B with row and answer each time: 5.8 KB/s a VM at nine VMs and four leases. And while the table was out it tried to read the row twice a second, on every VM for every lease, without backoff.

Ruled out: asking less often alone: it would delay what is known of a holder that ended. Taking a heartbeat for an answer: the lease's incarnation isn't the process's, so an answer has to have come from the process that is heard. Fewer readings of the row by those VMs: a holder that is cut off from the table and was replaced would keep them from learning of the new one; they stay as they were. A backoff for holder and successor: a successor took over late after an outage, and a claim could be missed.

Change: Lease.Hears tells of a name's process by heartbeats. After an answer the holder is asked again after Poll while the same process is heard, every Every once it isn't, and every Duration if it wasn't heard when it answered, as in fleets of more than 16. Without Hears all is as before. A third member whose reading fails waits twice as long each time, up to a sixth of Poll and by lot down to half of that; rows without a successor are read as before. What counts as evidence, rules 1 and 2 and all their times are untouched.

That the answer's member is compared wasn't seen failing.

--- a/internal/operator/coordination.go
+++ b/internal/operator/coordination.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strconv"
 	"sync"
 
 	"github.com/google/uuid"
@@ -70,6 +71,7 @@
 		Peers:      leasePeers{c.Fleet, name},
 		Candidates: c.candidates,
 		Listed:     c.listed,
+		Hears:      c.hears,
 		NewChange:  func() lease.Change { return lease.Change(uuid.NewString()) },
 	}
 	c.mu.Lock()
@@ -96,6 +98,12 @@
 	return names
 }
 
+// hears gives the run of a VM that sends heartbeats.
+func (c *coordination) hears(name lease.Name) (lease.Run, bool) {
+	life, heard := c.Fleet.Hears(platform.VMName(name))
+	return lease.Run(strconv.FormatInt(int64(life), 10)), heard
+}
+
 // listed gives the VMs of the platform's list.
 func (c *coordination) listed() ([]lease.Name, bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
--- a/internal/peer/member.go
+++ b/internal/peer/member.go
@@ -91,6 +91,19 @@
 	}
 }
 
+// Hears gives the incarnation of a VM that sent or answered a heartbeat of late; false
+// of any other, also of the VMs that this one doesn't talk to.
+func (f *Fleet) Hears(name Name) (Incarnation, bool) {
+	f.init()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.members[name]
+	if m == nil || m.life == 0 || m.saidGoodbye() || time.Since(m.heard) >= suspectBeats*f.BeatEvery {
+		return 0, false
+	}
+	return m.life, true
+}
+
 // neighbours picks whom a VM sends heartbeats: everybody in a small fleet, else the
 // VMs at distances 1, 2, 4 and so on along a ring by hash. Each VM is then watched
 // by as many, and news passes over the fleet in as many steps at most.
--- a/internal/upstream/failover_vm_test.go
+++ b/internal/upstream/failover_vm_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"net"
 	"sync"
 	"time"
@@ -49,7 +50,7 @@
 	l := &lease.Lease{
 		Self:  lease.Member{Name: v.name, Incarnation: lease.Incarnation(uuid.NewString())},
 		Table: leaseTable{v, platform.RowKey("lease/" + name)}, Peers: leasePeers{v, name},
-		Candidates: v.others, Listed: func() ([]lease.Name, bool) { return append(v.others(), v.name), true },
+		Hears: v.hears, Candidates: v.others, Listed: func() ([]lease.Name, bool) { return append(v.others(), v.name), true },
 		NewChange: func() lease.Change { return lease.Change(uuid.NewString()) },
 		Now:       func() time.Duration { return time.Since(v.rig.began) },
 	}
@@ -84,6 +85,16 @@
 	return names
 }
 
+// hears is what heartbeats tell of another VM.
+func (v *vm) hears(name lease.Name) (lease.Run, bool) {
+	for _, o := range v.rig.list() {
+		if o.name == name {
+			return lease.Run(fmt.Sprintf("%p", o)), v.reaches(o) && !o.gate.shut()
+		}
+	}
+	return "", false
+}
+
 // reaches tells whether messages pass between two VMs.
 func (v *vm) reaches(o *vm) bool { return !v.out() && !o.out() }
 
--- a/pkg/lease/cost_test.go
+++ b/pkg/lease/cost_test.go
@@ -55,6 +55,18 @@
 	_ = json.Unmarshal(body, to)
 }
 
+// hears tells of the VMs that one exchanges heartbeats with: everybody in a fleet of up
+// to 16, else those at distances 1, 2, 4 and so on along a ring, in either direction.
+func hears(i int, members []lease.Name) func(lease.Name) (lease.Run, bool) {
+	heard := map[lease.Name]bool{}
+	for j, n := range members {
+		ahead := (j - i + len(members)) % len(members)
+		behind := len(members) - ahead
+		heard[n] = len(members) <= 16 || ahead&(ahead-1) == 0 || behind&(behind-1) == 0
+	}
+	return func(n lease.Name) (lease.Run, bool) { return "1", heard[n] }
+}
+
 const uuidLike = "0c8f5d0e-6b0e-4d0b-9a39-3f6f0f0a7b%02d"
 
 // startLeases runs n leases on each of a number of VMs.
@@ -73,6 +85,7 @@
 				Self:  lease.Member{Name: m, Incarnation: lease.Incarnation(fmt.Sprintf(uuidLike, i))},
 				Table: c, Peers: c, Candidates: func() []lease.Name { return members },
 				Listed:    func() ([]lease.Name, bool) { return members, true },
+				Hears:     hears(i, members),
 				NewChange: func() lease.Change { return lease.Change(fmt.Sprintf(uuidLike, 10+i)) },
 			}
 		}
@@ -90,13 +103,13 @@
 // BenchmarkLeases reports what taking part in leases costs a VM, as the mean over
 // holder, successor and the others, without the way over the network.
 func BenchmarkLeases(b *testing.B) {
-	for _, c := range []struct{ leases, vms int }{{1, 3}, {10, 3}, {100, 3}, {1000, 3}, {100, 9}, {100, 27}} {
+	for _, c := range []struct{ leases, vms int }{{1, 3}, {10, 3}, {100, 3}, {1000, 3}, {100, 9}, {100, 27}, {100, 81}} {
 		b.Run(fmt.Sprintf("leases=%d/vms=%d", c.leases, c.vms), func(b *testing.B) {
 			before := leaseMemory()
 			w := startLeases(b, c.leases, c.vms)
 			time.Sleep(3 * time.Second)
 			held := leaseMemory() - before
-			asks, bytes, used, began := w.asks.Load(), w.bytes.Load(), leaseProcessor(), time.Now()
+			asks, bytes, reads, used, began := w.asks.Load(), w.bytes.Load(), w.reads.Load(), leaseProcessor(), time.Now()
 			for b.Loop() {
 				time.Sleep(4 * time.Second)
 			}
@@ -104,6 +117,8 @@
 			b.ReportMetric(float64((leaseProcessor()-used).Microseconds())/leases/vms, "cpu-us/s/vm")
 			b.ReportMetric(float64(w.asks.Load()-asks)/leases, "asks/s/lease")
 			b.ReportMetric(float64(w.bytes.Load()-bytes)/float64(w.asks.Load()-asks), "B/ask")
+			b.ReportMetric(float64(w.bytes.Load()-bytes)/leases/vms, "B/s/vm")
+			b.ReportMetric(float64(w.reads.Load()-reads)/leases, "reads/s/lease")
 			b.ReportMetric(float64(held)/float64(c.leases)/vms, "mem-B/vm")
 		})
 	}
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -23,6 +23,10 @@
 //   - Without a successor the row itself is renewed, and whoever has known the same
 //     version for the duration and the margin may take over.
 //
+// A third member asks the holder every Every whether it is gone; after an answer that it
+// isn't, only after Poll while Hears tells of the same process, or after Duration if Hears
+// doesn't tell of it. So nobody is taken for gone but by an answer, or for want of one.
+//
 // Restarts: a new incarnation is neither holder nor successor and has no promises. A
 // holder that hears another incarnation under its successor's name replaces it at once.
 //
@@ -67,6 +71,10 @@
 	Candidates func() []Name
 	// Listed gives all names on the VM list; false if it can't be read.
 	Listed func() ([]Name, bool)
+	// Hears gives the run of a name's process if it lives by a sign other than an answer,
+	// such as a heartbeat, of a moment ago: another run after each start. False of
+	// processes that aren't heard of. Nil: the holder is asked every Every.
+	Hears func(Name) (Run, bool)
 	// NewChange gives an id never given before.
 	NewChange func() Change
 	// Now reads a monotonic clock; nil: Go's.
@@ -100,10 +108,15 @@
 	sent    time.Duration
 	// goneSince and certainSince: the evidence of a claimant, zero without.
 	goneSince, certainSince time.Duration
-	// read is when the row was last read.
-	read    time.Duration
-	done    bool
-	changed chan struct{}
+	// sign is the last answer of a holder or successor that it is the one asked for.
+	sign sign
+	// read is when the row was last read, 0 before. Since then failed readings failed;
+	// a third member makes the next not before readAfter.
+	read      time.Duration
+	failed    int
+	readAfter time.Duration
+	done      bool
+	changed   chan struct{}
 }
 
 // Hold is a valid lease.
@@ -114,18 +127,6 @@
 	Left time.Duration
 }
 
-// State is what a member knows, for a dump.
-type State struct {
-	Self Member `json:"self"`
-	Row  Row    `json:"row"`
-	Held bool   `json:"held"`
-	// Left of the lease if held, and until the successor may take over.
-	Left      time.Duration `json:"left-ns"`
-	NotBefore time.Duration `json:"not-before-ns"`
-	// Writing: the outcome of a write isn't known yet.
-	Writing bool `json:"writing"`
-}
-
 // Held tells whether this member holds the lease now. It is asked at each use, right
 // before the effect.
 func (l *Lease) Held() (Hold, bool) {
@@ -138,18 +139,6 @@
 	return Hold{Version: l.row.Version, Left: left}, true
 }
 
-// State gives a copy of what this member knows.
-func (l *Lease) State() State {
-	hold, held := l.Held()
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	s := State{Self: l.Self, Row: l.row, Held: held, Left: hold.Left, Writing: l.writing}
-	if l.row.Successor == l.Self {
-		s.NotBefore = max(l.notBefore-l.now(), 0)
-	}
-	return s
-}
-
 // Changed is closed when a newer row is learned or the lease was gained or released.
 // That a lease ran out is seen by Held only.
 func (l *Lease) Changed() <-chan struct{} {
--- a/pkg/lease/step.go
+++ b/pkg/lease/step.go
@@ -11,12 +11,14 @@
 // step does what is due for this member's part in the row.
 func (l *Lease) step(ctx context.Context) {
 	if l.readDue() && l.reread(ctx) != nil {
+		l.backOff()
 		return
 	}
 	l.mutex.Lock()
-	row := l.row
+	row, blind := l.row, l.blind()
 	l.mutex.Unlock()
 	switch {
+	case blind:
 	case row.Version == 0:
 		l.write(ctx, Row{Holder: l.Self}, l.always)
 	case row.Holder == l.Self:
@@ -127,11 +129,18 @@
 	if m.Name == l.Self.Name {
 		return true, true
 	}
+	now := l.hear(m)
+	if l.stands(now) {
+		return false, false
+	}
 	answer, err := l.ask(ctx, m.Name, Request{Kind: Probe, From: l.Self, Row: row})
 	if err == nil {
 		l.mutex.Lock()
 		defer l.mutex.Unlock()
 		l.learn(answer.Row)
+		if answer.Self == m {
+			l.sign = now
+		}
 		return answer.Self != m, true
 	}
 	listed, ok := l.Listed()
@@ -155,30 +164,6 @@
 	return now
 }
 
-// readDue tells whether the row is to be read: once at first, then every Poll, and
-// while a row without a successor may have ended.
-func (l *Lease) readDue() bool {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	passed := l.now() - l.read
-	open := l.row.Successor == (Member{}) && l.row.Holder != l.Self
-	return l.read == 0 || passed >= l.poll() || open && passed >= l.wait()
-}
-
-func (l *Lease) reread(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, l.bound())
-	defer cancel()
-	row, err := l.Table.Read(ctx)
-	if err != nil {
-		return err
-	}
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	l.learn(row)
-	l.read = max(l.now(), 1)
-	return nil
-}
-
 func (l *Lease) always() bool { return true }
 
 // write sends row, if it is due still, until its outcome is known.
--- a/pkg/lease/world_test.go
+++ b/pkg/lease/world_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"hash/fnv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,8 +29,23 @@
 	hook func(by lease.Name) (time.Duration, bool)
 	cut  func(from, to lease.Name) bool
 	both string
+	// poll of the leases.
+	poll time.Duration
+	hear hearing
 }
 
+// hearing is what members hear of others without asking.
+type hearing string
+
+const (
+	processes hearing = "processes"
+	// names: which names live, but not that they started anew.
+	names hearing = "names"
+	// nobody: heartbeats go to others.
+	nobody  hearing = "nobody"
+	nothing hearing = "nothing"
+)
+
 type node struct {
 	world  *world
 	name   lease.Name
@@ -37,13 +53,16 @@
 	cancel context.CancelFunc
 	up     bool
 	downAt time.Time
+	upAt   time.Time
 	paused time.Time
 	starts int
 	asks   uint64
+	// reads and probes are the calls made.
+	reads, probes atomic.Int64
 }
 
 func newWorld(seed uint64, names ...lease.Name) *world {
-	w := &world{seed: seed, start: time.Now(), cut: func(lease.Name, lease.Name) bool { return false }}
+	w := &world{seed: seed, poll: 2 * time.Second, hear: processes, start: time.Now(), cut: func(lease.Name, lease.Name) bool { return false }}
 	for _, n := range names {
 		w.nodes = append(w.nodes, &node{world: w, name: n})
 	}
@@ -74,7 +93,7 @@
 	drift := int64(w.dice(2*lease.Drift+1, "drift", n.name, n.starts)) - lease.Drift
 	l := &lease.Lease{
 		Self:  lease.Member{Name: n.name, Incarnation: lease.Incarnation(fmt.Sprint(n.starts))},
-		Table: n, Peers: n, Duration: duration, Poll: 2 * time.Second, ListLag: 3 * time.Second,
+		Table: n, Peers: n, Duration: duration, Poll: w.poll, ListLag: 3 * time.Second,
 		NewChange: w.change,
 		Now: func() time.Duration {
 			passed := time.Since(w.start) + time.Second
@@ -83,7 +102,10 @@
 		Candidates: func() []lease.Name { names, _ := w.listed(); return names },
 		Listed:     w.listed,
 	}
-	n.lease, n.cancel, n.up = l, cancel, true
+	if w.hear != nothing {
+		l.Hears = n.hears
+	}
+	n.lease, n.cancel, n.up, n.upAt = l, cancel, true, time.Now()
 	group.Go(func() { _ = l.Run(ctx) })
 }
 
@@ -115,6 +137,29 @@
 	return names, true
 }
 
+// heardLate is how long ago heartbeats tell the state of.
+const heardLate = 300 * time.Millisecond
+
+// hears is what heartbeats tell: late, and nothing of who is paused or cut off.
+func (n *node) hears(name lease.Name) (lease.Run, bool) {
+	peer, w := n.world.node(name), n.world
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	starts, lives := peer.starts, peer.up || time.Since(peer.downAt) < heardLate
+	if peer.up && time.Since(peer.upAt) < heardLate {
+		starts--
+	}
+	lives = lives && !time.Now().Before(peer.paused) && !w.cut(name, n.name)
+	n.asks++
+	if w.faulty && w.dice(5, "unheard", n.name, n.asks) == 0 {
+		lives = false
+	}
+	if w.hear == names {
+		starts = 1
+	}
+	return lease.Run(fmt.Sprint(starts)), lives && w.hear != nobody
+}
+
 // check notes when two running processes hold the lease.
 func (w *world) check() {
 	w.mutex.Lock()
@@ -185,6 +230,7 @@
 }
 
 func (n *node) Read(ctx context.Context) (lease.Row, error) {
+	n.reads.Add(1)
 	n.awake()
 	time.Sleep(n.delay(20*time.Millisecond, "read"))
 	w := n.world
@@ -256,6 +302,9 @@
 }
 
 func (n *node) Ask(ctx context.Context, to lease.Name, request lease.Request) (lease.Answer, error) {
+	if request.Kind == lease.Probe {
+		n.probes.Add(1)
+	}
 	n.awake()
 	w := n.world
 	w.mutex.Lock()
