Keep the loans of buckets and units in one place

Change: a loans type (places of loans made, loans taken, their ends) and a waiters type that both use; the drift of a loan's two clocks has a name each (placeFor, usableFor); Bucket's and Units' lending stand in files of their own, the pots in pot.go. No behaviour changes.

--- a/pkg/contract/bucket.go
+++ b/pkg/contract/bucket.go
@@ -27,13 +27,10 @@
 	// rest is a part of a Micro, in billionths.
 	rest uint64
 	// last is up to when tokens were refilled.
-	last time.Time
-	// out holds the places of loans made, by loan.
-	out map[LoanID]place
-	// held are loans taken, oldest first.
-	held []loan
+	last  time.Time
+	loans loans
 	// queue is in order of arrival, so deadlines rise in it.
-	queue []*waiter
+	queue waiters
 	timer *time.Timer
 	// demand is in requests per second as of asked.
 	demand float64
@@ -46,24 +43,13 @@
 	short func()
 }
 
-// place is a loan's place in the lender's cap.
-type place struct {
-	tokens Tokens
-	until  time.Time
-}
-
-type waiter struct {
-	deadline time.Time
-	done     chan error
-}
-
 // NewBucket makes an empty bucket without a share. A request waits at most bound;
 // now is a monotonic clock, nil for time.Now.
 func NewBucket(bound time.Duration, now func() time.Time) *Bucket {
 	if now == nil {
 		now = time.Now
 	}
-	return &Bucket{now: now, bound: bound, last: now(), asked: now(), out: map[LoanID]place{}}
+	return &Bucket{now: now, bound: bound, last: now(), asked: now(), loans: loans{out: map[LoanID]place{}}}
 }
 
 // NewSoleBucket makes a bucket for a VM that alone holds the whole limit.
@@ -125,11 +111,8 @@
 func (b *Bucket) leave(ctx context.Context, w *waiter) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for i, q := range b.queue {
-		if q == w {
-			b.queue = append(b.queue[:i:i], b.queue[i+1:]...)
-			return ctx.Err()
-		}
+	if b.queue.remove(w) {
+		return ctx.Err()
 	}
 	return <-w.done
 }
@@ -148,20 +131,12 @@
 	if now.After(b.last) {
 		b.last = now
 	}
-	b.expire(now)
+	b.loans.expire(now)
 }
 
 // room is what the share's cap leaves besides the places of loans out.
 func (b *Bucket) room() Micro {
-	return max(0, Micro(b.share.Cap-b.lent())*token)
-}
-
-func (b *Bucket) lent() Tokens {
-	var sum Tokens
-	for _, p := range b.out {
-		sum += p.tokens
-	}
-	return sum
+	return max(0, Micro(b.share.Cap-b.loans.lent())*token)
 }
 
 func (b *Bucket) spend(now time.Time) bool {
@@ -224,7 +199,7 @@
 		more, _ := b.share.Refill.arrives(d, 0)
 		own += more
 	}
-	sum := Tokens(own/token) + b.heldTokens()
+	sum := Tokens(own/token) + b.loans.heldTokens()
 	if b.spare != nil {
 		sum += b.spare(d)
 	}
@@ -285,7 +260,7 @@
 	b.advance(b.now())
 	b.share = s
 	b.tokens = min(b.tokens, b.room())
-	clipped := b.lent() <= s.Cap
+	clipped := b.loans.lent() <= s.Cap
 	b.settle()
 	return clipped
 }
--- a/pkg/contract/loan.go
+++ b/pkg/contract/loan.go
@@ -1,7 +1,7 @@
 package contract
 
 import (
-	"math"
+	"slices"
 	"time"
 )
 
@@ -41,163 +41,57 @@
 	until  time.Time
 }
 
-// lend debits at most n tokens and gives them a place in the cap until the loan is
-// done or lapsed. The validity ends before this VM's own.
-func (b *Bucket) lend(n Tokens, id LoanID, valid time.Duration) BorrowAnswer {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	now := b.now()
-	b.advance(now)
-	b.fade(now)
-	valid = min(valid, b.valid.Sub(now))
-	a := BorrowAnswer{Cap: b.share.Cap}
-	if valid > 0 {
-		free := b.free()
-		a.Tokens = min(n, free)
-		a.Left = free - a.Tokens
-		a.Refill = max(0, b.share.Refill-Refill(b.demand*token))
-	}
-	if a.Tokens <= 0 {
-		a.Tokens = 0
-		return a
-	}
-	b.tokens -= Micro(a.Tokens) * token
-	b.out[id] = place{tokens: a.Tokens, until: now.Add(valid + valid/drift)}
-	a.Loan = id
-	a.Valid = valid - valid/drift
-	return a
-}
-
-// free is what the bucket can spare: all but what it needs itself very soon.
-func (b *Bucket) free() Tokens {
-	own := Micro(len(b.queue))*token + Micro(b.demand*b.lookahead()*token)
-	return Tokens(max(0, b.tokens-own) / token)
-}
-
-// repaid frees the places of loans that are done.
-func (b *Bucket) repaid(ids []LoanID) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.advance(b.now())
-	for _, id := range ids {
-		delete(b.out, id)
-	}
-}
-
-// receive adds a loan.
-func (b *Bucket) receive(l loan) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.held = append(b.held, l)
-	b.settle()
-}
-
-func (b *Bucket) spendLoan() bool {
-	for i := range b.held {
-		if b.held[i].tokens > 0 {
-			b.held[i].tokens--
-			if b.held[i].tokens == 0 && b.short != nil {
-				b.short()
-			}
-			return true
-		}
-	}
-	return false
-}
-
-// lookahead is in seconds.
-func (b *Bucket) lookahead() float64 {
-	if b.ahead == nil {
-		return 0
-	}
-	return b.ahead().Seconds()
+// place is a loan's place in the lender's cap.
+type place struct {
+	tokens Tokens
+	until  time.Time
 }
 
-// owed finds a lender whose loan is used up, so that its place can be freed.
-func (b *Bucket) owed() (Holder, bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for _, l := range b.held {
-		if l.tokens == 0 {
-			return l.lender, true
-		}
-	}
-	return Holder{}, false
+// loans keeps the loans that a VM made and took of one contract.
+type loans struct {
+	// out holds the places of loans made, by loan.
+	out map[LoanID]place
+	// held are loans taken, oldest first.
+	held []loan
 }
 
-func (b *Bucket) heldTokens() Tokens {
+// lent is what all places take of the lender's cap.
+func (l *loans) lent() Tokens {
 	var sum Tokens
-	for _, l := range b.held {
-		sum += l.tokens
+	for _, p := range l.out {
+		sum += p.tokens
 	}
 	return sum
 }
 
-// expire drops lapsed loans, and places of loans that have lapsed for sure.
-func (b *Bucket) expire(now time.Time) {
-	for id, p := range b.out {
-		if !now.Before(p.until) {
-			delete(b.out, id)
-		}
-	}
-	kept := b.held[:0]
-	for _, l := range b.held {
-		if now.Before(l.until) {
-			kept = append(kept, l)
-		}
+// free ends the places of loans.
+func (l *loans) free(ids []LoanID) {
+	for _, id := range ids {
+		delete(l.out, id)
 	}
-	b.held = kept
 }
 
-// done takes out the used loans of a lender.
-func (b *Bucket) done(lender Holder) []LoanID {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	var ids []LoanID
-	kept := b.held[:0]
-	for _, l := range b.held {
-		if l.lender == lender && l.tokens == 0 {
-			ids = append(ids, l.id)
-			continue
+// expire drops lapsed loans, and places of loans that have lapsed for sure.
+func (l *loans) expire(now time.Time) {
+	for id, p := range l.out {
+		if !now.Before(p.until) {
+			delete(l.out, id)
 		}
-		kept = append(kept, l)
 	}
-	b.held = kept
-	return ids
+	l.held = slices.DeleteFunc(l.held, func(h loan) bool { return !now.Before(h.until) })
 }
 
-// want is how many tokens to borrow now: for those who wait and for the demand
-// until an answer can be there.
-func (b *Bucket) want(now time.Time) Tokens {
-	b.fade(now)
-	ahead := b.demand * b.lookahead()
-	own := float64(b.tokens) / token
-	if now.Before(b.valid) {
-		own += float64(b.share.Refill) / token * b.lookahead()
-	}
-	lack := float64(len(b.queue)) + ahead - own - float64(b.heldTokens())
-	if lack <= 0 {
-		return 0
+// heldTokens is what the loans taken still hold.
+func (l *loans) heldTokens() Tokens {
+	var sum Tokens
+	for _, h := range l.held {
+		sum += h.tokens
 	}
-	return Tokens(math.Ceil(lack))
-}
-
-func (b *Bucket) settled() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.advance(b.now())
-	return b.lent() <= b.share.Cap
+	return sum
 }
 
-func (b *Bucket) need() Tokens {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	now := b.now()
-	b.advance(now)
-	return b.want(now)
-}
+// placeFor is how long a lender keeps a loan's place, on a clock that may run fast.
+func placeFor(valid time.Duration) time.Duration { return valid + valid/drift }
 
-// Tokens lent of a rate are spent soon, so their loans aren't extended.
-func (b *Bucket) keep([]LoanID, time.Duration) ([]LoanID, time.Duration) { return nil, 0 }
-func (b *Bucket) kept(Holder) []LoanID                                   { return nil }
-func (b *Bucket) prolong(Holder, []LoanID, time.Time)                    {}
+// usableFor is how long a borrower may use a loan, on a clock that may run slow.
+func usableFor(valid time.Duration) time.Duration { return valid - valid/drift }
--- a/pkg/contract/units.go
+++ b/pkg/contract/units.go
@@ -18,9 +18,8 @@
 	// used is at most cap less the places of loans out, plus loans held, except for
 	// Excess after one of these shrank.
 	used  Tokens
-	out   map[LoanID]place
-	held  []loan
-	queue []*waiter
+	loans loans
+	queue waiters
 	timer *time.Timer
 	short func()
 	// excess tells that units must be given back.
@@ -28,7 +27,7 @@
 }
 
 func newUnits(bound, linger time.Duration, now func() time.Time) *Units {
-	return &Units{now: now, bound: bound, linger: linger, out: map[LoanID]place{}, excess: make(chan struct{}, 1)}
+	return &Units{now: now, bound: bound, linger: linger, loans: loans{out: map[LoanID]place{}}, excess: make(chan struct{}, 1)}
 }
 
 // Acquire waits for a unit. ErrExhausted: none within the bound; or ctx's error.
@@ -56,11 +55,8 @@
 func (u *Units) leave(ctx context.Context, w *waiter) error {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	for i, q := range u.queue {
-		if q == w {
-			u.queue = append(u.queue[:i:i], u.queue[i+1:]...)
-			return ctx.Err()
-		}
+	if u.queue.remove(w) {
+		return ctx.Err()
 	}
 	return <-w.done
 }
@@ -96,12 +92,12 @@
 	if !now.Before(u.valid) {
 		return 0
 	}
-	return max(0, u.cap-u.lent())
+	return max(0, u.cap-u.loans.lent())
 }
 
 func (u *Units) allowed(now time.Time) Tokens {
 	sum := u.own(now)
-	for _, l := range u.held {
+	for _, l := range u.loans.held {
 		if now.Before(l.until) {
 			sum += l.tokens
 		}
@@ -109,17 +105,9 @@
 	return sum
 }
 
-func (u *Units) lent() Tokens {
-	var sum Tokens
-	for _, p := range u.out {
-		sum += p.tokens
-	}
-	return sum
-}
-
 // settle drops what lapsed, serves the queue and sets the timer.
 func (u *Units) settle(now time.Time) {
-	u.expire(now)
+	u.loans.expire(now)
 	for len(u.queue) > 0 && u.used < u.allowed(now) {
 		u.used++
 		u.queue[0].done <- nil
@@ -141,21 +129,6 @@
 	u.arm(now)
 }
 
-func (u *Units) expire(now time.Time) {
-	for id, p := range u.out {
-		if !now.Before(p.until) {
-			delete(u.out, id)
-		}
-	}
-	kept := u.held[:0]
-	for _, l := range u.held {
-		if now.Before(l.until) {
-			kept = append(kept, l)
-		}
-	}
-	u.held = kept
-}
-
 // arm wakes the units at the next deadline or end of a validity.
 func (u *Units) arm(now time.Time) {
 	if u.timer != nil {
@@ -168,7 +141,7 @@
 	if u.used > 0 && now.Before(u.valid) {
 		next = min(next, u.valid.Sub(now))
 	}
-	for _, l := range u.held {
+	for _, l := range u.loans.held {
 		next = min(next, l.until.Sub(now))
 	}
 	if next < time.Hour {
@@ -181,149 +154,3 @@
 	defer u.mu.Unlock()
 	u.settle(u.now())
 }
-
-func (u *Units) adopt(s Share) bool {
-	u.mu.Lock()
-	u.cap = s.Cap
-	u.settle(u.now())
-	u.mu.Unlock()
-	return u.settled()
-}
-
-func (u *Units) extend(until time.Time) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.valid = until
-	u.settle(u.now())
-}
-
-func (u *Units) settled() bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	now := u.now()
-	u.expire(now)
-	return u.lent() <= u.cap && u.used <= u.allowed(now)
-}
-
-func (u *Units) lend(n Tokens, id LoanID, valid time.Duration) BorrowAnswer {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	now := u.now()
-	u.expire(now)
-	valid = min(valid, u.valid.Sub(now))
-	a := BorrowAnswer{Cap: u.cap}
-	free := max(0, u.own(now)-u.used-Tokens(len(u.queue)))
-	a.Tokens = max(0, min(n, free))
-	a.Left = free - a.Tokens
-	if a.Tokens == 0 || valid <= 0 {
-		a.Tokens = 0
-		return a
-	}
-	u.out[id] = place{tokens: a.Tokens, until: now.Add(valid + valid/drift + u.linger)}
-	a.Loan = id
-	a.Valid = valid - valid/drift
-	return a
-}
-
-func (u *Units) repaid(ids []LoanID) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	for _, id := range ids {
-		delete(u.out, id)
-	}
-	u.settle(u.now())
-}
-
-// keep extends loans that have not lapsed, unless this VM must shrink.
-func (u *Units) keep(ids []LoanID, valid time.Duration) ([]LoanID, time.Duration) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	now := u.now()
-	u.expire(now)
-	valid = min(valid, u.valid.Sub(now))
-	if valid <= 0 || u.lent() > u.cap {
-		return nil, 0
-	}
-	var kept []LoanID
-	for _, id := range ids {
-		p, found := u.out[id]
-		if !found {
-			continue
-		}
-		p.until = now.Add(valid + valid/drift + u.linger)
-		u.out[id] = p
-		kept = append(kept, id)
-	}
-	return kept, valid - valid/drift
-}
-
-func (u *Units) need() Tokens {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.settle(u.now())
-	return Tokens(len(u.queue))
-}
-
-// done gives back the loans of a lender that this VM can do without. It stops using
-// them before the lender hears of it.
-func (u *Units) done(lender Holder) []LoanID {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	now := u.now()
-	u.expire(now)
-	var ids []LoanID
-	kept := u.held[:0]
-	spare := u.allowed(now) - u.used - Tokens(len(u.queue))
-	for _, l := range u.held {
-		if l.lender == lender && l.tokens <= spare {
-			spare -= l.tokens
-			ids = append(ids, l.id)
-			continue
-		}
-		kept = append(kept, l)
-	}
-	u.held = kept
-	return ids
-}
-
-// owed is for a Bucket; units go back with the next extension of a loan.
-func (u *Units) owed() (Holder, bool) { return Holder{}, false }
-
-func (u *Units) kept(lender Holder) []LoanID {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	var ids []LoanID
-	for _, l := range u.held {
-		if l.lender == lender {
-			ids = append(ids, l.id)
-		}
-	}
-	return ids
-}
-
-func (u *Units) prolong(lender Holder, ids []LoanID, until time.Time) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	for i := range u.held {
-		for _, id := range ids {
-			if u.held[i].lender == lender && u.held[i].id == id && until.After(u.held[i].until) {
-				u.held[i].until = until
-			}
-		}
-	}
-	u.settle(u.now())
-}
-
-func (u *Units) receive(l loan) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.held = append(u.held, l)
-	u.settle(u.now())
-}
-
-// Demand is the units in use and waited for.
-func (u *Units) Demand() float64 {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return float64(u.used) + float64(len(u.queue))
-}
