Tell peers the refill left over by a steadier demand

A VM refuses when its queue is longer than what its own refill and its peers' will bring within the wait. A peer tells its refill less its own demand, counted over half a second: four requests at once made it tell 0.4 a second instead of about 6, and a burst elsewhere was refused although an exact bucket for the whole fleet still had 1 to 7 tokens.

Ruled out: tokens lost at full lenders as the main cause.

Change: what a lender says that it can spare counts its demand over 3 s. Nothing about what it may lend or spend has changed.

--- a/pkg/contract/bucket.go
+++ b/pkg/contract/bucket.go
@@ -10,6 +10,9 @@
 // demandMemory is how long past requests weigh in a bucket's demand.
 const demandMemory = 500 * time.Millisecond
 
+// steadyMemory is how long they weigh in what a lender expects to need itself.
+const steadyMemory = 3 * time.Second
+
 // retryMost is the longest wait that a refusal advises.
 const retryMost = 30 * time.Second
 
@@ -34,6 +37,8 @@
 	timer *time.Timer
 	// demand is in requests per second as of asked.
 	demand float64
+	// steady is the same over steadyMemory.
+	steady float64
 	asked  time.Time
 	// spare tells what peers may lend within a time; nil: nothing.
 	spare func(within time.Duration) Tokens
@@ -229,11 +234,13 @@
 func (b *Bucket) count(now time.Time) {
 	b.fade(now)
 	b.demand += 1 / demandMemory.Seconds()
+	b.steady += 1 / steadyMemory.Seconds()
 }
 
 func (b *Bucket) fade(now time.Time) {
 	if past := now.Sub(b.asked); past > 0 {
 		b.demand *= math.Exp(-past.Seconds() / demandMemory.Seconds())
+		b.steady *= math.Exp(-past.Seconds() / steadyMemory.Seconds())
 		b.asked = now
 	}
 }
--- a/pkg/contract/bucket_loans.go
+++ b/pkg/contract/bucket_loans.go
@@ -19,7 +19,7 @@
 		free := b.spareTokens()
 		a.Tokens = min(n, free)
 		a.Left = free - a.Tokens
-		a.Refill = max(0, b.share.Refill-Refill(b.demand*token))
+		a.Refill = max(0, b.share.Refill-Refill(b.steady*token))
 	}
 	if a.Tokens <= 0 {
 		a.Tokens = 0
