Show what each rule of acknowledgement keeps, and warn of the one that loses

Cause: `term-leased` had no proof end to end, and "a replaced primary acknowledges nothing" had not been seen failing on its own.

`check` and `apply` warn of `term-leased`.

--- a/internal/operator/document.go
+++ b/internal/operator/document.go
@@ -45,6 +45,7 @@
 func (s *session) parse(text []byte) (*platform.Document, error) {
 	document, err := platform.Parse(text)
 	if err == nil {
+		s.warnOfLoss(document)
 		return document, nil
 	}
 	mistakes := platform.Mistakes(err)
@@ -54,6 +55,17 @@
 	return nil, ErrDocument.New("%s has %d mistakes; nothing was changed", s.options.File, len(mistakes))
 }
 
+// warnOfLoss names the upstreams whose rule of acknowledgement lets a failover lose
+// commits.
+func (s *session) warnOfLoss(document *platform.Document) {
+	for _, u := range document.Upstreams {
+		if u.Acknowledge == platform.TermLeased {
+			fmt.Fprintf(s.errOut, "savoryramp: warning: upstream %s is %s: a commit that was acknowledged can be lost with its primary; "+
+				"%s loses none\n", u.Name, platform.TermLeased, platform.ReplicaConfirmed)
+		}
+	}
+}
+
 func (s *session) readText() ([]byte, error) {
 	if s.options.File == "-" {
 		text, err := io.ReadAll(os.Stdin)
--- a/internal/operator/document_test.go
+++ b/internal/operator/document_test.go
@@ -66,6 +66,23 @@
 	assert.Equal(t, s.stdout, "# savoryramp: version 1, hash "+string(hash)+", by rania\n"+string(text))
 }
 
+func TestTermLeasedIsWarnedOf(t *testing.T) {
+	s := newTerminal(t)
+	text, err := os.ReadFile(demoDocument)
+	assert.NilError(t, err)
+	path := filepath.Join(t.TempDir(), "leased.yaml")
+	assert.NilError(t, os.WriteFile(path, []byte(strings.Replace(string(text), "replica-confirmed", "term-leased", 1)), 0o600))
+	const warning = "can be lost with its primary; replica-confirmed loses none\n"
+	s.run(ExitOK, "apply", path)
+	assert.Assert(t, cmp.Contains(s.stderr, warning))
+	s.run(ExitOK, "apply", demoDocument)
+	assert.Equal(t, s.stderr, "")
+
+	var out, errOut bytes.Buffer
+	assert.Equal(t, Main("1", []string{"check", path}, &out, &errOut), ExitOK)
+	assert.Assert(t, cmp.Contains(errOut.String(), warning))
+}
+
 // A document edited from an older version doesn't replace the newer one.
 func TestApplyConflict(t *testing.T) {
 	s := newTerminal(t)
--- a/internal/upstream/failover_rig_test.go
+++ b/internal/upstream/failover_rig_test.go
@@ -1,6 +1,7 @@
 package upstream_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -35,6 +36,8 @@
 	oneView bool
 	// noViews: every VM tells the others that it can use every server.
 	noViews bool
+	// acknowledge is the group's rule; empty for replica-confirmed.
+	acknowledge platform.Acknowledge
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -73,7 +76,7 @@
 		change(r)
 	}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
-	up := platform.Upstream{Name: "r1", Acknowledge: platform.ReplicaConfirmed, User: "u", Database: "d"}
+	up := platform.Upstream{Name: "r1", Acknowledge: cmp.Or(r.acknowledge, platform.ReplicaConfirmed), User: "u", Database: "d"}
 	for _, name := range []string{"a", "b", "c"} {
 		listen := func() (net.Listener, error) { return r.network.Listen(fakenet.Host(name), name+":1") }
 		l, _ := listen()
@@ -262,12 +265,20 @@
 	}
 	ctx, cancelConfirm := context.WithTimeout(r.ctx, answerWithin)
 	defer cancelConfirm()
-	if w.err = g.Confirm(ctx, w.position); w.err == nil {
+	if w.err = confirm(ctx, g, w.position); w.err == nil {
 		w.outcome = acknowledged
 	}
 	return w
 }
 
+// confirm goes by the group's rule.
+func confirm(ctx context.Context, g *upstream.Group, p position.Position) error {
+	if g.Acknowledge() == platform.TermLeased {
+		return g.ConfirmTerm(p)
+	}
+	return g.Confirm(ctx, p)
+}
+
 // put writes a value never written before under a key.
 func (r *rig) put(v *vm, client, key int) write {
 	r.mu.Lock()
