Keep what passes for a read from writing on any server

Cause: a read was guarded by a read-only transaction only on a server that the VM took for the primary. On a replica promoted before the VM heard of it, a write that passes for a read (here a WITH whose INSERT is written over two lines) ran unguarded: with its answer lost it was sent again and ran twice, with no replica it was answered as done. The same held for a transaction begun READ ONLY that is then set READ WRITE, for BEGIN READ ONLY, READ WRITE, and on any primary for a read behind a COMMIT in one batch, since that COMMIT ended savoryramp's own transaction. Two more faults came up on the way: reads on the primary were not confirmed at all since they were guarded (the answer was judged while the guard's transaction was open), and a guard whose BEGIN failed let its read be sent again.

Change: connections to a replica are opened with default_transaction_read_only=on and are closed when the server has another role at their next turn. A read there goes without a transaction around it only while the server's last report of that setting is on. A transaction on a replica can't be made to write (0A000). BEGIN counts as read only only when it says nothing of writing and has no comment. A read and an end in one batch go to the primary as a write. A guarded answer is judged after the guard's end, and the question for the position that must be confirmed goes behind it in the same flush, in place of a round trip of its own.

The stand-in does as PostgreSQL 16: default_transaction_read_only as start-up parameter and setting, its changes reported, SET TRANSACTION READ WRITE only before the first query and not in recovery, the last mode of BEGIN counts, what begins in recovery is read only.

FloorOutlives expected an answer that the primary alone could confirm, which nobody may be shown; it now lets the replica catch up after the two without the entry have answered. It still fails with 0 != 1 when any majority has to do.

Seen failing: DisguisedWrite without each part (ran 2 times, the caller was told nil; done, though no other server has it), AtMostOnce/end_in_a_batch (answer dropped after 1.247564ms: ran 2 times), ReadOfThePrimary (shown 2, which no other server has).

--- a/internal/caller/confirm.go
+++ b/internal/caller/confirm.go
@@ -56,6 +56,9 @@
 func (x *exchange) confirmRead(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), x.session.server.Deadline)
 	defer cancel()
+	if x.asksSeen {
+		return x.group.ConfirmSeen(ctx, x.conn)
+	}
 	return x.group.ConfirmRead(ctx, x.conn)
 }
 
--- a/internal/caller/consistency/once_test.go
+++ b/internal/caller/consistency/once_test.go
@@ -63,6 +63,9 @@
 		}
 		return batch(r, c, insert, "commit", "begin")
 	},
+	"end in a batch, then hidden": func(r *rig, c *pgx.Conn, insert string) error {
+		return batch(r, c, "commit", "with one(n) as (select 1) "+strings.ReplaceAll(insert, " ", "\n"))
+	},
 	"pipeline":   func(r *rig, c *pgx.Conn, insert string) error { return pipeline(r, c, insert, false) },
 	"with Flush": func(r *rig, c *pgx.Conn, insert string) error { return pipeline(r, c, insert, true) },
 }
--- a/internal/caller/consistency/roaming_test.go
+++ b/internal/caller/consistency/roaming_test.go
@@ -97,7 +97,11 @@
 		r.server("b").Start()
 		r.network.Delay("vm2", fakenet.Host("a"), 50*time.Millisecond)
 		time.Sleep(time.Second)
-		v, err := r.value(r.connect("vm2", ""), 1)
+		c = r.connect("vm2", "")
+		// The two without the entry have answered by then, and the primary hasn't. Until
+		// then nothing confirms what the primary alone would show.
+		time.AfterFunc(25*time.Millisecond, func() { r.server("b").Cut(false) })
+		v, err := r.value(c, 1)
 		assert.NilError(t, err)
 		assert.Equal(t, v, 1)
 	})
--- a/internal/caller/exchange.go
+++ b/internal/caller/exchange.go
@@ -21,8 +21,11 @@
 	// implicit is true when that transaction ends at the next Sync.
 	implicit bool
 	// guarded attempts run in a read-only transaction of savoryramp's own, in which
-	// what was taken for a read can't write.
+	// what was taken for a read can't write. A replica's connection that reads only
+	// needs none: it was told so when it was opened.
 	guarded bool
+	// asksSeen attempts have the question behind them that ConfirmSeen needs.
+	asksSeen bool
 	// seen is true once the server told its position in this answer.
 	seen bool
 	// sent is true once a byte may have left for the server.
@@ -99,30 +102,32 @@
 
 // run sends the request and relays its answer.
 func (x *exchange) run(ctx context.Context) error {
-	x.guarded = x.conn.Role == upstream.Primary && x.request.kind == kindRead && x.request.runs && !x.inTransaction && !x.request.unsynced
+	x.guarded = x.guards()
 	x.send()
 	x.sent = true
 	if err := x.conn.Flush(); err != nil {
 		return err
 	}
-	if err := x.guard(); err != nil {
+	if err := x.begun(); err != nil {
 		return err
 	}
-	if x.guarded && x.status != 'T' {
-		x.guarded = false
-		return upstream.ErrBroken.New("server %s began no transaction", x.conn.Server)
-	}
 	x.synthesize()
 	for !x.over() {
 		m, err := x.conn.Receive(time.Now().Add(x.session.server.Deadline))
 		if err != nil {
 			return err
 		}
-		if err := x.relay(ctx, m); err != nil {
+		if err := x.relay(m); err != nil {
 			return err
 		}
 	}
-	return x.guard()
+	if err := x.ended(); err != nil {
+		return err
+	}
+	if !x.answered {
+		return nil
+	}
+	return x.finish(ctx)
 }
 
 // over tells whether the answer is whole.
--- a/internal/caller/extended.go
+++ b/internal/caller/extended.go
@@ -57,7 +57,7 @@
 	}
 	s.carry(&p, sync)
 	ends := sync && (s.implicit || p.ends)
-	return s.perform(ctx, &request{kind: p.kind, runs: p.runs, mayCommit: ends, unsynced: !sync, sends: func(c *upstream.Conn) []step {
+	return s.perform(ctx, &request{kind: p.kind, runs: p.runs, mayCommit: ends, widens: p.widens, unsynced: !sync, sends: func(c *upstream.Conn) []step {
 		return s.put(c, messages, sync)
 	}})
 }
@@ -82,6 +82,10 @@
 	kind kind
 	// ends is true when a statement may end a transaction.
 	ends bool
+	// reads is true when one of the statements passes for a read.
+	reads bool
+	// widens is true when a statement may let a read-only transaction write.
+	widens bool
 	// runs is true when something executes.
 	runs bool
 	// sends is false when all can be answered here.
@@ -123,18 +127,25 @@
 }
 
 // see takes a statement of the batch into account: one that may write makes all of
-// it go to the primary, and so do several that begin or end transactions.
+// it go to the primary, and so do several that begin or end transactions, and a read
+// with an end: what follows the end is in another transaction.
 func (p *plan) see(st *prepared) {
 	if st == nil {
 		return
 	}
 	p.ends = p.ends || st.kind == kindEnd
+	p.widens = p.widens || widens(st.sql)
 	switch st.kind {
 	case kindOwn:
 		p.own = true
-	case kindRead, kindEmpty, p.kind:
+	case kindRead:
+		p.reads = true
+		if p.kind == kindEnd {
+			p.kind = kindWrite
+		}
+	case kindEmpty, p.kind:
 	default:
-		if p.kind == kindRead {
+		if p.kind == kindRead && !(p.reads && st.kind == kindEnd) {
 			p.kind = st.kind
 			return
 		}
--- a/internal/caller/overhead_test.go
+++ b/internal/caller/overhead_test.go
@@ -46,10 +46,15 @@
 func (s *instant) serve(c net.Conn) {
 	defer c.Close()
 	back := pgproto3.NewBackend(c, c)
-	if _, err := back.ReceiveStartupMessage(); err != nil {
+	m, err := back.ReceiveStartupMessage()
+	if err != nil {
 		return
 	}
 	back.Send(&pgproto3.AuthenticationOk{})
+	if start, found := m.(*pgproto3.StartupMessage); found {
+		const readOnly = "default_transaction_read_only"
+		back.Send(&pgproto3.ParameterStatus{Name: readOnly, Value: start.Parameters[readOnly]})
+	}
 	back.Send(&pgproto3.BackendKeyData{ProcessID: 1, SecretKey: []byte{1, 2, 3, 4}})
 	s.ready(back)
 	status := fmt.Sprintf(`{"server":"r","role":%q,"term":1,"received":"1/7","applied":"1/7"}`, s.role)
--- a/internal/caller/relay.go
+++ b/internal/caller/relay.go
@@ -1,15 +1,13 @@
 package caller
 
 import (
-	"context"
-
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/savoryramp/savoryramp/internal/upstream"
 )
 
 // relay passes one message of the answer on.
-func (x *exchange) relay(ctx context.Context, m pgproto3.BackendMessage) error {
+func (x *exchange) relay(m pgproto3.BackendMessage) error {
 	switch m := m.(type) {
 	case *pgproto3.ParameterStatus:
 		return x.noted(m)
@@ -19,7 +17,7 @@
 		return x.failure(m)
 	case *pgproto3.ReadyForQuery:
 		x.answered, x.status = true, m.TxStatus
-		return x.finish(ctx)
+		return nil
 	case *pgproto3.CopyInResponse, *pgproto3.CopyOutResponse, *pgproto3.CopyBothResponse:
 		return ErrUnsupported.New("COPY isn't passed through")
 	}
--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -25,6 +25,8 @@
 	mayCommit bool
 	// unsynced requests end with Flush: their answer has no ReadyForQuery.
 	unsynced bool
+	// widens is true when it may let a read-only transaction write.
+	widens bool
 	// maybeRan is true once an attempt was sent that may have written something.
 	maybeRan bool
 }
@@ -38,6 +40,10 @@
 	if s.conn == nil && r.kind == kindEnd {
 		r.kind = kindRead
 	}
+	if r.widens && s.conn != nil && s.conn.Role == upstream.Replica {
+		s.refuse(ErrUnsupported.New("a transaction that was begun read only can't be made to write"))
+		return s.endRefused(r)
+	}
 	group, found := s.server.Upstreams.Group(s.database.Upstream)
 	if !found {
 		s.refuse(upstream.ErrNoServer.New("upstream %s isn't served here yet", s.database.Upstream))
--- a/internal/caller/simple.go
+++ b/internal/caller/simple.go
@@ -18,7 +18,7 @@
 		s.send(&pgproto3.EmptyQueryResponse{})
 		return s.ready()
 	}
-	return s.perform(ctx, &request{kind: k, runs: true, mayCommit: k == kindEnd || several(sql), sends: func(c *upstream.Conn) []step {
+	return s.perform(ctx, &request{kind: k, runs: true, mayCommit: k == kindEnd || several(sql), widens: widens(sql), sends: func(c *upstream.Conn) []step {
 		c.Unnamed = ""
 		c.Dirty = c.Dirty || leavesState(sql)
 		c.Front.Send(&pgproto3.Query{String: sql})
--- a/internal/caller/statement.go
+++ b/internal/caller/statement.go
@@ -36,7 +36,7 @@
 		if more {
 			return kindWrite
 		}
-		if strings.Contains(strings.ToLower(text), "read only") {
+		if readsOnly(strings.ToLower(text)) {
 			return kindBeginReadOnly
 		}
 		return kindBegin
@@ -57,6 +57,23 @@
 	return kindWrite
 }
 
+// readsOnly tells whether a BEGIN says READ ONLY, and neither READ WRITE nor anything
+// in a comment.
+func readsOnly(lower string) bool {
+	return strings.Contains(lower, "read only") && !strings.Contains(lower, "write") &&
+		!strings.Contains(lower, "--") && !strings.Contains(lower, "/*")
+}
+
+// widens tells whether a text may turn a read-only transaction, or those after it, into
+// ones that write.
+func widens(sql string) bool {
+	lower := strings.ToLower(skipSpace(sql))
+	if !strings.HasPrefix(lower, "set") && !strings.HasPrefix(lower, "reset") && !several(lower) {
+		return false
+	}
+	return strings.Contains(lower, "read_only") || strings.Contains(strings.Join(strings.Fields(lower), " "), "read write")
+}
+
 // toSavepoint tells whether a ROLLBACK leaves its transaction open.
 func toSavepoint(words []string) bool {
 	return words[0] == "rollback" && slices.Contains(words[1:min(len(words), 3)], "to")
--- a/internal/caller/verdict.go
+++ b/internal/caller/verdict.go
@@ -38,7 +38,7 @@
 	}
 	switch x.request.kind {
 	case kindRead, kindBegin, kindBeginReadOnly:
-		return true
+		return !x.request.maybeRan || x.session.settings.idempotent
 	}
 	return !x.sent || !x.request.runs || x.session.settings.idempotent
 }
--- a/internal/fakeupstream/control.go
+++ b/internal/fakeupstream/control.go
@@ -13,7 +13,9 @@
 
 var (
 	rollbackTo  = regexp.MustCompile(`(?is)^rollback\s+(work\s+|transaction\s+)?to\s`)
-	readOnly    = regexp.MustCompile(`(?is)\bread\s+only\b`)
+	modes       = regexp.MustCompile(`(?is)\bread\s+(only|write)\b`)
+	modeOn      = regexp.MustCompile(`(?is)^set\s+(local\s+)?(transaction\b.*\bread\s+only\b|transaction_read_only\W.*\bon\b)`)
+	modeOff     = regexp.MustCompile(`(?is)^set\s+(local\s+)?(transaction\b.*\bread\s+write\b|transaction_read_only\W.*\boff\b)`)
 	setting     = regexp.MustCompile(`(?is)^set\s+(?:session\s+|local\s+)?([\w.]+)\s*(?:=|\bto\b)\s*(.*)$`)
 	deallocated = regexp.MustCompile(`(?is)^deallocate\s+(?:prepare\s+)?"?([^"]+)"?$`)
 )
@@ -32,9 +34,12 @@
 	done := &result{verb: c.verb, plain: true}
 	switch c.verb {
 	case "BEGIN", "START":
+		// The last mode counts.
 		done.verb = "BEGIN"
 		s.tx.explicit = true
-		s.tx.readOnly = readOnly.MatchString(c.text)
+		if list := modes.FindAllStringSubmatch(c.text, -1); len(list) > 0 {
+			s.tx.readOnly = strings.EqualFold(list[len(list)-1][1], "only")
+		}
 	case "COMMIT", "END":
 		return s.finish(done)
 	case "ROLLBACK", "ABORT":
@@ -47,10 +52,11 @@
 	case "SAVEPOINT", "RELEASE":
 		return done, s.savepoint(ctx, c.text)
 	case "SET":
+		if off := modeOff.MatchString(c.text); off || modeOn.MatchString(c.text) {
+			return done, s.setMode(off)
+		}
 		if parts := setting.FindStringSubmatch(c.text); parts != nil {
 			s.settings[parts[1]] = strings.Trim(parts[2], "' ")
-		} else if s.tx.explicit && readOnly.MatchString(c.text) {
-			s.tx.readOnly = true
 		}
 	case "SHOW":
 		name := settingName(c.text)
@@ -65,6 +71,22 @@
 	return done, nil
 }
 
+// setMode changes what the transaction may do; to writing only before its first query.
+func (s *session) setMode(writes bool) error {
+	if !writes || !s.tx.readOnly {
+		s.tx.readOnly = !writes
+		return nil
+	}
+	switch {
+	case s.server.workNow() == nil:
+		return refuse(stateUnsupported, "cannot set transaction read-write mode during recovery")
+	case s.tx.id > 0:
+		return refuse(stateActive, "transaction read-write mode must be set before any query")
+	}
+	s.tx.readOnly = false
+	return nil
+}
+
 // finish commits, or rolls back what has failed.
 func (s *session) finish(done *result) (*result, error) {
 	done.verb = "COMMIT"
--- a/internal/fakeupstream/run.go
+++ b/internal/fakeupstream/run.go
@@ -79,6 +79,7 @@
 	if c, is := st.(control); s.tx.failed && !(is && endsFailed(c)) {
 		return nil, refuse(stateFailed, "current transaction is aborted, commands ignored until end of transaction block")
 	}
+	s.decide()
 	switch st := st.(type) {
 	case control:
 		return s.control(ctx, st)
--- a/internal/fakeupstream/session.go
+++ b/internal/fakeupstream/session.go
@@ -19,6 +19,8 @@
 	positionParameter = "savoryramp.position"
 	serverParameter   = "savoryramp.server"
 	positionChannel   = "savoryramp_position"
+	// defaultReadOnly is a setting whose changes are reported.
+	defaultReadOnly = "default_transaction_read_only"
 )
 
 const (
@@ -48,7 +50,9 @@
 
 	settings map[string]string
 	// defaults are the settings at the end of the start-up.
-	defaults   map[string]string
+	defaults map[string]string
+	// reported is what the client was last told of defaultReadOnly.
+	reported   string
 	statements map[string]*prepared
 	portals    map[string]*portal
 	tx         transaction
@@ -243,6 +247,10 @@
 	}
 	s.read = nil
 	s.tellPosition(p)
+	if now := s.settings[defaultReadOnly]; now != s.reported {
+		s.reported = now
+		s.backend.Send(&pgproto3.ParameterStatus{Name: defaultReadOnly, Value: now})
+	}
 	s.backend.Send(&pgproto3.ReadyForQuery{TxStatus: s.tx.status()})
 	if sleep(s.ctx, s.server.delay()) != nil {
 		return false
--- a/internal/fakeupstream/startup.go
+++ b/internal/fakeupstream/startup.go
@@ -70,11 +70,13 @@
 		{"integer_datetimes", "on"},
 		{"DateStyle", "ISO, MDY"},
 		{"TimeZone", "UTC"},
+		{defaultReadOnly, "off"},
 		{serverParameter, string(s.server.Name)},
 	} {
 		s.settings[p[0]] = p[1]
 		s.backend.Send(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
 	}
+	s.reported = s.settings[defaultReadOnly]
 	for name, value := range m.Parameters {
 		s.settings[name] = value
 	}
--- a/internal/fakeupstream/transaction.go
+++ b/internal/fakeupstream/transaction.go
@@ -17,6 +17,8 @@
 	id TransactionID
 	// explicit means that BEGIN was said.
 	explicit bool
+	// decided means that readOnly is: at the first statement.
+	decided  bool
 	failed   bool
 	readOnly bool
 	writing  *writing
@@ -55,6 +57,16 @@
 	return 'I'
 }
 
+// decide makes a transaction read only at its first statement if the session's are by
+// default, or if the server doesn't lead at that moment.
+func (s *session) decide() {
+	if s.tx.decided {
+		return
+	}
+	s.tx.decided = true
+	s.tx.readOnly = s.settings[defaultReadOnly] == "on" || s.server.workNow() == nil
+}
+
 // write begins the writing part if it isn't there.
 func (s *session) write(ctx context.Context) (*writing, error) {
 	if w := s.tx.writing; w != nil {
--- a/internal/upstream/commit.go
+++ b/internal/upstream/commit.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/jackc/pgx/v5/pgproto3"
+
 	"github.com/savoryramp/savoryramp/pkg/position"
 )
 
@@ -36,6 +38,7 @@
 // take gives a connection to a member; neither that nor an error when the request
 // has to look for a server again.
 func (g *Group) take(ctx context.Context, m *member, r Request, role Role) (*Conn, error) {
+	r.ReadOnly = role == Replica
 	c, err := m.pool.take(ctx, r)
 	switch {
 	case err == nil:
@@ -81,6 +84,14 @@
 	if _, err := c.Ask(statusQuery, deadline); err != nil {
 		return err
 	}
+	return g.ConfirmSeen(ctx, c)
+}
+
+// AskSeen puts the question of ConfirmRead behind a read that is about to be sent on c.
+func (g *Group) AskSeen(c *Conn) { c.Front.Send(&pgproto3.Query{String: statusQuery}) }
+
+// ConfirmSeen is ConfirmRead once the answer to AskSeen has come. ErrNoServer.
+func (g *Group) ConfirmSeen(ctx context.Context, c *Conn) error {
 	if err := g.Confirm(ctx, c.Position); err != nil {
 		return ErrNoServer.Wrap(err, "what server %s answers may be lost", c.Server)
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -15,6 +15,9 @@
 
 const (
 	positionParameter = "savoryramp.position"
+	// readOnlyParameter decides what transactions begin as; servers report its changes.
+	readOnlyParameter = "default_transaction_read_only"
+	switchedOn        = "on"
 	scramMechanism    = "SCRAM-SHA-256"
 	// idleProbeAfter is how long a connection may idle before it is probed.
 	idleProbeAfter = 5 * time.Second
@@ -40,7 +43,8 @@
 	Server platform.ServerName
 	// Front speaks the frontend's side of the protocol.
 	Front *pgproto3.Frontend
-	// Role is what the connection was taken for.
+	// Role is what the connection was taken for. Transactions on a replica's begin
+	// read only, also once it is promoted, unless ReadsOnly tells otherwise.
 	Role Role
 	// Position is the last one that the server reported on this connection.
 	Position position.Position
@@ -51,6 +55,8 @@
 	// Dirty connections carry a caller's settings and are closed when released.
 	Dirty bool
 
+	// readOnly connections were opened for a replica.
+	readOnly bool
 	// silent is set once the server left a deadline pass.
 	silent bool
 	// doubtful connections may yet be hit by a cancel request and aren't reused.
@@ -70,15 +76,15 @@
 	parameters map[string]string
 }
 
-// open connects and logs in.
-func open(ctx context.Context, dial Dial, s platform.Server, l Login) (*Conn, error) {
+// open connects and logs in; what a read-only connection begins is read only.
+func open(ctx context.Context, dial Dial, s platform.Server, l Login, readOnly bool) (*Conn, error) {
 	nc, err := dial(ctx, "tcp", string(s.Address))
 	if err != nil {
 		return nil, ErrConnect.Wrap(err, "server %s at %s", s.Name, s.Address)
 	}
 	c := &Conn{
 		Server: s.Name, Front: pgproto3.NewFrontend(nc, nc), net: nc,
-		Prepared: map[string]bool{}, parameters: map[string]string{},
+		readOnly: readOnly, Prepared: map[string]bool{}, parameters: map[string]string{},
 	}
 	if deadline, found := ctx.Deadline(); found {
 		_ = nc.SetDeadline(deadline)
@@ -94,10 +100,11 @@
 }
 
 func (c *Conn) login(l Login) error {
-	c.Front.Send(&pgproto3.StartupMessage{
-		ProtocolVersion: pgproto3.ProtocolVersion30,
-		Parameters:      map[string]string{"user": l.User, "database": l.Database, "application_name": "savoryramp"},
-	})
+	start := map[string]string{"user": l.User, "database": l.Database, "application_name": "savoryramp"}
+	if c.readOnly {
+		start[readOnlyParameter] = switchedOn
+	}
+	c.Front.Send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: start})
 	if err := c.Front.Flush(); err != nil {
 		return ErrBroken.Wrap(err, "start-up")
 	}
@@ -172,6 +179,9 @@
 	return nil
 }
 
+// ReadsOnly tells whether the server says that transactions begin read only here.
+func (c *Conn) ReadsOnly() bool { return c.parameters[readOnlyParameter] == switchedOn }
+
 // Receive reads the next message, at the latest at deadline (zero: none), which may
 // come a deadlineStep early.
 // ParameterStatus messages are noted in the connection and returned as well.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -54,6 +54,8 @@
 type Request struct {
 	Workspace platform.WorkspaceName
 	Weight    platform.Weight
+	// ReadOnly requests get a connection whose transactions begin read only.
+	ReadOnly bool
 }
 
 // take waits for a turn and gives a connection, new or kept.
@@ -62,7 +64,7 @@
 	if err := p.turn(ctx, r); err != nil {
 		return nil, err
 	}
-	c, err := p.connect(ctx, r.Workspace)
+	c, err := p.connect(ctx, r)
 	if err != nil {
 		p.pass()
 		return nil, err
@@ -192,14 +194,19 @@
 }
 
 // connect gives a kept connection that still answers, or opens one. What another
-// workspace left on it is discarded first.
-func (p *Pool) connect(ctx context.Context, w platform.WorkspaceName) (*Conn, error) {
+// workspace left on it is discarded first. One that was opened for the server's former
+// role makes room for a new one.
+func (p *Pool) connect(ctx context.Context, r Request) (*Conn, error) {
 	for {
-		c := p.kept(w)
+		c := p.kept(r.Workspace)
 		if c == nil {
 			break
 		}
-		if c.alive(probeWithin) && c.enter(w, probeWithin) {
+		if c.readOnly != r.ReadOnly {
+			c.close()
+			continue
+		}
+		if c.alive(probeWithin) && c.enter(r.Workspace, probeWithin) {
 			return c, nil
 		}
 		c.close()
@@ -208,11 +215,11 @@
 	ctx, cancel := context.WithTimeout(ctx, connectWithin)
 	defer cancel()
 	defer p.attempt(cancel)()
-	c, err := open(ctx, p.Dial, p.Server, p.Login)
+	c, err := open(ctx, p.Dial, p.Server, p.Login, r.ReadOnly)
 	if err != nil {
 		return nil, err
 	}
-	c.pool, c.workspace = p, w
+	c.pool, c.workspace = p, r.Workspace
 	return c, nil
 }
 
--- a/internal/upstream/watch.go
+++ b/internal/upstream/watch.go
@@ -63,7 +63,7 @@
 func (w *watch) hold(ctx context.Context) error {
 	connecting, cancel := context.WithTimeout(ctx, silentAfter)
 	defer cancel()
-	c, err := open(connecting, w.dial, w.server, w.login)
+	c, err := open(connecting, w.dial, w.server, w.login, false)
 	if err != nil {
 		return err
 	}
