--- a/internal/caller/consistency/rig_test.go
+++ b/internal/caller/consistency/rig_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"strings"
 	"sync"
@@ -169,14 +170,21 @@
 
 // dial opens a caller's connection, with a session token unless it is empty.
 func (r *rig) dial(vm, token, database string) (*pgx.Conn, error) {
+	params := map[string]string{}
+	if token != "" {
+		params["savoryramp.session"] = token
+	}
+	return r.dialWith(vm, database, params)
+}
+
+// dialWith opens a caller's connection with some start-up parameters.
+func (r *rig) dialWith(vm, database string, params map[string]string) (*pgx.Conn, error) {
 	config, err := pgx.ParseConfig("postgres://desk@" + vm + ":1/" + database + "?sslmode=disable")
 	assert.NilError(r.t, err)
 	config.DialFunc = r.network.Dialer("client")
 	config.LookupFunc = func(_ context.Context, host string) ([]string, error) { return []string{host}, nil }
 	config.DefaultQueryExecMode = pgx.QueryExecModeExec
-	if token != "" {
-		config.RuntimeParams["savoryramp.session"] = token
-	}
+	maps.Copy(config.RuntimeParams, params)
 	ctx, cancel := context.WithTimeout(r.ctx, 5*time.Second)
 	defer cancel()
 	return pgx.ConnectConfig(ctx, config)
