Send a read elsewhere when what it saw can't be confirmed

Change: a read in savoryramp's own read-only transaction that can't be confirmed is tried again within the wait, as after a lost connection.

Seen failing: UnconfirmedRead, 53300, term 2 began.

--- a/internal/caller/consistency/guard_test.go
+++ b/internal/caller/consistency/guard_test.go
@@ -145,3 +145,21 @@
 		assert.Assert(t, err != nil, "shown %d, which no other server has", v)
 	})
 }
+
+// TestUnconfirmedReadGoesElsewhere replaces the primary that a read waits for.
+func TestUnconfirmedReadGoesElsewhere(t *testing.T) {
+	in(t, nil, func(t *testing.T, r *rig) {
+		writer, reader := r.connect("vm1", ""), r.connect("vm1", "")
+		r.exec(reader, "insert into t values (1, 1)")
+		for _, name := range []string{"b", "c"} {
+			r.server(name).SetLag(time.Hour)
+		}
+		r.exec(reader, "update t set v = 2")
+		r.server("a").Cut(true)
+		assert.Equal(t, code(r.put(writer, 1, 3)), "08007")
+		time.AfterFunc(100*time.Millisecond, func() { r.promote(2, "b", "c") })
+		v, err := r.value(reader, 1)
+		assert.NilError(t, err)
+		assert.Equal(t, v, 2)
+	})
+}
--- a/internal/caller/verdict.go
+++ b/internal/caller/verdict.go
@@ -30,7 +30,7 @@
 	if isType(err, errReadOnly) {
 		return !x.request.maybeRan || x.session.settings.idempotent
 	}
-	if isType(err, errStale) {
+	if isType(err, errStale) || x.guarded && isType(err, upstream.ErrNoServer) {
 		return true
 	}
 	if !isType(err, upstream.ErrSilent) && !isType(err, upstream.ErrBroken) {
