End a lost transaction as PostgreSQL ends a failed one

Cause: in a transaction that lost its connection, COMMIT AND CHAIN and ROLLBACK AND CHAIN were answered as the mere end, so that what followed ran on its own; an end in the extended protocol got CommandComplete without ParseComplete, BindComplete and NoData, and one that was only prepared ended the transaction. Found beside it: ROLLBACK /* ... */ TO a savepoint and COMMIT PREPARED counted as ends; the latter went out as a read and was not confirmed.

Change: only a plain end counts as one, comments taken out; all else is a write, and 25P02 in a lost transaction. The end is answered message by message. AND CHAIN begins the next transaction on another connection with the BEGIN and SET TRANSACTION of the lost one, and its answer stands in for theirs; without a server the session stays in the lost transaction. Where the modes aren't known (BEGIN among other statements of one text) it is refused with 0A000. The stand-in knows AND CHAIN as PostgreSQL does (25P01 outside).

--- a/internal/caller/confirm.go
+++ b/internal/caller/confirm.go
@@ -13,6 +13,11 @@
 // finish ends the answer: what an idle primary says done must be confirmed first.
 func (x *exchange) finish(ctx context.Context) error {
 	s := x.session
+	if !x.failedBy {
+		for _, m := range x.request.instead {
+			s.send(m)
+		}
+	}
 	x.track()
 	if x.wrote() {
 		if err := x.confirm(ctx); err != nil {
--- /dev/null
+++ b/internal/caller/consistency/lost_test.go
@@ -0,0 +1,171 @@
+package consistency_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"gotest.tools/v3/assert"
+)
+
+// lose begins a transaction that writes and loses its server's connections.
+func lose(r *rig, c *pgx.Conn, texts ...string) {
+	for _, text := range append(texts, "insert into t values (1, 1)") {
+		assert.NilError(r.t, script(r, c, text), text)
+	}
+	r.server("a").Kill(0)
+	r.server("a").Start()
+	time.Sleep(time.Second)
+	assert.Equal(r.t, code(script(r, c, "insert into t values (2, 1)")), "08006")
+}
+
+// told sends extended messages, or a text as a query if there are none, and gives the
+// types and tags of the answer up to ReadyForQuery, with its status.
+func told(r *rig, c *pgx.Conn, text string, messages ...pgproto3.FrontendMessage) string {
+	f := c.PgConn().Frontend()
+	if len(messages) == 0 {
+		messages = []pgproto3.FrontendMessage{&pgproto3.Query{String: text}}
+	}
+	for _, m := range messages {
+		f.Send(m)
+	}
+	assert.NilError(r.t, f.Flush())
+	var list []string
+	for {
+		m, err := f.Receive()
+		assert.NilError(r.t, err)
+		switch m := m.(type) {
+		case *pgproto3.ParameterStatus:
+		case *pgproto3.CommandComplete:
+			list = append(list, string(m.CommandTag))
+		case *pgproto3.ErrorResponse:
+			list = append(list, m.Code)
+		case *pgproto3.ReadyForQuery:
+			return strings.Join(append(list, string(m.TxStatus)), " ")
+		default:
+			list = append(list, strings.TrimPrefix(fmt.Sprintf("%T", m), "*pgproto3."))
+		}
+	}
+}
+
+// extendedOf are the messages of one statement.
+func extendedOf(text string) []pgproto3.FrontendMessage {
+	return []pgproto3.FrontendMessage{
+		&pgproto3.Parse{Query: text}, &pgproto3.Bind{}, &pgproto3.Describe{ObjectType: 'P'}, &pgproto3.Execute{}, &pgproto3.Sync{},
+	}
+}
+
+// TestEndOfALostTransaction ends lost transactions as PostgreSQL ends failed ones.
+func TestEndOfALostTransaction(t *testing.T) {
+	for name, test := range map[string]struct {
+		end      string
+		extended bool
+		want     string
+	}{
+		"commit":                       {"commit", false, "ROLLBACK I"},
+		"rollback":                     {"rollback", false, "ROLLBACK I"},
+		"commit and chain":             {"commit and chain", false, "ROLLBACK T"},
+		"rollback work and chain":      {"ROLLBACK work /* now */ AND\nCHAIN -- again\n;", false, "ROLLBACK T"},
+		"no chain":                     {"commit and no chain", false, "ROLLBACK I"},
+		"chain in a comment":           {"commit /* and chain */", false, "ROLLBACK I"},
+		"extended commit":              {"commit", true, "ParseComplete BindComplete NoData ROLLBACK I"},
+		"extended commit and chain":    {"commit and chain", true, "ParseComplete BindComplete NoData ROLLBACK T"},
+		"extended, not an end":         {"select 1", true, "25P02 E"},
+		"commit and more in one text":  {"commit; select 1", false, "25P02 E"},
+		"rollback to what went before": {"rollback to savepoint one", false, "25P02 E"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			in(t, nil, func(t *testing.T, r *rig) {
+				c := r.connect("vm1", "")
+				lose(r, c, "begin")
+				var messages []pgproto3.FrontendMessage
+				if test.extended {
+					messages = extendedOf(test.end)
+				}
+				assert.Equal(t, told(r, c, test.end, messages...), test.want)
+				if !strings.HasSuffix(test.want, "T") {
+					return
+				}
+				// What follows is in a transaction again, and only there.
+				assert.Equal(t, told(r, c, "insert into t values (3, 1)"), "INSERT 0 1 T")
+				assert.Equal(t, told(r, c, "rollback"), "ROLLBACK I")
+				v, err := r.value(r.connect("vm1", ""), 3)
+				assert.NilError(t, err)
+				assert.Equal(t, v, 0)
+			})
+		})
+	}
+}
+
+// TestChainedTransactionKeepsItsModes chains transactions that may not write, or that
+// began without the proxy's knowing how.
+func TestChainedTransactionKeepsItsModes(t *testing.T) {
+	for name, test := range map[string]struct {
+		texts []string
+		want  string
+	}{
+		"set read only": {[]string{"begin", "set transaction read only"}, "ROLLBACK T 25006"},
+		"one text":      {[]string{"begin; select 1"}, "0A000 E 25P02"},
+		"a chained one": {[]string{"begin", "set transaction read only", "commit and chain"}, "ROLLBACK T 25006"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			in(t, nil, func(t *testing.T, r *rig) {
+				c := r.connect("vm1", "")
+				for _, text := range test.texts {
+					assert.NilError(t, script(r, c, text))
+				}
+				r.server("a").Kill(0)
+				r.server("a").Start()
+				time.Sleep(time.Second)
+				assert.Equal(t, code(script(r, c, "select 1")), "08006")
+				got := told(r, c, "rollback and chain")
+				assert.Equal(t, got+" "+code(script(r, c, "insert into t values (3, 1)")), test.want)
+			})
+		})
+	}
+}
+
+// TestChainWithoutAServer can't begin the next transaction, and stays in the lost one.
+func TestChainWithoutAServer(t *testing.T) {
+	in(t, nil, func(t *testing.T, r *rig) {
+		c := r.connect("vm1", "")
+		lose(r, c, "begin")
+		r.server("a").Kill(0)
+		time.Sleep(time.Second)
+		assert.Equal(t, told(r, c, "commit and chain"), "53300 E")
+		assert.Equal(t, told(r, c, "insert into t values (3, 1)"), "25P02 E")
+		r.server("a").Start()
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, told(r, c, "commit and chain"), "ROLLBACK T")
+	})
+}
+
+// TestPreparedEndOfALostTransaction prepares the end first: that ends nothing.
+func TestPreparedEndOfALostTransaction(t *testing.T) {
+	in(t, nil, func(t *testing.T, r *rig) {
+		c := r.connect("vm1", "")
+		lose(r, c, "begin")
+		parse := &pgproto3.Parse{Name: "end", Query: "commit"}
+		describe := &pgproto3.Describe{ObjectType: 'S', Name: "end"}
+		assert.Equal(t, told(r, c, "", parse, describe, &pgproto3.Sync{}), "ParseComplete ParameterDescription NoData E")
+		bind, execute := &pgproto3.Bind{PreparedStatement: "end"}, &pgproto3.Execute{}
+		assert.Equal(t, told(r, c, "", bind, execute, &pgproto3.Sync{}), "BindComplete ROLLBACK I")
+	})
+}
+
+// TestChainedCommitIsConfirmed chains a commit that no replica has.
+func TestChainedCommitIsConfirmed(t *testing.T) {
+	in(t, nil, func(t *testing.T, r *rig) {
+		c := r.connect("vm1", "")
+		assert.Equal(t, told(r, c, "begin"), "BEGIN T")
+		assert.Equal(t, told(r, c, "insert into t values (1, 1)"), "INSERT 0 1 T")
+		assert.Equal(t, told(r, c, "commit and chain"), "COMMIT T")
+		assert.Equal(t, told(r, c, "insert into t values (2, 1)"), "INSERT 0 1 T")
+		r.server("a").Cut(true)
+		assert.Equal(t, told(r, c, "commit and chain"), "08007 I")
+		assert.Equal(t, told(r, c, "rollback and chain"), "25P01 I")
+	})
+}
--- a/internal/caller/exchange.go
+++ b/internal/caller/exchange.go
@@ -147,6 +147,7 @@
 		s.out.free()
 		return s.flush()
 	}
+	s.begun(x)
 	s.implicit = false
 	if x.status == 'I' {
 		s.use(nil)
--- a/internal/caller/extended.go
+++ b/internal/caller/extended.go
@@ -57,9 +57,11 @@
 	}
 	s.carry(&p, sync)
 	ends := sync && (s.implicit || p.ends)
-	return s.perform(ctx, &request{kind: p.kind, runs: p.runs, mayCommit: ends, widens: p.widens, unsynced: !sync, sends: func(c *upstream.Conn) []step {
-		return s.put(c, messages, sync)
-	}})
+	return s.perform(ctx, &request{
+		kind: p.kind, runs: p.runs, mayCommit: ends, widens: p.widens, chains: p.chains, begins: p.begins,
+		unsynced: !sync, messages: messages,
+		sends: func(c *upstream.Conn) []step { return s.put(c, messages, sync) },
+	})
 }
 
 // carry remembers what ran before a Flush, since it commits at the next Sync.
@@ -86,6 +88,10 @@
 	reads bool
 	// widens is true when a statement may let a read-only transaction write.
 	widens bool
+	// chains is true when it ends a transaction and begins another.
+	chains bool
+	// begins are the statements that decide the modes of a transaction.
+	begins []string
 	// runs is true when something executes.
 	runs bool
 	// sends is false when all can be answered here.
@@ -98,6 +104,7 @@
 // plan reads a batch and takes note of the statements it prepares.
 func (s *Session) plan(messages []pgproto3.FrontendMessage) plan {
 	p := plan{kind: kindRead}
+	var bound *prepared
 	for _, m := range messages {
 		switch m := m.(type) {
 		case *pgproto3.Parse:
@@ -106,7 +113,8 @@
 			p.see(st)
 			p.sends = true
 		case *pgproto3.Bind:
-			p.see(s.prepared[m.PreparedStatement])
+			bound = s.prepared[m.PreparedStatement]
+			p.see(bound)
 			p.sends = true
 		case *pgproto3.Describe:
 			if m.ObjectType == 'S' {
@@ -115,6 +123,7 @@
 			p.sends = true
 		case *pgproto3.Execute:
 			p.runs, p.sends = true, true
+			p.run(bound)
 		case *pgproto3.Close:
 			if m.ObjectType == 'S' {
 				p.locals = append(p.locals, &pgproto3.CloseComplete{})
@@ -133,7 +142,7 @@
 	if st == nil {
 		return
 	}
-	p.ends = p.ends || st.kind == kindEnd
+	p.ends = p.ends || st.kind == kindEnd || mayEnd(st.sql)
 	p.widens = p.widens || widens(st.sql)
 	switch st.kind {
 	case kindOwn:
@@ -153,6 +162,15 @@
 	}
 }
 
+// run takes a statement into account that executes; nil for one that isn't known.
+func (p *plan) run(st *prepared) {
+	if st == nil {
+		return
+	}
+	p.chains = p.chains || st.kind == kindEnd && chains(st.sql)
+	p.begins = append(p.begins, modes(st.kind, st.sql)...)
+}
+
 // answerLocal answers a batch that needs no server.
 func (s *Session) answerLocal(p plan) error {
 	for _, m := range p.locals {
--- a/internal/caller/relay.go
+++ b/internal/caller/relay.go
@@ -21,7 +21,7 @@
 	case *pgproto3.CopyInResponse, *pgproto3.CopyOutResponse, *pgproto3.CopyBothResponse:
 		return ErrUnsupported.New("COPY isn't passed through")
 	}
-	if !x.wanted(m) {
+	if x.request.instead != nil || !x.wanted(m) {
 		return nil
 	}
 	return x.forward(m)
--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -23,6 +23,16 @@
 	sql string
 	// mayCommit is true when it may end a transaction that began before it.
 	mayCommit bool
+	// chains is true when it ends a transaction and begins another.
+	chains bool
+	// begins are the statements of it that decide the modes of a transaction.
+	begins []string
+	// unknownModes is true when others of it may.
+	unknownModes bool
+	// messages are those of an extended request.
+	messages []pgproto3.FrontendMessage
+	// instead is sent to the caller in place of the server's answer, but for an error.
+	instead []pgproto3.BackendMessage
 	// unsynced requests end with Flush: their answer has no ReadyForQuery.
 	unsynced bool
 	// widens is true when it may let a read-only transaction write.
@@ -35,7 +45,7 @@
 func (s *Session) perform(ctx context.Context, r *request) error {
 	began := time.Now()
 	if s.failed {
-		return s.performFailed(r)
+		return s.performFailed(ctx, r)
 	}
 	if s.conn == nil && r.kind == kindEnd {
 		r.kind = kindRead
@@ -72,6 +82,7 @@
 
 // endRefused ends the answer to a request that savoryramp refused.
 func (s *Session) endRefused(r *request) error {
+	s.failed = s.failed || r.instead != nil
 	if r.unsynced {
 		s.skipping = true
 		return s.flush()
@@ -79,20 +90,6 @@
 	return s.ready()
 }
 
-// performFailed answers in a transaction that lost its connection.
-func (s *Session) performFailed(r *request) error {
-	if r.kind != kindEnd {
-		s.send(&pgproto3.ErrorResponse{
-			Severity: "ERROR", SeverityUnlocalized: "ERROR", Code: string(CodeFailed),
-			Message: "current transaction is aborted, commands ignored until end of transaction block",
-		})
-		return s.endRefused(r)
-	}
-	s.failed = false
-	s.send(&pgproto3.CommandComplete{CommandTag: []byte("ROLLBACK")})
-	return s.ready()
-}
-
 // attempts sends the request until it was answered, or may have run.
 func (s *Session) attempts(ctx context.Context, group *upstream.Group, r *request) (upstream.Role, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.server.MaxWait)
--- a/internal/caller/session.go
+++ b/internal/caller/session.go
@@ -46,6 +46,8 @@
 	carried kind
 	// failed transactions lost their connection; all but their end is refused.
 	failed bool
+	// begins are the statements that decided the transaction's modes; empty if unknown.
+	begins []string
 	// skipping discards extended messages up to the next Sync, after an error.
 	skipping bool
 
--- a/internal/caller/simple.go
+++ b/internal/caller/simple.go
@@ -18,12 +18,17 @@
 		s.send(&pgproto3.EmptyQueryResponse{})
 		return s.ready()
 	}
-	return s.perform(ctx, &request{kind: k, runs: true, mayCommit: k == kindEnd || several(sql), widens: widens(sql), sends: func(c *upstream.Conn) []step {
+	r := &request{
+		kind: k, runs: true, mayCommit: k == kindEnd || several(sql) || mayEnd(sql), widens: widens(sql),
+		chains: k == kindEnd && chains(sql), begins: modes(k, sql), unknownModes: hidesModes(sql), sql: sql,
+	}
+	r.sends = func(c *upstream.Conn) []step {
 		c.Unnamed = ""
 		c.Dirty = c.Dirty || leavesState(sql)
 		c.Front.Send(&pgproto3.Query{String: sql})
 		return nil
-	}, sql: sql})
+	}
+	return s.perform(ctx, r)
 }
 
 // text is the statement of a simple request, empty otherwise.
--- a/internal/caller/statement.go
+++ b/internal/caller/statement.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"slices"
 	"strings"
 )
 
@@ -41,10 +40,10 @@
 		}
 		return kindBegin
 	case "commit", "end", "rollback", "abort":
-		if more || toSavepoint(words) {
-			return kindWrite
+		// Not one to a savepoint, nor of a prepared transaction.
+		if !more && plainEnd.MatchString(bare(text)) {
+			return kindEnd
 		}
-		return kindEnd
 	case "set", "show", "reset":
 		if !more && own(words) {
 			return kindOwn
@@ -67,16 +66,22 @@
 // widens tells whether a text may turn a read-only transaction, or those after it, into
 // ones that write.
 func widens(sql string) bool {
-	lower := strings.ToLower(skipSpace(sql))
-	if !strings.HasPrefix(lower, "set") && !strings.HasPrefix(lower, "reset") && !several(lower) {
+	if !starts(sql, "set") && !starts(sql, "reset") && !several(sql) {
 		return false
 	}
+	lower := strings.ToLower(sql)
 	return strings.Contains(lower, "read_only") || strings.Contains(strings.Join(strings.Fields(lower), " "), "read write")
 }
 
-// toSavepoint tells whether a ROLLBACK leaves its transaction open.
-func toSavepoint(words []string) bool {
-	return words[0] == "rollback" && slices.Contains(words[1:min(len(words), 3)], "to")
+// mayEnd tells whether a text looks like a commit, also when it is no plain one.
+func mayEnd(sql string) bool {
+	return starts(sql, "commit") || starts(sql, "end")
+}
+
+// starts tells whether a text begins with a word, in any case.
+func starts(sql, word string) bool {
+	sql = skipSpace(sql)
+	return len(sql) >= len(word) && strings.EqualFold(sql[:len(word)], word)
 }
 
 // leavesState tells whether a statement may change what the connection's next user
--- a/internal/fakeupstream/control.go
+++ b/internal/fakeupstream/control.go
@@ -16,6 +16,7 @@
 	modes       = regexp.MustCompile(`(?is)\bread\s+(only|write)\b`)
 	modeOn      = regexp.MustCompile(`(?is)^set\s+(local\s+)?(transaction\b.*\bread\s+only\b|transaction_read_only\W.*\bon\b)`)
 	modeOff     = regexp.MustCompile(`(?is)^set\s+(local\s+)?(transaction\b.*\bread\s+write\b|transaction_read_only\W.*\boff\b)`)
+	andChain    = regexp.MustCompile(`(?is)\band\s+chain$`)
 	setting     = regexp.MustCompile(`(?is)^set\s+(?:session\s+|local\s+)?([\w.]+)\s*(?:=|\bto\b)\s*(.*)$`)
 	deallocated = regexp.MustCompile(`(?is)^deallocate\s+(?:prepare\s+)?"?([^"]+)"?$`)
 )
@@ -41,14 +42,17 @@
 			s.tx.readOnly = strings.EqualFold(list[len(list)-1][1], "only")
 		}
 	case "COMMIT", "END":
-		return s.finish(done)
+		return s.chained(c, done, func() error { return s.finish(done) })
 	case "ROLLBACK", "ABORT":
 		done.verb = "ROLLBACK"
 		if rollbackTo.MatchString(c.text) {
 			return done, s.savepoint(ctx, c.text)
 		}
-		s.closePortals()
-		s.rollback()
+		return s.chained(c, done, func() error {
+			s.closePortals()
+			s.rollback()
+			return nil
+		})
 	case "SAVEPOINT", "RELEASE":
 		return done, s.savepoint(ctx, c.text)
 	case "SET":
@@ -87,16 +91,30 @@
 	return nil
 }
 
+// chained ends the transaction; AND CHAIN begins the next of the same modes.
+func (s *session) chained(c control, done *result, end func() error) (*result, error) {
+	chain := andChain.MatchString(c.text)
+	if chain && !s.tx.explicit {
+		return nil, refuse(stateNoTransaction, "%s AND CHAIN can only be used in transaction blocks", done.verb)
+	}
+	next := transaction{explicit: true, decided: true, readOnly: s.tx.readOnly}
+	if err := end(); err != nil || !chain {
+		return done, err
+	}
+	s.tx = next
+	return done, nil
+}
+
 // finish commits, or rolls back what has failed.
-func (s *session) finish(done *result) (*result, error) {
+func (s *session) finish(done *result) error {
 	done.verb = "COMMIT"
 	s.closePortals()
 	if s.tx.failed {
 		done.verb = "ROLLBACK"
 		s.rollback()
-		return done, nil
+		return nil
 	}
-	return done, s.commit()
+	return s.commit()
 }
 
 // savepoint passes on SAVEPOINT, RELEASE and ROLLBACK TO; before the first write
--- a/internal/fakeupstream/errors.go
+++ b/internal/fakeupstream/errors.go
@@ -32,6 +32,7 @@
 	stateReadOnly         SQLState = "25006"
 	stateFailed           SQLState = "25P02"
 	stateActive           SQLState = "25001"
+	stateNoTransaction    SQLState = "25P01"
 	stateNotReady         SQLState = "55000"
 	stateCanceled         SQLState = "57014"
 	stateShutdown         SQLState = "57P01"
