Close a connection before its place goes to another request

Cause: Pool.release gave the turn on under its lock and closed a connection that isn't kept only after that, so that the request which got the turn could open a new connection while the old one still stood: one more than the VM's places, for as long as the close took. Pool.drop did the same with idle ones. A server at its contract refuses such a connection, and a refused one takes the server out of use for a moment.

Ruled out: the count of places (inUse plus idle was at most held throughout) and the contract's units (given back after the close).

Change: both close under the lock, before anybody is let go ahead.

Seen failing: TestClosedBeforeItsPlaceIsGiven with the close after the lock: "given before the close".

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -264,6 +264,9 @@
 	keep = keep && !p.closed && !excess && p.inUse+len(p.idle) <= p.room()
 	if keep {
 		p.idle = append(p.idle, c)
+	} else {
+		// Before its place goes to another, who may open a new one at once.
+		c.close()
 	}
 	p.inUse--
 	give := p.Allowance != nil && (excess || p.closed)
@@ -272,9 +275,6 @@
 	}
 	p.grant()
 	p.mu.Unlock()
-	if !keep {
-		c.close()
-	}
 	if give {
 		p.Allowance.Release()
 	}
@@ -313,12 +313,11 @@
 // them was silent: whatever made it so may have made the others, too.
 func (p *Pool) drop() {
 	p.mu.Lock()
-	idle := p.idle
-	p.idle = nil
-	p.mu.Unlock()
-	for _, c := range idle {
+	defer p.mu.Unlock()
+	for _, c := range p.idle {
 		c.close()
 	}
+	p.idle = nil
 }
 
 // close ends the pool; connections in use are closed as they come back.
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -28,3 +28,36 @@
 	c.Release(true)
 	assert.Assert(t, isSilent(<-next))
 }
+
+// closing tells when it is closed.
+type closing struct {
+	net.Conn
+	closed func()
+}
+
+func (c closing) Close() error {
+	c.closed()
+	return c.Conn.Close()
+}
+
+// A connection that isn't kept is closed before its place goes to another request,
+// which may open one at once.
+func TestClosedBeforeItsPlaceIsGiven(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	// One request uses the connection, another was let go ahead and takes the idle one
+	// next, so that both places are gone.
+	p := &Pool{Limit: func() int { return 2 }, inUse: 2, idle: []*Conn{{}}}
+	w := p.queue.push("", 1)
+	given := false
+	c := &Conn{pool: p, net: closing{near, func() {
+		select {
+		case <-w.granted:
+			given = true
+		default:
+		}
+	}}, takenAt: time.Now()}
+	c.Release(true)
+	<-w.granted
+	assert.Assert(t, !given, "given before the close")
+}
