Begin a group's record only from a majority of its servers

Cause: the first VM that holds a group's lease reserves the next term within 100 ms. Without a row in the table, the record was begun from what this VM had heard so far; before its watches were up that was term 0, so that it reserved term 1, the group's own. The promotion in the reserved term then "fenced" at term 1, which every server had accepted long before, and made a second primary of term 1 beside the one cut off.

Ruled out: the reservation's own rules in pkg/term (they assume that the record knows the group's term); a second promoter.

Change: without a row, the record is begun only once a majority of the servers is heard. A term that was ever active is known to each majority. Until then reading it is "unavailable", which every user of the record handles by trying again.

--- a/internal/upstream/record.go
+++ b/internal/upstream/record.go
@@ -25,13 +25,14 @@
 	return platform.RowKey("group/" + string(r.group.Upstream.Name))
 }
 
-// Read gives the stored record; before there is one, what the servers report.
+// Read gives the stored record; before there is one, what a majority of the servers
+// report. ErrUnavailable with fewer: the group may have a higher term than they tell.
 func (r record) Read(ctx context.Context) (term.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, tableWithin)
 	defer cancel()
 	row, err := r.group.Table.Get(ctx, r.key())
 	if errorx.IsOfType(err, platform.ErrNoRow) {
-		return term.Row{Record: r.group.firstRecord()}, nil
+		return r.group.firstRow()
 	}
 	if err != nil {
 		return term.Row{}, term.ErrUnavailable.Wrap(err, "record of upstream %s", r.group.Upstream.Name)
@@ -64,15 +65,19 @@
 	return t, nil
 }
 
-// firstRecord describes the group as its servers report it.
-func (g *Group) firstRecord() term.Record {
+// firstRow describes the group as its servers report it. A term that was ever active
+// is known to each majority of them. ErrUnavailable.
+func (g *Group) firstRow() (term.Row, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.usable() < term.Majority(len(g.members)) || g.term == 0 {
+		return term.Row{}, term.ErrUnavailable.New("record of upstream %s: none yet, and too few servers are heard to begin one", g.Upstream.Name)
+	}
 	r := term.Record{Term: g.term, State: term.Active, Starts: g.list()}
 	if m := g.leader(); m != nil {
 		r.Primary = term.Server(m.server.Name)
 	}
-	return r
+	return term.Row{Record: r}, nil
 }
 
 // control runs the term statements at the group's servers.
