Limit what is in use at a server by its response time, as a setting

Today a VM uses all its places at a server, fast or slow.

What is observed: autocommit statements only, from sending to the first row, or to the end of an answer without rows. No time of transactions (locks, callers that idle), of connecting, of confirmation, of callers that read slowly, of errors, of a caller's SET. Times are compared within a workspace, as multiples of its own usual low, and the lower median over the workspaces decides, so that one workspace that waits for locks lowers nothing for the others.

What is limited: statements that run. Never above the share, since the smaller of both counts; never under 1.

Metric savoryramp.upstream.connections.limit, connections-limit in the state dump.

Seen failing, with the mechanism taken out: share ("4 connections of 3"), floor ("limit 0"), increase ("limit 1 of 8"), decrease ("slow is greater than 2: limit 8"), lower median ("limit 2" where none was to fall), rest (statement refused). Passing: TestAdaptiveLimit*, TestConnectionsKeepContract (both limits), TestIdleTransactionLeavesItsPlace, TestLeastLimitMakesProgress.

--- a/cmd/savoryramp-load/run.go
+++ b/cmd/savoryramp-load/run.go
@@ -14,6 +14,7 @@
 	"github.com/mattn/go-isatty"
 
 	"github.com/savoryramp/savoryramp/internal/load"
+	"github.com/savoryramp/savoryramp/internal/operator"
 	"github.com/savoryramp/savoryramp/internal/platform"
 	"github.com/savoryramp/savoryramp/internal/upstream"
 )
@@ -30,6 +31,7 @@
 	Report   string
 	Baseline string
 	Queue    string
+	Limit    string
 	Out      *os.File
 }
 
@@ -48,6 +50,8 @@
 		EnumVar(&s.Baseline, load.BaselineNone, load.BaselinePrimary, load.BaselineNaive)
 	c.Flag("queue", "How a server's queue serves workspaces.").Default(string(upstream.DeficitRoundRobin)).
 		EnumVar(&s.Queue, string(upstream.DeficitRoundRobin), string(upstream.FirstCome))
+	c.Flag("limit", "How many connections to a server a VM uses at once: its share, or less by response time.").
+		Default(string(operator.LimitFixed)).EnumVar(&s.Limit, string(operator.LimitFixed), string(operator.LimitAdaptive))
 	return c
 }
 
@@ -81,7 +85,7 @@
 	if err != nil {
 		return nil, err
 	}
-	policies, err := load.PoliciesOf(s.Baseline, s.Queue)
+	policies, err := load.PoliciesOf(s.Baseline, s.Queue, operator.LimitName(s.Limit))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/load/measure.go
+++ b/internal/load/measure.go
@@ -28,6 +28,7 @@
 		Scenario: t.Scenario.Name, Seed: t.Seed, Duration: t.Duration.String(), Offered: len(results),
 		Codes: map[string]int{}, Workspaces: map[platform.WorkspaceName]WorkspaceSummary{},
 		Reads: readsName(t.Site.Policies.Reads), Queue: string(t.Site.Policies.Order),
+		Limit: limitName(t.Site.Policies.Limit),
 	}
 	slices.SortFunc(results, func(a, b Result) int { return int(a.ID - b.ID) })
 	for _, r := range results {
--- a/internal/load/policy.go
+++ b/internal/load/policy.go
@@ -15,9 +15,9 @@
 	BaselineNaive = "naive-splitter"
 )
 
-// PoliciesOf gives the policies of a baseline and an order of queues. ErrSetup.
-func PoliciesOf(baseline, order string) (operator.Policies, error) {
-	p := operator.Policies{Order: upstream.Order(order)}
+// PoliciesOf gives the policies of a baseline, an order of queues and a limit. ErrSetup.
+func PoliciesOf(baseline, order string, limit operator.LimitName) (operator.Policies, error) {
+	p := operator.Policies{Order: upstream.Order(order), Limit: limit.Limit()}
 	switch baseline {
 	case BaselineNone:
 		p.Reads = upstream.WaitOrPrimary{}
@@ -41,3 +41,12 @@
 	}
 	return "savoryramp"
 }
+
+// limitName is how a summary names a limit.
+func limitName(l upstream.Limit) string {
+	switch l.(type) {
+	case upstream.Adaptive:
+		return string(operator.LimitAdaptive)
+	}
+	return string(operator.LimitFixed)
+}
--- a/internal/load/scenario.go
+++ b/internal/load/scenario.go
@@ -37,7 +37,7 @@
 }
 
 // Fault is what a scenario does to the parts: CutPrimary, Heal, PlatformDown,
-// PlatformUp, RestartVM or LagReplica.
+// PlatformUp, RestartVM, LagReplica, SlowReplica or SlowPrimary.
 type Fault interface{ label() string }
 
 type (
@@ -57,6 +57,13 @@
 		Replica int
 		Lag     time.Duration
 	}
+	// SlowReplica sets how long a statement holds a slot of the replica of an index.
+	SlowReplica struct {
+		Replica int
+		Service time.Duration
+	}
+	// SlowPrimary sets it for the primary.
+	SlowPrimary struct{ Service time.Duration }
 )
 
 func (CutPrimary) label() string   { return "primary cut off" }
@@ -66,6 +73,9 @@
 func (f RestartVM) label() string  { return "restart " + string(vmName(f.VM)) }
 func (f LagReplica) label() string { return "replica lag " + f.Lag.String() }
 
+func (f SlowReplica) label() string { return "replica service " + f.Service.String() }
+func (f SlowPrimary) label() string { return "primary service " + f.Service.String() }
+
 // Scenarios lists all scenarios.
 func Scenarios() []Scenario {
 	return []Scenario{
@@ -79,6 +89,12 @@
 			{0.75, LagReplica{0, usualLag}},
 			{0.75, LagReplica{1, usualLag}},
 		}},
+		{Name: "slow-server", Load: 0.6, Writes: 0.15, Roams: 0.05, Faults: []Timed{
+			{0.2, SlowReplica{0, 10 * serviceTime}},
+			{0.5, SlowReplica{0, serviceTime}},
+			{0.6, SlowPrimary{5 * serviceTime}},
+			{0.8, SlowPrimary{serviceTime}},
+		}},
 	}
 }
 
--- a/internal/load/site.go
+++ b/internal/load/site.go
@@ -210,6 +210,10 @@
 		return s.restart(ctx, s.VMs[f.VM])
 	case LagReplica:
 		s.replicas()[f.Replica].SetLag(f.Lag)
+	case SlowReplica:
+		s.replicas()[f.Replica].SetService(f.Service)
+	case SlowPrimary:
+		s.Group.Primary().SetService(f.Service)
 	}
 	return nil
 }
--- a/internal/load/summary.go
+++ b/internal/load/summary.go
@@ -48,6 +48,7 @@
 	Scenario ScenarioName          `json:"scenario"`
 	Reads    string                `json:"reads"`
 	Queue    string                `json:"queue"`
+	Limit    string                `json:"limit"`
 	Seed     uint64                `json:"seed"`
 	Document platform.DocumentHash `json:"document-hash"`
 	Duration string                `json:"duration"`
@@ -146,7 +147,7 @@
 func (s *Summary) rows() []row {
 	list := []row{
 		{"scenario", string(s.Scenario)},
-		{"reads, queue", s.Reads + ", " + s.Queue},
+		{"reads, queue, limit", s.Reads + ", " + s.Queue + ", " + s.Limit},
 		{"seed, duration", fmt.Sprintf("%d, %s", s.Seed, s.Duration)},
 		{"offered", fmt.Sprint(s.Offered)},
 		{"answered", fmt.Sprint(s.Answered)},
--- /dev/null
+++ b/internal/operator/limit.go
@@ -0,0 +1,20 @@
+package operator
+
+import "github.com/savoryramp/savoryramp/internal/upstream"
+
+// LimitName names a limit of the connections in use on the command line.
+type LimitName string
+
+// The limits, as typed.
+const (
+	LimitFixed    LimitName = "fixed"
+	LimitAdaptive LimitName = "adaptive"
+)
+
+// Limit gives the limit of a name.
+func (n LimitName) Limit() upstream.Limit {
+	if n == LimitAdaptive {
+		return upstream.Adaptive{}
+	}
+	return upstream.Fixed{}
+}
--- a/internal/operator/options.go
+++ b/internal/operator/options.go
@@ -70,6 +70,8 @@
 	StatementDeadline time.Duration
 	// MaxWait bounds a request's time in a queue; then it is refused, not run.
 	MaxWait time.Duration
+	// Limit of the connections in use to each server; empty is LimitFixed.
+	Limit LimitName
 }
 
 // TLSFiles names PEM files.
@@ -156,6 +158,8 @@
 	c.duration("drain-time", "How long requests may take to finish after that.", "30s", 0, &r.DrainTime)
 	c.duration("statement-deadline", "Longest time for one statement's answer.", "30s", time.Millisecond, &r.StatementDeadline)
 	c.duration("max-wait", "Longest wait in a queue before a request is refused, not run.", "2s", 0, &r.MaxWait)
+	c.choice("limit", "How many connections to a server are used at once: fixed (this VM's share) or adaptive (fewer while the server is slow).",
+		string(LimitFixed), []string{string(LimitFixed), string(LimitAdaptive)}, (*string)(&r.Limit))
 	o.definePlatform(c)
 }
 
--- a/internal/operator/options_test.go
+++ b/internal/operator/options_test.go
@@ -45,6 +45,7 @@
 		"deadline of nothing": {runArgs("--statement-deadline=0s"), "--statement-deadline: 0s is too short; give at least 1ms"},
 		"endpoint":            {runArgs("--store-endpoint=10.0.0.1"), `--store-endpoint: "10.0.0.1" is no endpoint; give a URL like http://127.0.0.1:8000`},
 		"log level":           {runArgs("--log-level=loud"), `--log-level: "loud" isn't known; give one of error, warn, info, debug`},
+		"limit":               {runArgs("--limit=none"), `--limit: "none" isn't known; give one of fixed, adaptive`},
 		"half of caller TLS":  {runArgs("--listen-cert=c"), "--listen-cert and --listen-key belong together; give both or neither"},
 		"vm address":          {[]string{"state", "a-1"}, `VM-ADDRESS: "a-1" is no address; give an IP number and a port, like 127.0.0.1:6432`},
 		"shell":               {[]string{"completion", "fish"}, `SHELL: "fish" isn't known; give one of bash, zsh`},
--- a/internal/operator/serve.go
+++ b/internal/operator/serve.go
@@ -44,7 +44,8 @@
 	u := &upstream.Upstreams{
 		Dial: dialer.DialContext, Logger: d.Logger, Documents: d.Configuration, Allowance: limits.allowance,
 		Meter:        d.Metrics.Meter("upstream"),
-		Coordination: joined, Table: d.Table, Reads: upstream.WaitOrPrimary{}, Order: upstream.DeficitRoundRobin, MaxQueue: maxQueue,
+		Coordination: joined, Table: d.Table, Reads: upstream.WaitOrPrimary{}, Order: upstream.DeficitRoundRobin,
+		Limit: d.Options.Limit.Limit(), MaxQueue: maxQueue,
 	}
 	c := &caller.Server{
 		VM: platform.VMName(d.Options.VM), Listener: listener, TLS: d.Certificates.callers(), Documents: d.Configuration,
--- a/internal/operator/trial.go
+++ b/internal/operator/trial.go
@@ -6,6 +6,7 @@
 type Policies struct {
 	Reads upstream.ReadPolicy
 	Order upstream.Order
+	Limit upstream.Limit
 }
 
 // RunTrial is Run with other policies than the daemon's own.
@@ -15,6 +16,7 @@
 	}
 	d.serving.upstreams.Reads = p.Reads
 	d.serving.upstreams.Order = p.Order
+	d.serving.upstreams.Limit = p.Limit
 	d.logStart()
 	return d.runGroup(d.actors())
 }
--- a/internal/upstream/allowance.go
+++ b/internal/upstream/allowance.go
@@ -67,9 +67,9 @@
 	}
 }
 
-// grow asks for places while requests wait; p.mu is held.
+// grow asks for places while requests wait that the Limit lets go; p.mu is held.
 func (p *Pool) grow() {
-	if p.Allowance == nil || p.growing || p.closed {
+	if p.Allowance == nil || p.growing || p.closed || p.held >= p.bound()+p.resting {
 		return
 	}
 	p.growing = true
@@ -86,7 +86,7 @@
 			p.held++
 		}
 		p.grant()
-		if p.queue.size == 0 || p.closed {
+		if p.queue.size == 0 || p.closed || p.held >= p.bound()+p.resting {
 			p.growing = false
 			p.mu.Unlock()
 			return
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -62,11 +62,16 @@
 	// workspace is the one that used the connection last.
 	workspace platform.WorkspaceName
 	// deadline is that of reads, as Receive set it last.
-	deadline   time.Time
-	pid        uint32
-	secret     []byte
-	idleSince  time.Time
-	takenAt    time.Time
+	deadline  time.Time
+	pid       uint32
+	secret    []byte
+	idleSince time.Time
+	takenAt   time.Time
+	// observed connections are looked at for an adaptive limit.
+	observed bool
+	// stopwatch is nil when nothing is timed, rest unless a transaction pauses.
+	stopwatch  *stopwatch
+	rest       *rest
 	parameters map[string]string
 }
 
@@ -177,6 +182,7 @@
 // ParameterStatus messages are noted in the connection and returned as well.
 // ErrSilent when the deadline passed, ErrBroken when the connection ended.
 func (c *Conn) Receive(deadline time.Time) (pgproto3.BackendMessage, error) {
+	c.wake()
 	if err := c.readUntil(deadline); err != nil {
 		return nil, err
 	}
@@ -188,6 +194,7 @@
 	if err != nil {
 		return nil, c.broken(err)
 	}
+	c.received(m)
 	if p, found := m.(*pgproto3.ParameterStatus); found {
 		return m, c.parameter(p)
 	}
@@ -215,6 +222,7 @@
 
 // Flush sends what was given to Front.Send.
 func (c *Conn) Flush() error {
+	c.sent()
 	if err := c.Front.Flush(); err != nil {
 		return ErrBroken.Wrap(err, "server %s", c.Server)
 	}
--- a/internal/upstream/group.go
+++ b/internal/upstream/group.go
@@ -30,6 +30,8 @@
 	Reads ReadPolicy
 	// Order of the servers' queues.
 	Order Order
+	// Limit of the connections in use to each server.
+	Limit Limit
 	// MaxQueue bounds the requests that wait for one server.
 	MaxQueue int
 
--- /dev/null
+++ b/internal/upstream/limit_rig_test.go
@@ -0,0 +1,158 @@
+package upstream
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/savoryramp/savoryramp/internal/platform"
+	"github.com/savoryramp/savoryramp/pkg/contract"
+)
+
+// slowServer answers statements in slots, each after a service time.
+type slowServer struct {
+	slots chan bool
+
+	mu      sync.Mutex
+	service time.Duration
+	// opened counts connections that stand now, most is the highest number ever.
+	opened, most int
+	tasks        sync.WaitGroup
+}
+
+func newSlowServer(slots int, service time.Duration) *slowServer {
+	return &slowServer{slots: make(chan bool, slots), service: service}
+}
+
+func (s *slowServer) setService(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.service = d
+}
+
+func (s *slowServer) dial(context.Context, string, string) (net.Conn, error) {
+	near, far := net.Pipe()
+	s.mu.Lock()
+	s.opened++
+	s.most = max(s.most, s.opened)
+	s.mu.Unlock()
+	s.tasks.Go(func() { s.serve(far) })
+	return &countedConn{Conn: near, server: s}, nil
+}
+
+// countedConn counts as open until it is closed.
+type countedConn struct {
+	net.Conn
+	server *slowServer
+	once   sync.Once
+}
+
+func (c *countedConn) Close() error {
+	c.once.Do(func() {
+		c.server.mu.Lock()
+		c.server.opened--
+		c.server.mu.Unlock()
+	})
+	return c.Conn.Close()
+}
+
+func (s *slowServer) serve(c net.Conn) {
+	defer c.Close()
+	back := pgproto3.NewBackend(c, c)
+	if _, err := back.ReceiveStartupMessage(); err != nil {
+		return
+	}
+	back.Send(&pgproto3.AuthenticationOk{})
+	back.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	for back.Flush() == nil {
+		m, err := back.Receive()
+		if err != nil {
+			return
+		}
+		status := byte('I')
+		if q, is := m.(*pgproto3.Query); is && q.String == "BEGIN" {
+			status = 'T'
+		} else {
+			s.run()
+		}
+		back.Send(&pgproto3.CommandComplete{CommandTag: []byte("OK")})
+		back.Send(&pgproto3.ReadyForQuery{TxStatus: status})
+	}
+}
+
+func (s *slowServer) run() {
+	s.slots <- true
+	s.mu.Lock()
+	d := s.service
+	s.mu.Unlock()
+	time.Sleep(d)
+	<-s.slots
+}
+
+// fleetUnits are a server's connections that several pools take from.
+type fleetUnits struct {
+	mu   sync.Mutex
+	free int
+	// wake is closed and replaced when one is given back.
+	wake chan struct{}
+}
+
+func (f *fleetUnits) Acquire(ctx context.Context) error {
+	for {
+		f.mu.Lock()
+		if f.free > 0 {
+			f.free--
+			f.mu.Unlock()
+			return nil
+		}
+		wake := f.wake
+		f.mu.Unlock()
+		select {
+		case <-wake:
+		case <-ctx.Done():
+			return ErrBusy.Wrap(ctx.Err(), "units")
+		}
+	}
+}
+
+func (f *fleetUnits) Release() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.free++
+	close(f.wake)
+	f.wake = make(chan struct{})
+}
+
+func (f *fleetUnits) Excess() contract.Tokens { return 0 }
+func (f *fleetUnits) Shrunk() <-chan struct{} { return nil }
+
+// statement runs one on p, within 2 s, as a workspace does; false without a connection.
+func statement(ctx context.Context, p *Pool, w platform.WorkspaceName) bool {
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	c, err := p.take(ctx, Request{Workspace: w, Weight: 1})
+	if err != nil {
+		return false
+	}
+	_, err = c.Ask("SELECT 1", time.Now().Add(time.Minute))
+	c.Release(err == nil)
+	return err == nil
+}
+
+// load has n callers of three workspaces run statements for d.
+func load(p *Pool, n int, d time.Duration) {
+	var callers sync.WaitGroup
+	end := time.Now().Add(d)
+	for i := range n {
+		callers.Go(func() {
+			for time.Now().Before(end) {
+				statement(context.Background(), p, platform.WorkspaceName(rune('a'+i%3)))
+				time.Sleep(time.Millisecond)
+			}
+		})
+	}
+	callers.Wait()
+}
--- /dev/null
+++ b/internal/upstream/limit_test.go
@@ -0,0 +1,191 @@
+package upstream
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/savoryramp/savoryramp/internal/platform"
+)
+
+const (
+	usualTime = 4 * time.Millisecond
+	poolShare = 8
+)
+
+// windows gives a workspaces' responses for at least two decisions, and when they end.
+func (a *aimd) windows(at time.Time, busy int, took map[platform.WorkspaceName]time.Duration) time.Time {
+	for range 3 * aimdSamples {
+		at = at.Add(aimdWindow / aimdSamples)
+		for w, d := range took {
+			a.peak = busy
+			a.observe(responseTime{w, at, d}, busy)
+		}
+	}
+	return at
+}
+
+func TestAdaptiveLimitBySlowness(t *testing.T) {
+	const slow = 10 * usualTime
+	tests := map[string]struct {
+		took  map[platform.WorkspaceName]time.Duration
+		falls bool
+	}{
+		"all slow":                 {map[platform.WorkspaceName]time.Duration{"a": slow, "b": slow, "c": slow}, true},
+		"the only one slow":        {map[platform.WorkspaceName]time.Duration{"a": slow}, true},
+		"one waits for locks":      {map[platform.WorkspaceName]time.Duration{"a": slow, "b": usualTime, "c": usualTime}, false},
+		"one of two":               {map[platform.WorkspaceName]time.Duration{"a": slow, "b": usualTime}, false},
+		"a little slower":          {map[platform.WorkspaceName]time.Duration{"a": usualTime * 2}, false},
+		"a new one has no low yet": {map[platform.WorkspaceName]time.Duration{"d": slow}, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var a aimd
+			at := a.windows(time.Now(), poolShare, map[platform.WorkspaceName]time.Duration{"a": usualTime, "b": usualTime, "c": usualTime})
+			a.windows(at, poolShare, test.took)
+			assert.Equal(t, a.bound() < poolShare, test.falls, "limit %d", a.bound())
+		})
+	}
+}
+
+// Whatever went before, the limit is never under one, and is back at the share once
+// the server answers as fast as ever.
+func TestAdaptiveLimitRecovers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var a aimd
+		at := time.Now()
+		for range rapid.IntRange(1, 40).Draw(t, "windows") {
+			took := map[platform.WorkspaceName]time.Duration{}
+			for _, w := range []platform.WorkspaceName{"a", "b", "c"} {
+				if rapid.Bool().Draw(t, "present") {
+					took[w] = usualTime * time.Duration(rapid.IntRange(1, 100).Draw(t, "slowness"))
+				}
+			}
+			at = a.windows(at, rapid.IntRange(0, poolShare).Draw(t, "busy"), took)
+			if a.bound() < leastBound {
+				t.Fatalf("limit %d", a.bound())
+			}
+		}
+		for range poolShare {
+			at = a.windows(at, min(a.bound(), poolShare), map[platform.WorkspaceName]time.Duration{"a": usualTime})
+		}
+		if a.bound() < poolShare {
+			t.Fatalf("limit %d of %d", a.bound(), poolShare)
+		}
+	})
+}
+
+// A slow server gets less at once, down to what keeps its slots busy; a fast one all.
+func TestAdaptiveLimitFollowsServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSlowServer(2, usualTime)
+		p := &Pool{Dial: s.dial, Share: func() int { return poolShare }, Limit: Adaptive{}, MaxQueue: 100}
+		load(p, 2, time.Second)
+		_, before := p.limits()
+		s.setService(20 * usualTime)
+		load(p, 2*poolShare, 10*time.Second)
+		_, slow := p.limits()
+		s.setService(usualTime)
+		load(p, 4, 10*time.Second)
+		_, after := p.limits()
+		assert.Equal(t, before, poolShare)
+		assert.Assert(t, slow <= 2, "limit %d", slow)
+		assert.Assert(t, after >= 4, "limit %d", after)
+		p.close()
+		s.tasks.Wait()
+	})
+}
+
+// A transaction whose caller idles keeps nobody out, and goes on without a wait.
+func TestIdleTransactionLeavesItsPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSlowServer(2, usualTime)
+		p := &Pool{Dial: s.dial, Share: func() int { return poolShare }, Limit: Adaptive{}, MaxQueue: 100}
+		p.aimd.limit = leastBound
+		c, err := p.take(t.Context(), Request{Workspace: "a"})
+		assert.NilError(t, err)
+		_, err = c.Ask("BEGIN", time.Now().Add(time.Second))
+		assert.NilError(t, err)
+
+		began := time.Now()
+		assert.Assert(t, statement(t.Context(), p, "b"))
+		assert.Equal(t, time.Since(began), restAfter+usualTime)
+		began = time.Now()
+		_, err = c.Ask("COMMIT", began.Add(time.Second))
+		assert.NilError(t, err)
+		assert.Equal(t, time.Since(began), usualTime)
+		c.Release(true)
+		_, limit := p.limits()
+		assert.Equal(t, limit, leastBound)
+		p.close()
+		s.tasks.Wait()
+	})
+}
+
+// Three VMs never have more connections to a server together than
+// its contract, nor one more in use than its places, whatever the server's speed.
+func TestConnectionsKeepContract(t *testing.T) {
+	limits := map[string]Limit{"fixed": Fixed{}, "adaptive": Adaptive{}}
+	for name, limit := range limits {
+		t.Run(name, func(t *testing.T) { keepsContract(t, limit) })
+	}
+}
+
+func keepsContract(t *testing.T, l Limit) {
+	rapid.Check(t, func(rt *rapid.T) {
+		cap := rapid.IntRange(3, 12).Draw(rt, "connections")
+		speeds := rapid.SliceOfN(rapid.IntRange(1, 50), 1, 3).Draw(rt, "slowness")
+		callers := rapid.SliceOfN(rapid.IntRange(0, 12), 3, 3).Draw(rt, "callers")
+		var s *slowServer
+		units := &fleetUnits{free: cap}
+		most := 0
+		synctest.Test(t, func(t *testing.T) {
+			s = newSlowServer(3, usualTime)
+			units.wake = make(chan struct{})
+			var pools []*Pool
+			for range callers {
+				pools = append(pools, &Pool{Dial: s.dial, Allowance: units, Limit: l, MaxQueue: 100})
+			}
+			for _, slowness := range speeds {
+				s.setService(usualTime * time.Duration(slowness))
+				var vms sync.WaitGroup
+				for i, p := range pools {
+					vms.Go(func() { load(p, callers[i], 300*time.Millisecond) })
+				}
+				vms.Wait()
+				for _, p := range pools {
+					share, limit := p.limits()
+					most = max(most, limit-share)
+				}
+			}
+			for _, p := range pools {
+				p.close()
+			}
+			s.tasks.Wait()
+		})
+		assert.Assert(rt, s.most <= cap, "%d connections of %d", s.most, cap)
+		assert.Assert(rt, most <= 0, "limit above the share by %d", most)
+		assert.Equal(rt, units.free, cap)
+	})
+}
+
+// A statement of a full queue's last waiter goes through at the least limit.
+func TestLeastLimitMakesProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSlowServer(1, 10*usualTime)
+		p := &Pool{Dial: s.dial, Share: func() int { return poolShare }, Limit: Adaptive{}, MaxQueue: 100}
+		p.aimd.limit = leastBound
+		var waiters sync.WaitGroup
+		for range 40 {
+			waiters.Go(func() { assert.Check(t, statement(context.Background(), p, "a")) })
+		}
+		waiters.Wait()
+		p.close()
+		s.tasks.Wait()
+	})
+}
--- a/internal/upstream/members.go
+++ b/internal/upstream/members.go
@@ -12,7 +12,7 @@
 	m := &member{server: s}
 	m.pool = &Pool{
 		Server: s, Login: g.Login, Dial: g.Dial, Order: g.Order, MaxQueue: g.MaxQueue,
-		Limit: func() int { return g.Share(s.Name) },
+		Limit: g.Limit, Share: func() int { return g.Share(s.Name) },
 	}
 	if g.Allowance != nil {
 		m.pool.Allowance = g.Allowance(s.Name)
--- a/internal/upstream/metrics.go
+++ b/internal/upstream/metrics.go
@@ -11,7 +11,7 @@
 
 // gauges are read from the groups whenever metrics are collected.
 type gauges struct {
-	usable, lag, connections, waiting metric.Int64ObservableGauge
+	usable, lag, connections, limit, waiting metric.Int64ObservableGauge
 }
 
 // observe exports the groups' state; without a meter it does nothing.
@@ -26,6 +26,8 @@
 		metric.WithDescription("Log entries that a replica has yet to apply, as far as this VM knows."))
 	g.connections, _ = u.Meter.Int64ObservableGauge("savoryramp.upstream.connections",
 		metric.WithDescription("This VM's connections to a server, by state in-use or idle."))
+	g.limit, _ = u.Meter.Int64ObservableGauge("savoryramp.upstream.connections.limit",
+		metric.WithDescription("How many connections to a server this VM may have in use at once."))
 	g.waiting, _ = u.Meter.Int64ObservableGauge("savoryramp.upstream.requests.waiting",
 		metric.WithDescription("Requests of this VM that wait for a connection to a server."))
 	_, _ = u.Meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
@@ -35,7 +37,7 @@
 			g.observe(o, name, group)
 		}
 		return nil
-	}, g.usable, g.lag, g.connections, g.waiting)
+	}, g.usable, g.lag, g.connections, g.limit, g.waiting)
 }
 
 // observe reads one group.
@@ -56,6 +58,8 @@
 			o.ObserveInt64(g.lag, int64(behind), metric.WithAttributes(labels...))
 		}
 		inUse, idle, waiting := m.pool.counts()
+		_, limit := m.pool.limits()
+		o.ObserveInt64(g.limit, int64(limit), metric.WithAttributes(labels...))
 		o.ObserveInt64(g.waiting, int64(waiting), metric.WithAttributes(labels...))
 		o.ObserveInt64(g.connections, int64(inUse), metric.WithAttributes(append(labels, attribute.String("state", "in-use"))...))
 		o.ObserveInt64(g.connections, int64(idle), metric.WithAttributes(append(labels, attribute.String("state", "idle"))...))
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -21,9 +21,11 @@
 	Server platform.Server
 	Login  Login
 	Dial   Dial
-	// Limit is how many connections this VM may have to the server at this moment;
+	// Share is how many connections this VM may have to the server at this moment;
 	// it counts only without an Allowance.
-	Limit func() int
+	Share func() int
+	// Limit bounds those in use below that.
+	Limit Limit
 	// Allowance gives the right to connections one by one; may be nil.
 	Allowance Allowance
 	Order     Order
@@ -37,7 +39,11 @@
 	closed bool
 	// leaving servers get no new work.
 	leaving bool
-	limit   limit
+	use     use
+	// aimd counts only while Limit is Adaptive.
+	aimd aimd
+	// resting connections are part of inUse.
+	resting int
 	// taken are the connections in use.
 	taken map[*Conn]bool
 	// held are the places had from Allowance; inUse plus idle is at most held.
@@ -68,6 +74,7 @@
 		return nil, err
 	}
 	c.takenAt = time.Now()
+	c.observe(p.Limit)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.taken == nil {
@@ -97,7 +104,7 @@
 		return p.moved()
 	}
 	if p.inUse < p.room() && p.queue.size == 0 {
-		p.inUse++
+		p.begin()
 		p.mu.Unlock()
 		return nil
 	}
@@ -153,17 +160,6 @@
 	}
 }
 
-// room is how many connections may be in use at once; p.mu is held.
-func (p *Pool) room() int {
-	switch {
-	case p.Allowance != nil:
-		return p.held
-	case p.Limit != nil:
-		return p.Limit()
-	}
-	return 1
-}
-
 // pass hands one turn on; it is called by whoever gave a turn up.
 func (p *Pool) pass() {
 	p.mu.Lock()
@@ -186,7 +182,7 @@
 		if w == nil {
 			return
 		}
-		p.inUse++
+		p.begin()
 		close(w.granted)
 	}
 }
@@ -254,14 +250,16 @@
 }
 
 func (p *Pool) release(c *Conn, keep bool) {
+	c.wake()
+	c.observe(nil)
 	// Once c is idle it belongs to its next user.
 	silent := c.silent
 	c.idleSince = time.Now()
 	excess := p.Allowance != nil && p.Allowance.Excess() > 0
 	p.mu.Lock()
 	delete(p.taken, c)
-	p.limit.observe(c.idleSince.Sub(c.takenAt))
-	keep = keep && !p.closed && !excess && p.inUse+len(p.idle) <= p.room()
+	p.use.observe(c.idleSince.Sub(c.takenAt))
+	keep = keep && !p.closed && !excess && p.inUse+len(p.idle) <= p.places()
 	if keep {
 		p.idle = append(p.idle, c)
 	} else {
@@ -294,7 +292,7 @@
 func (p *Pool) wait() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return time.Duration(p.queue.size) * p.limit.typical / time.Duration(max(p.room(), 1))
+	return time.Duration(p.queue.size) * p.use.typical / time.Duration(max(p.room(), 1))
 }
 
 // lost sends the requests that wait or connect elsewhere and closes the idle
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -14,7 +14,7 @@
 func TestReleasedConnectionIsItsNextUsers(t *testing.T) {
 	near, far := net.Pipe()
 	defer far.Close()
-	p := &Pool{Limit: func() int { return 1 }, inUse: 1}
+	p := &Pool{Share: func() int { return 1 }, inUse: 1}
 	c := &Conn{pool: p, net: near, takenAt: time.Now()}
 	next := make(chan error)
 	go func() {
@@ -47,7 +47,7 @@
 	defer far.Close()
 	// One request uses the connection, another was let go ahead and takes the idle one
 	// next, so that both places are gone.
-	p := &Pool{Limit: func() int { return 2 }, inUse: 2, idle: []*Conn{{}}}
+	p := &Pool{Share: func() int { return 2 }, inUse: 2, idle: []*Conn{{}}}
 	w := p.queue.push("", 1)
 	given := false
 	c := &Conn{pool: p, net: closing{near, func() {
--- a/internal/upstream/state.go
+++ b/internal/upstream/state.go
@@ -18,6 +18,7 @@
 	InUse           int    `json:"connections-in-use"`
 	Idle            int    `json:"connections-idle"`
 	Share           int    `json:"connections-share"`
+	Limit           int    `json:"connections-limit"`
 	Waiting         int    `json:"requests-waiting"`
 	UsualLagMicro   int64  `json:"usual-lag-us"`
 	TypicalUseMicro int64  `json:"typical-use-us"`
@@ -64,21 +65,22 @@
 		s.HeardMs = time.Since(m.heardAt).Milliseconds()
 	}
 	s.InUse, s.Idle, s.Waiting = m.pool.counts()
-	s.Share = m.pool.share()
+	s.Share, s.Limit = m.pool.limits()
 	s.TypicalUseMicro = m.pool.typical().Microseconds()
 	return s
 }
 
-// share is this VM's part of the server's connections.
-func (p *Pool) share() int {
+// limits are this VM's part of the server's connections and how many of them may be in
+// use at once.
+func (p *Pool) limits() (share, limit int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.room()
+	return p.places(), p.room()
 }
 
 // typical is how long a connection is used for.
 func (p *Pool) typical() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.limit.typical
+	return p.use.typical
 }
--- a/internal/upstream/upstreams.go
+++ b/internal/upstream/upstreams.go
@@ -29,6 +29,8 @@
 	Table platform.Table
 	Reads ReadPolicy
 	Order Order
+	// Limit of the connections in use to each server; nil is Fixed.
+	Limit Limit
 	// MaxQueue bounds the requests that wait for one server.
 	MaxQueue int
 	// Documents gives each newer document.
@@ -99,7 +101,7 @@
 		Upstream: up, Dial: u.Dial, Logger: log.With(u.Logger, "upstream", up.Name),
 		Login:     Login{User: up.User, Database: up.Database, Password: password(up.PasswordVariable)},
 		Share:     u.Share,
-		Allowance: u.Allowance, Coordination: u.Coordination, Table: u.Table, Reads: u.Reads, Order: u.Order, MaxQueue: u.MaxQueue,
+		Allowance: u.Allowance, Coordination: u.Coordination, Table: u.Table, Reads: u.Reads, Order: u.Order, Limit: u.Limit, MaxQueue: u.MaxQueue,
 	}
 	g.start(ctx)
 	eventGroupAdded.Log(g.Logger, "servers", len(up.Servers))
