Test which response times count, and part login and connecting from their files

Tests: which statements give a response time (TestResponseTimesThatCount), and that a commit under confirmation keeps nobody out (TestConfirmationLeavesItsPlace). -race -count=10 with GOMAXPROCS 1 and 2: ok.

--- a/internal/upstream/limit_rig_test.go
+++ b/internal/upstream/limit_rig_test.go
@@ -12,6 +12,9 @@
 	"github.com/savoryramp/savoryramp/pkg/contract"
 )
 
+// failing is a statement that a slowServer answers with an error.
+const failing = "SELECT 1/0"
+
 // slowServer answers statements in slots, each after a service time.
 type slowServer struct {
 	slots chan bool
@@ -67,18 +70,27 @@
 	}
 	back.Send(&pgproto3.AuthenticationOk{})
 	back.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	status := byte('I')
 	for back.Flush() == nil {
 		m, err := back.Receive()
 		if err != nil {
 			return
 		}
-		status := byte('I')
-		if q, is := m.(*pgproto3.Query); is && q.String == "BEGIN" {
+		q, _ := m.(*pgproto3.Query)
+		switch {
+		case q != nil && q.String == "BEGIN":
 			status = 'T'
-		} else {
+		case q != nil && q.String == "COMMIT":
+			status = 'I'
+			s.run()
+		default:
 			s.run()
 		}
-		back.Send(&pgproto3.CommandComplete{CommandTag: []byte("OK")})
+		if q != nil && q.String == failing {
+			back.Send(&pgproto3.ErrorResponse{Code: "22012"})
+		} else {
+			back.Send(&pgproto3.CommandComplete{CommandTag: []byte("OK")})
+		}
 		back.Send(&pgproto3.ReadyForQuery{TxStatus: status})
 	}
 }
--- a/internal/upstream/limit_test.go
+++ b/internal/upstream/limit_test.go
@@ -127,6 +127,65 @@
 	})
 }
 
+// A commit that is being confirmed keeps nobody out.
+func TestConfirmationLeavesItsPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSlowServer(2, usualTime)
+		p := &Pool{Dial: s.dial, Share: func() int { return poolShare }, Limit: Adaptive{}, MaxQueue: 100}
+		p.aimd.limit = leastBound
+		c, err := p.take(t.Context(), Request{Workspace: "a"})
+		assert.NilError(t, err)
+		_, err = c.Ask("INSERT", time.Now().Add(time.Second))
+		assert.NilError(t, err)
+
+		began := time.Now()
+		assert.Assert(t, statement(t.Context(), p, "b"))
+		assert.Equal(t, time.Since(began), usualTime)
+		c.Release(true)
+		assert.Equal(t, p.resting, 0)
+		p.close()
+		s.tasks.Wait()
+	})
+}
+
+// Only the time of a whole autocommit statement counts.
+func TestResponseTimesThatCount(t *testing.T) {
+	tests := map[string]struct {
+		statements []string
+		dirty      bool
+		counted    int
+	}{
+		"autocommit":             {[]string{"SELECT 1"}, false, 1},
+		"with a status asked":    {[]string{"SELECT 1", "SELECT savoryramp_status()"}, false, 1},
+		"transaction":            {[]string{"BEGIN", "SELECT 1", "COMMIT"}, false, 0},
+		"failed":                 {[]string{failing}, false, 0},
+		"after the caller's SET": {[]string{"SET a = b", "SELECT 1"}, true, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSlowServer(2, usualTime)
+				p := &Pool{Dial: s.dial, Share: func() int { return poolShare }, Limit: Adaptive{}, MaxQueue: 100}
+				c, err := p.take(t.Context(), Request{Workspace: "a"})
+				assert.NilError(t, err)
+				c.Dirty = test.dirty
+				for _, sql := range test.statements {
+					time.Sleep(time.Second)
+					_, _ = c.Ask(sql, time.Now().Add(time.Second))
+				}
+				c.Release(true)
+				assert.Equal(t, p.aimd.samples, test.counted)
+				for _, w := range p.aimd.workspaces {
+					assert.DeepEqual(t, w.window, []time.Duration{usualTime})
+				}
+				assert.Equal(t, p.resting, 0)
+				p.close()
+				s.tasks.Wait()
+			})
+		})
+	}
+}
+
 // Three VMs never have more connections to a server together than
 // its contract, nor one more in use than its places, whatever the server's speed.
 func TestConnectionsKeepContract(t *testing.T) {
@@ -138,13 +197,13 @@
 
 func keepsContract(t *testing.T, l Limit) {
 	rapid.Check(t, func(rt *rapid.T) {
-		cap := rapid.IntRange(3, 12).Draw(rt, "connections")
+		total := rapid.IntRange(3, 12).Draw(rt, "connections")
 		speeds := rapid.SliceOfN(rapid.IntRange(1, 50), 1, 3).Draw(rt, "slowness")
 		callers := rapid.SliceOfN(rapid.IntRange(0, 12), 3, 3).Draw(rt, "callers")
 		var s *slowServer
-		units := &fleetUnits{free: cap}
+		units := &fleetUnits{free: total}
 		most := 0
-		synctest.Test(t, func(t *testing.T) {
+		synctest.Test(t, func(*testing.T) {
 			s = newSlowServer(3, usualTime)
 			units.wake = make(chan struct{})
 			var pools []*Pool
@@ -168,9 +227,9 @@
 			}
 			s.tasks.Wait()
 		})
-		assert.Assert(rt, s.most <= cap, "%d connections of %d", s.most, cap)
+		assert.Assert(rt, s.most <= total, "%d connections of %d", s.most, total)
 		assert.Assert(rt, most <= 0, "limit above the share by %d", most)
-		assert.Equal(rt, units.free, cap)
+		assert.Equal(rt, units.free, total)
 	})
 }
 
--- /dev/null
+++ b/internal/upstream/login.go
@@ -0,0 +1,108 @@
+package upstream
+
+import (
+	"context"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/xdg-go/scram"
+
+	"github.com/savoryramp/savoryramp/internal/platform"
+)
+
+const scramMechanism = "SCRAM-SHA-256"
+
+// Login is what savoryramp itself logs in to servers with.
+type Login struct {
+	User     string
+	Database string
+	Password string
+}
+
+// open connects and logs in.
+func open(ctx context.Context, dial Dial, s platform.Server, l Login) (*Conn, error) {
+	nc, err := dial(ctx, "tcp", string(s.Address))
+	if err != nil {
+		return nil, ErrConnect.Wrap(err, "server %s at %s", s.Name, s.Address)
+	}
+	c := &Conn{
+		Server: s.Name, Front: pgproto3.NewFrontend(nc, nc), net: nc,
+		Prepared: map[string]bool{}, parameters: map[string]string{},
+	}
+	if deadline, found := ctx.Deadline(); found {
+		_ = nc.SetDeadline(deadline)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = nc.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	if err := c.login(l); err != nil {
+		nc.Close()
+		return nil, ErrConnect.Wrap(err, "login at server %s", s.Name)
+	}
+	_ = nc.SetDeadline(time.Time{})
+	return c, nil
+}
+
+func (c *Conn) login(l Login) error {
+	c.Front.Send(&pgproto3.StartupMessage{
+		ProtocolVersion: pgproto3.ProtocolVersion30,
+		Parameters:      map[string]string{"user": l.User, "database": l.Database, "application_name": "savoryramp"},
+	})
+	if err := c.Front.Flush(); err != nil {
+		return ErrBroken.Wrap(err, "start-up")
+	}
+	var conversation *scram.ClientConversation
+	for {
+		m, err := c.Front.Receive()
+		if err != nil {
+			return ErrBroken.Wrap(err, "start-up")
+		}
+		switch m := m.(type) {
+		case *pgproto3.AuthenticationCleartextPassword:
+			c.Front.Send(&pgproto3.PasswordMessage{Password: l.Password})
+			err = c.Front.Flush()
+		case *pgproto3.AuthenticationSASL:
+			conversation, err = c.beginScram(l)
+		case *pgproto3.AuthenticationSASLContinue:
+			err = c.stepScram(conversation, string(m.Data))
+		case *pgproto3.AuthenticationSASLFinal:
+			_, err = conversation.Step(string(m.Data))
+		case *pgproto3.ParameterStatus:
+			err = c.parameter(m)
+		case *pgproto3.BackendKeyData:
+			c.pid, c.secret = m.ProcessID, append([]byte(nil), m.SecretKey...)
+		case *pgproto3.ErrorResponse:
+			return ErrServer.New("%s: %s", m.Code, m.Message)
+		case *pgproto3.ReadyForQuery:
+			return nil
+		}
+		if err != nil {
+			return ErrBroken.Wrap(err, "start-up")
+		}
+	}
+}
+
+func (c *Conn) beginScram(l Login) (*scram.ClientConversation, error) {
+	client, err := scram.SHA256.NewClient(l.User, l.Password, "")
+	if err != nil {
+		return nil, ErrBroken.Wrap(err, "credentials")
+	}
+	conversation := client.NewConversation()
+	first, err := conversation.Step("")
+	if err != nil {
+		return nil, ErrBroken.Wrap(err, "credentials")
+	}
+	c.Front.Send(&pgproto3.SASLInitialResponse{AuthMechanism: scramMechanism, Data: []byte(first)})
+	return conversation, c.Front.Flush()
+}
+
+func (c *Conn) stepScram(conversation *scram.ClientConversation, challenge string) error {
+	if conversation == nil {
+		return ErrBroken.New("challenge without a beginning")
+	}
+	answer, err := conversation.Step(challenge)
+	if err != nil {
+		return ErrBroken.Wrap(err, "challenge")
+	}
+	c.Front.Send(&pgproto3.SASLResponse{Data: []byte(answer)})
+	return c.Front.Flush()
+}
