--- a/internal/load/summary.go
+++ b/internal/load/summary.go
@@ -147,7 +147,8 @@
 func (s *Summary) rows() []row {
 	list := []row{
 		{"scenario", string(s.Scenario)},
-		{"reads, queue, limit", s.Reads + ", " + s.Queue + ", " + s.Limit},
+		{"reads, queue", s.Reads + ", " + s.Queue},
+		{"limit", s.Limit},
 		{"seed, duration", fmt.Sprintf("%d, %s", s.Seed, s.Duration)},
 		{"offered", fmt.Sprint(s.Offered)},
 		{"answered", fmt.Sprint(s.Answered)},
