--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
-	"github.com/xdg-go/scram"
 
 	"github.com/savoryramp/savoryramp/internal/platform"
 	"github.com/savoryramp/savoryramp/pkg/position"
@@ -18,7 +17,6 @@
 	// readOnlyParameter decides what transactions begin as; servers report its changes.
 	readOnlyParameter = "default_transaction_read_only"
 	switchedOn        = "on"
-	scramMechanism    = "SCRAM-SHA-256"
 	// idleProbeAfter is how long a connection may idle before it is probed.
 	idleProbeAfter = 5 * time.Second
 	// maxPrepared bounds the statements kept prepared on one connection.
@@ -28,13 +26,6 @@
 	deadlineStep = 10 * time.Millisecond
 )
 
-// Login is what savoryramp itself logs in to servers with.
-type Login struct {
-	User     string
-	Database string
-	Password string
-}
-
 // Dial opens a network connection, as net.Dialer.DialContext.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -68,103 +59,19 @@
 	// workspace is the one that used the connection last.
 	workspace platform.WorkspaceName
 	// deadline is that of reads, as Receive set it last.
-	deadline   time.Time
-	pid        uint32
-	secret     []byte
-	idleSince  time.Time
-	takenAt    time.Time
+	deadline  time.Time
+	pid       uint32
+	secret    []byte
+	idleSince time.Time
+	takenAt   time.Time
+	// observed connections are looked at for an adaptive limit.
+	observed bool
+	// stopwatch is nil when nothing is timed, rest unless a transaction pauses.
+	stopwatch  *stopwatch
+	rest       *rest
 	parameters map[string]string
 }
 
-// open connects and logs in; what a read-only connection begins is read only.
-func open(ctx context.Context, dial Dial, s platform.Server, l Login, readOnly bool) (*Conn, error) {
-	nc, err := dial(ctx, "tcp", string(s.Address))
-	if err != nil {
-		return nil, ErrConnect.Wrap(err, "server %s at %s", s.Name, s.Address)
-	}
-	c := &Conn{
-		Server: s.Name, Front: pgproto3.NewFrontend(nc, nc), net: nc,
-		readOnly: readOnly, Prepared: map[string]bool{}, parameters: map[string]string{},
-	}
-	if deadline, found := ctx.Deadline(); found {
-		_ = nc.SetDeadline(deadline)
-	}
-	stop := context.AfterFunc(ctx, func() { _ = nc.SetDeadline(time.Unix(1, 0)) })
-	defer stop()
-	if err := c.login(l); err != nil {
-		nc.Close()
-		return nil, ErrConnect.Wrap(err, "login at server %s", s.Name)
-	}
-	_ = nc.SetDeadline(time.Time{})
-	return c, nil
-}
-
-func (c *Conn) login(l Login) error {
-	start := map[string]string{"user": l.User, "database": l.Database, "application_name": "savoryramp"}
-	if c.readOnly {
-		start[readOnlyParameter] = switchedOn
-	}
-	c.Front.Send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: start})
-	if err := c.Front.Flush(); err != nil {
-		return ErrBroken.Wrap(err, "start-up")
-	}
-	var conversation *scram.ClientConversation
-	for {
-		m, err := c.Front.Receive()
-		if err != nil {
-			return ErrBroken.Wrap(err, "start-up")
-		}
-		switch m := m.(type) {
-		case *pgproto3.AuthenticationCleartextPassword:
-			c.Front.Send(&pgproto3.PasswordMessage{Password: l.Password})
-			err = c.Front.Flush()
-		case *pgproto3.AuthenticationSASL:
-			conversation, err = c.beginScram(l)
-		case *pgproto3.AuthenticationSASLContinue:
-			err = c.stepScram(conversation, string(m.Data))
-		case *pgproto3.AuthenticationSASLFinal:
-			_, err = conversation.Step(string(m.Data))
-		case *pgproto3.ParameterStatus:
-			err = c.parameter(m)
-		case *pgproto3.BackendKeyData:
-			c.pid, c.secret = m.ProcessID, append([]byte(nil), m.SecretKey...)
-		case *pgproto3.ErrorResponse:
-			return ErrServer.New("%s: %s", m.Code, m.Message)
-		case *pgproto3.ReadyForQuery:
-			return nil
-		}
-		if err != nil {
-			return ErrBroken.Wrap(err, "start-up")
-		}
-	}
-}
-
-func (c *Conn) beginScram(l Login) (*scram.ClientConversation, error) {
-	client, err := scram.SHA256.NewClient(l.User, l.Password, "")
-	if err != nil {
-		return nil, ErrBroken.Wrap(err, "credentials")
-	}
-	conversation := client.NewConversation()
-	first, err := conversation.Step("")
-	if err != nil {
-		return nil, ErrBroken.Wrap(err, "credentials")
-	}
-	c.Front.Send(&pgproto3.SASLInitialResponse{AuthMechanism: scramMechanism, Data: []byte(first)})
-	return conversation, c.Front.Flush()
-}
-
-func (c *Conn) stepScram(conversation *scram.ClientConversation, challenge string) error {
-	if conversation == nil {
-		return ErrBroken.New("challenge without a beginning")
-	}
-	answer, err := conversation.Step(challenge)
-	if err != nil {
-		return ErrBroken.Wrap(err, "challenge")
-	}
-	c.Front.Send(&pgproto3.SASLResponse{Data: []byte(answer)})
-	return c.Front.Flush()
-}
-
 // parameter takes note of a ParameterStatus.
 func (c *Conn) parameter(m *pgproto3.ParameterStatus) error {
 	if m.Name != positionParameter {
@@ -187,6 +94,7 @@
 // ParameterStatus messages are noted in the connection and returned as well.
 // ErrSilent when the deadline passed, ErrBroken when the connection ended.
 func (c *Conn) Receive(deadline time.Time) (pgproto3.BackendMessage, error) {
+	c.wake()
 	if err := c.readUntil(deadline); err != nil {
 		return nil, err
 	}
@@ -198,6 +106,7 @@
 	if err != nil {
 		return nil, c.broken(err)
 	}
+	c.received(m)
 	if p, found := m.(*pgproto3.ParameterStatus); found {
 		return m, c.parameter(p)
 	}
@@ -225,6 +134,7 @@
 
 // Flush sends what was given to Front.Send.
 func (c *Conn) Flush() error {
+	c.sent()
 	if err := c.Front.Flush(); err != nil {
 		return ErrBroken.Wrap(err, "server %s", c.Server)
 	}
