Show sessions' floors in the state dump

`savoryramp state VM` lacked the floors. Now it shows, by workspace and group, how many sessions there are, how many of them have a floor, and the lowest and highest floor, so the dump has the same size for ten sessions as for 10,000: under 1 kB in the test.

Floors were touched by their session's task alone. The task now changes them under the session's mutex, which a dump takes for the one look-up of each session in turn; reads on a request's path stay without lock. Ruled out: a pointer swapped atomically, which allocates for each acknowledged write. With the lock taken out the new test reports a data race; with it, passes.

--- a/internal/caller/confirm.go
+++ b/internal/caller/confirm.go
@@ -95,7 +95,7 @@
 	if known && before.own && before.position.Compare(p) >= 0 {
 		return
 	}
-	s.floors[name] = floor{position: position.Max(before.position, p), own: true}
+	s.setFloor(name, floor{position: position.Max(before.position, p), own: true})
 	if t := s.token(); t != "" {
 		s.send(&pgproto3.ParameterStatus{Name: settingSession, Value: t})
 	}
--- a/internal/caller/exchange.go
+++ b/internal/caller/exchange.go
@@ -93,7 +93,7 @@
 	if err != nil {
 		return position.Position{}, err
 	}
-	s.floors[s.database.Upstream] = floor{position: asked}
+	s.setFloor(s.database.Upstream, floor{position: asked})
 	return g.Clip(asked), nil
 }
 
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -230,20 +230,3 @@
 	session.cancel(ctx)
 	return true
 }
-
-// State is what a dump shows of the callers.
-func (s *Server) State() any {
-	byWorkspace := map[platform.WorkspaceName]int{}
-	busy := 0
-	for _, session := range s.list() {
-		byWorkspace[session.workspace.Name]++
-		if session.active.Load() {
-			busy++
-		}
-	}
-	return struct {
-		Draining bool                           `json:"draining"`
-		Busy     int                            `json:"busy-sessions"`
-		Sessions map[platform.WorkspaceName]int `json:"sessions"`
-	}{s.Draining(), busy, byWorkspace}
-}
--- a/internal/caller/session.go
+++ b/internal/caller/session.go
@@ -29,7 +29,8 @@
 	// verifier is the one that the key was checked against; empty on open routes.
 	verifier platform.Verifier
 	database *platform.Database
-	// floors by group; a floor never falls while the session lasts.
+	// floors by group; a floor never falls while the session lasts. Only the session's
+	// task changes them, under mu, and reads them without.
 	floors   map[platform.UpstreamName]floor
 	settings settings
 	prepared map[string]*prepared
--- a/internal/caller/startup.go
+++ b/internal/caller/startup.go
@@ -202,6 +202,8 @@
 	}
 	// A token that can't be verified only costs the question for the floor.
 	if floors, err := s.server.TokenKey.open(value, s.workspace.Name); err == nil {
+		s.mu.Lock()
+		defer s.mu.Unlock()
 		s.floors = floors
 	}
 	return nil
--- /dev/null
+++ b/internal/caller/state_test.go
@@ -0,0 +1,90 @@
+package caller
+
+import (
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/savoryramp/savoryramp/internal/platform"
+	"github.com/savoryramp/savoryramp/pkg/position"
+)
+
+// callersOf registers sessions: a third each with no floor, one asked for and one of
+// their own, in three workspaces and two groups.
+func callersOf(count int) *Server {
+	s := &Server{}
+	s.init()
+	for i := range count {
+		group := platform.UpstreamName(fmt.Sprint("group-", i%2))
+		session := &Session{
+			server: s, workspace: &platform.Workspace{Name: platform.WorkspaceName(fmt.Sprint("workspace-", i%3))},
+			database: &platform.Database{Upstream: group}, floors: map[platform.UpstreamName]floor{"elsewhere": {position: position.Position{Term: 99}}},
+		}
+		if i/6%3 > 0 {
+			session.setFloor(group, floor{position: position.Position{Term: position.Term(1 + i/6%2), Offset: position.Offset(i)}, own: i/6%3 == 2})
+		}
+		s.add(session)
+	}
+	return s
+}
+
+// A dump of many sessions is as small as one of few, and tells the floors that differ.
+func TestStateTellsFloorsByWorkspaceAndGroup(t *testing.T) {
+	dump, err := json.Marshal(callersOf(9_990).State())
+	assert.NilError(t, err)
+	assert.Assert(t, len(dump) < 1024, "%d bytes", len(dump))
+	var got struct {
+		Floors map[string]map[string]struct {
+			Sessions        int
+			WithFloor       int `json:"with-floor"`
+			Lowest, Highest string
+		}
+	}
+	assert.NilError(t, json.Unmarshal(dump, &got))
+	for w := range 3 {
+		for g := range 2 {
+			of := got.Floors[fmt.Sprint("workspace-", w)][fmt.Sprint("group-", g)]
+			// The one of the six numbers modulo 6 that is w modulo 3 and g modulo 2.
+			first := (4*w + 3*g) % 6
+			assert.Equal(t, of.Sessions, 1665)
+			assert.Equal(t, of.WithFloor, 1110)
+			assert.Equal(t, of.Lowest, fmt.Sprint("1/", 12+first))
+			assert.Equal(t, of.Highest, fmt.Sprint("2/", 9_978+first))
+		}
+	}
+	assert.Equal(t, len(got.Floors), 3)
+	assert.Equal(t, len(got.Floors["workspace-0"]), 2)
+}
+
+func TestStateIsDumpedWhileFloorsRise(t *testing.T) {
+	s := callersOf(60)
+	var rising sync.WaitGroup
+	for _, session := range s.list() {
+		rising.Go(func() {
+			for i := range 100 {
+				session.raise(session.database.Upstream, position.Position{Term: 3, Offset: position.Offset(i)})
+			}
+		})
+	}
+	for range 20 {
+		_ = s.State()
+	}
+	rising.Wait()
+	dump, err := json.Marshal(s.State())
+	assert.NilError(t, err)
+	var got struct {
+		Floors map[string]map[string]struct{ Lowest string }
+	}
+	assert.NilError(t, json.Unmarshal(dump, &got))
+	assert.Equal(t, got.Floors["workspace-0"]["group-0"].Lowest, "3/99")
+}
+
+func BenchmarkState(b *testing.B) {
+	s := callersOf(10_000)
+	for b.Loop() {
+		_ = s.State()
+	}
+}
