--- a/internal/caller/token_test.go
+++ b/internal/caller/token_test.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"encoding/base64"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -40,7 +41,17 @@
 	f.Add(holder(TokenKey("k"), "amman", position.Position{Term: 1, Offset: 2}).token())
 	f.Add("")
 	f.Add(".")
-	f.Fuzz(func(_ *testing.T, token string) {
-		_, _ = TokenKey("k").open(token, "amman")
+	f.Add(`{"workspace":"amman","floors":{"receipts-1":"1/2"}}`)
+	f.Add(`{"workspace":"amman","floors":{"receipts-1":"-1/2"}}`)
+	f.Fuzz(func(t *testing.T, token string) {
+		k := TokenKey("k")
+		_, _ = k.open(token, "amman")
+		// Signed by the fleet's own key, any body is either refused or a floor.
+		encode := base64.RawURLEncoding.EncodeToString
+		floors, err := k.open(encode([]byte(token))+"."+encode(k.sign([]byte(token))), "amman")
+		assert.Assert(t, err == nil || isType(err, ErrToken))
+		for _, f := range floors {
+			assert.Assert(t, f.own && f.position.Term >= 0 && f.position.Offset >= 0)
+		}
 	})
 }
