Fuzz all that comes from outside, and mend what it showed

Fuzz targets stood only for start-ups, callers' messages, tokens and documents.

A loan's validity is now at most the group's own, whatever the lender says.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: demo test build lint generate protocol
+.PHONY: demo test build lint generate protocol fuzz
 
 build:
 	mkdir -p bin
@@ -10,6 +10,10 @@
 	script/race.sh
 	go test ./internal/caller -run Allocate
 
+# Each fuzz target for FUZZTIME, 120s if not set.
+fuzz:
+	script/fuzz.sh
+
 # Starts everything on this machine, applies a document, runs a checked load.
 demo:
 	script/demo.sh
--- a/internal/caller/key.go
+++ b/internal/caller/key.go
@@ -16,7 +16,8 @@
 )
 
 // LoadTokenKey reads the fleet's token key from the table; the first VM to come
-// makes it. ErrUnavailable of the platform: go on without tokens.
+// makes it. ErrUnavailable of the platform, or ErrToken when the row holds no key: go on
+// without tokens.
 func LoadTokenKey(ctx context.Context, t platform.Table) (TokenKey, error) {
 	row, err := t.Get(ctx, tokenKeyRow)
 	if isType(err, platform.ErrNoRow) {
@@ -31,6 +32,9 @@
 	if err := json.Unmarshal(row.Body, &wire); err != nil {
 		return nil, ErrToken.Wrap(err, "row %s", tokenKeyRow)
 	}
+	if len(wire.Key) != tokenKeySize {
+		return nil, ErrToken.New("row %s has a key of %d bytes, not %d", tokenKeyRow, len(wire.Key), tokenKeySize)
+	}
 	return wire.Key, nil
 }
 
--- /dev/null
+++ b/internal/operator/fuzz_test.go
@@ -0,0 +1,51 @@
+package operator
+
+import (
+	"context"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/savoryramp/savoryramp/internal/caller"
+	"github.com/savoryramp/savoryramp/internal/platform"
+)
+
+// oneRow is a table that holds one body under every key.
+type oneRow []byte
+
+func (r oneRow) Get(_ context.Context, key platform.RowKey) (platform.Row, error) {
+	return platform.Row{Key: key, Version: 3, Change: "c", Body: r}, nil
+}
+
+func (r oneRow) Put(_ context.Context, row platform.Row) (platform.Row, error) { return row, nil }
+
+func (r oneRow) List(ctx context.Context, prefix platform.RowKey) ([]platform.Row, error) {
+	row, err := r.Get(ctx, prefix+"vm-1")
+	return []platform.Row{row}, err
+}
+
+// FuzzTable reads the same body as every kind of row that a VM reads; the table's own
+// version and change count, whatever the body says.
+func FuzzTable(f *testing.F) {
+	f.Add([]byte(`{"version":9,"change":"x","holder":{"name":"vm-1","incarnation":"1"},"successor":{"name":"vm-2"}}`))
+	f.Add([]byte(`{"version":9,"holders":[{"holder":{"vm":"vm-1","incarnation":1},"shares":{"rate":{"cap":2,"refill":1000000}}}]}`))
+	f.Add([]byte(`{"changes":[{"version":3,"hash":"h","operator":"o","change":"c"}]}`))
+	f.Add([]byte(`{"address":"10.0.0.1:6480","availability-zone":"a","state":"live"}`))
+	f.Add([]byte(`{"key":"MDEyMzQ1Njc4OTAxMjM0NTY3ODkwMTIzNDU2Nzg5MDE="}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		ctx := context.Background()
+		if row, err := (leaseRow{oneRow(body), "lease/x"}).Read(ctx); err == nil {
+			assert.Assert(t, row.Version == 3 && row.Change == "c")
+		}
+		if row, err := (contractRow{oneRow(body), "contract/x"}).Read(ctx); err == nil {
+			assert.Equal(t, int64(row.Version), int64(3))
+		}
+		if list, err := (platform.VMRows{Table: oneRow(body)}).List(ctx); err == nil {
+			assert.Equal(t, list[0].Name, platform.VMName("vm-1"))
+		}
+		if key, err := caller.LoadTokenKey(ctx, oneRow(body)); err == nil {
+			assert.Equal(t, len(key), 32)
+		}
+		_, _ = acceptedBy(ctx, oneRow(body), 3)
+	})
+}
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -200,6 +200,9 @@
 	if number <= 0 {
 		c.mistake("must be above zero")
 	}
+	if number > maxNumber {
+		c.mistake("must be at most %d", maxNumber)
+	}
 	return number
 }
 
--- a/internal/platform/parse.go
+++ b/internal/platform/parse.go
@@ -7,7 +7,10 @@
 
 const (
 	// maxRate bounds a workspace's rate, in requests.
-	maxRate       = 1e9
+	maxRate = 1e9
+	// maxNumber bounds bursts, connections, slots and weights, whose sums in millionths
+	// must stay in range.
+	maxNumber     = 1_000_000_000
 	defaultWeight = 1
 )
 
--- a/internal/platform/parse_test.go
+++ b/internal/platform/parse_test.go
@@ -101,6 +101,7 @@
 		"rate not a number":        {"6000/m", "NaN/s", []string{"line 18: workspaces[0].rate: must be a rate such as 200/s or 6000/m"}},
 		"endless rate":             {"6000/m", "Inf/s", []string{"line 18: workspaces[0].rate: must be a rate such as 200/s or 6000/m"}},
 		"burst of zero":            {"burst: 200", "burst: 0", []string{"line 19: workspaces[0].burst: must be above zero"}},
+		"burst beyond sums":        {"burst: 200", "burst: 9000000000000000000", []string{"line 19: workspaces[0].burst: must be at most 1000000000"}},
 		"burst not whole":          {"burst: 200", "burst: 2.5", []string{"line 19: workspaces[0].burst: must be a whole number"}},
 		"weight below zero":        {"    burst", "    weight: -1\n    burst", []string{"line 19: workspaces[0].weight: must be above zero"}},
 		"connections of zero":      {"connections: 24", "connections: 0", []string{"line 10: upstreams[0].servers[0].connections: must be above zero"}},
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -116,7 +116,7 @@
 		case *pgproto3.AuthenticationSASLContinue:
 			err = c.stepScram(conversation, string(m.Data))
 		case *pgproto3.AuthenticationSASLFinal:
-			_, err = conversation.Step(string(m.Data))
+			err = c.endScram(conversation, string(m.Data))
 		case *pgproto3.ParameterStatus:
 			err = c.parameter(m)
 		case *pgproto3.BackendKeyData:
@@ -158,6 +158,14 @@
 	return c.Front.Flush()
 }
 
+func (c *Conn) endScram(conversation *scram.ClientConversation, proof string) error {
+	if conversation == nil {
+		return ErrBroken.New("end of a login that has not begun")
+	}
+	_, err := conversation.Step(proof)
+	return err
+}
+
 // parameter takes note of a ParameterStatus.
 func (c *Conn) parameter(m *pgproto3.ParameterStatus) error {
 	if m.Name != positionParameter {
@@ -236,9 +244,7 @@
 		}
 		switch m := m.(type) {
 		case *pgproto3.DataRow:
-			if len(m.Values) > 0 {
-				value = string(m.Values[0])
-			}
+			value = first(m)
 		case *pgproto3.ErrorResponse:
 			failure = ErrServer.New("%s: %s", m.Code, m.Message)
 		case *pgproto3.ReadyForQuery:
@@ -247,6 +253,14 @@
 	}
 }
 
+// first is a row's first value; empty if it has none.
+func first(m *pgproto3.DataRow) string {
+	if len(m.Values) == 0 {
+		return ""
+	}
+	return string(m.Values[0])
+}
+
 // Cancel asks the server to interrupt what runs on the connection.
 func (c *Conn) Cancel(ctx context.Context) {
 	nc, err := c.pool.Dial(ctx, "tcp", string(c.pool.Server.Address))
--- a/internal/upstream/record.go
+++ b/internal/upstream/record.go
@@ -61,6 +61,9 @@
 	if err := json.Unmarshal(row.Body, &t.Record); err != nil {
 		return term.Row{}, term.ErrUnavailable.Wrap(err, "row %s", row.Key)
 	}
+	if t.Record.Term < 0 || t.Record.Reserved < 0 {
+		return term.Row{}, term.ErrUnavailable.New("row %s has a term under 0", row.Key)
+	}
 	return t, nil
 }
 
--- a/internal/upstream/watch.go
+++ b/internal/upstream/watch.go
@@ -96,7 +96,7 @@
 		case *pgproto3.NotificationResponse:
 			err = w.status(m.Payload)
 		case *pgproto3.DataRow:
-			text = string(m.Values[0])
+			text = first(m)
 		case *pgproto3.ErrorResponse:
 			failure = w.refusal(m)
 		case *pgproto3.ReadyForQuery:
--- /dev/null
+++ b/pkg/contract/fuzz_test.go
@@ -0,0 +1,126 @@
+package contract
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// clockwork is a clock that the test moves.
+type clockwork struct{ at time.Time }
+
+func (c *clockwork) now() time.Time { return c.at }
+
+// fuzzed holds valid shares of a rate and a count, without peers or a table.
+func fuzzed(c *clockwork) *Shares {
+	s := &Shares{Self: Holder{"vm-1", 1}, Now: c.now}
+	s.SetLimits(map[Name]Limit{"rate": Rate{PerSecond: 100, Burst: 10}, "count": Count{Total: 10}})
+	s.Adopt(Row{Version: 1, Holders: []Grant{{Holder: s.Self, Shares: map[Name]Share{"rate": {10, 100 * token}, "count": {10, 0}}}}})
+	for _, p := range s.pots {
+		p.extend(c.now().Add(time.Hour))
+	}
+	return s
+}
+
+// FuzzPeer sends bodies as peers do: a loan, a renewal with a row, and a loan again
+// after some time. What is lent never exceeds a share.
+func FuzzPeer(f *testing.F) {
+	f.Add([]byte(`{"contract":"rate","tokens":3,"done":[1]}`), []byte(`{"version":1}`))
+	f.Add([]byte(`{"contract":"count","tokens":3,"keep":[1,2]}`),
+		[]byte(`{"version":2,"row":{"version":2,"holders":[{"holder":{"vm":"vm-1","incarnation":1},"shares":{"rate":{"cap":2,"refill":1000000},"count":{"cap":3}}}]}}`))
+	f.Add([]byte(`{"contract":"rate","tokens":-3}`), []byte(`{"version":2,"row":{"version":2,"holders":null}}`))
+	f.Add([]byte(`{"contract":"rate","tokens":1}`), []byte(`{"version":2,"row":{"version":2,"holders":[{"holder":{"vm":"vm-1","incarnation":1},"shares":{"rate":{"cap":2,"refill":-1}}}]}}`))
+	f.Add([]byte(`{`), []byte(`{"row":{}}`))
+	f.Fuzz(func(t *testing.T, borrow, renew []byte) {
+		c := &clockwork{time.Unix(1_000_000, 0)}
+		s := fuzzed(c)
+		lent := lend(t, s, borrow)
+		assert.Assert(t, lent <= 10, "%d lent", lent)
+		if _, err := s.HandleRenew(renew); err != nil {
+			assert.Equal(t, s.Row().Version, Version(1))
+		}
+		c.at = c.at.Add(10 * time.Second)
+		lend(t, s, borrow)
+		for _, p := range s.pots {
+			p.extend(c.now())
+		}
+	})
+}
+
+// lend answers a loan and gives how much was lent.
+func lend(t *testing.T, s *Shares, body []byte) Tokens {
+	t.Helper()
+	answer, err := s.HandleBorrow(body)
+	if err != nil {
+		return 0
+	}
+	var a BorrowAnswer
+	assert.NilError(t, json.Unmarshal(answer, &a))
+	assert.Assert(t, a.Tokens >= 0 && a.Left >= 0, "%s", answer)
+	return a.Tokens
+}
+
+// FuzzDemand divides by what a peer tells of its demand; parts never sum to more than
+// the limit, and none is under 0.
+func FuzzDemand(f *testing.F) {
+	f.Add([]byte(`{"holder":{"vm":"vm-2","incarnation":1},"version":1,"demand":{"rate":12.5}}`))
+	f.Add([]byte(`{"holder":{"vm":"vm-2","incarnation":1},"demand":{"rate":-5}}`))
+	f.Add([]byte(`{"holder":{"vm":"vm-2","incarnation":1},"demand":{"rate":1e308}}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		var a RenewAnswer
+		if json.Unmarshal(body, &a) != nil {
+			return
+		}
+		c := &clockwork{time.Unix(1_000_000, 0)}
+		m := &Master{Shares: fuzzed(c), demand: map[Name]map[Holder]float64{}}
+		m.begin(m.Shares.Row())
+		m.answered(a)
+		m.answered(RenewAnswer{Holder: m.Shares.Self, Demand: map[Name]float64{"rate": 10}})
+		limit := Rate{PerSecond: 100, Burst: 10}
+		left := limit.whole()
+		for _, s := range divide(limit, []Holder{m.Shares.Self, {"vm-2", 1}}, m.demand["rate"]) {
+			assert.Assert(t, s.Cap >= 0 && s.Refill >= 0, "%+v", s)
+			left.Cap -= s.Cap
+			left.Refill -= s.Refill
+		}
+		assert.Assert(t, left.Cap >= 0 && left.Refill >= 0, "%+v too much", left)
+	})
+}
+
+// FuzzRow adopts rows read from the table and lets time pass; the answers of lenders
+// named in them are taken in too.
+func FuzzRow(f *testing.F) {
+	f.Add([]byte(`{"version":2,"holders":[{"holder":{"vm":"vm-1","incarnation":1},"shares":{"rate":{"cap":2,"refill":1000000}}},
+		{"holder":{"vm":"vm-2","incarnation":5},"shares":{"rate":{"cap":3,"refill":5}}}]}`), []byte(`{"loan":1,"tokens":3,"valid":1000000000,"left":2,"refill":1,"cap":4}`))
+	f.Add([]byte(`{"version":2,"holders":[{"holder":{"vm":"vm-1","incarnation":1},"shares":{"rate":{"cap":2,"refill":-1},"count":{"cap":-4}}}]}`), []byte(`{}`))
+	f.Add([]byte(`{"version":2,"holders":[{"holder":{"vm":"vm-2","incarnation":1},"shares":{"rate":{"cap":9000000000000000000,"refill":9000000000000000000}}}]}`), []byte(`{}`))
+	f.Add([]byte(`{"version":2,"holders":[{"holder":{"vm":"vm-2","incarnation":1},"shares":{"rate":{"cap":2,"refill":2}}}]}`), []byte(`{"left":-1,"refill":-1,"cap":-1,"valid":-1}`))
+	f.Add([]byte(`{"version":2,"previous":[{"vm":"x"}],"holders":[{}]}`), []byte(`{"kept":[1]}`))
+	f.Fuzz(func(t *testing.T, row, answer []byte) {
+		var r Row
+		if json.Unmarshal(row, &r) != nil {
+			return
+		}
+		c := &clockwork{time.Unix(1_000_000, 0)}
+		s := fuzzed(c)
+		s.Adopt(r)
+		var a BorrowAnswer
+		answered := json.Unmarshal(answer, &a) == nil
+		for name, p := range s.pots {
+			p.extend(c.now().Add(time.Minute))
+			from := s.lenders[name]
+			lender, _, found := from.best()
+			if found && answered {
+				from.answered(lender, a, time.Millisecond)
+			}
+			c.at = c.at.Add(10 * time.Second)
+			from.best()
+			assert.Assert(t, from.supply(time.Second) >= 0)
+			p.need()
+			p.lend(1, 1, time.Second)
+			p.extend(c.now())
+		}
+	})
+}
--- a/pkg/contract/lenders.go
+++ b/pkg/contract/lenders.go
@@ -210,7 +210,7 @@
 		return
 	}
 	from.answered(lender, a, s.Now().Sub(asked))
-	until := asked.Add(a.Valid)
+	until := asked.Add(min(a.Valid, s.LoanValidity))
 	p.prolong(lender, a.Kept, until)
 	if a.Tokens > 0 {
 		p.receive(loan{lender: lender, id: a.Loan, tokens: a.Tokens, until: until})
--- a/pkg/contract/master.go
+++ b/pkg/contract/master.go
@@ -158,6 +158,10 @@
 		delete(d, a.Holder)
 	}
 	for name, d := range a.Demand {
+		if d < 0 {
+			// It would make other parts sum to more than the limit.
+			continue
+		}
 		if m.demand[name] == nil {
 			m.demand[name] = map[Holder]float64{}
 		}
--- a/pkg/contract/message.go
+++ b/pkg/contract/message.go
@@ -68,6 +68,39 @@
 	return encode(a)
 }
 
+const (
+	// maxTokens bounds tokens in messages and rows, so that sums of their millionths over
+	// a fleet stay in range.
+	maxTokens Tokens = 1e11
+	// maxRefill bounds refills in them: a billion tokens per second.
+	maxRefill Refill = 1e9 * token
+)
+
+// UnmarshalJSON reads a count of tokens. ErrMalformed outside of 0 to 1e11.
+func (t *Tokens) UnmarshalJSON(body []byte) error {
+	n, err := within(body, int64(maxTokens))
+	*t = Tokens(n)
+	return err
+}
+
+// UnmarshalJSON reads a refill. ErrMalformed outside of 0 to 1e15 millionths per second.
+func (r *Refill) UnmarshalJSON(body []byte) error {
+	n, err := within(body, int64(maxRefill))
+	*r = Refill(n)
+	return err
+}
+
+func within(body []byte, most int64) (int64, error) {
+	var n int64
+	if err := json.Unmarshal(body, &n); err != nil {
+		return 0, ErrMalformed.Wrap(err, "number")
+	}
+	if n < 0 || n > most {
+		return 0, ErrMalformed.New("%d is not from 0 to %d", n, most)
+	}
+	return n, nil
+}
+
 func encode(v any) ([]byte, error) {
 	body, err := json.Marshal(v)
 	if err != nil {
