--- a/cmd/savoryramp-load/run.go
+++ b/cmd/savoryramp-load/run.go
@@ -28,6 +28,7 @@
 	Seed     uint64
 	Duration time.Duration
 	Report   string
+	VMs      int
 	Baseline string
 	Queue    string
 	Out      *os.File
@@ -43,6 +44,8 @@
 	c.Flag("scenario", "Load and faults.").Default(names[0]).EnumVar(&s.Scenario, names...)
 	c.Flag("seed", "Seed of the demand.").Default("1").Uint64Var(&s.Seed)
 	c.Flag("duration", "How long to play.").Default("20s").DurationVar(&s.Duration)
+	c.Flag("vms", fmt.Sprintf("How many VMs, %d to %d, by availability zone in turn.", load.LeastVMs, load.MostVMs)).
+		Default(fmt.Sprint(load.UsualVMs)).IntVar(&s.VMs)
 	c.Flag("report", "Directory for summary.json, plot.png and trial.log.").Default("report").StringVar(&s.Report)
 	c.Flag("baseline", "Where reads go instead of by position.").Default(load.BaselineNone).
 		EnumVar(&s.Baseline, load.BaselineNone, load.BaselinePrimary, load.BaselineNaive)
@@ -88,7 +91,7 @@
 	logger := log.With(log.NewLogfmtLogger(log.NewSyncWriter(logs)), "time", log.DefaultTimestampUTC)
 	logger = level.NewFilter(logger, level.AllowDebug())
 	t := &load.Trial{
-		Site: &load.Site{Text: text, Policies: policies, Logger: logger}, Scenario: scenario,
+		Site: &load.Site{Text: text, Policies: policies, Logger: logger, Count: load.VMCount(s.VMs)}, Scenario: scenario,
 		Seed: s.Seed, Duration: s.Duration, Settle: load.UsualSettle, Logger: logger,
 	}
 	if isatty.IsTerminal(s.Out.Fd()) {
--- a/internal/load/demand.go
+++ b/internal/load/demand.go
@@ -101,6 +101,6 @@
 	}
 	r.Roams = random.Float64() < s.Roams
 	r.WithToken = random.IntN(2) == 0
-	r.VM = random.IntN(vmCount)
+	r.VM = random.IntN(int(s.VMs.orUsual()))
 	return r
 }
--- a/internal/load/person.go
+++ b/internal/load/person.go
@@ -49,7 +49,8 @@
 	// connection is nil or closed between two.
 	connection *connection
 	token      string
-	vm         int
+	// vm is the index of the VM that the person connects to, modulo their count.
+	vm int
 }
 
 // connection is one session with a VM.
@@ -92,7 +93,7 @@
 // roam leaves for another VM.
 func (p *Person) roam(vm int, withToken bool) {
 	p.leave()
-	p.vm = vm % vmCount
+	p.vm = vm
 	if !withToken {
 		p.token = ""
 	}
@@ -181,7 +182,7 @@
 		return p
 	}
 	id := c.next()
-	p := &Person{ID: id, Workspace: c.workspace, database: c.database, vm: int(id) % vmCount}
+	p := &Person{ID: id, Workspace: c.workspace, database: c.database, vm: int(id)}
 	c.all = append(c.all, p)
 	return p
 }
--- a/internal/load/scenario.go
+++ b/internal/load/scenario.go
@@ -1,6 +1,6 @@
 // Package load puts an open-loop load with faults on savoryramp and measures what its
 // users asked for. A Trial starts the platform's stand-in, one group of stand-in
-// servers and three VMs in its own process, plays a Scenario, and sums up what every
+// servers and three to nine VMs in its own process, plays a Scenario, and sums up what every
 // caller was told against what the stand-ins know to be true.
 package load
 
@@ -28,6 +28,8 @@
 	SurgeFrom float64
 	SurgeTo   float64
 	Faults    []Timed
+	// VMs is how many VMs callers roam between; 0 for UsualVMs.
+	VMs VMCount
 }
 
 // Timed is a fault with its time, as a part of the duration.
--- a/internal/load/site.go
+++ b/internal/load/site.go
@@ -18,8 +18,6 @@
 )
 
 const (
-	// vmCount is how many VMs a trial runs.
-	vmCount = 3
 	// serviceTime is how long a statement holds a slot of a server.
 	serviceTime = 4 * time.Millisecond
 	// usualLag is how long after receiving an entry a replica applies it.
@@ -46,6 +44,8 @@
 	Text     []byte
 	Policies operator.Policies
 	Logger   log.Logger
+	// Count is how many VMs there are; 0 for UsualVMs.
+	Count VMCount
 	// Document is Text with addresses of this trial, as put into force.
 	Document *platform.Document
 	Group    *fakeupstream.Group
@@ -68,6 +68,9 @@
 // Start starts all parts and returns once every VM is ready. ErrSetup.
 func (s *Site) Start(ctx context.Context) error {
 	ctx, s.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	if err := s.Count.check(); err != nil {
+		return err
+	}
 	if err := s.startGroup(ctx); err != nil {
 		return err
 	}
@@ -77,12 +80,13 @@
 	if err := s.certify(); err != nil {
 		return err
 	}
-	addresses, err := free(3 * vmCount)
+	count := int(s.Count.orUsual())
+	addresses, err := free(addressesEach * count)
 	if err != nil {
 		return err
 	}
-	for i := range vmCount {
-		s.VMs = append(s.VMs, s.newVM(i, addresses[3*i:3*i+3]))
+	for i := range count {
+		s.VMs = append(s.VMs, s.newVM(i, addresses[addressesEach*i:]))
 		if err := s.run(s.VMs[i]); err != nil {
 			return err
 		}
@@ -222,7 +226,7 @@
 			return v
 		}
 	}
-	return s.VMs[vm]
+	return s.VMs[vm%len(s.VMs)]
 }
 
 func (s *Site) replicas() []*fakeupstream.Server {
--- a/internal/load/summary.go
+++ b/internal/load/summary.go
@@ -46,6 +46,7 @@
 // Summary is what a trial measured.
 type Summary struct {
 	Scenario ScenarioName          `json:"scenario"`
+	VMs      VMCount               `json:"vms"`
 	Reads    string                `json:"reads"`
 	Queue    string                `json:"queue"`
 	Seed     uint64                `json:"seed"`
@@ -147,6 +148,7 @@
 	list := []row{
 		{"scenario", string(s.Scenario)},
 		{"reads, queue", s.Reads + ", " + s.Queue},
+		{"vms", fmt.Sprint(s.VMs)},
 		{"seed, duration", fmt.Sprintf("%d, %s", s.Seed, s.Duration)},
 		{"offered", fmt.Sprint(s.Offered)},
 		{"answered", fmt.Sprint(s.Answered)},
--- a/internal/load/trial.go
+++ b/internal/load/trial.go
@@ -88,6 +88,7 @@
 	if err := t.Site.Start(ctx); err != nil {
 		return nil, err
 	}
+	t.Scenario.VMs = t.Site.Count
 	t.demand = Demand(t.Scenario, t.Site.Document, t.Seed, t.Duration)
 	if len(t.demand) == 0 {
 		return nil, ErrSetup.New("no workspace of the document reaches its first upstream")
--- a/internal/load/trial_test.go
+++ b/internal/load/trial_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/joomcode/errorx"
 	"gotest.tools/v3/assert"
 
 	"github.com/savoryramp/savoryramp/internal/operator"
@@ -38,3 +39,35 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, read, s)
 }
+
+// VMs are of the zones in turn, callers use all of them, and other counts are refused.
+func TestTrialOfNineVMs(t *testing.T) {
+	text, err := os.ReadFile("../../examples/trial.yaml")
+	assert.NilError(t, err)
+	scenario, err := FindScenario("exam")
+	assert.NilError(t, err)
+	scenario.Faults = nil
+	policies := operator.Policies{Reads: upstream.WaitOrPrimary{}, Order: upstream.DeficitRoundRobin}
+	site := func(n VMCount) *Site {
+		return &Site{Text: text, Policies: policies, Logger: log.NewNopLogger(), Count: n}
+	}
+	trial := &Trial{Site: site(MostVMs), Scenario: scenario, Seed: 1, Duration: time.Second / 2, Logger: log.NewNopLogger()}
+	results, err := trial.Run(t.Context())
+	assert.NilError(t, err)
+	zones, used := map[string]int{}, map[*VM]bool{}
+	for _, v := range trial.Site.VMs {
+		zones[v.options.AvailabilityZone]++
+	}
+	for _, c := range trial.crowds {
+		for _, p := range c.all {
+			used[trial.Site.listed(p.vm)] = true
+		}
+	}
+	assert.DeepEqual(t, zones, map[string]int{"jordan-1": 3, "jordan-2": 3, "jordan-3": 3})
+	assert.Equal(t, len(used), 9)
+	assert.NilError(t, trial.Measure(results).Broken())
+	for _, n := range []VMCount{-1, 1, 2, 10} {
+		_, err := (&Trial{Site: site(n)}).Run(t.Context())
+		assert.Assert(t, errorx.IsOfType(err, ErrSetup), "%d: %v", n, err)
+	}
+}
--- a/internal/load/vm.go
+++ b/internal/load/vm.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"syscall"
@@ -17,6 +18,44 @@
 	"github.com/savoryramp/savoryramp/internal/platform"
 )
 
+// VMCount is how many VMs a trial runs.
+type VMCount int
+
+const (
+	// LeastVMs and MostVMs bound a trial's VMs.
+	LeastVMs VMCount = 3
+	MostVMs  VMCount = 9
+	// UsualVMs is one for each availability zone of the trial's document.
+	UsualVMs VMCount = 3
+	// addressesEach is how many addresses a VM has: for callers, operators and peers.
+	addressesEach = 3
+)
+
+func (n VMCount) orUsual() VMCount {
+	if n == 0 {
+		return UsualVMs
+	}
+	return n
+}
+
+func (n VMCount) check() error {
+	if n := n.orUsual(); n < LeastVMs || n > MostVMs {
+		return ErrSetup.New("a trial runs %d to %d VMs, not %d", LeastVMs, MostVMs, n)
+	}
+	return nil
+}
+
+// zone gives the availability zone of a VM: those of the group's servers, in turn.
+func (s *Site) zone(vm int) string {
+	var zones []platform.AvailabilityZone
+	for _, server := range s.Document.Upstreams[0].Servers {
+		if !slices.Contains(zones, server.AvailabilityZone) {
+			zones = append(zones, server.AvailabilityZone)
+		}
+	}
+	return string(zones[vm%len(zones)])
+}
+
 // VM is one daemon.
 type VM struct {
 	Name platform.VMName
@@ -35,7 +74,7 @@
 	return &VM{
 		Name: vmName(i), Address: addresses[0],
 		options: operator.RunOptions{
-			VM: string(vmName(i)), AvailabilityZone: "zone-" + strconv.Itoa(i),
+			VM: string(vmName(i)), AvailabilityZone: s.zone(i),
 			Listen: addresses[0], Admin: addresses[1], Peer: addresses[2],
 			BalancerLag: balancerLag, DrainTime: drainTime, StatementDeadline: statementDeadline, MaxWait: maxWait,
 			PeerTLS: operator.TLSFiles{
