Never promote in a term that has begun

Cause: before the table has a record of terms, the holder of the group's lease takes the first one from what the servers report. It held the lease 100 ms before its first watch was up, so the record said term 0, term 1 was reserved, and the promotion in the reserved term gave two primaries to term 1; fences let a term's own number through. It needs a first start in which a VM gets the lease before it hears the servers; a promotion through the table would have gone wrong likewise.

Seen failing: FirstRecordNeedsMajority (err is nil), TermThatHasBegunHasOnePrimary, with the primary heard and silent (err is nil).

--- /dev/null
+++ b/internal/upstream/record_test.go
@@ -0,0 +1,48 @@
+package upstream
+
+import (
+	"context"
+	"testing"
+
+	"github.com/go-kit/log"
+	"github.com/joomcode/errorx"
+	"gotest.tools/v3/assert"
+
+	"github.com/savoryramp/savoryramp/internal/platform"
+	"github.com/savoryramp/savoryramp/pkg/position"
+	"github.com/savoryramp/savoryramp/pkg/term"
+)
+
+// rowless is a table without rows.
+type rowless struct{ platform.Table }
+
+func (rowless) Get(_ context.Context, key platform.RowKey) (platform.Row, error) {
+	return platform.Row{}, platform.ErrNoRow.New("row %s", key)
+}
+
+// The first record is written from what a majority of the servers told: a VM that has
+// heard less may know a term that is over, or none, and would give the present one
+// away again.
+func TestFirstRecordNeedsMajority(t *testing.T) {
+	g := &Group{
+		Upstream: platform.Upstream{Name: "g"}, Table: rowless{}, Logger: log.NewNopLogger(),
+		members: map[platform.ServerName]*member{}, starts: map[position.Term]position.Start{}, changed: make(chan struct{}),
+	}
+	for _, name := range []platform.ServerName{"a", "b", "c"} {
+		g.members[name] = &member{server: platform.Server{Name: name}, pool: &Pool{}}
+	}
+	tell := func(name platform.ServerName, r Role, of position.Term) {
+		g.report(name, Status{Server: name, Role: r, Term: of, Starts: []position.Start{{Term: of}}}, true)
+	}
+	read := func() (term.Row, error) { return record{g}.Read(t.Context()) }
+	_, err := read()
+	assert.Assert(t, errorx.IsOfType(err, term.ErrUnavailable), "%v", err)
+	tell("c", Replica, 1)
+	_, err = read()
+	assert.Assert(t, errorx.IsOfType(err, term.ErrUnavailable), "%v", err)
+	tell("a", Primary, 2)
+	row, err := read()
+	assert.NilError(t, err)
+	assert.Equal(t, row.Record.Term, position.Term(2))
+	assert.Equal(t, row.Record.Primary, term.Server("a"))
+}
--- /dev/null
+++ b/pkg/term/begun_test.go
@@ -0,0 +1,44 @@
+package term_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"gotest.tools/v3/assert"
+
+	"github.com/savoryramp/savoryramp/pkg/position"
+	"github.com/savoryramp/savoryramp/pkg/term"
+)
+
+// TestTermThatHasBegunHasOnePrimary: the record is behind the servers, as after a first
+// record that was written too early. The number that it gives away is in use, and a
+// promotion with it would make a second primary, whether or not the first is heard.
+func TestTermThatHasBegunHasOnePrimary(t *testing.T) {
+	tests := map[string][]term.Server{
+		"primary heard":  nil,
+		"primary silent": {"r0"},
+	}
+	for name, silent := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := newGroup(1, 3)
+				g.row = term.Row{Version: 1, Record: term.Record{State: term.Active}}
+				u := &unheard{node: node{g, "x"}, silent: silent}
+				p := &term.Promoter{ID: "x", Group: g.names, Table: u, Servers: u, NewChange: func() term.Change { return "1" }}
+				r, err := p.Reserve(t.Context())
+				assert.NilError(t, err)
+				assert.Equal(t, r.Reserved, position.Term(1))
+				_, err = p.PromoteReserved(t.Context(), "test", "r0")
+				assert.Assert(t, errorx.IsOfType(err, term.ErrStale), "%v", err)
+				assert.Equal(t, g.primaries[1], term.Server("r0"))
+				r, err = p.Promote(t.Context(), "test", "r0")
+				assert.NilError(t, err)
+				assert.Equal(t, r.Term, position.Term(2))
+				assert.Equal(t, g.wrong, "")
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
--- a/pkg/term/fence.go
+++ b/pkg/term/fence.go
@@ -35,6 +35,9 @@
 			if errorx.IsOfType(a.err, ErrStale) {
 				return nil, a.err
 			}
+			if a.err == nil && a.status.begun(t) {
+				return nil, ErrStale.New("term %d has begun already, server %s tells", t, a.status.Server)
+			}
 			if a.err == nil && a.status.Term == t {
 				fenced = append(fenced, a.status)
 			}
@@ -51,6 +54,15 @@
 	return p.inOrder(fenced), nil
 }
 
+// begun tells whether t, or a later term, has had a primary. Before its promotion no
+// log holds a term's start, so a record that gave the number away is wrong.
+func (s Status) begun(t position.Term) bool {
+	if s.Primary && s.Term >= t || s.Received.Term >= t {
+		return true
+	}
+	return slices.ContainsFunc(s.Starts, func(start position.Start) bool { return start.Term >= t })
+}
+
 func (p *Promoter) inOrder(fenced []Status) []Status {
 	slices.SortFunc(fenced, func(a, b Status) int {
 		return slices.Index(p.Group, a.Server) - slices.Index(p.Group, b.Server)
--- a/pkg/term/term.go
+++ b/pkg/term/term.go
@@ -14,6 +14,8 @@
 //     Confirmed). A fenced server receives nothing of earlier terms. The two
 //     majorities meet, so the servers fenced show every acknowledged write, and a
 //     write that none of them shows can't be acknowledged any more.
+//   - A server that has seen a term begin tells so when it is fenced with it, and the
+//     attempt ends: a record that is behind the servers can't give a term away twice.
 //   - A promoter that pauses and goes on later meets servers with a higher term,
 //     which refuse it, or a record with another version, which refuses it too.
 //
