Keep a peer's word on its document's age in range

FuzzHeartbeat, after 61 s: an age near the largest number of milliseconds overflowed to one 127 years in the future, so the document would have counted as known to be newest for good, past the bound after which a VM that is cut off serves nobody. Ages under 0 or beyond a year count as a year now.

--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -113,9 +113,18 @@
 	if w == nil || f.OnWord == nil {
 		return
 	}
-	// Rounded up, so that a document never counts as fresher than it is.
-	age := time.Duration(w.GetAgeMs()+1) * time.Millisecond
-	f.OnWord(from, platform.Word{Version: platform.DocumentVersion(w.GetVersion()), Known: w.GetKnown(), Age: age})
+	f.OnWord(from, platform.Word{Version: platform.DocumentVersion(w.GetVersion()), Known: w.GetKnown(), Age: wordAge(w.GetAgeMs())})
+}
+
+// oldestWord is what an age beyond it, or one under 0, counts as.
+const oldestWord = 365 * 24 * time.Hour
+
+// wordAge is rounded up, so that a document never counts as fresher than it is.
+func wordAge(ms int64) time.Duration {
+	if ms < 0 || ms >= oldestWord.Milliseconds() {
+		return oldestWord
+	}
+	return time.Duration(ms+1) * time.Millisecond
 }
 
 func (f *Fleet) hearDocument(from Name, d *peerpb.Document) {
