--- a/internal/upstream/guard.go
+++ b/internal/upstream/guard.go
@@ -188,7 +188,7 @@
 // bookkeep writes the right to the next term in advance, and the outcome of a
 // promotion that the table hasn't heard of.
 func (u *guard) bookkeep(ctx context.Context) {
-	if time.Since(u.keptAt) < bookkeepEvery || !u.heard() {
+	if time.Since(u.keptAt) < bookkeepEvery {
 		return
 	}
 	u.keptAt = time.Now()
@@ -204,13 +204,6 @@
 	u.reserved = true
 }
 
-// heard tells whether this VM knows the group's term for certain, as soon after a start.
-func (u *guard) heard() bool {
-	u.group.mu.Lock()
-	defer u.group.mu.Unlock()
-	return u.group.termKnown()
-}
-
 // leader is the server that leads the newest term, usable or not; g.mu is held.
 func (g *Group) leader() *member {
 	for _, m := range g.members {
--- a/internal/upstream/record.go
+++ b/internal/upstream/record.go
@@ -25,14 +25,14 @@
 	return platform.RowKey("group/" + string(r.group.Upstream.Name))
 }
 
-// Read gives the stored record; before there is one, what the servers report, once a
-// majority of them has.
+// Read gives the stored record; before there is one, what a majority of the servers
+// report. ErrUnavailable with fewer: the group may have a higher term than they tell.
 func (r record) Read(ctx context.Context) (term.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, tableWithin)
 	defer cancel()
 	row, err := r.group.Table.Get(ctx, r.key())
 	if errorx.IsOfType(err, platform.ErrNoRow) {
-		return r.first()
+		return r.group.firstRow()
 	}
 	if err != nil {
 		return term.Row{}, term.ErrUnavailable.Wrap(err, "record of upstream %s", r.group.Upstream.Name)
@@ -68,32 +68,19 @@
 	return t, nil
 }
 
-// first describes the group as its servers report it. Only a majority of them knows
-// the newest term for certain; with a lower one the present term would be given away a
-// second time.
-func (r record) first() (term.Row, error) {
-	g := r.group
+// firstRow describes the group as its servers report it. A term that was ever active
+// is known to each majority of them. ErrUnavailable.
+func (g *Group) firstRow() (term.Row, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.termKnown() {
-		return term.Row{}, term.ErrUnavailable.New("upstream %s has no record yet, and too few servers were heard of", g.Upstream.Name)
+	if g.usable() < term.Majority(len(g.members)) || g.term == 0 {
+		return term.Row{}, term.ErrUnavailable.New("record of upstream %s: none yet, and too few servers are heard to begin one", g.Upstream.Name)
 	}
-	first := term.Record{Term: g.term, State: term.Active, Starts: g.list()}
+	r := term.Record{Term: g.term, State: term.Active, Starts: g.list()}
 	if m := g.leader(); m != nil {
-		first.Primary = term.Server(m.server.Name)
+		r.Primary = term.Server(m.server.Name)
 	}
-	return term.Row{Record: first}, nil
-}
-
-// termKnown tells whether a majority of the servers has told its term; g.mu is held.
-func (g *Group) termKnown() bool {
-	told := 0
-	for _, m := range g.members {
-		if m.status.Term > 0 {
-			told++
-		}
-	}
-	return told >= term.Majority(len(g.members))
+	return term.Row{Record: r}, nil
 }
 
 // control runs the term statements at the group's servers.
