Have one pause, and one reader of the row "document"

The load tool's pause was platform.Pause but for waits of no time, which that now ends at once as well; the operator's commands decoded the row "document" by a copy of what the platform's package reads it with, less its check that the row begins with its own version.

--- a/internal/load/trial.go
+++ b/internal/load/trial.go
@@ -97,7 +97,7 @@
 	t.gather()
 	defer t.disperse()
 	t.warm(ctx)
-	pause(ctx, t.Settle)
+	platform.Pause(ctx, t.Settle)
 	t.began = time.Now()
 	t.play(ctx)
 	return t.results, ctx.Err()
@@ -152,7 +152,7 @@
 	tasks.Go(func() { t.inflict(ctx) })
 	tasks.Go(func() { t.report(timed) })
 	for _, r := range t.demand {
-		if !pause(ctx, time.Until(t.began.Add(r.At))) {
+		if !platform.Pause(ctx, time.Until(t.began.Add(r.At))) {
 			break
 		}
 		tasks.Go(func() { t.serve(ctx, r) })
@@ -164,7 +164,7 @@
 func (t *Trial) inflict(ctx context.Context) {
 	for _, f := range t.Scenario.Faults {
 		at := time.Duration(f.At * float64(t.Duration))
-		if !pause(ctx, time.Until(t.began.Add(at))) {
+		if !platform.Pause(ctx, time.Until(t.began.Add(at))) {
 			return
 		}
 		if err := t.Site.inflict(ctx, f.Fault); err != nil {
@@ -177,7 +177,7 @@
 	if t.Progress == nil {
 		return
 	}
-	for pause(ctx, time.Second) {
+	for platform.Pause(ctx, time.Second) {
 		t.mu.Lock()
 		t.Progress(time.Since(t.began), t.told)
 		t.mu.Unlock()
@@ -286,18 +286,3 @@
 	outcome, _ := outcomeOf(err)
 	return outcome == Refused
 }
-
-// pause is false if ctx ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/operator/document.go
+++ b/internal/operator/document.go
@@ -129,7 +129,7 @@
 	if err != nil {
 		return platformError(p, err)
 	}
-	operator, err := acceptedBy(ctx, table, snapshot.Version)
+	operator, err := platform.AcceptedBy(ctx, table, snapshot.Version)
 	if err != nil {
 		return platformError(p, err)
 	}
--- a/internal/operator/fuzz_test.go
+++ b/internal/operator/fuzz_test.go
@@ -46,6 +46,6 @@
 		if key, err := caller.LoadTokenKey(ctx, oneRow(body)); err == nil {
 			assert.Equal(t, len(key), 32)
 		}
-		_, _ = acceptedBy(ctx, oneRow(body), 3)
+		_, _ = platform.AcceptedBy(ctx, oneRow(body), 3)
 	})
 }
--- a/internal/operator/platform.go
+++ b/internal/operator/platform.go
@@ -1,8 +1,6 @@
 package operator
 
 import (
-	"context"
-	"encoding/json"
 	"strings"
 
 	"github.com/joomcode/errorx"
@@ -28,30 +26,6 @@
 	return errorx.IsOfType(err, platform.ErrNoRow)
 }
 
-// acceptedBy names the operator who had a version accepted, "unknown" if it is no
-// longer remembered.
-func acceptedBy(ctx context.Context, table platform.Table, version platform.DocumentVersion) (string, error) {
-	row, err := table.Get(ctx, documentRow)
-	if err != nil {
-		return "", err
-	}
-	var body struct {
-		Changes []struct {
-			Version  platform.DocumentVersion `json:"version"`
-			Operator string                   `json:"operator"`
-		} `json:"changes"`
-	}
-	if err := json.Unmarshal(row.Body, &body); err != nil {
-		return "", ErrBroken.Wrap(err, "row %s", documentRow)
-	}
-	for _, c := range body.Changes {
-		if c.Version == version {
-			return c.Operator, nil
-		}
-	}
-	return "unknown", nil
-}
-
 // reason gives the innermost cause of an error, on one line.
 func reason(err error) string {
 	for {
--- a/internal/platform/accepted.go
+++ b/internal/platform/accepted.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -67,6 +68,23 @@
 	return a, nil
 }
 
+// AcceptedBy names the operator who had a version accepted, "unknown" if it is no longer
+// remembered. Errors as of Table, ErrRow.
+func AcceptedBy(ctx context.Context, t Table, version DocumentVersion) (string, error) {
+	row, err := t.Get(ctx, documentKey)
+	if err != nil {
+		return "", err
+	}
+	a, err := readAccepted(row)
+	if err != nil {
+		return "", err
+	}
+	if change, found := a.at(version); found {
+		return change.Operator, nil
+	}
+	return "unknown", nil
+}
+
 // newest is the change in force.
 func (a accepted) newest() acceptedChange {
 	if len(a.Changes) == 0 {
--- a/internal/platform/retry.go
+++ b/internal/platform/retry.go
@@ -92,8 +92,12 @@
 	return errorx.IsOfType(err, ErrUnavailable) || errorx.IsOfType(err, ErrOutcomeUnknown)
 }
 
-// Pause waits and reports whether it waited to the end.
+// Pause waits and reports whether it waited to the end; a wait of no time has ended
+// unless ctx has.
 func Pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
