--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -156,9 +156,7 @@
 		}
 		switch m := m.(type) {
 		case *pgproto3.DataRow:
-			if len(m.Values) > 0 {
-				value = string(m.Values[0])
-			}
+			value = first(m)
 		case *pgproto3.ErrorResponse:
 			failure = ErrServer.New("%s: %s", m.Code, m.Message)
 		case *pgproto3.ReadyForQuery:
@@ -167,6 +165,14 @@
 	}
 }
 
+// first is a row's first value; empty if it has none.
+func first(m *pgproto3.DataRow) string {
+	if len(m.Values) == 0 {
+		return ""
+	}
+	return string(m.Values[0])
+}
+
 // Cancel asks the server to interrupt what runs on the connection.
 func (c *Conn) Cancel(ctx context.Context) {
 	nc, err := c.pool.Dial(ctx, "tcp", string(c.pool.Server.Address))
--- a/internal/upstream/login.go
+++ b/internal/upstream/login.go
@@ -66,7 +66,7 @@
 		case *pgproto3.AuthenticationSASLContinue:
 			err = c.stepScram(conversation, string(m.Data))
 		case *pgproto3.AuthenticationSASLFinal:
-			_, err = conversation.Step(string(m.Data))
+			err = c.endScram(conversation, string(m.Data))
 		case *pgproto3.ParameterStatus:
 			err = c.parameter(m)
 		case *pgproto3.BackendKeyData:
@@ -107,3 +107,11 @@
 	c.Front.Send(&pgproto3.SASLResponse{Data: []byte(answer)})
 	return c.Front.Flush()
 }
+
+func (c *Conn) endScram(conversation *scram.ClientConversation, proof string) error {
+	if conversation == nil {
+		return ErrBroken.New("end of a login that has not begun")
+	}
+	_, err := conversation.Step(proof)
+	return err
+}
