Run nine VMs as processes through kills, pauses and a withdrawal

Rates, connections and withdrawn keys over the fleet were proved in process only. make fleet runs the platform's stand-in, three servers and nine VMs as processes, kills three VMs, pauses two past every validity, withdraws a key meanwhile, takes the platform away, restarts and replaces; a load over all VMs is then held against the servers' log. The servers' stand-in tells of its most connections, and of the time and connection of each commit. A caller's error that holds several tries is looked through for the VM's answer: refused logins were taken for silence.

Broken: a VM paused over the withdrawal ran 1 and 2 writes with the withdrawn key when it was resumed, 13 s after, since a session looks at the trust in the document every 250 ms only and not before each message.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: demo test build lint generate protocol
+.PHONY: demo fleet test build lint generate protocol
 
 build:
 	mkdir -p bin
@@ -12,6 +12,10 @@
 demo:
 	script/demo.sh
 
+# Nine VMs as processes, killed, paused, restarted and replaced under a checked load.
+fleet:
+	script/fleet.sh
+
 # Writes the pages that come from the code.
 generate:
 	go run . events > docs/EVENTS.md
--- a/cmd/savoryramp-load/caller.go
+++ b/cmd/savoryramp-load/caller.go
@@ -28,14 +28,21 @@
 	conn *pgx.Conn
 }
 
+// login is what a caller shows to a VM.
+type login struct {
+	database string
+	user     string
+	secret   string
+}
+
 // connect opens a session, with the token of an earlier one unless it is empty.
-func (l *Ledger) connect(ctx context.Context, vm, token string) (*session, error) {
-	config, err := pgx.ParseConfig("postgres://" + vm + "/" + l.Database + "?sslmode=prefer")
+func (l login) connect(ctx context.Context, vm, token string) (*session, error) {
+	config, err := pgx.ParseConfig("postgres://" + vm + "/" + l.database + "?sslmode=prefer")
 	if err != nil {
 		return nil, ErrSetup.Wrap(err, "address %s", vm)
 	}
-	config.User = l.User
-	config.Password = l.Secret
+	config.User = l.user
+	config.Password = l.secret
 	if token != "" {
 		config.RuntimeParams[tokenParameter] = token
 	}
--- a/cmd/savoryramp-load/ledger.go
+++ b/cmd/savoryramp-load/ledger.go
@@ -112,6 +112,10 @@
 	return s.execute(ctx, createTable)
 }
 
+func (l *Ledger) connect(ctx context.Context, vm, token string) (*session, error) {
+	return login{l.Database, l.User, l.Secret}.connect(ctx, vm, token)
+}
+
 // work roams: each receipt is written on one VM and read on the others.
 func (l *Ledger) work(ctx context.Context, worker int) {
 	random := rand.New(rand.NewPCG(l.Seed, uint64(worker)))
--- a/cmd/savoryramp-load/main.go
+++ b/cmd/savoryramp-load/main.go
@@ -29,6 +29,8 @@
 	ledger := l.define(app)
 	s := &scenarioRun{Out: os.Stdout}
 	scenario := s.define(app)
+	f := &Fleet{Out: os.Stdout}
+	fleet := f.define(app)
 	c := &comparison{}
 	compare := c.define(app)
 	certificates := app.Command("certificates", "Makes an authority and a certificate for trials: ca.pem, peer.pem, peer.key.")
@@ -39,6 +41,8 @@
 	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
 	case ledger.FullCommand():
 		app.FatalIfError(l.Run(ctx), "ledger")
+	case fleet.FullCommand():
+		app.FatalIfError(f.Run(ctx), "fleet")
 	case certificates.FullCommand():
 		made, err := load.NewCertificates()
 		app.FatalIfError(err, "certificates")
--- a/internal/fakeupstream/admin.go
+++ b/internal/fakeupstream/admin.go
@@ -131,25 +131,29 @@
 	encoder := json.NewEncoder(w)
 	for _, e := range g.History() {
 		_ = encoder.Encode(struct {
-			Position   string      `json:"position"`
-			Server     ServerName  `json:"server"`
-			Statements []Statement `json:"statements"`
-		}{e.Position.String(), e.Server, e.Statements})
+			Position   string       `json:"position"`
+			Server     ServerName   `json:"server"`
+			Connection ConnectionID `json:"connection"`
+			At         time.Time    `json:"at"`
+			Statements []Statement  `json:"statements"`
+		}{e.Position.String(), e.Server, e.Connection, e.At, e.Statements})
 	}
 }
 
 // ServerState is what GET /state tells of a server.
 type ServerState struct {
 	Status
-	Connections int      `json:"connections"`
-	Killed      bool     `json:"killed"`
-	Frozen      bool     `json:"frozen"`
-	Refusing    bool     `json:"refusing"`
-	Cut         bool     `json:"cut"`
-	Lag         string   `json:"lag"`
-	Late        string   `json:"late"`
-	Service     string   `json:"service"`
-	Starts      []string `json:"starts"`
+	Connections int `json:"connections"`
+	// MostConnections is the highest count of Connections so far.
+	MostConnections int      `json:"most-connections"`
+	Killed          bool     `json:"killed"`
+	Frozen          bool     `json:"frozen"`
+	Refusing        bool     `json:"refusing"`
+	Cut             bool     `json:"cut"`
+	Lag             string   `json:"lag"`
+	Late            string   `json:"late"`
+	Service         string   `json:"service"`
+	Starts          []string `json:"starts"`
 }
 
 // State tells of all servers.
@@ -160,7 +164,7 @@
 	var list []ServerState
 	for _, s := range g.Servers {
 		state := ServerState{
-			Status: s.status(), Connections: s.open(),
+			Status: s.status(), Connections: s.open(), MostConnections: s.most,
 			Killed: s.faults.killed, Frozen: s.faults.frozen, Refusing: s.faults.refusing, Cut: s.isCut(),
 			Lag: s.Lag.String(), Late: s.faults.late.String(), Service: s.Service.String(),
 		}
--- a/internal/fakeupstream/server.go
+++ b/internal/fakeupstream/server.go
@@ -78,7 +78,9 @@
 	retired []*view
 	busy    int
 
-	sessions        map[*session]bool
+	sessions map[*session]bool
+	// most is the highest count of admitted sessions so far.
+	most            int
 	lastID          ConnectionID
 	lastTransaction TransactionID
 	faults          faults
--- a/internal/fakeupstream/startup.go
+++ b/internal/fakeupstream/startup.go
@@ -88,6 +88,7 @@
 	s.group.mu.Lock()
 	defer s.group.mu.Unlock()
 	n.admitted = s.open() < s.Connections
+	s.most = max(s.most, s.open())
 	return n.admitted
 }
 
--- a/internal/load/bucket.go
+++ b/internal/load/bucket.go
@@ -38,28 +38,28 @@
 	b.at = at
 }
 
-// span is the time in which a request was admitted.
-type span struct{ from, to time.Duration }
+// Span is the time in which a request was admitted.
+type Span struct{ From, To time.Duration }
 
-// overAdmitted is the greatest number by which the admitted requests of any window of
+// OverAdmitted is the greatest number by which the admitted requests of any window of
 // time are more than burst + rate x length of the window. A request counts in a window
 // only if its whole span lies in it, so that what is above 0 is proven.
-func overAdmitted(admitted []span, rate, burst float64) int {
+func OverAdmitted(admitted []Span, rate, burst float64) int {
 	list := slices.Clone(admitted)
-	slices.SortFunc(list, func(a, b span) int { return cmp.Compare(b.from, a.from) })
+	slices.SortFunc(list, func(a, b Span) int { return cmp.Compare(b.From, a.From) })
 	ends := make([]time.Duration, len(list))
 	for i, a := range list {
-		ends[i] = a.to
+		ends[i] = a.To
 	}
 	slices.Sort(ends)
 	// counts holds how many spans seen so far end by each of ends.
 	counts := make([]int, len(ends))
 	worst := 0.0
 	for _, a := range list {
-		first, _ := slices.BinarySearch(ends, a.to)
+		first, _ := slices.BinarySearch(ends, a.To)
 		for i := first; i < len(ends); i++ {
 			counts[i]++
-			allowed := burst + rate*(ends[i]-a.from).Seconds()
+			allowed := burst + rate*(ends[i]-a.From).Seconds()
 			worst = max(worst, float64(counts[i])-allowed)
 		}
 	}
--- a/internal/load/measure.go
+++ b/internal/load/measure.go
@@ -195,11 +195,11 @@
 func workspaceSummary(w *platform.Workspace, list []Result) WorkspaceSummary {
 	v := WorkspaceSummary{Offered: len(list), Latency: latency(list, func(Result) bool { return true })}
 	var arrivals []time.Duration
-	var admitted []span
+	var admitted []Span
 	for _, r := range list {
 		arrivals = append(arrivals, r.At)
 		if r.Outcome == Answered || r.Code == codeUnknown {
-			admitted = append(admitted, span{r.Sent, r.Done})
+			admitted = append(admitted, Span{r.Sent, r.Done})
 		}
 	}
 	instead, wrongful := 0, 0
@@ -212,7 +212,7 @@
 		instead += one(!in && r.Outcome == Answered)
 	}
 	v.WrongfulRefusals = max(0, wrongful-instead)
-	v.OverAdmitted = overAdmitted(admitted, float64(w.Rate), float64(w.Burst))
+	v.OverAdmitted = OverAdmitted(admitted, float64(w.Rate), float64(w.Burst))
 	return v
 }
 
--- a/internal/load/oracle_test.go
+++ b/internal/load/oracle_test.go
@@ -34,21 +34,21 @@
 	s := time.Second
 	tests := map[string]struct {
 		rate, burst float64
-		admitted    []span
+		admitted    []Span
 		want        int
 	}{
 		"none":                           {1, 1, nil, 0},
-		"within the burst":               {1, 2, []span{{0, 0}, {0, 0}}, 0},
-		"one over the burst":             {1, 2, []span{{0, 0}, {0, 0}, {0, 0}}, 1},
-		"waited for the token":           {1, 2, []span{{0, s}, {0, s}, {0, s}}, 0},
-		"the earliest end goes first":    {1, 1, []span{{0, 2 * s}, {0, 0}, {0, s}}, 0},
-		"one too late":                   {1, 1, []span{{0, s}, {0, 0}, {0, s}}, 1},
-		"a quiet time fills to the cap":  {1, 2, []span{{0, 0}, {9 * s, 9 * s}, {9 * s, 9 * s}, {9 * s, 9 * s}}, 1},
-		"one that is late takes nothing": {1, 1, []span{{0, 0}, {0, 0}, {s, s}}, 1},
+		"within the burst":               {1, 2, []Span{{0, 0}, {0, 0}}, 0},
+		"one over the burst":             {1, 2, []Span{{0, 0}, {0, 0}, {0, 0}}, 1},
+		"waited for the token":           {1, 2, []Span{{0, s}, {0, s}, {0, s}}, 0},
+		"the earliest end goes first":    {1, 1, []Span{{0, 2 * s}, {0, 0}, {0, s}}, 0},
+		"one too late":                   {1, 1, []Span{{0, s}, {0, 0}, {0, s}}, 1},
+		"a quiet time fills to the cap":  {1, 2, []Span{{0, 0}, {9 * s, 9 * s}, {9 * s, 9 * s}, {9 * s, 9 * s}}, 1},
+		"one that is late takes nothing": {1, 1, []Span{{0, 0}, {0, 0}, {s, s}}, 1},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			assert.Equal(t, overAdmitted(test.admitted, test.rate, test.burst), test.want)
+			assert.Equal(t, OverAdmitted(test.admitted, test.rate, test.burst), test.want)
 		})
 	}
 }
@@ -64,15 +64,15 @@
 		for i := 1; i < len(arrivals); i++ {
 			arrivals[i] += arrivals[i-1]
 		}
-		var admitted []span
+		var admitted []Span
 		for i, in := range inside(arrivals, rate, burst) {
 			if in {
 				early := time.Duration(rapid.IntRange(0, 100).Draw(t, "early")) * time.Millisecond
 				late := time.Duration(rapid.IntRange(0, 100).Draw(t, "late")) * time.Millisecond
-				admitted = append(admitted, span{max(0, arrivals[i]-early), arrivals[i] + late})
+				admitted = append(admitted, Span{max(0, arrivals[i]-early), arrivals[i] + late})
 			}
 		}
-		assert.Equal(t, overAdmitted(admitted, rate, burst), 0)
+		assert.Equal(t, OverAdmitted(admitted, rate, burst), 0)
 	})
 }
 
--- a/internal/load/person.go
+++ b/internal/load/person.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/base64"
 	"encoding/json"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -143,17 +144,20 @@
 // Unwrap gives the failure itself.
 func (n notSent) Unwrap() error { return n.error }
 
-// ServerError finds the VM's own answer in a chain of errors, nil if there is none.
+// ServerError finds the VM's own answer in a chain of errors, the last if several ways
+// to connect were tried; nil if there is none.
 func ServerError(err error) *pgconn.PgError {
-	for err != nil {
-		if answer, ok := err.(*pgconn.PgError); ok {
-			return answer
+	switch e := err.(type) {
+	case *pgconn.PgError:
+		return e
+	case interface{ Unwrap() error }:
+		return ServerError(e.Unwrap())
+	case interface{ Unwrap() []error }:
+		for _, one := range slices.Backward(e.Unwrap()) {
+			if answer := ServerError(one); answer != nil {
+				return answer
+			}
 		}
-		w, ok := err.(interface{ Unwrap() error })
-		if !ok {
-			return nil
-		}
-		err = w.Unwrap()
 	}
 	return nil
 }
