--- a/cmd/savoryramp-load/person.go
+++ b/cmd/savoryramp-load/person.go
@@ -115,7 +115,7 @@
 func (p *person) write() outcome {
 	p.sent++
 	id := fmt.Sprintf("%s-%d-%d", p.workspace, p.number, p.sent)
-	return p.send(id, func(ctx context.Context, r *request) error {
+	return p.send(id, func(ctx context.Context, _ *request) error {
 		_, err := p.session.conn.Exec(ctx, insert, pgx.QueryExecModeExec, id, 1)
 		return err
 	})
