Show callers a renewed certificate without a restart

The callers' certificate was read once, at the start: a renewal needed a restart, while the peers' needs none. It is read again at handshakes, at most once a second; files that can't be read leave the last one in use. Tests: open connections go on and new ones are shown the new certificate, for callers and for peers' streams.

Seen failing: peers' client certificates not asked for, or not verified (live != "": without the fleet's certificate); the server's not verified (state(c) is live: c doesn't trust the old authority); read once only (gone != live: over a new connection); the callers' read once only (the first certificate is still shown); TLS for callers taken out (server refused TLS connection).

--- a/internal/operator/certificates.go
+++ b/internal/operator/certificates.go
@@ -4,6 +4,9 @@
 	"crypto/tls"
 	"crypto/x509"
 	"os"
+	"time"
+
+	"github.com/go-kit/log"
 )
 
 // Certificates are what the settings' TLS files hold.
@@ -11,7 +14,7 @@
 	// Peer and PeerAuthority serve mutual TLS between VMs.
 	Peer          tls.Certificate
 	PeerAuthority *x509.CertPool
-	// Listen is nil if callers connect without TLS.
+	// Listen is the callers' at the start; nil if they connect without TLS.
 	Listen *tls.Certificate
 }
 
@@ -71,9 +74,10 @@
 }
 
 // callers is the TLS setting for callers, nil when they come without it.
-func (c Certificates) callers() *tls.Config {
+func (c Certificates) callers(files TLSFiles, l log.Logger) *tls.Config {
 	if c.Listen == nil {
 		return nil
 	}
-	return &tls.Config{Certificates: []tls.Certificate{*c.Listen}, MinVersion: tls.VersionTLS12}
+	p := &pair{files: files, logger: l, loaded: *c.Listen, read: time.Now()}
+	return p.config()
 }
--- a/internal/operator/events.go
+++ b/internal/operator/events.go
@@ -29,4 +29,8 @@
 		"The key of session tokens can't be read; the VM gives no tokens and asks upstreams for floors instead.")
 	eventDocumentRefused = event.Define(1013, "peer-document-refused", event.Warn,
 		"A peer gave a document whose text doesn't match its hash or isn't valid.")
+	eventCertificateNew = event.Define(1014, "caller-certificate-reloaded", event.Info,
+		"The callers' changed certificate was read and is used for new connections.")
+	eventCertificateBad = event.Define(1015, "caller-certificate-unreadable", event.Error,
+		"The callers' certificate files can't be read; the earlier ones stay in use.")
 )
--- /dev/null
+++ b/internal/operator/pair_test.go
@@ -0,0 +1,76 @@
+package operator
+
+import (
+	"crypto/tls"
+	"net"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	"gotest.tools/v3/assert"
+)
+
+// greet makes a handshake and gives the caller's side, with the server's echoing.
+func greet(t *testing.T, config *tls.Config) *tls.Conn {
+	t.Helper()
+	near, far := net.Pipe()
+	server := tls.Server(far, config)
+	go func() {
+		defer server.Close()
+		p := make([]byte, 1)
+		for {
+			if _, err := server.Read(p); err != nil {
+				return
+			}
+			if _, err := server.Write(p); err != nil {
+				return
+			}
+		}
+	}()
+	c := tls.Client(near, &tls.Config{InsecureSkipVerify: true})
+	assert.NilError(t, c.Handshake())
+	return c
+}
+
+func shown(c *tls.Conn) string { return string(c.ConnectionState().PeerCertificates[0].Raw) }
+
+func answers(t *testing.T, c *tls.Conn) {
+	t.Helper()
+	_, err := c.Write([]byte("x"))
+	assert.NilError(t, err)
+	_, err = c.Read(make([]byte, 1))
+	assert.NilError(t, err)
+}
+
+// A changed certificate is shown to new callers, and open connections go on; files that
+// can't be read change nothing.
+func TestCallersCertificateReloads(t *testing.T) {
+	dir := t.TempDir()
+	certificate, key := writePair(t, dir)
+	synctest.Test(t, func(t *testing.T) {
+		files := TLSFiles{Certificate: certificate, Key: key}
+		first, err := readPair("listen-cert", "listen-key", files)
+		assert.NilError(t, err)
+		config := Certificates{Listen: &first}.callers(files, log.NewNopLogger())
+		open := greet(t, config)
+		defer open.Close()
+		assert.Equal(t, shown(open), string(first.Certificate[0]))
+
+		writePair(t, dir)
+		time.Sleep(pairEvery)
+		renewed := greet(t, config)
+		defer renewed.Close()
+		assert.Assert(t, shown(renewed) != shown(open), "the first certificate is still shown")
+		answers(t, open)
+		answers(t, renewed)
+
+		assert.NilError(t, os.WriteFile(key, []byte("half a key"), 0o600))
+		time.Sleep(pairEvery)
+		last := greet(t, config)
+		defer last.Close()
+		assert.Equal(t, shown(last), shown(renewed))
+	})
+	assert.Assert(t, Certificates{}.callers(TLSFiles{}, nil) == nil)
+}
--- a/internal/operator/serve.go
+++ b/internal/operator/serve.go
@@ -47,7 +47,7 @@
 		Coordination: joined, Table: d.Table, Reads: upstream.WaitOrPrimary{}, Order: upstream.DeficitRoundRobin, MaxQueue: maxQueue,
 	}
 	c := &caller.Server{
-		VM: platform.VMName(d.Options.VM), Listener: listener, TLS: d.Certificates.callers(), Documents: d.Configuration,
+		VM: platform.VMName(d.Options.VM), Listener: listener, TLS: d.Certificates.callers(d.Options.ListenTLS, d.Logger), Documents: d.Configuration,
 		Upstreams: u, Limiter: limits, TokenKey: d.tokenKey(), MaxWait: d.Options.MaxWait, Deadline: d.Options.StatementDeadline,
 		ForwardCancel: d.forwardCancel, Trusted: trust.Holds, Logger: d.Logger, Meter: d.Metrics.Meter("caller"),
 	}
--- a/internal/peer/tls_test.go
+++ b/internal/peer/tls_test.go
@@ -128,3 +128,39 @@
 		assert.Assert(t, first.state("b") != peer.Live, "b trusts only the new authority")
 	})
 }
+
+// A renewed certificate needs no restart: an open stream goes on, and whoever connects
+// afterwards is shown the new one.
+func TestCertificatesReloadUnderOpenStreams(t *testing.T) {
+	oldCA, newCA := newAuthority(t), newAuthority(t)
+	a, b, c := files(t), files(t), files(t)
+	oldCA.issue(t, a, oldCA, newCA)
+	oldCA.issue(t, b, oldCA, newCA)
+	newCA.issue(t, c, newCA)
+	synctest.Test(t, func(t *testing.T) {
+		network, vms := fakenet.New(), &list{}
+		with := func(f *peer.Files) func(*peer.Fleet) { return func(v *peer.Fleet) { v.TLS = f } }
+		for _, n := range []peer.Name{"a", "b", "c"} {
+			vms.add(n)
+		}
+		first := start(t, network, vms, "a", 1, with(a))
+		defer first.kill()
+		second := start(t, network, vms, "b", 1, with(b))
+		defer second.kill()
+		third := start(t, network, vms, "c", 1, with(c))
+		defer third.kill()
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, first.state("b"), peer.Live)
+		assert.Assert(t, first.state("c") != peer.Live, "c doesn't trust the old authority")
+
+		newCA.issue(t, a, newCA)
+		newCA.issue(t, b, newCA)
+		for range 40 {
+			time.Sleep(100 * time.Millisecond)
+			assert.Equal(t, first.state("b"), peer.Live, "over the stream that is open")
+			assert.Equal(t, second.state("a"), peer.Live, "over the stream that is open")
+		}
+		assert.Equal(t, first.state("c"), peer.Live, "over a new connection")
+		assert.Equal(t, third.state("b"), peer.Live, "over a new connection")
+	})
+}
--- a/script/fleet.sh
+++ b/script/fleet.sh
@@ -3,7 +3,7 @@
 # three one by one, pauses two past every validity, withdraws a key while these are
 # paused, takes the platform away, restarts two of the killed and replaces the third.
 # Exits with 1 if a rate, a limit of connections, a write or the withdrawal was broken.
-# SEED chooses the VMs; DAEMON is the binary to run as VM.
+# SEED chooses the VMs; DAEMON is the binary to run as VM; KEEP=1 keeps the logs.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -13,7 +13,7 @@
 tries=300 # of 0.1 s each
 # The stand-in takes more connections than the document allows, so that too many show.
 server_connections=96
-load_time=50s
+load_time=56s
 withdraw_after=15 # seconds
 zones=(amman-a amman-b amman-c)
 platform=127.0.0.1:18400
@@ -34,7 +34,7 @@
   trap - EXIT INT TERM
   for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
   for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
-  if [ "$code" -eq 0 ]; then rm -r "$work"; else echo "logs: $work" >&2; fi
+  if [ "$code" -eq 0 ] && [ -z "${KEEP:-}" ]; then rm -r "$work"; else echo "logs: $work" >&2; fi
   exit "$code"
 }
 trap stop EXIT
@@ -86,6 +86,13 @@
   wait "${vm_pids[$2]}" 2>/dev/null || true
 }
 
+# keep_states writes down what the VMs that answer know, for a look at a broken run.
+keep_states() { # SECONDS
+  for i in $places; do
+    curl -sf --max-time 1 "http://$(admin "$i")/state" >"$work/state-$i-at-$1.json" || true
+  done
+}
+
 platform_fault() { curl -sf -XPOST -d "{\"kind\":\"$1\"}" "http://$platform/fault"; }
 
 echo "building"
@@ -129,22 +136,25 @@
 kill_vm 3 "$a"
 kill_vm 5 "$b"
 kill_vm 7 "$c"
-at 9 "vm-$a restarted"
-start_vm "$a" "vm-$a"
-at 11 "vm-$d and vm-$e paused"
+at 9 "vm-$d and vm-$e paused"
 kill -STOP "${vm_pids[$d]}" "${vm_pids[$e]}"
+at 11 "vm-$a restarted"
+start_vm "$a" "vm-$a"
 at 13 "vm-$b restarted"
 start_vm "$b" "vm-$b"
-at 18 "platform out (the key was withdrawn at $withdraw_after s)"
+# Between: the key is withdrawn, the shares of the paused lapse and are given to others.
+at 30 "platform out"
 platform_fault down
-at 28 "vm-$d resumed"
+at 32 "states kept"
+keep_states 32
+at 34 "vm-$d resumed"
 kill -CONT "${vm_pids[$d]}"
-at 31 "platform back"
+at 38 "platform back"
 platform_fault none
-at 32 "vm-$c replaced by vm-$vms_wanted"
+at 39 "vm-$c replaced by vm-$vms_wanted"
 curl -sf -XDELETE "http://$platform/vm/vm-$c"
 start_vm "$c" "vm-$vms_wanted"
-at 34 "vm-$e resumed"
+at 42 "vm-$e resumed"
 kill -CONT "${vm_pids[$e]}"
 
 code=0
