Fetch the document from seed peers while the platform is out

--seed-peers only let a VM start without the platform; nothing asked the seeds, since the fleet knows its peers by the platform's list. Until that list was read once, the seed peers stand in it under their addresses; a seed that answers is then known by its own name. They count for the fleet's size when the VM judges whether it may rely on its document. The row of shares is asked of peers as long as none is known, so that the VM can borrow. Test: a VM started while the platform is out has the document, admits a request and knows the seed by its one name when the platform is back.

make fleet keeps eight callers of the withdrawn key at each VM, since what the resumed VM does wrong lasts for milliseconds.

--- a/cmd/savoryramp-load/fleet.go
+++ b/cmd/savoryramp-load/fleet.go
@@ -149,9 +149,9 @@
 	for n := range withinCallers {
 		tasks.Go(func() { f.newCaller(workspaceWithin, n).pace(ctx) })
 	}
-	for n := range f.VMs {
-		tasks.Go(func() { f.newCaller(workspaceLeaving, 2*n).stay(ctx, n, true) })
-		tasks.Go(func() { f.newCaller(workspaceLeaving, 2*n+1).stay(ctx, n, false) })
+	for n := range stayCallers * len(f.VMs) {
+		vm, kept := n%len(f.VMs), n/len(f.VMs)%2 == 0
+		tasks.Go(func() { f.newCaller(workspaceLeaving, n).stay(ctx, vm, kept) })
 	}
 	err := f.withdraw(ctx)
 	tasks.Wait()
--- a/cmd/savoryramp-load/person.go
+++ b/cmd/savoryramp-load/person.go
@@ -15,6 +15,8 @@
 const (
 	overCallers   = 24
 	withinCallers = 6
+	// stayCallers stay at each VM; all have a request under way when it is resumed.
+	stayCallers = 8
 	// patience is how long a roaming caller waits for a VM that doesn't answer.
 	patience = 2 * time.Second
 	// stayPatience is that of a caller that stays, longer than a VM is paused.
@@ -27,7 +29,7 @@
 	// Pauses between statements.
 	pressPause = 10 * time.Millisecond
 	pacePause  = 200 * time.Millisecond
-	stayPause  = 250 * time.Millisecond
+	stayPause  = time.Second
 	// codeUnreachable stands for a VM that gave no answer to a login.
 	codeUnreachable = "unreachable"
 )
--- a/internal/operator/contracts.go
+++ b/internal/operator/contracts.go
@@ -23,6 +23,8 @@
 	// sharesWithin is how long a VM that starts waits for shares before it takes
 	// callers without, by borrowing.
 	sharesWithin = 15 * time.Second
+	// learnEvery spaces the questions to peers for the row of shares at the start.
+	learnEvery = time.Second
 	// connectionLinger is how long a dead VM's connections may stand on a server.
 	connectionLinger = 10 * time.Second
 )
@@ -89,6 +91,26 @@
 	}
 }
 
+// learn takes the row of shares from a peer as long as none is known, since a VM that
+// starts while the table is out could borrow from nobody else.
+func (c *contracts) learn(ctx context.Context) error {
+	for c.shares.Row().Version == 0 && platform.Pause(ctx, learnEvery) {
+		c.learnOnce(ctx)
+	}
+	<-ctx.Done()
+	return nil
+}
+
+func (c *contracts) learnOnce(ctx context.Context) {
+	for _, m := range c.shares.Peers.Members() {
+		answer, err := c.shares.Peers.Renew(ctx, m.Holder.VM, contract.RenewRequest{})
+		if err == nil && answer.Row != nil {
+			c.shares.Adopt(*answer.Row)
+			return
+		}
+	}
+}
+
 // limits gives what a document limits.
 func limits(d *platform.Document) map[contract.Name]contract.Limit {
 	all := map[contract.Name]contract.Limit{}
--- a/internal/operator/daemon.go
+++ b/internal/operator/daemon.go
@@ -62,6 +62,7 @@
 		{Name: "callers", Run: d.serving.callers.Run, Drain: d.serving.callers.Drain},
 		{Name: "coordination", Run: d.serving.coordination.Run},
 		{Name: "shares", Run: d.serving.contracts.shares.Run},
+		{Name: "share-row", Run: d.serving.contracts.learn},
 		{Name: "share-master", Run: d.serving.contracts.master.Run},
 		{Name: "limits", Run: func(ctx context.Context) error { return d.serving.contracts.follow(ctx, d.Configuration) }},
 		{Name: "announcement", Run: d.announce},
--- a/internal/operator/document_test.go
+++ b/internal/operator/document_test.go
@@ -109,6 +109,7 @@
 
 // A VM is ready once a document is in force, and ends in order on a signal.
 func TestDaemon(t *testing.T) {
+	t.Parallel()
 	s := newTerminal(t)
 	o, err := ParseOptions("1", append([]string{
 		"run", "--vm=a-1", "--availability-zone=a", "--admin=127.0.0.1:0",
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -17,7 +17,7 @@
 )
 
 // newFleet makes this VM's part in the fleet and takes the peers' address.
-func (d *Daemon) newFleet() (*peer.Fleet, error) {
+func (d *Daemon) newFleet(vms platform.VMList) (*peer.Fleet, error) {
 	listener, err := listen("peer", d.Options.Peer)
 	if err != nil {
 		return nil, err
@@ -26,7 +26,7 @@
 	f := &peer.Fleet{
 		Incarnation: peer.Incarnation(time.Now().UnixNano()),
 		Self:        platform.VMName(o.VM), Address: o.Peer, AvailabilityZone: platform.AvailabilityZone(o.AvailabilityZone),
-		VMs: platform.VMRows{Table: d.Table}, Listener: listener, Logger: d.Logger,
+		VMs: vms, Listener: listener, Logger: d.Logger,
 	}
 	if t := o.PeerTLS; t != (TLSFiles{}) {
 		f.TLS = &peer.Files{Certificate: t.Certificate, Key: t.Key, Authorities: t.Authority, Logger: d.Logger}
--- /dev/null
+++ b/internal/operator/seeds.go
@@ -0,0 +1,54 @@
+package operator
+
+import (
+	"context"
+	"strings"
+	"sync/atomic"
+
+	"github.com/savoryramp/savoryramp/internal/peer"
+	"github.com/savoryramp/savoryramp/internal/platform"
+)
+
+// seedPrefix begins the names under which seed peers are called until they tell their
+// own. No VM can have such a name.
+const seedPrefix = "seed/"
+
+// seeds is the platform's list of VMs, in whose place the seed peers stand until it has
+// been read once.
+type seeds struct {
+	platform.VMList
+	addresses []platform.Address
+	// listed is true once the platform's list was read.
+	listed atomic.Bool
+}
+
+// List gives the platform's list, or the seed peers by their addresses.
+func (s *seeds) List(ctx context.Context) ([]platform.VM, error) {
+	list, err := s.VMList.List(ctx)
+	if err == nil {
+		s.listed.Store(true)
+		return list, nil
+	}
+	if s.listed.Load() || len(s.addresses) == 0 {
+		return nil, err
+	}
+	for _, a := range s.addresses {
+		list = append(list, platform.VM{Name: platform.VMName(seedPrefix + a), Address: a, State: platform.VMLive})
+	}
+	return list, nil
+}
+
+// size is how many VMs the fleet has, this one included: as many as there are seed
+// peers at least, until the list tells.
+func (s *seeds) size(members []peer.Member) int {
+	known := 0
+	for _, m := range members {
+		if !strings.HasPrefix(string(m.Name), seedPrefix) {
+			known++
+		}
+	}
+	if !s.listed.Load() {
+		known = max(known, len(s.addresses))
+	}
+	return known + 1
+}
--- /dev/null
+++ b/internal/operator/seeds_test.go
@@ -0,0 +1,94 @@
+package operator
+
+import (
+	"bytes"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/savoryramp/savoryramp/internal/platform"
+)
+
+// free is a loopback address that nothing listens on.
+func free(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// startDaemon runs a VM's daemon until the test ends.
+func (s *terminal) startDaemon(vm, peer string, more ...string) *Daemon {
+	s.t.Helper()
+	args := append([]string{
+		"run", "--vm=" + vm, "--availability-zone=a", "--admin=127.0.0.1:0", "--peer=" + peer,
+		"--balancer-lag=0s", "--drain-time=0s", "--peer-cert=c", "--peer-key=k", "--peer-ca=a",
+	}, s.platformFlags()...)
+	o, err := ParseOptions("1", append(args, more...), &bytes.Buffer{})
+	assert.NilError(s.t, err)
+	o.Run.Listen, o.Run.PeerTLS = "127.0.0.1:0", TLSFiles{}
+	d := newDaemon(s.t)
+	signals := make(chan os.Signal)
+	d.Options, d.Platform, d.Signals = o.Run, o.Platform, signals
+	d.Table, d.Store = newTable(o.Platform), newStore(o.Platform)
+	assert.NilError(s.t, d.prepare())
+	ended := make(chan error, 1)
+	go func() { ended <- d.runGroup(d.actors()) }()
+	s.t.Cleanup(func() {
+		signals <- os.Interrupt
+		assert.Check(s.t, <-ended)
+	})
+	return d
+}
+
+func (s *terminal) fault(kind string) {
+	s.t.Helper()
+	answer, err := http.Post(s.url+"/fault", "application/json", strings.NewReader(`{"kind":"`+kind+`"}`))
+	assert.NilError(s.t, err)
+	assert.Equal(s.t, answer.StatusCode, http.StatusOK)
+	_ = answer.Body.Close()
+}
+
+// await polls until something holds.
+func await(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if !holds() {
+			return poll.Continue("%s", what)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(time.Minute))
+}
+
+// A VM that starts while the platform is out gets the document and the row of shares
+// from a seed peer, and takes its place in the list when the platform is back.
+func TestSeedPeers(t *testing.T) {
+	t.Parallel()
+	s := newTerminal(t)
+	s.run(ExitOK, "apply", demoDocument)
+	seed := free(t)
+	first := s.startDaemon("a-1", seed)
+	await(t, "the first VM holds shares", first.serving.contracts.ready)
+	s.fault("down")
+
+	second := s.startDaemon("a-2", free(t), "--seed-peers="+seed)
+	snapshot, err := second.Configuration.Wait(t.Context(), 0)
+	assert.NilError(t, err)
+	assert.Equal(t, snapshot.Version, platform.DocumentVersion(1))
+	assert.Equal(t, snapshot.Hash, first.Configuration.Current().Hash)
+	await(t, "the row is known", func() bool { return second.serving.contracts.shares.Row().Version > 0 })
+	await(t, "a request is admitted", func() bool { return second.serving.contracts.Admit(t.Context(), "desk") == nil })
+
+	s.fault("none")
+	await(t, "the seed's own name alone", func() bool {
+		members := second.serving.fleet.Members()
+		return len(members) == 1 && members[0].Name == "a-1"
+	})
+}
--- a/internal/operator/serve.go
+++ b/internal/operator/serve.go
@@ -30,14 +30,15 @@
 	if err != nil {
 		return nil, err
 	}
-	fleet, err := d.newFleet()
+	vms := &seeds{VMList: platform.VMRows{Table: d.Table}, addresses: d.Options.SeedPeers}
+	fleet, err := d.newFleet(vms)
 	if err != nil {
 		_ = listener.Close()
 		return nil, err
 	}
 	joined := &coordination{Self: platform.VMName(d.Options.VM), Table: d.Table, Fleet: fleet}
 	fleet.OnPromise = joined.answer
-	trust := &platform.Trust{Configuration: d.Configuration, Members: func() int { return len(fleet.Members()) + 1 }}
+	trust := &platform.Trust{Configuration: d.Configuration, Members: func() int { return vms.size(fleet.Members()) }}
 	fleet.Word, fleet.OnWord = trust.Tell, trust.Hear
 	limits := newContracts(d.Table, fleet, joined.held)
 	var dialer net.Dialer
--- a/script/fleet.sh
+++ b/script/fleet.sh
@@ -136,25 +136,27 @@
 kill_vm 3 "$a"
 kill_vm 5 "$b"
 kill_vm 7 "$c"
-at 9 "vm-$d and vm-$e paused"
-kill -STOP "${vm_pids[$d]}" "${vm_pids[$e]}"
+at 9 "vm-$e paused"
+kill -STOP "${vm_pids[$e]}"
 at 11 "vm-$a restarted"
 start_vm "$a" "vm-$a"
+at 12 "vm-$d paused"
+kill -STOP "${vm_pids[$d]}"
 at 13 "vm-$b restarted"
 start_vm "$b" "vm-$b"
-# Between: the key is withdrawn, the shares of the paused lapse and are given to others.
-at 30 "platform out"
+at 20 "platform out (the key was withdrawn at $withdraw_after s)"
 platform_fault down
-at 32 "states kept"
-keep_states 32
-at 34 "vm-$d resumed"
+at 27 "states kept"
+keep_states 27
+at 29 "vm-$d resumed"
 kill -CONT "${vm_pids[$d]}"
-at 38 "platform back"
+at 35 "platform back"
 platform_fault none
-at 39 "vm-$c replaced by vm-$vms_wanted"
+at 36 "vm-$c replaced by vm-$vms_wanted"
 curl -sf -XDELETE "http://$platform/vm/vm-$c"
 start_vm "$c" "vm-$vms_wanted"
-at 42 "vm-$e resumed"
+# By now the shares of the VM that is still paused were given to others.
+at 43 "vm-$e resumed"
 kill -CONT "${vm_pids[$e]}"
 
 code=0
