--- a/internal/fakeupstream/faults_test.go
+++ b/internal/fakeupstream/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -187,3 +188,36 @@
 		assert.Equal(t, len(b.Recorder.Commits()), 1)
 	})
 }
+
+// The admin page tells the most connections that a server ever had, and when and over
+// which connection each entry was committed.
+func TestAdminTellsPeakAndCommits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := start(t, nil)
+		first, second := b.connect("a", nil), b.connect("a", nil)
+		b.exec(first, "create table t (id text)")
+		time.Sleep(time.Second)
+		b.exec(second, "insert into t values ('id-1')")
+		assert.NilError(t, second.Close(b.ctx))
+		synctest.Wait()
+		state := b.State()[0]
+		assert.Equal(t, state.Connections, 1)
+		assert.Equal(t, state.MostConnections, 2)
+
+		w := httptest.NewRecorder()
+		b.Admin().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/history", nil))
+		type entry struct {
+			Connection fakeupstream.ConnectionID `json:"connection"`
+			At         time.Time                 `json:"at"`
+		}
+		var log []entry
+		for d := json.NewDecoder(w.Body); d.More(); {
+			var e entry
+			assert.NilError(t, d.Decode(&e))
+			log = append(log, e)
+		}
+		assert.Equal(t, len(log), 2)
+		assert.Assert(t, log[0].Connection != log[1].Connection)
+		assert.Assert(t, log[1].At.Sub(log[0].At) >= time.Second)
+	})
+}
--- a/internal/operator/options.go
+++ b/internal/operator/options.go
@@ -142,7 +142,7 @@
 	c.address("listen", "Address for callers.", "127.0.0.1:6432", &r.Listen)
 	c.address("admin", "Address for the admin page: /live, /ready, /state, /metrics, /drain.", "127.0.0.1:6480", &r.Admin)
 	c.address("peer", "Address under which the other VMs reach this one.", "127.0.0.1:6490", &r.Peer)
-	c.flag("seed-peers", "Peers to ask for the document when the platform is out at the start, with commas between.").
+	c.flag("seed-peers", "Peers to ask for the document when the platform is out at the start, with commas between; best all.").
 		PlaceHolder("ADDRESS,...").SetValue(addressesValue{"--seed-peers", &r.SeedPeers})
 	c.file("peer-cert", "Certificate shown to peers (PEM).", &r.PeerTLS.Certificate)
 	c.file("peer-key", "Key of that certificate (PEM).", &r.PeerTLS.Key)
