--- a/internal/caller/statement.go
+++ b/internal/caller/statement.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"slices"
 	"strings"
 )
 
@@ -36,15 +35,15 @@
 		if more {
 			return kindWrite
 		}
-		if strings.Contains(strings.ToLower(text), "read only") {
+		if readsOnly(strings.ToLower(text)) {
 			return kindBeginReadOnly
 		}
 		return kindBegin
 	case "commit", "end", "rollback", "abort":
-		if more || toSavepoint(words) {
-			return kindWrite
+		// Not one to a savepoint, nor of a prepared transaction.
+		if !more && plainEnd.MatchString(bare(text)) {
+			return kindEnd
 		}
-		return kindEnd
 	case "set", "show", "reset":
 		if !more && own(words) {
 			return kindOwn
@@ -57,9 +56,32 @@
 	return kindWrite
 }
 
-// toSavepoint tells whether a ROLLBACK leaves its transaction open.
-func toSavepoint(words []string) bool {
-	return words[0] == "rollback" && slices.Contains(words[1:min(len(words), 3)], "to")
+// readsOnly tells whether a BEGIN says READ ONLY, and neither READ WRITE nor anything
+// in a comment.
+func readsOnly(lower string) bool {
+	return strings.Contains(lower, "read only") && !strings.Contains(lower, "write") &&
+		!strings.Contains(lower, "--") && !strings.Contains(lower, "/*")
+}
+
+// widens tells whether a text may turn a read-only transaction, or those after it, into
+// ones that write.
+func widens(sql string) bool {
+	if !starts(sql, "set") && !starts(sql, "reset") && !several(sql) {
+		return false
+	}
+	lower := strings.ToLower(sql)
+	return strings.Contains(lower, "read_only") || strings.Contains(strings.Join(strings.Fields(lower), " "), "read write")
+}
+
+// mayEnd tells whether a text looks like a commit, also when it is no plain one.
+func mayEnd(sql string) bool {
+	return starts(sql, "commit") || starts(sql, "end")
+}
+
+// starts tells whether a text begins with a word, in any case.
+func starts(sql, word string) bool {
+	sql = skipSpace(sql)
+	return len(sql) >= len(word) && strings.EqualFold(sql[:len(word)], word)
 }
 
 // leavesState tells whether a statement may change what the connection's next user
--- a/internal/fakeupstream/control.go
+++ b/internal/fakeupstream/control.go
@@ -13,7 +13,10 @@
 
 var (
 	rollbackTo  = regexp.MustCompile(`(?is)^rollback\s+(work\s+|transaction\s+)?to\s`)
-	readOnly    = regexp.MustCompile(`(?is)\bread\s+only\b`)
+	modes       = regexp.MustCompile(`(?is)\bread\s+(only|write)\b`)
+	modeOn      = regexp.MustCompile(`(?is)^set\s+(local\s+)?(transaction\b.*\bread\s+only\b|transaction_read_only\W.*\bon\b)`)
+	modeOff     = regexp.MustCompile(`(?is)^set\s+(local\s+)?(transaction\b.*\bread\s+write\b|transaction_read_only\W.*\boff\b)`)
+	andChain    = regexp.MustCompile(`(?is)\band\s+chain$`)
 	setting     = regexp.MustCompile(`(?is)^set\s+(?:session\s+|local\s+)?([\w.]+)\s*(?:=|\bto\b)\s*(.*)$`)
 	deallocated = regexp.MustCompile(`(?is)^deallocate\s+(?:prepare\s+)?"?([^"]+)"?$`)
 )
@@ -32,25 +35,32 @@
 	done := &result{verb: c.verb, plain: true}
 	switch c.verb {
 	case "BEGIN", "START":
+		// The last mode counts.
 		done.verb = "BEGIN"
 		s.tx.explicit = true
-		s.tx.readOnly = readOnly.MatchString(c.text)
+		if list := modes.FindAllStringSubmatch(c.text, -1); len(list) > 0 {
+			s.tx.readOnly = strings.EqualFold(list[len(list)-1][1], "only")
+		}
 	case "COMMIT", "END":
-		return s.finish(done)
+		return s.chained(c, done, func() error { return s.finish(done) })
 	case "ROLLBACK", "ABORT":
 		done.verb = "ROLLBACK"
 		if rollbackTo.MatchString(c.text) {
 			return done, s.savepoint(ctx, c.text)
 		}
-		s.closePortals()
-		s.rollback()
+		return s.chained(c, done, func() error {
+			s.closePortals()
+			s.rollback()
+			return nil
+		})
 	case "SAVEPOINT", "RELEASE":
 		return done, s.savepoint(ctx, c.text)
 	case "SET":
+		if off := modeOff.MatchString(c.text); off || modeOn.MatchString(c.text) {
+			return done, s.setMode(off)
+		}
 		if parts := setting.FindStringSubmatch(c.text); parts != nil {
 			s.settings[parts[1]] = strings.Trim(parts[2], "' ")
-		} else if s.tx.explicit && readOnly.MatchString(c.text) {
-			s.tx.readOnly = true
 		}
 	case "SHOW":
 		name := settingName(c.text)
@@ -65,16 +75,46 @@
 	return done, nil
 }
 
+// setMode changes what the transaction may do; to writing only before its first query.
+func (s *session) setMode(writes bool) error {
+	if !writes || !s.tx.readOnly {
+		s.tx.readOnly = !writes
+		return nil
+	}
+	switch {
+	case s.server.workNow() == nil:
+		return refuse(stateUnsupported, "cannot set transaction read-write mode during recovery")
+	case s.tx.id > 0:
+		return refuse(stateActive, "transaction read-write mode must be set before any query")
+	}
+	s.tx.readOnly = false
+	return nil
+}
+
+// chained ends the transaction; AND CHAIN begins the next of the same modes.
+func (s *session) chained(c control, done *result, end func() error) (*result, error) {
+	chain := andChain.MatchString(c.text)
+	if chain && !s.tx.explicit {
+		return nil, refuse(stateNoTransaction, "%s AND CHAIN can only be used in transaction blocks", done.verb)
+	}
+	next := transaction{explicit: true, decided: true, readOnly: s.tx.readOnly}
+	if err := end(); err != nil || !chain {
+		return done, err
+	}
+	s.tx = next
+	return done, nil
+}
+
 // finish commits, or rolls back what has failed.
-func (s *session) finish(done *result) (*result, error) {
+func (s *session) finish(done *result) error {
 	done.verb = "COMMIT"
 	s.closePortals()
 	if s.tx.failed {
 		done.verb = "ROLLBACK"
 		s.rollback()
-		return done, nil
+		return nil
 	}
-	return done, s.commit()
+	return s.commit()
 }
 
 // savepoint passes on SAVEPOINT, RELEASE and ROLLBACK TO; before the first write
