Look at the VM's trust right before a request is sent

A session relied on the task that looks at the VM's trust every 250 ms, and that task stands still in a pause as well; a request that waited for a token or a connection through the pause wasn't looked at again either.

Ruled out: a look at each message alone (a request that waits isn't looked at again); asking Trust each time, which takes two locks and a walk over the peers.

Change: right before sending, a request asks for the trust anew unless that was seen within two looks (500 ms).

Seen failing: PausedVMLooksBeforeItRuns, before it comes and while it waits (expected an error, got nil).

--- a/internal/caller/access_test.go
+++ b/internal/caller/access_test.go
@@ -121,11 +121,25 @@
 	metrics   *operator.Metrics
 	// cutTable and cutPeers are what the VM doesn't reach.
 	cutTable, cutPeers atomic.Bool
+	// paused VMs hold the task that looks at their trust until resume, and have none.
+	paused, held atomic.Bool
+	resume       chan struct{}
 	// stop kills the VM; done is closed when its callers' part has ended.
 	stop func()
 	done chan struct{}
 }
 
+// trusts is the VM's trust.
+func (v *vm) trusts() bool {
+	if !v.paused.Load() {
+		return v.trust.Holds()
+	}
+	if v.held.CompareAndSwap(false, true) {
+		<-v.resume
+	}
+	return false
+}
+
 // table is the platform's table as one VM reaches it.
 type table struct {
 	platform.Table
@@ -231,7 +245,7 @@
 	listener, err := f.network.Listen(fakenet.Host(name), v.address)
 	assert.NilError(f, err)
 	v.server = &caller.Server{
-		VM: v.name, Listener: listener, Documents: v.Configuration, Upstreams: v.upstreams, Trusted: v.trust.Holds,
+		VM: v.name, Listener: listener, Documents: v.Configuration, Upstreams: v.upstreams, Trusted: v.trusts,
 		MaxWait: 2 * time.Second, Deadline: 30 * time.Second, Logger: logger,
 	}
 	f.mu.Lock()
--- a/internal/caller/exchange.go
+++ b/internal/caller/exchange.go
@@ -103,6 +103,10 @@
 // run sends the request and relays its answer.
 func (x *exchange) run(ctx context.Context) error {
 	x.guarded = x.guards()
+	if s := x.session; !s.server.vouched() {
+		s.endWithin(reasonUntrusted)
+		return ErrNotReady.New("VM %s can't learn what was withdrawn", s.server.VM)
+	}
 	x.send()
 	x.sent = true
 	if err := x.conn.Flush(); err != nil {
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -54,6 +54,9 @@
 	sessions map[SessionID]*Session
 	nextID   SessionID
 	draining atomic.Bool
+	began    time.Time
+	// trustSeen is when Trusted last held, counted from began.
+	trustSeen atomic.Int64
 	// open counts connections, those that haven't logged in yet included.
 	open    atomic.Int64
 	metrics *instruments
@@ -108,6 +111,7 @@
 	defer s.mu.Unlock()
 	s.sessions, s.nextID = map[SessionID]*Session{}, firstID()
 	s.metrics = newInstruments(s.Meter)
+	s.began = time.Now()
 }
 
 // Draining tells whether the VM takes no new callers.
@@ -173,6 +177,7 @@
 		}
 		before = now
 		if now {
+			s.trustSeen.Store(int64(time.Since(s.began)))
 			continue
 		}
 		for _, session := range s.list() {
@@ -181,6 +186,15 @@
 	}
 }
 
+// vouched tells whether the VM may rely on its document, without asking anew where that
+// was seen lately. A process that was paused hasn't seen it for as long as it stood.
+func (s *Server) vouched() bool {
+	if time.Since(s.began)-time.Duration(s.trustSeen.Load()) <= 2*trustTick {
+		return true
+	}
+	return s.trusted()
+}
+
 // serve runs one connection to its end.
 func (s *Server) serve(ctx context.Context, nc net.Conn) {
 	defer s.open.Add(-1)
--- a/internal/caller/withdraw_test.go
+++ b/internal/caller/withdraw_test.go
@@ -109,6 +109,42 @@
 	})
 }
 
+// TestPausedVMLooksBeforeItRuns holds the task that looks at the VM's trust, as a pause
+// of its process does, before a request comes and while one waits for a connection.
+func TestPausedVMLooksBeforeItRuns(t *testing.T) {
+	for name, waits := range map[string]bool{"before it comes": false, "while it waits": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 1)
+				v := f.vms[0]
+				c, other := f.one(v), f.connect(v, "other-key", otherSecret, "till")
+				f.exec(c, "select 1")
+				f.share.Store(1)
+				var over sync.WaitGroup
+				defer over.Wait()
+				if waits {
+					f.exec(other, "begin")
+					f.exec(other, "create table two (n int)")
+					over.Go(func() {
+						time.Sleep(900 * time.Millisecond)
+						_, _ = other.Exec(f.ctx, "commit")
+					})
+				}
+				v.resume = make(chan struct{})
+				defer close(v.resume)
+				v.paused.Store(true)
+				if !waits {
+					time.Sleep(15 * time.Second)
+				}
+				before := len(f.group.Recorder.Runs())
+				_, err := c.Exec(f.ctx, "create table three (n int)")
+				assert.ErrorContains(t, err, "can't learn what was withdrawn")
+				assert.Equal(t, len(f.group.Recorder.Runs()), before, "it ran")
+			})
+		})
+	}
+}
+
 func TestVMsGoOnThroughAnOutageOfThePlatform(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 3)
