Keep a session's settings however they were set

Cause: only a SET that was a text of its own was run again on the session's next connection; one inside a text of several statements or in the extended protocol was lost with its connection. A SET that was rolled back, or LOCAL, was kept; RESET and DISCARD ALL didn't undo what was kept; the 33rd SET of a session was dropped.

Change: each statement's tag is followed through its text or batch, changes count once their transaction is committed, the newest of each setting is kept, RESET and DISCARD ALL take it away. Texts are cut by PostgreSQL's rules for strings, names, dollars and comments, only when they hold several statements or change settings.

Cost: a session that sets something by the extended protocol now gets a connection of its own for each transaction, as those that do so by plain text did already.

--- a/internal/caller/confirm.go
+++ b/internal/caller/confirm.go
@@ -18,7 +18,6 @@
 			s.send(m)
 		}
 	}
-	x.track()
 	if x.wrote() {
 		if err := x.confirm(ctx); err != nil {
 			s.out.takeBack()
@@ -79,24 +78,6 @@
 	}
 }
 
-// track remembers a caller's own SET, which outlives the transaction.
-func (x *exchange) track() {
-	switch x.tag {
-	case "SET", "RESET":
-	case "DISCARD ALL", "DISCARD", "DEALLOCATE", "DEALLOCATE ALL":
-		x.conn.Dirty = true
-		return
-	default:
-		return
-	}
-	if q := x.request.text(); q != "" && len(x.session.held) < maxHeld {
-		x.session.held = append(x.session.held, q)
-	}
-}
-
-// maxHeld bounds the SET statements kept for a session.
-const maxHeld = 32
-
 // raise lifts the session's floor to its own commit and tells the caller.
 func (s *Session) raise(name platform.UpstreamName, p position.Position) {
 	before, known := s.floors[name]
--- a/internal/caller/exchange.go
+++ b/internal/caller/exchange.go
@@ -37,6 +37,8 @@
 	// tag is that of the newest CommandComplete, which is held back until it is
 	// known to be true.
 	tag string
+	// tags are those of the request's statements, where they are followed.
+	tags []string
 	// committed is true once a COMMIT was answered; everything from there is held.
 	committed bool
 	steps     []step
@@ -74,9 +76,9 @@
 
 // restore runs the caller's own SET statements on a connection just taken.
 func (x *exchange) restore() error {
-	for _, sql := range x.session.held {
+	for _, h := range x.session.held {
 		x.conn.Dirty = true
-		if _, err := x.conn.Ask(sql, time.Now().Add(x.session.server.Deadline)); err != nil && !isType(err, upstream.ErrServer) {
+		if _, err := x.conn.Ask(h.sql, time.Now().Add(x.session.server.Deadline)); err != nil && !isType(err, upstream.ErrServer) {
 			return err
 		}
 	}
@@ -140,6 +142,7 @@
 
 // settle keeps or gives back the connection, and ends the answer.
 func (s *Session) settle(x *exchange) error {
+	s.follow(x)
 	if x.request.unsynced {
 		s.implicit = s.implicit || !x.inTransaction
 		s.conn = x.conn
--- a/internal/caller/extended.go
+++ b/internal/caller/extended.go
@@ -59,7 +59,7 @@
 	ends := sync && (s.implicit || p.ends)
 	return s.perform(ctx, &request{
 		kind: p.kind, runs: p.runs, mayCommit: ends, widens: p.widens, chains: p.chains, begins: p.begins,
-		unsynced: !sync, messages: messages,
+		unsynced: !sync, statements: p.statements, messages: messages,
 		sends: func(c *upstream.Conn) []step { return s.put(c, messages, sync) },
 	})
 }
@@ -92,6 +92,11 @@
 	chains bool
 	// begins are the statements that decide the modes of a transaction.
 	begins []string
+	// follows is true once changes of settings are to be followed.
+	follows bool
+	// before counts the statements that execute until then, statements are all.
+	before     int
+	statements []string
 	// runs is true when something executes.
 	runs bool
 	// sends is false when all can be answered here.
@@ -103,7 +108,7 @@
 
 // plan reads a batch and takes note of the statements it prepares.
 func (s *Session) plan(messages []pgproto3.FrontendMessage) plan {
-	p := plan{kind: kindRead}
+	p := plan{kind: kindRead, follows: len(s.changes) > 0}
 	var bound *prepared
 	for _, m := range messages {
 		switch m := m.(type) {
@@ -165,12 +170,25 @@
 // run takes a statement into account that executes; nil for one that isn't known.
 func (p *plan) run(st *prepared) {
 	if st == nil {
-		return
+		st = &prepared{}
 	}
+	p.follow(st.sql)
 	p.chains = p.chains || st.kind == kindEnd && chains(st.sql)
 	p.begins = append(p.begins, modes(st.kind, st.sql)...)
 }
 
+func (p *plan) follow(sql string) {
+	p.follows = p.follows || changesSettings(sql)
+	if !p.follows {
+		p.before++
+		return
+	}
+	if p.statements == nil {
+		p.statements = make([]string, p.before)
+	}
+	p.statements = append(p.statements, sql)
+}
+
 // answerLocal answers a batch that needs no server.
 func (s *Session) answerLocal(p plan) error {
 	for _, m := range p.locals {
--- a/internal/caller/relay.go
+++ b/internal/caller/relay.go
@@ -74,6 +74,9 @@
 		x.tag = string(c.CommandTag)
 		x.committed = x.tag == "COMMIT"
 	}
+	if x.request.statements != nil {
+		x.followed(m)
+	}
 	if c, found := m.(*pgproto3.CommandComplete); found && !leavesNothing(string(c.CommandTag)) {
 		x.conn.Dirty = true
 	}
--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -19,8 +19,6 @@
 	sends func(c *upstream.Conn) []step
 	// runs is false when nothing of it executes, as when a statement is prepared.
 	runs bool
-	// sql is the text of a simple request.
-	sql string
 	// mayCommit is true when it may end a transaction that began before it.
 	mayCommit bool
 	// chains is true when it ends a transaction and begins another.
@@ -29,6 +27,8 @@
 	begins []string
 	// unknownModes is true when others of it may.
 	unknownModes bool
+	// statements are the ones that execute, in order, if they are to be followed.
+	statements []string
 	// messages are those of an extended request.
 	messages []pgproto3.FrontendMessage
 	// instead is sent to the caller in place of the server's answer, but for an error.
--- a/internal/caller/session.go
+++ b/internal/caller/session.go
@@ -35,8 +35,10 @@
 	prepared map[string]*prepared
 	// pending are the extended-protocol messages since the last Sync or Flush.
 	pending []pgproto3.FrontendMessage
-	// held are the caller's SET statements, run again on each connection taken.
-	held []string
+	// held are the caller's settings, set again on each connection taken.
+	held []held
+	// changes are the ones that the open transaction changed.
+	changes []held
 
 	// conn is the transaction's connection; nil outside of transactions.
 	conn *upstream.Conn
--- a/internal/caller/simple.go
+++ b/internal/caller/simple.go
@@ -20,7 +20,10 @@
 	}
 	r := &request{
 		kind: k, runs: true, mayCommit: k == kindEnd || several(sql) || mayEnd(sql), widens: widens(sql),
-		chains: k == kindEnd && chains(sql), begins: modes(k, sql), unknownModes: hidesModes(sql), sql: sql,
+		chains: k == kindEnd && chains(sql), begins: modes(k, sql), unknownModes: hidesModes(sql),
+	}
+	if several(sql) || changesSettings(sql) || len(s.changes) > 0 {
+		r.statements = statements(sql)
 	}
 	r.sends = func(c *upstream.Conn) []step {
 		c.Unnamed = ""
@@ -31,9 +34,6 @@
 	return s.perform(ctx, r)
 }
 
-// text is the statement of a simple request, empty otherwise.
-func (r *request) text() string { return r.sql }
-
 // answerOwn runs a simple statement on savoryramp's own settings.
 func (s *Session) answerOwn(sql string) error {
 	name, value, tag, err := s.own(sql)
--- a/internal/caller/statement_test.go
+++ b/internal/caller/statement_test.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -39,3 +40,25 @@
 		t.Run(name, func(t *testing.T) { assert.Equal(t, classify(c.sql), c.want) })
 	}
 }
+
+func TestStatements(t *testing.T) {
+	for name, parts := range map[string][]string{
+		"one":             {"select 1"},
+		"two":             {"select 1", "set a = 1"},
+		"string":          {"select 'a;''b;'", "set a = ';'"},
+		"backslash":       {`select E'a\';', e'\\'`, "set a = 1"},
+		"not a backslash": {`select 'a\'`, "set a = 1"},
+		"name":            {`select 1 as "a;""b"`, "set a = 1"},
+		"dollars":         {"select $a$ ; $$ ; $b$ ; $a$, $$;$$", "set a = 1"},
+		"not dollars":     {"select $1, a$b$c", "set a = 1"},
+		"comments":        {"select 1 /* ; /* ; */ ; */ -- ;\n", "set a = 1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var want []string
+			for _, p := range parts {
+				want = append(want, strings.TrimSpace(p))
+			}
+			assert.DeepEqual(t, statements(strings.Join(parts, ";")+"; /* nothing */ ;"), want)
+		})
+	}
+}
--- a/internal/caller/verdict.go
+++ b/internal/caller/verdict.go
@@ -64,7 +64,7 @@
 	if x.conn != nil {
 		x.conn.Release(false)
 	}
-	x.session.conn, x.session.implicit = nil, false
+	x.session.conn, x.session.implicit, x.session.changes = nil, false, nil
 }
 
 // fail tells the caller what became of its request.
