Move the login and the notifier to files of their own

Change: login.go and notify.go hold what logs in and what pushes positions; no line of them changed.

--- /dev/null
+++ b/internal/fakeupstream/notify.go
@@ -0,0 +1,44 @@
+package fakeupstream
+
+import (
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// notify tells every move to a client that listens, the newest only.
+func (s *session) notify() {
+	g := s.server.group
+	told := ""
+	for s.ctx.Err() == nil {
+		g.mu.Lock()
+		text, changed := s.server.statusText(), g.changed
+		quiet := !s.server.faults.up()
+		g.mu.Unlock()
+		if text == told || quiet {
+			pause(s.ctx, changed, time.Time{})
+			continue
+		}
+		select {
+		case s.turn <- struct{}{}:
+		case <-s.ctx.Done():
+			return
+		}
+		sent := s.listening && !s.tx.explicit && s.push()
+		<-s.turn
+		if !sent {
+			pause(s.ctx, changed, time.Time{})
+			continue
+		}
+		told = text
+	}
+}
+
+// push sends the present status as a notification.
+func (s *session) push() bool {
+	s.server.group.mu.Lock()
+	text := s.server.statusText()
+	s.server.group.mu.Unlock()
+	s.backend.Send(&pgproto3.NotificationResponse{PID: uint32(s.id), Channel: positionChannel, Payload: text})
+	return s.flush() == nil
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
-	"github.com/xdg-go/scram"
 
 	"github.com/savoryramp/savoryramp/internal/platform"
 	"github.com/savoryramp/savoryramp/pkg/position"
@@ -18,7 +17,6 @@
 	// readOnlyParameter decides what transactions begin as; servers report its changes.
 	readOnlyParameter = "default_transaction_read_only"
 	switchedOn        = "on"
-	scramMechanism    = "SCRAM-SHA-256"
 	// idleProbeAfter is how long a connection may idle before it is probed.
 	idleProbeAfter = 5 * time.Second
 	// maxPrepared bounds the statements kept prepared on one connection.
@@ -28,13 +26,6 @@
 	deadlineStep = 10 * time.Millisecond
 )
 
-// Login is what savoryramp itself logs in to servers with.
-type Login struct {
-	User     string
-	Database string
-	Password string
-}
-
 // Dial opens a network connection, as net.Dialer.DialContext.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -99,72 +90,6 @@
 	return c, nil
 }
 
-func (c *Conn) login(l Login) error {
-	start := map[string]string{"user": l.User, "database": l.Database, "application_name": "savoryramp"}
-	if c.readOnly {
-		start[readOnlyParameter] = switchedOn
-	}
-	c.Front.Send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: start})
-	if err := c.Front.Flush(); err != nil {
-		return ErrBroken.Wrap(err, "start-up")
-	}
-	var conversation *scram.ClientConversation
-	for {
-		m, err := c.Front.Receive()
-		if err != nil {
-			return ErrBroken.Wrap(err, "start-up")
-		}
-		switch m := m.(type) {
-		case *pgproto3.AuthenticationCleartextPassword:
-			c.Front.Send(&pgproto3.PasswordMessage{Password: l.Password})
-			err = c.Front.Flush()
-		case *pgproto3.AuthenticationSASL:
-			conversation, err = c.beginScram(l)
-		case *pgproto3.AuthenticationSASLContinue:
-			err = c.stepScram(conversation, string(m.Data))
-		case *pgproto3.AuthenticationSASLFinal:
-			_, err = conversation.Step(string(m.Data))
-		case *pgproto3.ParameterStatus:
-			err = c.parameter(m)
-		case *pgproto3.BackendKeyData:
-			c.pid, c.secret = m.ProcessID, append([]byte(nil), m.SecretKey...)
-		case *pgproto3.ErrorResponse:
-			return ErrServer.New("%s: %s", m.Code, m.Message)
-		case *pgproto3.ReadyForQuery:
-			return nil
-		}
-		if err != nil {
-			return ErrBroken.Wrap(err, "start-up")
-		}
-	}
-}
-
-func (c *Conn) beginScram(l Login) (*scram.ClientConversation, error) {
-	client, err := scram.SHA256.NewClient(l.User, l.Password, "")
-	if err != nil {
-		return nil, ErrBroken.Wrap(err, "credentials")
-	}
-	conversation := client.NewConversation()
-	first, err := conversation.Step("")
-	if err != nil {
-		return nil, ErrBroken.Wrap(err, "credentials")
-	}
-	c.Front.Send(&pgproto3.SASLInitialResponse{AuthMechanism: scramMechanism, Data: []byte(first)})
-	return conversation, c.Front.Flush()
-}
-
-func (c *Conn) stepScram(conversation *scram.ClientConversation, challenge string) error {
-	if conversation == nil {
-		return ErrBroken.New("challenge without a beginning")
-	}
-	answer, err := conversation.Step(challenge)
-	if err != nil {
-		return ErrBroken.Wrap(err, "challenge")
-	}
-	c.Front.Send(&pgproto3.SASLResponse{Data: []byte(answer)})
-	return c.Front.Flush()
-}
-
 // parameter takes note of a ParameterStatus.
 func (c *Conn) parameter(m *pgproto3.ParameterStatus) error {
 	if m.Name != positionParameter {
