Part the daemon's wiring from what it registers

Trial.make is called attempt, since make means something else in Go. Ruled out: one reader for the rows of leases and of shares, which are of the same shape but answer with error types of two packages that know nothing of each other.

--- a/internal/load/trial.go
+++ b/internal/load/trial.go
@@ -192,7 +192,7 @@
 	if r.Roams {
 		p.roam(r.VM, r.WithToken)
 	}
-	result := t.make(ctx, p, r)
+	result := t.attempt(ctx, p, r)
 	result.Primary = t.primary()
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -200,8 +200,8 @@
 	t.told[result.Outcome]++
 }
 
-// make sends a request until it was answered, refused for good, or may have run.
-func (t *Trial) make(ctx context.Context, p *Person, r Request) Result {
+// attempt sends a request until it was answered, refused for good, or may have run.
+func (t *Trial) attempt(ctx context.Context, p *Person, r Request) Result {
 	result := Result{Request: r, ReplicaFit: r.Kind == Read && t.replicaFit(p)}
 	var found int
 	var err error
--- a/internal/operator/serve.go
+++ b/internal/operator/serve.go
@@ -51,19 +51,30 @@
 		Upstreams: u, Limiter: limits, TokenKey: d.tokenKey(), MaxWait: d.Options.MaxWait, Deadline: d.Options.StatementDeadline,
 		ForwardCancel: d.forwardCancel, Trusted: trust.Holds, Logger: d.Logger, Meter: d.Metrics.Meter("caller"),
 	}
-	d.Admin.Register("callers", c.State)
-	d.Admin.Register("upstreams", u.State)
-	d.Admin.Register("leases", joined.state)
-	d.Admin.Register("contracts", limits.state)
+	fleet.OnCancel = cancelOf(c)
 	d.Admin.Register("trusted", func() any { return trust.Holds() })
-	d.Admin.Register("peers", func() any { return peersState(fleet) })
-	fleet.OnCancel = func(ctx context.Context, process uint32, secret []byte) error {
+	s := &serving{upstreams: u, callers: c, fleet: fleet, coordination: joined, contracts: limits, entered: d.enter()}
+	s.register(d.Admin)
+	return s, nil
+}
+
+// cancelOf passes a cancel request that came from another VM on to the callers' part.
+func cancelOf(c *caller.Server) func(ctx context.Context, process uint32, secret []byte) error {
+	return func(ctx context.Context, process uint32, secret []byte) error {
 		if !c.Cancel(ctx, caller.SessionID(process), secret) {
 			return ErrBroken.New("no such session")
 		}
 		return nil
 	}
-	return &serving{upstreams: u, callers: c, fleet: fleet, coordination: joined, contracts: limits, entered: d.enter()}, nil
+}
+
+// register adds the parts to the state dump.
+func (s *serving) register(a *Admin) {
+	a.Register("callers", s.callers.State)
+	a.Register("upstreams", s.upstreams.State)
+	a.Register("leases", s.coordination.state)
+	a.Register("contracts", s.contracts.state)
+	a.Register("peers", func() any { return peersState(s.fleet) })
 }
 
 // tokenKey asks the platform for the key of session tokens; without it the VM
