--- a/internal/caller/alloc_test.go
+++ b/internal/caller/alloc_test.go
@@ -71,10 +71,13 @@
 func (p *pump) serve(c net.Conn) {
 	defer c.Close()
 	back := pgproto3.NewBackend(c, c)
-	if _, err := back.ReceiveStartupMessage(); err != nil {
+	m, err := back.ReceiveStartupMessage()
+	if err != nil {
 		return
 	}
-	_, _ = c.Write(encodeAll(&pgproto3.AuthenticationOk{}, &pgproto3.ReadyForQuery{TxStatus: 'I'}))
+	start, _ := m.(*pgproto3.StartupMessage)
+	readOnly := &pgproto3.ParameterStatus{Name: "default_transaction_read_only", Value: start.Parameters["default_transaction_read_only"]}
+	_, _ = c.Write(encodeAll(&pgproto3.AuthenticationOk{}, readOnly, &pgproto3.ReadyForQuery{TxStatus: 'I'}))
 	head, body := make([]byte, 5), make([]byte, 1024)
 	for {
 		if _, err := io.ReadFull(c, head); err != nil {
--- a/internal/load/summary.go
+++ b/internal/load/summary.go
@@ -49,6 +49,7 @@
 	VMs      VMCount               `json:"vms"`
 	Reads    string                `json:"reads"`
 	Queue    string                `json:"queue"`
+	Limit    string                `json:"limit"`
 	Seed     uint64                `json:"seed"`
 	Document platform.DocumentHash `json:"document-hash"`
 	Duration string                `json:"duration"`
@@ -149,6 +150,7 @@
 		{"scenario", string(s.Scenario)},
 		{"reads, queue", s.Reads + ", " + s.Queue},
 		{"vms", fmt.Sprint(s.VMs)},
+		{"limit", s.Limit},
 		{"seed, duration", fmt.Sprintf("%d, %s", s.Seed, s.Duration)},
 		{"offered", fmt.Sprint(s.Offered)},
 		{"answered", fmt.Sprint(s.Answered)},
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
-	"github.com/xdg-go/scram"
 
 	"github.com/savoryramp/savoryramp/internal/platform"
 	"github.com/savoryramp/savoryramp/pkg/position"
@@ -15,7 +14,9 @@
 
 const (
 	positionParameter = "savoryramp.position"
-	scramMechanism    = "SCRAM-SHA-256"
+	// readOnlyParameter decides what transactions begin as; servers report its changes.
+	readOnlyParameter = "default_transaction_read_only"
+	switchedOn        = "on"
 	// idleProbeAfter is how long a connection may idle before it is probed.
 	idleProbeAfter = 5 * time.Second
 	// maxPrepared bounds the statements kept prepared on one connection.
@@ -25,13 +26,6 @@
 	deadlineStep = 10 * time.Millisecond
 )
 
-// Login is what savoryramp itself logs in to servers with.
-type Login struct {
-	User     string
-	Database string
-	Password string
-}
-
 // Dial opens a network connection, as net.Dialer.DialContext.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -40,7 +34,8 @@
 	Server platform.ServerName
 	// Front speaks the frontend's side of the protocol.
 	Front *pgproto3.Frontend
-	// Role is what the connection was taken for.
+	// Role is what the connection was taken for. Transactions on a replica's begin
+	// read only, also once it is promoted, unless ReadsOnly tells otherwise.
 	Role Role
 	// Position is the last one that the server reported on this connection.
 	Position position.Position
@@ -51,6 +46,8 @@
 	// Dirty connections carry a caller's settings and are closed when released.
 	Dirty bool
 
+	// readOnly connections were opened for a replica.
+	readOnly bool
 	// silent is set once the server left a deadline pass.
 	silent bool
 	// doubtful connections may yet be hit by a cancel request and aren't reused.
@@ -62,110 +59,19 @@
 	// workspace is the one that used the connection last.
 	workspace platform.WorkspaceName
 	// deadline is that of reads, as Receive set it last.
-	deadline   time.Time
-	pid        uint32
-	secret     []byte
-	idleSince  time.Time
-	takenAt    time.Time
+	deadline  time.Time
+	pid       uint32
+	secret    []byte
+	idleSince time.Time
+	takenAt   time.Time
+	// observed connections are looked at for an adaptive limit.
+	observed bool
+	// stopwatch is nil when nothing is timed, rest unless a transaction pauses.
+	stopwatch  *stopwatch
+	rest       *rest
 	parameters map[string]string
 }
 
-// open connects and logs in.
-func open(ctx context.Context, dial Dial, s platform.Server, l Login) (*Conn, error) {
-	nc, err := dial(ctx, "tcp", string(s.Address))
-	if err != nil {
-		return nil, ErrConnect.Wrap(err, "server %s at %s", s.Name, s.Address)
-	}
-	c := &Conn{
-		Server: s.Name, Front: pgproto3.NewFrontend(nc, nc), net: nc,
-		Prepared: map[string]bool{}, parameters: map[string]string{},
-	}
-	if deadline, found := ctx.Deadline(); found {
-		_ = nc.SetDeadline(deadline)
-	}
-	stop := context.AfterFunc(ctx, func() { _ = nc.SetDeadline(time.Unix(1, 0)) })
-	defer stop()
-	if err := c.login(l); err != nil {
-		nc.Close()
-		return nil, ErrConnect.Wrap(err, "login at server %s", s.Name)
-	}
-	_ = nc.SetDeadline(time.Time{})
-	return c, nil
-}
-
-func (c *Conn) login(l Login) error {
-	c.Front.Send(&pgproto3.StartupMessage{
-		ProtocolVersion: pgproto3.ProtocolVersion30,
-		Parameters:      map[string]string{"user": l.User, "database": l.Database, "application_name": "savoryramp"},
-	})
-	if err := c.Front.Flush(); err != nil {
-		return ErrBroken.Wrap(err, "start-up")
-	}
-	var conversation *scram.ClientConversation
-	for {
-		m, err := c.Front.Receive()
-		if err != nil {
-			return ErrBroken.Wrap(err, "start-up")
-		}
-		switch m := m.(type) {
-		case *pgproto3.AuthenticationCleartextPassword:
-			c.Front.Send(&pgproto3.PasswordMessage{Password: l.Password})
-			err = c.Front.Flush()
-		case *pgproto3.AuthenticationSASL:
-			conversation, err = c.beginScram(l)
-		case *pgproto3.AuthenticationSASLContinue:
-			err = c.stepScram(conversation, string(m.Data))
-		case *pgproto3.AuthenticationSASLFinal:
-			err = c.endScram(conversation, string(m.Data))
-		case *pgproto3.ParameterStatus:
-			err = c.parameter(m)
-		case *pgproto3.BackendKeyData:
-			c.pid, c.secret = m.ProcessID, append([]byte(nil), m.SecretKey...)
-		case *pgproto3.ErrorResponse:
-			return ErrServer.New("%s: %s", m.Code, m.Message)
-		case *pgproto3.ReadyForQuery:
-			return nil
-		}
-		if err != nil {
-			return ErrBroken.Wrap(err, "start-up")
-		}
-	}
-}
-
-func (c *Conn) beginScram(l Login) (*scram.ClientConversation, error) {
-	client, err := scram.SHA256.NewClient(l.User, l.Password, "")
-	if err != nil {
-		return nil, ErrBroken.Wrap(err, "credentials")
-	}
-	conversation := client.NewConversation()
-	first, err := conversation.Step("")
-	if err != nil {
-		return nil, ErrBroken.Wrap(err, "credentials")
-	}
-	c.Front.Send(&pgproto3.SASLInitialResponse{AuthMechanism: scramMechanism, Data: []byte(first)})
-	return conversation, c.Front.Flush()
-}
-
-func (c *Conn) stepScram(conversation *scram.ClientConversation, challenge string) error {
-	if conversation == nil {
-		return ErrBroken.New("challenge without a beginning")
-	}
-	answer, err := conversation.Step(challenge)
-	if err != nil {
-		return ErrBroken.Wrap(err, "challenge")
-	}
-	c.Front.Send(&pgproto3.SASLResponse{Data: []byte(answer)})
-	return c.Front.Flush()
-}
-
-func (c *Conn) endScram(conversation *scram.ClientConversation, proof string) error {
-	if conversation == nil {
-		return ErrBroken.New("end of a login that has not begun")
-	}
-	_, err := conversation.Step(proof)
-	return err
-}
-
 // parameter takes note of a ParameterStatus.
 func (c *Conn) parameter(m *pgproto3.ParameterStatus) error {
 	if m.Name != positionParameter {
@@ -180,11 +86,15 @@
 	return nil
 }
 
+// ReadsOnly tells whether the server says that transactions begin read only here.
+func (c *Conn) ReadsOnly() bool { return c.parameters[readOnlyParameter] == switchedOn }
+
 // Receive reads the next message, at the latest at deadline (zero: none), which may
 // come a deadlineStep early.
 // ParameterStatus messages are noted in the connection and returned as well.
 // ErrSilent when the deadline passed, ErrBroken when the connection ended.
 func (c *Conn) Receive(deadline time.Time) (pgproto3.BackendMessage, error) {
+	c.wake()
 	if err := c.readUntil(deadline); err != nil {
 		return nil, err
 	}
@@ -196,6 +106,7 @@
 	if err != nil {
 		return nil, c.broken(err)
 	}
+	c.received(m)
 	if p, found := m.(*pgproto3.ParameterStatus); found {
 		return m, c.parameter(p)
 	}
@@ -223,6 +134,7 @@
 
 // Flush sends what was given to Front.Send.
 func (c *Conn) Flush() error {
+	c.sent()
 	if err := c.Front.Flush(); err != nil {
 		return ErrBroken.Wrap(err, "server %s", c.Server)
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -2,28 +2,22 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/savoryramp/savoryramp/internal/platform"
 )
 
-const (
-	// connectWithin bounds opening a connection.
-	connectWithin = 2 * time.Second
-	// probeWithin bounds the answer of a connection that has idled.
-	probeWithin = 500 * time.Millisecond
-)
-
 // Pool holds this VM's connections to one server.
 type Pool struct {
 	Server platform.Server
 	Login  Login
 	Dial   Dial
-	// Limit is how many connections this VM may have to the server at this moment;
+	// Share is how many connections this VM may have to the server at this moment;
 	// it counts only without an Allowance.
-	Limit func() int
+	Share func() int
+	// Limit bounds those in use below that.
+	Limit Limit
 	// Allowance gives the right to connections one by one; may be nil.
 	Allowance Allowance
 	Order     Order
@@ -37,7 +31,11 @@
 	closed bool
 	// leaving servers get no new work.
 	leaving bool
-	limit   limit
+	use     use
+	// aimd counts only while Limit is Adaptive.
+	aimd aimd
+	// resting connections are part of inUse.
+	resting int
 	// taken are the connections in use.
 	taken map[*Conn]bool
 	// held are the places had from Allowance; inUse plus idle is at most held.
@@ -54,6 +52,8 @@
 type Request struct {
 	Workspace platform.WorkspaceName
 	Weight    platform.Weight
+	// ReadOnly requests get a connection whose transactions begin read only.
+	ReadOnly bool
 }
 
 // take waits for a turn and gives a connection, new or kept.
@@ -62,12 +62,13 @@
 	if err := p.turn(ctx, r); err != nil {
 		return nil, err
 	}
-	c, err := p.connect(ctx, r.Workspace)
+	c, err := p.connect(ctx, r)
 	if err != nil {
 		p.pass()
 		return nil, err
 	}
 	c.takenAt = time.Now()
+	c.observe(p.Limit)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.taken == nil {
@@ -97,7 +98,7 @@
 		return p.moved()
 	}
 	if p.inUse < p.room() && p.queue.size == 0 {
-		p.inUse++
+		p.begin()
 		p.mu.Unlock()
 		return nil
 	}
@@ -153,17 +154,6 @@
 	}
 }
 
-// room is how many connections may be in use at once; p.mu is held.
-func (p *Pool) room() int {
-	switch {
-	case p.Allowance != nil:
-		return p.held
-	case p.Limit != nil:
-		return p.Limit()
-	}
-	return 1
-}
-
 // pass hands one turn on; it is called by whoever gave a turn up.
 func (p *Pool) pass() {
 	p.mu.Lock()
@@ -186,84 +176,27 @@
 		if w == nil {
 			return
 		}
-		p.inUse++
+		p.begin()
 		close(w.granted)
 	}
 }
 
-// connect gives a kept connection that still answers, or opens one. What another
-// workspace left on it is discarded first.
-func (p *Pool) connect(ctx context.Context, w platform.WorkspaceName) (*Conn, error) {
-	for {
-		c := p.kept(w)
-		if c == nil {
-			break
-		}
-		if c.alive(probeWithin) && c.enter(w, probeWithin) {
-			return c, nil
-		}
-		c.close()
-		p.drop()
-	}
-	ctx, cancel := context.WithTimeout(ctx, connectWithin)
-	defer cancel()
-	defer p.attempt(cancel)()
-	c, err := open(ctx, p.Dial, p.Server, p.Login)
-	if err != nil {
-		return nil, err
-	}
-	c.pool, c.workspace = p, w
-	return c, nil
-}
-
-// attempt notes an attempt to connect, until the function that it gives is called.
-func (p *Pool) attempt(cancel context.CancelFunc) (over func()) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.connecting == nil {
-		p.connecting = map[int]context.CancelFunc{}
-	}
-	p.attempts++
-	n := p.attempts
-	p.connecting[n] = cancel
-	return func() {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		delete(p.connecting, n)
-	}
-}
-
-// kept takes the idle connection that the workspace used last, else the one used
-// last by another, nil if there is none.
-func (p *Pool) kept(w platform.WorkspaceName) *Conn {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(p.idle) == 0 {
-		return nil
-	}
-	at := len(p.idle) - 1
-	for i := at; i >= 0; i-- {
-		if p.idle[i].workspace == w {
-			at = i
-			break
-		}
-	}
-	c := p.idle[at]
-	p.idle = slices.Delete(p.idle, at, at+1)
-	return c
-}
-
 func (p *Pool) release(c *Conn, keep bool) {
+	c.wake()
+	c.observe(nil)
 	// Once c is idle it belongs to its next user.
 	silent := c.silent
 	c.idleSince = time.Now()
 	excess := p.Allowance != nil && p.Allowance.Excess() > 0
 	p.mu.Lock()
 	delete(p.taken, c)
-	p.limit.observe(c.idleSince.Sub(c.takenAt))
-	keep = keep && !p.closed && !excess && p.inUse+len(p.idle) <= p.room()
+	p.use.observe(c.idleSince.Sub(c.takenAt))
+	keep = keep && !p.closed && !excess && p.inUse+len(p.idle) <= p.places()
 	if keep {
 		p.idle = append(p.idle, c)
+	} else {
+		// Before its place goes to another, who may open a new one at once.
+		c.close()
 	}
 	p.inUse--
 	give := p.Allowance != nil && (excess || p.closed)
@@ -272,9 +205,6 @@
 	}
 	p.grant()
 	p.mu.Unlock()
-	if !keep {
-		c.close()
-	}
 	if give {
 		p.Allowance.Release()
 	}
@@ -294,7 +224,7 @@
 func (p *Pool) wait() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return time.Duration(p.queue.size) * p.limit.typical / time.Duration(max(p.room(), 1))
+	return time.Duration(p.queue.size) * p.use.typical / time.Duration(max(p.room(), 1))
 }
 
 // lost sends the requests that wait or connect elsewhere and closes the idle
@@ -313,12 +243,11 @@
 // them was silent: whatever made it so may have made the others, too.
 func (p *Pool) drop() {
 	p.mu.Lock()
-	idle := p.idle
-	p.idle = nil
-	p.mu.Unlock()
-	for _, c := range idle {
+	defer p.mu.Unlock()
+	for _, c := range p.idle {
 		c.close()
 	}
+	p.idle = nil
 }
 
 // close ends the pool; connections in use are closed as they come back.
