--- a/internal/caller/alloc_test.go
+++ b/internal/caller/alloc_test.go
@@ -75,9 +75,7 @@
 	if err != nil {
 		return
 	}
-	start, _ := m.(*pgproto3.StartupMessage)
-	readOnly := &pgproto3.ParameterStatus{Name: "default_transaction_read_only", Value: start.Parameters["default_transaction_read_only"]}
-	_, _ = c.Write(encodeAll(&pgproto3.AuthenticationOk{}, readOnly, &pgproto3.ReadyForQuery{TxStatus: 'I'}))
+	_, _ = c.Write(encodeAll(&pgproto3.AuthenticationOk{}, readOnlyOf(m), &pgproto3.ReadyForQuery{TxStatus: 'I'}))
 	head, body := make([]byte, 5), make([]byte, 1024)
 	for {
 		if _, err := io.ReadFull(c, head); err != nil {
--- a/internal/caller/overhead_test.go
+++ b/internal/caller/overhead_test.go
@@ -51,10 +51,7 @@
 		return
 	}
 	back.Send(&pgproto3.AuthenticationOk{})
-	if start, found := m.(*pgproto3.StartupMessage); found {
-		const readOnly = "default_transaction_read_only"
-		back.Send(&pgproto3.ParameterStatus{Name: readOnly, Value: start.Parameters[readOnly]})
-	}
+	back.Send(readOnlyOf(m))
 	back.Send(&pgproto3.BackendKeyData{ProcessID: 1, SecretKey: []byte{1, 2, 3, 4}})
 	s.ready(back)
 	status := fmt.Sprintf(`{"server":"r","role":%q,"term":1,"received":"1/7","applied":"1/7"}`, s.role)
@@ -92,6 +89,15 @@
 	}
 }
 
+// readOnlyOf reports the setting that a connection was opened with.
+func readOnlyOf(m pgproto3.FrontendMessage) *pgproto3.ParameterStatus {
+	report := &pgproto3.ParameterStatus{Name: "default_transaction_read_only"}
+	if start, found := m.(*pgproto3.StartupMessage); found {
+		report.Value = start.Parameters[report.Name]
+	}
+	return report
+}
+
 func (s *instant) ready(back *pgproto3.Backend) {
 	back.Send(&pgproto3.ParameterStatus{Name: "savoryramp.position", Value: "1/7"})
 	back.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
