--- a/internal/load/vm.go
+++ b/internal/load/vm.go
@@ -22,9 +22,10 @@
 type VMCount int
 
 const (
-	// LeastVMs and MostVMs bound a trial's VMs.
+	// LeastVMs is the least that a trial runs.
 	LeastVMs VMCount = 3
-	MostVMs  VMCount = 9
+	// MostVMs is the most.
+	MostVMs VMCount = 9
 	// UsualVMs is one for each availability zone of the trial's document.
 	UsualVMs VMCount = 3
 	// addressesEach is how many addresses a VM has: for callers, operators and peers.
