--- a/Makefile
+++ b/Makefile
@@ -1,17 +1,27 @@
-.PHONY: demo test build lint generate protocol
+.PHONY: demo fleet test build lint generate protocol fuzz
 
 build:
 	mkdir -p bin
 	go build -o bin/ . ./cmd/...
 
 # Packages with concurrency run under the race detector.
+# Allocations are counted without it, since it adds its own.
 test:
 	script/race.sh
+	go test ./internal/caller -run Allocate
+
+# Each fuzz target for FUZZTIME, 120s if not set.
+fuzz:
+	script/fuzz.sh
 
 # Starts everything on this machine, applies a document, runs a checked load.
 demo:
 	script/demo.sh
 
+# Nine VMs as processes, killed, paused, restarted and replaced under a checked load.
+fleet:
+	script/fleet.sh
+
 # Writes the pages that come from the code.
 generate:
 	go run . events > docs/EVENTS.md
--- a/cmd/savoryramp-load/run.go
+++ b/cmd/savoryramp-load/run.go
@@ -14,6 +14,7 @@
 	"github.com/mattn/go-isatty"
 
 	"github.com/savoryramp/savoryramp/internal/load"
+	"github.com/savoryramp/savoryramp/internal/operator"
 	"github.com/savoryramp/savoryramp/internal/platform"
 	"github.com/savoryramp/savoryramp/internal/upstream"
 )
@@ -28,8 +29,10 @@
 	Seed     uint64
 	Duration time.Duration
 	Report   string
+	VMs      int
 	Baseline string
 	Queue    string
+	Limit    string
 	Out      *os.File
 }
 
@@ -43,11 +46,15 @@
 	c.Flag("scenario", "Load and faults.").Default(names[0]).EnumVar(&s.Scenario, names...)
 	c.Flag("seed", "Seed of the demand.").Default("1").Uint64Var(&s.Seed)
 	c.Flag("duration", "How long to play.").Default("20s").DurationVar(&s.Duration)
+	c.Flag("vms", fmt.Sprintf("How many VMs, %d to %d, by availability zone in turn.", load.LeastVMs, load.MostVMs)).
+		Default(fmt.Sprint(load.UsualVMs)).IntVar(&s.VMs)
 	c.Flag("report", "Directory for summary.json, plot.png and trial.log.").Default("report").StringVar(&s.Report)
 	c.Flag("baseline", "Where reads go instead of by position.").Default(load.BaselineNone).
 		EnumVar(&s.Baseline, load.BaselineNone, load.BaselinePrimary, load.BaselineNaive)
 	c.Flag("queue", "How a server's queue serves workspaces.").Default(string(upstream.DeficitRoundRobin)).
 		EnumVar(&s.Queue, string(upstream.DeficitRoundRobin), string(upstream.FirstCome))
+	c.Flag("limit", "How many connections to a server a VM uses at once: its share, or less by response time.").
+		Default(string(operator.LimitFixed)).EnumVar(&s.Limit, string(operator.LimitFixed), string(operator.LimitAdaptive))
 	return c
 }
 
@@ -81,14 +88,14 @@
 	if err != nil {
 		return nil, err
 	}
-	policies, err := load.PoliciesOf(s.Baseline, s.Queue)
+	policies, err := load.PoliciesOf(s.Baseline, s.Queue, operator.LimitName(s.Limit))
 	if err != nil {
 		return nil, err
 	}
 	logger := log.With(log.NewLogfmtLogger(log.NewSyncWriter(logs)), "time", log.DefaultTimestampUTC)
 	logger = level.NewFilter(logger, level.AllowDebug())
 	t := &load.Trial{
-		Site: &load.Site{Text: text, Policies: policies, Logger: logger}, Scenario: scenario,
+		Site: &load.Site{Text: text, Policies: policies, Logger: logger, Count: load.VMCount(s.VMs)}, Scenario: scenario,
 		Seed: s.Seed, Duration: s.Duration, Settle: load.UsualSettle, Logger: logger,
 	}
 	if isatty.IsTerminal(s.Out.Fd()) {
--- a/internal/caller/confirm.go
+++ b/internal/caller/confirm.go
@@ -13,7 +13,11 @@
 // finish ends the answer: what an idle primary says done must be confirmed first.
 func (x *exchange) finish(ctx context.Context) error {
 	s := x.session
-	x.track()
+	if !x.failedBy {
+		for _, m := range x.request.instead {
+			s.send(m)
+		}
+	}
 	if x.wrote() {
 		if err := x.confirm(ctx); err != nil {
 			s.out.takeBack()
@@ -56,6 +60,9 @@
 func (x *exchange) confirmRead(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), x.session.server.Deadline)
 	defer cancel()
+	if x.asksSeen {
+		return x.group.ConfirmSeen(ctx, x.conn)
+	}
 	return x.group.ConfirmRead(ctx, x.conn)
 }
 
@@ -71,31 +78,13 @@
 	}
 }
 
-// track remembers a caller's own SET, which outlives the transaction.
-func (x *exchange) track() {
-	switch x.tag {
-	case "SET", "RESET":
-	case "DISCARD ALL", "DISCARD", "DEALLOCATE", "DEALLOCATE ALL":
-		x.conn.Dirty = true
-		return
-	default:
-		return
-	}
-	if q := x.request.text(); q != "" && len(x.session.held) < maxHeld {
-		x.session.held = append(x.session.held, q)
-	}
-}
-
-// maxHeld bounds the SET statements kept for a session.
-const maxHeld = 32
-
 // raise lifts the session's floor to its own commit and tells the caller.
 func (s *Session) raise(name platform.UpstreamName, p position.Position) {
 	before, known := s.floors[name]
 	if known && before.own && before.position.Compare(p) >= 0 {
 		return
 	}
-	s.floors[name] = floor{position: position.Max(before.position, p), own: true}
+	s.setFloor(name, floor{position: position.Max(before.position, p), own: true})
 	if t := s.token(); t != "" {
 		s.send(&pgproto3.ParameterStatus{Name: settingSession, Value: t})
 	}
--- a/internal/caller/exchange.go
+++ b/internal/caller/exchange.go
@@ -21,8 +21,11 @@
 	// implicit is true when that transaction ends at the next Sync.
 	implicit bool
 	// guarded attempts run in a read-only transaction of savoryramp's own, in which
-	// what was taken for a read can't write.
+	// what was taken for a read can't write. A replica's connection that reads only
+	// needs none: it was told so when it was opened.
 	guarded bool
+	// asksSeen attempts have the question behind them that ConfirmSeen needs.
+	asksSeen bool
 	// seen is true once the server told its position in this answer.
 	seen bool
 	// sent is true once a byte may have left for the server.
@@ -34,6 +37,8 @@
 	// tag is that of the newest CommandComplete, which is held back until it is
 	// known to be true.
 	tag string
+	// tags are those of the request's statements, where they are followed.
+	tags []string
 	// committed is true once a COMMIT was answered; everything from there is held.
 	committed bool
 	steps     []step
@@ -71,9 +76,9 @@
 
 // restore runs the caller's own SET statements on a connection just taken.
 func (x *exchange) restore() error {
-	for _, sql := range x.session.held {
+	for _, h := range x.session.held {
 		x.conn.Dirty = true
-		if _, err := x.conn.Ask(sql, time.Now().Add(x.session.server.Deadline)); err != nil && !isType(err, upstream.ErrServer) {
+		if _, err := x.conn.Ask(h.sql, time.Now().Add(x.session.server.Deadline)); err != nil && !isType(err, upstream.ErrServer) {
 			return err
 		}
 	}
@@ -93,36 +98,42 @@
 	if err != nil {
 		return position.Position{}, err
 	}
-	s.floors[s.database.Upstream] = floor{position: asked}
+	s.setFloor(s.database.Upstream, floor{position: asked})
 	return g.Clip(asked), nil
 }
 
 // run sends the request and relays its answer.
 func (x *exchange) run(ctx context.Context) error {
-	x.guarded = x.conn.Role == upstream.Primary && x.request.kind == kindRead && x.request.runs && !x.inTransaction && !x.request.unsynced
+	x.guarded = x.guards()
+	if s := x.session; !s.server.vouched() {
+		s.endWithin(reasonUntrusted)
+		return ErrNotReady.New("VM %s can't learn what was withdrawn", s.server.VM)
+	}
 	x.send()
 	x.sent = true
 	if err := x.conn.Flush(); err != nil {
 		return err
 	}
-	if err := x.guard(); err != nil {
+	if err := x.begun(); err != nil {
 		return err
 	}
-	if x.guarded && x.status != 'T' {
-		x.guarded = false
-		return upstream.ErrBroken.New("server %s began no transaction", x.conn.Server)
-	}
 	x.synthesize()
 	for !x.over() {
 		m, err := x.conn.Receive(time.Now().Add(x.session.server.Deadline))
 		if err != nil {
 			return err
 		}
-		if err := x.relay(ctx, m); err != nil {
+		if err := x.relay(m); err != nil {
 			return err
 		}
 	}
-	return x.guard()
+	if err := x.ended(); err != nil {
+		return err
+	}
+	if !x.answered {
+		return nil
+	}
+	return x.finish(ctx)
 }
 
 // over tells whether the answer is whole.
@@ -135,6 +146,7 @@
 
 // settle keeps or gives back the connection, and ends the answer.
 func (s *Session) settle(x *exchange) error {
+	s.follow(x)
 	if x.request.unsynced {
 		s.implicit = s.implicit || !x.inTransaction
 		s.conn = x.conn
@@ -142,6 +154,7 @@
 		s.out.free()
 		return s.flush()
 	}
+	s.begun(x)
 	s.implicit = false
 	if x.status == 'I' {
 		s.use(nil)
--- a/internal/caller/overhead_test.go
+++ b/internal/caller/overhead_test.go
@@ -26,7 +26,7 @@
 	role string
 }
 
-func listenInstant(b *testing.B, role string) *instant {
+func listenInstant(b testing.TB, role string) *instant {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(b, err)
 	s := &instant{l, role}
@@ -46,10 +46,12 @@
 func (s *instant) serve(c net.Conn) {
 	defer c.Close()
 	back := pgproto3.NewBackend(c, c)
-	if _, err := back.ReceiveStartupMessage(); err != nil {
+	m, err := back.ReceiveStartupMessage()
+	if err != nil {
 		return
 	}
 	back.Send(&pgproto3.AuthenticationOk{})
+	back.Send(readOnlyOf(m))
 	back.Send(&pgproto3.BackendKeyData{ProcessID: 1, SecretKey: []byte{1, 2, 3, 4}})
 	s.ready(back)
 	status := fmt.Sprintf(`{"server":"r","role":%q,"term":1,"received":"1/7","applied":"1/7"}`, s.role)
@@ -87,6 +89,15 @@
 	}
 }
 
+// readOnlyOf reports the setting that a connection was opened with.
+func readOnlyOf(m pgproto3.FrontendMessage) *pgproto3.ParameterStatus {
+	report := &pgproto3.ParameterStatus{Name: "default_transaction_read_only"}
+	if start, found := m.(*pgproto3.StartupMessage); found {
+		report.Value = start.Parameters[report.Name]
+	}
+	return report
+}
+
 func (s *instant) ready(back *pgproto3.Backend) {
 	back.Send(&pgproto3.ParameterStatus{Name: "savoryramp.position", Value: "1/7"})
 	back.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
@@ -107,11 +118,17 @@
 }
 
 // startProxy serves an open database before a primary and two replicas.
-func startProxy(b *testing.B) (proxy, direct string) {
+func startProxy(b testing.TB) (proxy, direct string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(b, err)
+	return l.Addr().String(), startProxyOn(b, l, func(role string) net.Addr { return listenInstant(b, role).Addr() })
+}
+
+// startProxyOn serves the listener's callers and gives one of the servers' addresses.
+func startProxyOn(b testing.TB, l net.Listener, listen func(role string) net.Addr) (direct string) {
 	up := platform.Upstream{Name: "u", Acknowledge: platform.ReplicaConfirmed, User: "s", Database: "d"}
 	for i, role := range []string{"primary", "replica", "replica"} {
-		l := listenInstant(b, role)
-		direct = l.Addr().String()
+		direct = listen(role).String()
 		up.Servers = append(up.Servers, platform.Server{Name: platform.ServerName(fmt.Sprint("r", i)), Address: platform.Address(direct), Connections: 64})
 	}
 	documents := steady{platform.Snapshot{Version: 1, Document: &platform.Document{
@@ -123,8 +140,6 @@
 		Dial: (&net.Dialer{}).DialContext, Documents: documents, Reads: upstream.WaitOrPrimary{},
 		Order: upstream.DeficitRoundRobin, MaxQueue: 1000, Share: func(platform.ServerName) int { return 32 },
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(b, err)
 	s := &caller.Server{
 		VM: "vm-1", Listener: l, Documents: documents, Upstreams: u, TokenKey: caller.TokenKey("k"),
 		MaxWait: 5 * time.Second, Deadline: 5 * time.Second,
@@ -138,7 +153,7 @@
 		assert.NilError(b, <-done)
 		assert.NilError(b, <-done)
 	})
-	return l.Addr().String(), direct
+	return direct
 }
 
 func connectTo(b *testing.B, address string) *pgx.Conn {
--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -19,12 +19,24 @@
 	sends func(c *upstream.Conn) []step
 	// runs is false when nothing of it executes, as when a statement is prepared.
 	runs bool
-	// sql is the text of a simple request.
-	sql string
 	// mayCommit is true when it may end a transaction that began before it.
 	mayCommit bool
+	// chains is true when it ends a transaction and begins another.
+	chains bool
+	// begins are the statements of it that decide the modes of a transaction.
+	begins []string
+	// unknownModes is true when others of it may.
+	unknownModes bool
+	// statements are the ones that execute, in order, if they are to be followed.
+	statements []string
+	// messages are those of an extended request.
+	messages []pgproto3.FrontendMessage
+	// instead is sent to the caller in place of the server's answer, but for an error.
+	instead []pgproto3.BackendMessage
 	// unsynced requests end with Flush: their answer has no ReadyForQuery.
 	unsynced bool
+	// widens is true when it may let a read-only transaction write.
+	widens bool
 	// maybeRan is true once an attempt was sent that may have written something.
 	maybeRan bool
 }
@@ -33,11 +45,15 @@
 func (s *Session) perform(ctx context.Context, r *request) error {
 	began := time.Now()
 	if s.failed {
-		return s.performFailed(r)
+		return s.performFailed(ctx, r)
 	}
 	if s.conn == nil && r.kind == kindEnd {
 		r.kind = kindRead
 	}
+	if r.widens && s.conn != nil && s.conn.Role == upstream.Replica {
+		s.refuse(ErrUnsupported.New("a transaction that was begun read only can't be made to write"))
+		return s.endRefused(r)
+	}
 	group, found := s.server.Upstreams.Group(s.database.Upstream)
 	if !found {
 		s.refuse(upstream.ErrNoServer.New("upstream %s isn't served here yet", s.database.Upstream))
@@ -66,6 +82,7 @@
 
 // endRefused ends the answer to a request that savoryramp refused.
 func (s *Session) endRefused(r *request) error {
+	s.failed = s.failed || r.instead != nil
 	if r.unsynced {
 		s.skipping = true
 		return s.flush()
@@ -73,20 +90,6 @@
 	return s.ready()
 }
 
-// performFailed answers in a transaction that lost its connection.
-func (s *Session) performFailed(r *request) error {
-	if r.kind != kindEnd {
-		s.send(&pgproto3.ErrorResponse{
-			Severity: "ERROR", SeverityUnlocalized: "ERROR", Code: string(CodeFailed),
-			Message: "current transaction is aborted, commands ignored until end of transaction block",
-		})
-		return s.endRefused(r)
-	}
-	s.failed = false
-	s.send(&pgproto3.CommandComplete{CommandTag: []byte("ROLLBACK")})
-	return s.ready()
-}
-
 // attempts sends the request until it was answered, or may have run.
 func (s *Session) attempts(ctx context.Context, group *upstream.Group, r *request) (upstream.Role, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.server.MaxWait)
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -54,6 +54,9 @@
 	sessions map[SessionID]*Session
 	nextID   SessionID
 	draining atomic.Bool
+	began    time.Time
+	// trustSeen is when Trusted last held, counted from began.
+	trustSeen atomic.Int64
 	// open counts connections, those that haven't logged in yet included.
 	open    atomic.Int64
 	metrics *instruments
@@ -108,6 +111,7 @@
 	defer s.mu.Unlock()
 	s.sessions, s.nextID = map[SessionID]*Session{}, firstID()
 	s.metrics = newInstruments(s.Meter)
+	s.began = time.Now()
 }
 
 // Draining tells whether the VM takes no new callers.
@@ -173,6 +177,7 @@
 		}
 		before = now
 		if now {
+			s.trustSeen.Store(int64(time.Since(s.began)))
 			continue
 		}
 		for _, session := range s.list() {
@@ -181,6 +186,15 @@
 	}
 }
 
+// vouched tells whether the VM may rely on its document, without asking anew where that
+// was seen lately. A process that was paused hasn't seen it for as long as it stood.
+func (s *Server) vouched() bool {
+	if time.Since(s.began)-time.Duration(s.trustSeen.Load()) <= 2*trustTick {
+		return true
+	}
+	return s.trusted()
+}
+
 // serve runs one connection to its end.
 func (s *Server) serve(ctx context.Context, nc net.Conn) {
 	defer s.open.Add(-1)
@@ -230,20 +244,3 @@
 	session.cancel(ctx)
 	return true
 }
-
-// State is what a dump shows of the callers.
-func (s *Server) State() any {
-	byWorkspace := map[platform.WorkspaceName]int{}
-	busy := 0
-	for _, session := range s.list() {
-		byWorkspace[session.workspace.Name]++
-		if session.active.Load() {
-			busy++
-		}
-	}
-	return struct {
-		Draining bool                           `json:"draining"`
-		Busy     int                            `json:"busy-sessions"`
-		Sessions map[platform.WorkspaceName]int `json:"sessions"`
-	}{s.Draining(), busy, byWorkspace}
-}
--- a/internal/caller/session.go
+++ b/internal/caller/session.go
@@ -29,14 +29,17 @@
 	// verifier is the one that the key was checked against; empty on open routes.
 	verifier platform.Verifier
 	database *platform.Database
-	// floors by group; a floor never falls while the session lasts.
+	// floors by group; a floor never falls while the session lasts. Only the session's
+	// task changes them, under mu, and reads them without.
 	floors   map[platform.UpstreamName]floor
 	settings settings
 	prepared map[string]*prepared
 	// pending are the extended-protocol messages since the last Sync or Flush.
 	pending []pgproto3.FrontendMessage
-	// held are the caller's SET statements, run again on each connection taken.
-	held []string
+	// held are the caller's settings, set again on each connection taken.
+	held []held
+	// changes are the ones that the open transaction changed.
+	changes []held
 
 	// conn is the transaction's connection; nil outside of transactions.
 	conn *upstream.Conn
@@ -46,6 +49,8 @@
 	carried kind
 	// failed transactions lost their connection; all but their end is refused.
 	failed bool
+	// begins are the statements that decided the transaction's modes; empty if unknown.
+	begins []string
 	// skipping discards extended messages up to the next Sync, after an error.
 	skipping bool
 
@@ -213,7 +218,7 @@
 }
 
 func (s *Session) flush() error {
-	return s.out.flush()
+	return s.out.end()
 }
 
 // send gathers a message for the caller; flush lets it go.
--- a/internal/caller/verdict.go
+++ b/internal/caller/verdict.go
@@ -30,7 +30,7 @@
 	if isType(err, errReadOnly) {
 		return !x.request.maybeRan || x.session.settings.idempotent
 	}
-	if isType(err, errStale) {
+	if isType(err, errStale) || x.guarded && isType(err, upstream.ErrNoServer) {
 		return true
 	}
 	if !isType(err, upstream.ErrSilent) && !isType(err, upstream.ErrBroken) {
@@ -38,7 +38,7 @@
 	}
 	switch x.request.kind {
 	case kindRead, kindBegin, kindBeginReadOnly:
-		return true
+		return !x.request.maybeRan || x.session.settings.idempotent
 	}
 	return !x.sent || !x.request.runs || x.session.settings.idempotent
 }
@@ -64,7 +64,7 @@
 	if x.conn != nil {
 		x.conn.Release(false)
 	}
-	x.session.conn, x.session.implicit = nil, false
+	x.session.conn, x.session.implicit, x.session.changes = nil, false, nil
 }
 
 // fail tells the caller what became of its request.
--- a/internal/fakeupstream/session.go
+++ b/internal/fakeupstream/session.go
@@ -19,6 +19,8 @@
 	positionParameter = "savoryramp.position"
 	serverParameter   = "savoryramp.server"
 	positionChannel   = "savoryramp_position"
+	// defaultReadOnly is a setting whose changes are reported.
+	defaultReadOnly = "default_transaction_read_only"
 )
 
 const (
@@ -48,7 +50,9 @@
 
 	settings map[string]string
 	// defaults are the settings at the end of the start-up.
-	defaults   map[string]string
+	defaults map[string]string
+	// reported is what the client was last told of defaultReadOnly.
+	reported   string
 	statements map[string]*prepared
 	portals    map[string]*portal
 	tx         transaction
@@ -243,6 +247,10 @@
 	}
 	s.read = nil
 	s.tellPosition(p)
+	if now := s.settings[defaultReadOnly]; now != s.reported {
+		s.reported = now
+		s.backend.Send(&pgproto3.ParameterStatus{Name: defaultReadOnly, Value: now})
+	}
 	s.backend.Send(&pgproto3.ReadyForQuery{TxStatus: s.tx.status()})
 	if sleep(s.ctx, s.server.delay()) != nil {
 		return false
@@ -262,40 +270,3 @@
 	s.gathered = 0
 	return s.backend.Flush()
 }
-
-// notify tells every move to a client that listens, the newest only.
-func (s *session) notify() {
-	g := s.server.group
-	told := ""
-	for s.ctx.Err() == nil {
-		g.mu.Lock()
-		text, changed := s.server.statusText(), g.changed
-		quiet := !s.server.faults.up()
-		g.mu.Unlock()
-		if text == told || quiet {
-			pause(s.ctx, changed, time.Time{})
-			continue
-		}
-		select {
-		case s.turn <- struct{}{}:
-		case <-s.ctx.Done():
-			return
-		}
-		sent := s.listening && !s.tx.explicit && s.push()
-		<-s.turn
-		if !sent {
-			pause(s.ctx, changed, time.Time{})
-			continue
-		}
-		told = text
-	}
-}
-
-// push sends the present status as a notification.
-func (s *session) push() bool {
-	s.server.group.mu.Lock()
-	text := s.server.statusText()
-	s.server.group.mu.Unlock()
-	s.backend.Send(&pgproto3.NotificationResponse{PID: uint32(s.id), Channel: positionChannel, Payload: text})
-	return s.flush() == nil
-}
--- a/internal/fakeupstream/startup.go
+++ b/internal/fakeupstream/startup.go
@@ -70,11 +70,13 @@
 		{"integer_datetimes", "on"},
 		{"DateStyle", "ISO, MDY"},
 		{"TimeZone", "UTC"},
+		{defaultReadOnly, "off"},
 		{serverParameter, string(s.server.Name)},
 	} {
 		s.settings[p[0]] = p[1]
 		s.backend.Send(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
 	}
+	s.reported = s.settings[defaultReadOnly]
 	for name, value := range m.Parameters {
 		s.settings[name] = value
 	}
@@ -88,6 +90,7 @@
 	s.group.mu.Lock()
 	defer s.group.mu.Unlock()
 	n.admitted = s.open() < s.Connections
+	s.most = max(s.most, s.open())
 	return n.admitted
 }
 
--- a/internal/load/measure.go
+++ b/internal/load/measure.go
@@ -27,7 +27,8 @@
 	s := &Summary{
 		Scenario: t.Scenario.Name, Seed: t.Seed, Duration: t.Duration.String(), Offered: len(results),
 		Codes: map[string]int{}, Workspaces: map[platform.WorkspaceName]WorkspaceSummary{},
-		Reads: readsName(t.Site.Policies.Reads), Queue: string(t.Site.Policies.Order),
+		VMs: t.Site.Count.orUsual(), Reads: readsName(t.Site.Policies.Reads), Queue: string(t.Site.Policies.Order),
+		Limit: limitName(t.Site.Policies.Limit),
 	}
 	slices.SortFunc(results, func(a, b Result) int { return int(a.ID - b.ID) })
 	for _, r := range results {
@@ -195,11 +196,11 @@
 func workspaceSummary(w *platform.Workspace, list []Result) WorkspaceSummary {
 	v := WorkspaceSummary{Offered: len(list), Latency: latency(list, func(Result) bool { return true })}
 	var arrivals []time.Duration
-	var admitted []span
+	var admitted []Span
 	for _, r := range list {
 		arrivals = append(arrivals, r.At)
 		if r.Outcome == Answered || r.Code == codeUnknown {
-			admitted = append(admitted, span{r.Sent, r.Done})
+			admitted = append(admitted, Span{r.Sent, r.Done})
 		}
 	}
 	instead, wrongful := 0, 0
@@ -212,7 +213,7 @@
 		instead += one(!in && r.Outcome == Answered)
 	}
 	v.WrongfulRefusals = max(0, wrongful-instead)
-	v.OverAdmitted = overAdmitted(admitted, float64(w.Rate), float64(w.Burst))
+	v.OverAdmitted = OverAdmitted(admitted, float64(w.Rate), float64(w.Burst))
 	return v
 }
 
--- a/internal/load/person.go
+++ b/internal/load/person.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/base64"
 	"encoding/json"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -49,7 +50,8 @@
 	// connection is nil or closed between two.
 	connection *connection
 	token      string
-	vm         int
+	// vm is the index of the VM that the person connects to, modulo their count.
+	vm int
 }
 
 // connection is one session with a VM.
@@ -92,7 +94,7 @@
 // roam leaves for another VM.
 func (p *Person) roam(vm int, withToken bool) {
 	p.leave()
-	p.vm = vm % vmCount
+	p.vm = vm
 	if !withToken {
 		p.token = ""
 	}
@@ -143,17 +145,20 @@
 // Unwrap gives the failure itself.
 func (n notSent) Unwrap() error { return n.error }
 
-// ServerError finds the VM's own answer in a chain of errors, nil if there is none.
+// ServerError finds the VM's own answer in a chain of errors, the last if several ways
+// to connect were tried; nil if there is none.
 func ServerError(err error) *pgconn.PgError {
-	for err != nil {
-		if answer, ok := err.(*pgconn.PgError); ok {
-			return answer
+	switch e := err.(type) {
+	case *pgconn.PgError:
+		return e
+	case interface{ Unwrap() error }:
+		return ServerError(e.Unwrap())
+	case interface{ Unwrap() []error }:
+		for _, one := range slices.Backward(e.Unwrap()) {
+			if answer := ServerError(one); answer != nil {
+				return answer
+			}
 		}
-		w, ok := err.(interface{ Unwrap() error })
-		if !ok {
-			return nil
-		}
-		err = w.Unwrap()
 	}
 	return nil
 }
@@ -181,7 +186,7 @@
 		return p
 	}
 	id := c.next()
-	p := &Person{ID: id, Workspace: c.workspace, database: c.database, vm: int(id) % vmCount}
+	p := &Person{ID: id, Workspace: c.workspace, database: c.database, vm: int(id)}
 	c.all = append(c.all, p)
 	return p
 }
--- a/internal/load/summary.go
+++ b/internal/load/summary.go
@@ -46,8 +46,10 @@
 // Summary is what a trial measured.
 type Summary struct {
 	Scenario ScenarioName          `json:"scenario"`
+	VMs      VMCount               `json:"vms"`
 	Reads    string                `json:"reads"`
 	Queue    string                `json:"queue"`
+	Limit    string                `json:"limit"`
 	Seed     uint64                `json:"seed"`
 	Document platform.DocumentHash `json:"document-hash"`
 	Duration string                `json:"duration"`
@@ -147,6 +149,8 @@
 	list := []row{
 		{"scenario", string(s.Scenario)},
 		{"reads, queue", s.Reads + ", " + s.Queue},
+		{"vms", fmt.Sprint(s.VMs)},
+		{"limit", s.Limit},
 		{"seed, duration", fmt.Sprintf("%d, %s", s.Seed, s.Duration)},
 		{"offered", fmt.Sprint(s.Offered)},
 		{"answered", fmt.Sprint(s.Answered)},
--- a/internal/operator/document_test.go
+++ b/internal/operator/document_test.go
@@ -66,6 +66,23 @@
 	assert.Equal(t, s.stdout, "# savoryramp: version 1, hash "+string(hash)+", by rania\n"+string(text))
 }
 
+func TestTermLeasedIsWarnedOf(t *testing.T) {
+	s := newTerminal(t)
+	text, err := os.ReadFile(demoDocument)
+	assert.NilError(t, err)
+	path := filepath.Join(t.TempDir(), "leased.yaml")
+	assert.NilError(t, os.WriteFile(path, []byte(strings.Replace(string(text), "replica-confirmed", "term-leased", 1)), 0o600))
+	const warning = "can be lost with its primary; replica-confirmed loses none\n"
+	s.run(ExitOK, "apply", path)
+	assert.Assert(t, cmp.Contains(s.stderr, warning))
+	s.run(ExitOK, "apply", demoDocument)
+	assert.Equal(t, s.stderr, "")
+
+	var out, errOut bytes.Buffer
+	assert.Equal(t, Main("1", []string{"check", path}, &out, &errOut), ExitOK)
+	assert.Assert(t, cmp.Contains(errOut.String(), warning))
+}
+
 // A document edited from an older version doesn't replace the newer one.
 func TestApplyConflict(t *testing.T) {
 	s := newTerminal(t)
@@ -109,6 +126,7 @@
 
 // A VM is ready once a document is in force, and ends in order on a signal.
 func TestDaemon(t *testing.T) {
+	t.Parallel()
 	s := newTerminal(t)
 	o, err := ParseOptions("1", append([]string{
 		"run", "--vm=a-1", "--availability-zone=a", "--admin=127.0.0.1:0",
--- a/internal/operator/options.go
+++ b/internal/operator/options.go
@@ -70,6 +70,8 @@
 	StatementDeadline time.Duration
 	// MaxWait bounds a request's time in a queue; then it is refused, not run.
 	MaxWait time.Duration
+	// Limit of the connections in use to each server; empty is LimitFixed.
+	Limit LimitName
 }
 
 // TLSFiles names PEM files.
@@ -142,7 +144,7 @@
 	c.address("listen", "Address for callers.", "127.0.0.1:6432", &r.Listen)
 	c.address("admin", "Address for the admin page: /live, /ready, /state, /metrics, /drain.", "127.0.0.1:6480", &r.Admin)
 	c.address("peer", "Address under which the other VMs reach this one.", "127.0.0.1:6490", &r.Peer)
-	c.flag("seed-peers", "Peers to ask for the document when the platform is out at the start, with commas between.").
+	c.flag("seed-peers", "Peers to ask for the document when the platform is out at the start, with commas between; best all.").
 		PlaceHolder("ADDRESS,...").SetValue(addressesValue{"--seed-peers", &r.SeedPeers})
 	c.file("peer-cert", "Certificate shown to peers (PEM).", &r.PeerTLS.Certificate)
 	c.file("peer-key", "Key of that certificate (PEM).", &r.PeerTLS.Key)
@@ -156,6 +158,8 @@
 	c.duration("drain-time", "How long requests may take to finish after that.", "30s", 0, &r.DrainTime)
 	c.duration("statement-deadline", "Longest time for one statement's answer.", "30s", time.Millisecond, &r.StatementDeadline)
 	c.duration("max-wait", "Longest wait in a queue before a request is refused, not run.", "2s", 0, &r.MaxWait)
+	c.choice("limit", "How many connections to a server are used at once: fixed (this VM's share) or adaptive (fewer while the server is slow).",
+		string(LimitFixed), []string{string(LimitFixed), string(LimitAdaptive)}, (*string)(&r.Limit))
 	o.definePlatform(c)
 }
 
--- a/internal/operator/serve.go
+++ b/internal/operator/serve.go
@@ -30,40 +30,53 @@
 	if err != nil {
 		return nil, err
 	}
-	fleet, err := d.newFleet()
+	vms := &seeds{VMList: platform.VMRows{Table: d.Table}, addresses: d.Options.SeedPeers}
+	fleet, err := d.newFleet(vms)
 	if err != nil {
 		_ = listener.Close()
 		return nil, err
 	}
 	joined := &coordination{Self: platform.VMName(d.Options.VM), Table: d.Table, Fleet: fleet}
 	fleet.OnPromise = joined.answer
-	trust := &platform.Trust{Configuration: d.Configuration, Members: func() int { return len(fleet.Members()) + 1 }}
+	trust := &platform.Trust{Configuration: d.Configuration, Members: func() int { return vms.size(fleet.Members()) }}
 	fleet.Word, fleet.OnWord = trust.Tell, trust.Hear
 	limits := newContracts(d.Table, fleet, joined.held)
 	var dialer net.Dialer
 	u := &upstream.Upstreams{
 		Dial: dialer.DialContext, Logger: d.Logger, Documents: d.Configuration, Allowance: limits.allowance,
 		Meter:        d.Metrics.Meter("upstream"),
-		Coordination: joined, Table: d.Table, Reads: upstream.WaitOrPrimary{}, Order: upstream.DeficitRoundRobin, MaxQueue: maxQueue,
+		Coordination: joined, Table: d.Table, Reads: upstream.WaitOrPrimary{}, Order: upstream.DeficitRoundRobin,
+		Limit: d.Options.Limit.Limit(), MaxQueue: maxQueue,
 	}
 	c := &caller.Server{
-		VM: platform.VMName(d.Options.VM), Listener: listener, TLS: d.Certificates.callers(), Documents: d.Configuration,
+		VM: platform.VMName(d.Options.VM), Listener: listener, TLS: d.Certificates.callers(d.Options.ListenTLS, d.Logger), Documents: d.Configuration,
 		Upstreams: u, Limiter: limits, TokenKey: d.tokenKey(), MaxWait: d.Options.MaxWait, Deadline: d.Options.StatementDeadline,
 		ForwardCancel: d.forwardCancel, Trusted: trust.Holds, Logger: d.Logger, Meter: d.Metrics.Meter("caller"),
 	}
-	d.Admin.Register("callers", c.State)
-	d.Admin.Register("upstreams", u.State)
-	d.Admin.Register("leases", joined.state)
-	d.Admin.Register("contracts", limits.state)
+	fleet.OnCancel = cancelOf(c)
 	d.Admin.Register("trusted", func() any { return trust.Holds() })
-	d.Admin.Register("peers", func() any { return peersState(fleet) })
-	fleet.OnCancel = func(ctx context.Context, process uint32, secret []byte) error {
+	s := &serving{upstreams: u, callers: c, fleet: fleet, coordination: joined, contracts: limits, entered: d.enter()}
+	s.register(d.Admin)
+	return s, nil
+}
+
+// cancelOf passes a cancel request that came from another VM on to the callers' part.
+func cancelOf(c *caller.Server) func(ctx context.Context, process uint32, secret []byte) error {
+	return func(ctx context.Context, process uint32, secret []byte) error {
 		if !c.Cancel(ctx, caller.SessionID(process), secret) {
 			return ErrBroken.New("no such session")
 		}
 		return nil
 	}
-	return &serving{upstreams: u, callers: c, fleet: fleet, coordination: joined, contracts: limits, entered: d.enter()}, nil
+}
+
+// register adds the parts to the state dump.
+func (s *serving) register(a *Admin) {
+	a.Register("callers", s.callers.State)
+	a.Register("upstreams", s.upstreams.State)
+	a.Register("leases", s.coordination.state)
+	a.Register("contracts", s.contracts.state)
+	a.Register("peers", func() any { return peersState(s.fleet) })
 }
 
 // tokenKey asks the platform for the key of session tokens; without it the VM
--- a/internal/upstream/watch.go
+++ b/internal/upstream/watch.go
@@ -78,7 +78,7 @@
 func (w *watch) hold(ctx context.Context) error {
 	connecting, cancel := context.WithTimeout(ctx, silentAfter)
 	defer cancel()
-	c, err := open(connecting, w.dial, w.server, w.login)
+	c, err := open(connecting, w.dial, w.server, w.login, false)
 	if err != nil {
 		return err
 	}
@@ -111,7 +111,7 @@
 		case *pgproto3.NotificationResponse:
 			err = w.status(m.Payload)
 		case *pgproto3.DataRow:
-			text = string(m.Values[0])
+			text = first(m)
 		case *pgproto3.ErrorResponse:
 			failure = w.refusal(m)
 		case *pgproto3.ReadyForQuery:
