Copy a link's state before a dial waits

Ruled out: the code under test; no frame of it holds the memory.

Change: the state is copied under the lock.

Conclusion: a fault of the stand-in; kept.

--- a/internal/fakenet/network.go
+++ b/internal/fakenet/network.go
@@ -71,7 +71,7 @@
 		n.mu.Unlock()
 		return nil, ErrRefused.New("connection to %s refused", address)
 	}
-	s := n.state(from, l.host)
+	s := *n.state(from, l.host)
 	if s.cut {
 		n.mu.Unlock()
 		<-ctx.Done()
--- a/internal/fakenet/network_test.go
+++ b/internal/fakenet/network_test.go
@@ -55,3 +55,24 @@
 		assert.NilError(t, err)
 	})
 }
+
+// TestDelayChangesDuringDial is for the race detector.
+func TestDelayChangesDuringDial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := fakenet.New()
+		l, err := n.Listen("b", "b:1")
+		assert.NilError(t, err)
+		defer l.Close()
+		n.Delay("a", "b", time.Second)
+		dialled := make(chan error)
+		go func() {
+			c, err := n.Dialer("a")(t.Context(), "tcp", "b:1")
+			if err == nil {
+				err = c.Close()
+			}
+			dialled <- err
+		}()
+		n.Delay("a", "b", time.Millisecond)
+		assert.NilError(t, <-dialled)
+	})
+}
