--- a/internal/fakenet/network_test.go
+++ b/internal/fakenet/network_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"os"
+	"runtime"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -59,20 +61,25 @@
 // TestDelayChangesDuringDial is for the race detector.
 func TestDelayChangesDuringDial(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		const times = 300
 		n := fakenet.New()
 		l, err := n.Listen("b", "b:1")
 		assert.NilError(t, err)
 		defer l.Close()
-		n.Delay("a", "b", time.Second)
-		dialled := make(chan error)
-		go func() {
-			c, err := n.Dialer("a")(t.Context(), "tcp", "b:1")
-			if err == nil {
-				err = c.Close()
+		var both sync.WaitGroup
+		both.Go(func() {
+			for range times {
+				c, err := n.Dialer("a")(t.Context(), "tcp", "b:1")
+				assert.Check(t, err)
+				_ = c.Close()
 			}
-			dialled <- err
-		}()
-		n.Delay("a", "b", time.Millisecond)
-		assert.NilError(t, <-dialled)
+		})
+		both.Go(func() {
+			for i := range times {
+				n.Delay("a", "b", time.Duration(i)*time.Microsecond)
+				runtime.Gosched()
+			}
+		})
+		both.Wait()
 	})
 }
