--- a/internal/peer/member.go
+++ b/internal/peer/member.go
@@ -128,3 +128,10 @@
 	}
 	return picked
 }
+
+func (m *member) setAddress(a platform.Address) {
+	if a != "" && a != m.address {
+		m.address = a
+		m.link.redial(a)
+	}
+}
