--- a/cmd/savoryramp-load/audit.go
+++ b/cmd/savoryramp-load/audit.go
@@ -1,19 +1,13 @@
 package main
 
 import (
-	"context"
-	"encoding/json"
 	"fmt"
 	"io"
-	"maps"
-	"net/http"
-	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
 
 	"github.com/savoryramp/savoryramp/internal/fakeupstream"
-	"github.com/savoryramp/savoryramp/internal/load"
 	"github.com/savoryramp/savoryramp/internal/platform"
 )
 
@@ -21,24 +15,10 @@
 	// withdrawnWithin is how long after its withdrawal a key may still be used: as long
 	// as a VM relies on a document that it can't confirm, and a statement may go on.
 	withdrawnWithin = 12 * time.Second
-	// codeOverRate is the SQLSTATE of a request over its workspace's rate.
-	codeOverRate = "53400"
 	// classLogin begins the SQLSTATEs of refused logins.
 	classLogin = "28"
 )
 
-// entry is a commit in the servers' log.
-type entry struct {
-	At         time.Time                `json:"at"`
-	Statements []fakeupstream.Statement `json:"statements"`
-}
-
-// server is what the servers' stand-in tells of one.
-type server struct {
-	Server          platform.ServerName `json:"server"`
-	MostConnections int                 `json:"most-connections"`
-}
-
 // audit holds what callers were told against what the servers ran.
 type audit struct {
 	fleet   *Fleet
@@ -106,64 +86,6 @@
 	a.table = append(a.table, finding{what: what, measured: measured, allowed: ""})
 }
 
-func (a *audit) checkRates() {
-	for _, w := range a.fleet.document.Workspaces {
-		a.checkRate(w)
-	}
-}
-
-func (a *audit) checkRate(w platform.Workspace) {
-	var admitted []load.Span
-	codes := map[string]int{}
-	refusedAt := map[string]int{}
-	offered, refused := 0, 0
-	for _, r := range a.fleet.requests {
-		if r.workspace != w.Name {
-			continue
-		}
-		offered++
-		if r.told == acknowledged || r.code == codeUnknown {
-			admitted = append(admitted, load.Span{From: a.offset(r.sent), To: a.offset(r.done)})
-		}
-		if r.told != acknowledged {
-			codes[string(r.told)+" "+r.code]++
-		}
-		if r.code == codeOverRate {
-			refused++
-			refusedAt[fmt.Sprintf("%2.0fs vm-%d:", a.offset(r.done).Seconds(), r.vm)]++
-		}
-	}
-	a.told(fmt.Sprintf("%s: offered", w.Name), offered)
-	a.least(fmt.Sprintf("%s: admitted", w.Name), len(admitted))
-	a.most(fmt.Sprintf("%s: over burst + rate x window", w.Name),
-		max(0, load.OverAdmitted(admitted, float64(w.Rate), float64(w.Burst))), 0)
-	a.note("%s: not answered: %s", w.Name, counted(codes))
-	if w.Name == workspaceOver {
-		a.least("over: refused by its rate", refused)
-		return
-	}
-	a.told(fmt.Sprintf("%s: refused by its rate", w.Name), refused)
-	if refused > 0 {
-		a.note("%s: refused by its rate at: %s", w.Name, counted(refusedAt))
-	}
-}
-
-// offset is the time since the load began.
-func (a *audit) offset(t time.Time) time.Duration { return t.Sub(a.fleet.began) }
-
-func (a *audit) note(format string, values ...any) {
-	a.notes = append(a.notes, fmt.Sprintf(format, values...))
-}
-
-// counted lists figures by name.
-func counted(figures map[string]int) string {
-	var list []string
-	for _, name := range slices.Sorted(maps.Keys(figures)) {
-		list = append(list, fmt.Sprintf("%s %d", strings.TrimSpace(name), figures[name]))
-	}
-	return strings.Join(list, ", ")
-}
-
 func (a *audit) checkConnections() {
 	limits := map[platform.ServerName]int{}
 	for _, u := range a.fleet.document.Upstreams {
@@ -274,45 +196,3 @@
 	a.most("VMs that don't refuse the withdrawn key at the end", taken, 0)
 }
 
-// readLog reads the servers' log.
-func readLog(ctx context.Context, address string) ([]entry, error) {
-	var log []entry
-	err := readJSON(ctx, "http://"+address+"/history", func(d *json.Decoder) error {
-		var e entry
-		err := d.Decode(&e)
-		if err == nil {
-			log = append(log, e)
-		}
-		return err
-	})
-	return log, err
-}
-
-// readServers reads the servers' state.
-func readServers(ctx context.Context, address string) ([]server, error) {
-	var list []server
-	err := readJSON(ctx, "http://"+address+"/state", func(d *json.Decoder) error { return d.Decode(&list) })
-	return list, err
-}
-
-// readJSON decodes values until there are no more.
-func readJSON(ctx context.Context, url string, decode func(*json.Decoder) error) error {
-	ctx, cancel := context.WithTimeout(ctx, metricsTimeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return err
-	}
-	answer, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return err
-	}
-	defer answer.Body.Close()
-	d := json.NewDecoder(answer.Body)
-	for d.More() {
-		if err := decode(d); err != nil {
-			return err
-		}
-	}
-	return nil
-}
--- a/cmd/savoryramp-load/fleet_test.go
+++ b/cmd/savoryramp-load/fleet_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/savoryramp/savoryramp/internal/fakeupstream"
+	"github.com/savoryramp/savoryramp/internal/load"
 	"github.com/savoryramp/savoryramp/internal/platform"
 )
 
@@ -108,3 +109,28 @@
 	assert.Assert(t, a.report(&out) != nil)
 	assert.Assert(t, strings.Contains(out.String(), "BROKEN"), out.String())
 }
+
+func TestLongestGap(t *testing.T) {
+	at := func(seconds ...time.Duration) (list []load.Span) {
+		for _, s := range seconds {
+			list = append(list, load.Span{To: s * time.Second})
+		}
+		return list
+	}
+	tests := map[string]struct {
+		admitted  []load.Span
+		from, gap time.Duration
+	}{
+		"none":             {nil, 0, 0},
+		"from the start":   {at(5, 6), 0, 5 * time.Second},
+		"in any order":     {at(9, 1, 2, 3), 3 * time.Second, 6 * time.Second},
+		"the first of two": {at(1, 3, 5), 1 * time.Second, 2 * time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			from, gap := longestGap(test.admitted)
+			assert.Equal(t, from, test.from)
+			assert.Equal(t, gap, test.gap)
+		})
+	}
+}
