--- a/cmd/savoryramp-load/audit.go
+++ b/cmd/savoryramp-load/audit.go
@@ -195,4 +195,3 @@
 	a.most("VMs that don't serve at the end", idle, 0)
 	a.most("VMs that don't refuse the withdrawn key at the end", taken, 0)
 }
-
--- a/cmd/savoryramp-load/rates.go
+++ b/cmd/savoryramp-load/rates.go
@@ -92,4 +92,3 @@
 	}
 	return strings.Join(list, ", ")
 }
-
