--- a/cmd/savoryramp-load/audit.go
+++ b/cmd/savoryramp-load/audit.go
@@ -181,14 +181,16 @@
 // checkLogins looks that every VM serves at the end, but not with the withdrawn key.
 func (a *audit) checkLogins() {
 	idle, taken := 0, 0
-	for _, code := range a.logins[workspaceWithin] {
+	for vm, code := range a.logins[workspaceWithin] {
 		if code != "" {
 			idle++
+			a.note("vm-%d at the end: %s", vm, code)
 		}
 	}
-	for _, code := range a.logins[workspaceLeaving] {
+	for vm, code := range a.logins[workspaceLeaving] {
 		if !strings.HasPrefix(code, classLogin) {
 			taken++
+			a.note("vm-%d at the end, to the withdrawn key: %q", vm, code)
 		}
 	}
 	a.least("VMs asked at the end", len(a.logins[workspaceWithin]))
