Count a peer's word from when it was asked for

A VM paused for 17 s took the heartbeats that had lain in its buffers for fresh when it was resumed: the age that a word tells was counted back from its reading. Ruled out: the 250 ms between two looks at the trust alone, since logins ask at once.

Only the answers to a VM's own heartbeats carry a word now, and the time since the question is added to its age; an answer that took longer than the patience ends the conversation. TestWordIsNoFresherThanTrue delays messages by 600 ms: 599ms fresher than true before, passes now (-count=10, GOMAXPROCS=2; -race, GOMAXPROCS=1).

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -76,13 +76,16 @@
 	var from Caller
 	for {
 		patience.Reset(suspectBeats * k.fleet.BeatEvery)
+		asked := time.Now()
 		if stream.Send(w.next()) != nil {
 			return
 		}
 		answer, err := stream.Recv()
-		if err != nil || !k.fleet.hear(&from, answer) {
+		took := time.Since(asked)
+		if err != nil || took > suspectBeats*k.fleet.BeatEvery || !k.fleet.hear(&from, answer) {
 			return
 		}
+		k.fleet.hearWord(from.Name, answer.GetWord(), took)
 		if w.behind() {
 			continue
 		}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -64,7 +64,6 @@
 		return false
 	}
 	f.hearDocument(from.Name, h.GetDocument())
-	f.hearWord(from.Name, h.GetWord())
 	news := false
 	for _, v := range h.GetViews() {
 		if f.board.take(v) && v.GetOrigin() != string(from.Name) {
@@ -109,12 +108,14 @@
 	return &peerpb.Word{Version: int64(w.Version), Known: w.Known, AgeMs: w.Age.Milliseconds()}
 }
 
-func (f *Fleet) hearWord(from Name, w *peerpb.Word) {
+// hearWord takes a peer's word from an answer, which is at most as old as the question.
+// Heartbeats that come unasked may have lain in a buffer while this VM was paused.
+func (f *Fleet) hearWord(from Name, w *peerpb.Word, took time.Duration) {
 	if w == nil || f.OnWord == nil {
 		return
 	}
 	// Rounded up, so that a document never counts as fresher than it is.
-	age := time.Duration(w.GetAgeMs()+1) * time.Millisecond
+	age := time.Duration(w.GetAgeMs()+1)*time.Millisecond + took
 	f.OnWord(from, platform.Word{Version: platform.DocumentVersion(w.GetVersion()), Known: w.GetKnown(), Age: age})
 }
 
