--- a/internal/caller/confirm.go
+++ b/internal/caller/confirm.go
@@ -13,6 +13,11 @@
 // finish ends the answer: what an idle primary says done must be confirmed first.
 func (x *exchange) finish(ctx context.Context) error {
 	s := x.session
+	if !x.failedBy {
+		for _, m := range x.request.instead {
+			s.send(m)
+		}
+	}
 	x.track()
 	if x.wrote() {
 		if err := x.confirm(ctx); err != nil {
@@ -56,6 +61,9 @@
 func (x *exchange) confirmRead(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), x.session.server.Deadline)
 	defer cancel()
+	if x.asksSeen {
+		return x.group.ConfirmSeen(ctx, x.conn)
+	}
 	return x.group.ConfirmRead(ctx, x.conn)
 }
 
