Give the table a time of its own when holders hang

A renewal asked all holders within one second and the table with what was left of it: paused holders hang and use all of it, so with a majority of them paused the table was asked with a context that had ended. Killed ones refuse at once, and the tests' table didn't look at its context, so it hadn't shown.

The table has its own second now; the tests' table refuses a reading that comes too late.

--- a/pkg/contract/fleet_test.go
+++ b/pkg/contract/fleet_test.go
@@ -19,8 +19,11 @@
 	calls int
 }
 
-func (t *table) Read(_ context.Context) (contract.Row, error) {
+func (t *table) Read(ctx context.Context) (contract.Row, error) {
 	time.Sleep(3 * time.Millisecond)
+	if ctx.Err() != nil {
+		return contract.Row{}, contract.ErrUnavailable.Wrap(ctx.Err(), "too late")
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.calls++
--- a/pkg/contract/renew.go
+++ b/pkg/contract/renew.go
@@ -6,8 +6,18 @@
 	"time"
 )
 
-// renew asks all holders, and the table if they don't make a majority.
+// renew asks all holders, and the table if they don't make a majority. The table has a
+// time of its own, since holders that hang use up all of theirs.
 func (s *Shares) renew(ctx context.Context) {
+	s.askAll(ctx)
+	s.confirm(s.Self, s.Now(), s.Row().Version)
+	if s.needsTable() {
+		s.readTable(ctx)
+	}
+	s.extend()
+}
+
+func (s *Shares) askAll(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, s.Validity/6)
 	defer cancel()
 	var asks sync.WaitGroup
@@ -17,11 +27,6 @@
 		}
 	}
 	asks.Wait()
-	s.confirm(s.Self, s.Now(), s.Row().Version)
-	if s.needsTable() {
-		s.readTable(ctx)
-	}
-	s.extend()
 }
 
 // ask renews with one VM, with the row if that one has an older.
@@ -73,6 +78,8 @@
 }
 
 func (s *Shares) readTable(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, s.Validity/6)
+	defer cancel()
 	asked := s.Now()
 	row, err := s.Table.Read(ctx)
 	if err != nil {
