--- a/internal/peer/fuzz_test.go
+++ b/internal/peer/fuzz_test.go
@@ -43,6 +43,7 @@
 		from := Caller{Name: "vm-2"}
 		fleet.hear(&from, &h)
 		fleet.hear(&from, &h)
+		fleet.hearWord(from.Name, h.GetWord(), 0)
 		fleet.judge()
 		for _, m := range fleet.Members() {
 			assert.Assert(t, m.Name != "vm-1" && m.Name != "")
