--- a/internal/fakenet/network_test.go
+++ b/internal/fakenet/network_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"os"
+	"runtime"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -55,3 +57,29 @@
 		assert.NilError(t, err)
 	})
 }
+
+// TestDelayChangesDuringDial is for the race detector.
+func TestDelayChangesDuringDial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const times = 300
+		n := fakenet.New()
+		l, err := n.Listen("b", "b:1")
+		assert.NilError(t, err)
+		defer l.Close()
+		var both sync.WaitGroup
+		both.Go(func() {
+			for range times {
+				c, err := n.Dialer("a")(t.Context(), "tcp", "b:1")
+				assert.Check(t, err)
+				_ = c.Close()
+			}
+		})
+		both.Go(func() {
+			for i := range times {
+				n.Delay("a", "b", time.Duration(i)*time.Microsecond)
+				runtime.Gosched()
+			}
+		})
+		both.Wait()
+	})
+}
