Tell a listener each status once, and wait for the replica's term

Cause: TestListenTellsEveryMove failed in 8 to 30 of 2,000 to 3,000 runs on two processors: "0/0 != 1/0". It listened before the replica had heard of the primary's term. Reading the code for it showed that the stand-in, too, told a status twice when it moved between the look and the sending, since it noted the one looked at.

Ruled out: a second cause of the failure; all 13 failures of 3,000 were this one.

Change: the test waits for the replica; the stand-in notes the status that it sent. The expectations are as they were.

After: 0 of 3,000 failed, with and without the stand-in's change (the doubled status was found by reading and not seen).

Conclusion: kept.

--- a/internal/fakeupstream/notify.go
+++ b/internal/fakeupstream/notify.go
@@ -24,21 +24,28 @@
 		case <-s.ctx.Done():
 			return
 		}
-		sent := s.listening && !s.tx.explicit && s.push()
+		sent := ""
+		if s.listening && !s.tx.explicit {
+			sent = s.push()
+		}
 		<-s.turn
-		if !sent {
+		if sent == "" {
 			pause(s.ctx, changed, time.Time{})
 			continue
 		}
-		told = text
+		told = sent
 	}
 }
 
-// push sends the present status as a notification.
-func (s *session) push() bool {
+// push sends the present status as a notification and gives it, or nothing if the
+// client is gone.
+func (s *session) push() string {
 	s.server.group.mu.Lock()
 	text := s.server.statusText()
 	s.server.group.mu.Unlock()
 	s.backend.Send(&pgproto3.NotificationResponse{PID: uint32(s.id), Channel: positionChannel, Payload: text})
-	return s.flush() == nil
+	if s.flush() != nil {
+		return ""
+	}
+	return text
 }
--- a/internal/fakeupstream/replication_test.go
+++ b/internal/fakeupstream/replication_test.go
@@ -40,6 +40,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := start(t, func(s *fakeupstream.Server) { s.Lag = time.Second })
 		a, r := b.connect("a", nil), b.connect("b", nil)
+		// The replica has heard of the primary's term.
+		synctest.Wait()
 		b.exec(r, "listen savoryramp_position")
 		told := func() fakeupstream.Status {
 			n, err := r.WaitForNotification(b.ctx)
