--- a/internal/upstream/aimd.go
+++ b/internal/upstream/aimd.go
@@ -16,7 +16,7 @@
 	workspaceSamples    = 3
 	maxWorkspaceSamples = 64
 	// tolerance is by how much the response time may be above its usual low.
-	tolerance = 3.0
+	tolerance = 2.0
 	// leastLow keeps the jitter of short statements from counting.
 	leastLow = time.Millisecond
 	// leastDecrease is the smallest factor of one change.
