--- a/internal/upstream/limit_test.go
+++ b/internal/upstream/limit_test.go
@@ -101,51 +101,47 @@
 	})
 }
 
-// A transaction whose caller idles keeps nobody out, and goes on without a wait.
-func TestIdleTransactionLeavesItsPlace(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		s := newSlowServer(2, usualTime)
-		p := &Pool{Dial: s.dial, Share: func() int { return poolShare }, Limit: Adaptive{}, MaxQueue: 100}
-		p.aimd.limit = leastBound
-		c, err := p.take(t.Context(), Request{Workspace: "a"})
-		assert.NilError(t, err)
-		_, err = c.Ask("BEGIN", time.Now().Add(time.Second))
-		assert.NilError(t, err)
-
-		began := time.Now()
-		assert.Assert(t, statement(t.Context(), p, "b"))
-		assert.Equal(t, time.Since(began), restAfter+usualTime)
-		began = time.Now()
-		_, err = c.Ask("COMMIT", began.Add(time.Second))
-		assert.NilError(t, err)
-		assert.Equal(t, time.Since(began), usualTime)
-		c.Release(true)
-		_, limit := p.limits()
-		assert.Equal(t, limit, leastBound)
-		p.close()
-		s.tasks.Wait()
-	})
-}
-
-// A commit that is being confirmed keeps nobody out.
-func TestConfirmationLeavesItsPlace(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		s := newSlowServer(2, usualTime)
-		p := &Pool{Dial: s.dial, Share: func() int { return poolShare }, Limit: Adaptive{}, MaxQueue: 100}
-		p.aimd.limit = leastBound
-		c, err := p.take(t.Context(), Request{Workspace: "a"})
-		assert.NilError(t, err)
-		_, err = c.Ask("INSERT", time.Now().Add(time.Second))
-		assert.NilError(t, err)
+// A connection without a statement keeps nobody out, and goes on without a wait: a
+// transaction whose caller idles, a commit that is being confirmed.
+func TestRestingConnectionLeavesItsPlace(t *testing.T) {
+	for name, test := range map[string]struct {
+		first string
+		// rests is how long the connection counts before it rests.
+		rests time.Duration
+		then  string
+	}{
+		"idle transaction":    {"BEGIN", restAfter, "COMMIT"},
+		"under confirmation":  {"INSERT", 0, ""},
+		"confirmed, and goes": {"INSERT", 0, "INSERT"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSlowServer(2, usualTime)
+				p := &Pool{Dial: s.dial, Share: func() int { return poolShare }, Limit: Adaptive{}, MaxQueue: 100}
+				p.aimd.limit = leastBound
+				c, err := p.take(t.Context(), Request{Workspace: "a"})
+				assert.NilError(t, err)
+				_, err = c.Ask(test.first, time.Now().Add(time.Second))
+				assert.NilError(t, err)
 
-		began := time.Now()
-		assert.Assert(t, statement(t.Context(), p, "b"))
-		assert.Equal(t, time.Since(began), usualTime)
-		c.Release(true)
-		assert.Equal(t, p.resting, 0)
-		p.close()
-		s.tasks.Wait()
-	})
+				began := time.Now()
+				assert.Assert(t, statement(t.Context(), p, "b"))
+				assert.Equal(t, time.Since(began), test.rests+usualTime)
+				if test.then != "" {
+					began = time.Now()
+					_, err = c.Ask(test.then, began.Add(time.Second))
+					assert.NilError(t, err)
+					assert.Equal(t, time.Since(began), usualTime)
+				}
+				c.Release(true)
+				assert.Equal(t, p.resting, 0)
+				_, limit := p.limits()
+				assert.Equal(t, limit, leastBound)
+				p.close()
+				s.tasks.Wait()
+			})
+		})
+	}
 }
 
 // Only the time of a whole autocommit statement counts.
