Let only a group's members confirm its commits

A group that ends drops its members; what waits in Confirm then found that the primary, always counted once, was more than half of none, and the commit was passed on as done though no replica had it. The same holds when a document drops the upstream, or names servers without the primary.

Ruled out: the promotion (it took the furthest log of those it fenced), the hand-over, the test's count (the killed VM's callers were told).

Change: a member counts if it is the primary of the commit's term or has received it in that term; none count for nothing. Confirm ends with its group, as ErrUnconfirmed.

Seen failing: CommitIsConfirmedByMembersOnly, the VM ends, the upstream goes, the primary goes (acknowledged != unknown).

--- a/internal/upstream/commit.go
+++ b/internal/upstream/commit.go
@@ -55,7 +55,7 @@
 
 // Confirm waits until the commit at p is held by a majority of the group's servers
 // that have accepted p's term and no later one. ErrUnconfirmed when a later term
-// was seen first or ctx ended.
+// was seen first, or ctx or the group ended.
 func (g *Group) Confirm(ctx context.Context, p position.Position) error {
 	for {
 		g.mu.Lock()
@@ -69,6 +69,8 @@
 		}
 		select {
 		case <-changed:
+		case <-g.ctx.Done():
+			return ErrUnconfirmed.New("commit at %s: upstream %s isn't served here any more", p, g.Upstream.Name)
 		case <-ctx.Done():
 			return ErrUnconfirmed.Wrap(ctx.Err(), "commit at %s reached no replica", p)
 		}
@@ -98,15 +100,23 @@
 	return nil
 }
 
-// confirmed counts the primary that answered, and each replica that received p in
-// p's term; g.mu is held.
+// confirmed tells whether a majority of the members hold what was committed at p; g.mu
+// is held. Without members, as when the group has ended, nothing is.
 func (g *Group) confirmed(p position.Position) bool {
-	holders := 1
+	holders := 0
 	for _, m := range g.members {
-		s := m.status
-		if s.Role == Replica && s.Term == p.Term && s.Received.Term == p.Term && s.Received.Offset >= p.Offset {
+		if m.status.holds(p) {
 			holders++
 		}
 	}
 	return holders > len(g.members)/2
 }
+
+// holds tells whether the server is known to hold what was committed at p: it is the
+// primary of p's term, or received p in that term.
+func (s Status) holds(p position.Position) bool {
+	if s.Term != p.Term {
+		return false
+	}
+	return s.Role == Primary || s.Received.Term == p.Term && s.Received.Offset >= p.Offset
+}
--- a/internal/upstream/failover_rig_test.go
+++ b/internal/upstream/failover_rig_test.go
@@ -191,7 +191,25 @@
 	for i := range up.Servers {
 		up.Servers[i].Leaving = up.Servers[i].Name == name
 	}
-	r.document = &platform.Document{Upstreams: []platform.Upstream{up}}
+	r.accept(up)
+}
+
+// serve changes the group's servers in a new document, or takes the group out of it.
+func (r *rig) serve(servers []platform.Server) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(servers) == 0 {
+		r.accept()
+		return
+	}
+	up := r.document.Upstreams[0]
+	up.Servers = servers
+	r.accept(up)
+}
+
+// accept makes a new document; r.mu is held.
+func (r *rig) accept(upstreams ...platform.Upstream) {
+	r.document = &platform.Document{Upstreams: upstreams}
 	r.version++
 	close(r.changed)
 	r.changed = make(chan struct{})
