Let replicas lag while VMs die in the middle of a commit

Cause: VMDies had not been seen failing on its own: its replicas applied at once, so a session without a floor saw its write all the same.

Change: the replicas apply 20 ms late in it; nothing else of it is changed.

Seen failing, with Floor answering nothing: killed after 7.25ms: acknowledged and not seen.

--- a/internal/caller/consistency/roaming_test.go
+++ b/internal/caller/consistency/roaming_test.go
@@ -112,6 +112,9 @@
 // and what it has once seen doesn't vanish, not even in a promotion.
 func TestVMDiesInTheMiddleOfACommit(t *testing.T) {
 	in(t, nil, func(t *testing.T, r *rig) {
+		for _, name := range []string{"b", "c"} {
+			r.server(name).SetLag(20 * time.Millisecond)
+		}
 		seen := map[int]int{}
 		for n := 1; n <= 32; n++ {
 			c := r.connect("vm1", "")
