Serve the users' platform through platform/, end to end

Cause: savoryramp spoke only PostgreSQL, the table service and gRPC; the users' platform speaks lines, a store of rows and its own listing of servers.

--- /dev/null
+++ b/internal/clock/clock.go
@@ -0,0 +1,31 @@
+// Package clock gives the age of beliefs on a clock that also counts suspensions.
+package clock
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Instant is a time since the VM booted, suspensions included. The time of day isn't
+// part of it, so steps of the wall clock don't move it.
+type Instant time.Duration
+
+// Now reads the clock.
+func Now() Instant {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		// Linux has had the clock since 2.6.39; going on without it would break promises.
+		panic(err)
+	}
+	return Instant(ts.Nano())
+}
+
+// Sub is the time from j to i.
+func (i Instant) Sub(j Instant) time.Duration { return time.Duration(i - j) }
+
+// Add is the instant d later.
+func (i Instant) Add(d time.Duration) Instant { return i + Instant(d) }
+
+// Since is the time from i to now.
+func Since(i Instant) time.Duration { return Now().Sub(i) }
--- /dev/null
+++ b/internal/heartbeat/heartbeat.go
@@ -0,0 +1,362 @@
+// Package heartbeat speaks with the other VMs in datagrams: who lives, what its callers
+// ask, which configuration it has, and what it thinks of the primaries.
+//
+// A datagram neither queues behind a silent connection nor needs one, and each beat says
+// all anew, so a lost one costs an interval.
+package heartbeat
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/savoryramp/savoryramp/internal/clock"
+	"github.com/savoryramp/savoryramp/internal/event"
+)
+
+const (
+	// interval between beats while nothing urgent changes.
+	interval = 600 * time.Millisecond
+	// tick is how soon an urgent change is told.
+	tick = 100 * time.Millisecond
+	// liveFor three lost beats a VM counts as live.
+	liveFor = 2 * time.Second
+	// knownFor is how long a silent VM counts against a majority.
+	knownFor = 15 * time.Second
+	// lookEvery is how often the directory is read after the start: VMs that come speak
+	// first, so it only mends what was lost.
+	lookEvery = 15 * time.Second
+	// maxBeat is the largest datagram read, in bytes.
+	maxBeat = 16 << 10
+)
+
+// Name names a VM.
+type Name string
+
+// Beat is what a VM says of itself.
+type Beat struct {
+	VM Name `json:"vm"`
+	// Incarnation is drawn at each start.
+	Incarnation uint32 `json:"incarnation"`
+	Address     string `json:"address"`
+	// Configuration is the version in force.
+	Configuration int64 `json:"configuration,omitempty"`
+	// Leaving VMs end soon.
+	Leaving bool `json:"leaving,omitempty"`
+	// Demand is operations a second by workspace.
+	Demand map[string]float64 `json:"demand,omitempty"`
+	// Leads by group; only those that fail or were replaced lately.
+	Leads map[string]Lead `json:"leads,omitempty"`
+}
+
+// Lead is what a VM says of a group's primary.
+type Lead struct {
+	Server  string `json:"server,omitempty"`
+	Term    int64  `json:"term,omitempty"`
+	Failing bool   `json:"failing,omitempty"`
+}
+
+// Directory is where VMs that start find the others.
+type Directory interface {
+	Register(ctx context.Context, vm Name, address string) error
+	List(ctx context.Context) (map[Name]string, error)
+	Remove(ctx context.Context, vm Name) error
+}
+
+// Fleet hears the other VMs. The exported fields are set before Run.
+type Fleet struct {
+	VM        Name
+	Conn      net.PacketConn
+	Directory Directory
+	// Seeds are addresses to speak to when the directory is out.
+	Seeds []string
+	// Fill adds what this VM has to say.
+	Fill func(*Beat)
+	// Urgent tells whether the others should hear at once.
+	Urgent func() bool
+	// Hear takes each beat of another VM.
+	Hear   func(Beat)
+	Logger log.Logger
+
+	mu          sync.Mutex
+	peers       map[Name]*peer
+	incarnation uint32
+	began       clock.Instant
+	listed      bool
+}
+
+type peer struct {
+	address string
+	// heard is zero for one known from the directory only.
+	heard clock.Instant
+	// added is when it was first known.
+	added clock.Instant
+	beat  Beat
+	live  bool
+}
+
+var (
+	eventPeer = event.Define(5101, "heartbeat-peer", event.Info,
+		"Another VM began to be heard, fell silent, or said that it ends.")
+	eventDirectory = event.Define(5102, "heartbeat-directory", event.Warn,
+		"The directory of VMs doesn't answer; VMs that this one knows go on being heard.")
+	eventBeat = event.Define(5103, "heartbeat-malformed", event.Warn,
+		"A datagram isn't a beat and is passed over.")
+)
+
+// Run speaks and listens until ctx ends.
+func (f *Fleet) Run(ctx context.Context) error {
+	f.mu.Lock()
+	f.init()
+	f.mu.Unlock()
+	var tasks sync.WaitGroup
+	tasks.Go(func() { f.listen(ctx) })
+	tasks.Go(func() { f.look(ctx) })
+	f.speak(ctx)
+	f.Conn.Close()
+	tasks.Wait()
+	return nil
+}
+
+func (f *Fleet) init() {
+	if f.peers == nil {
+		f.peers, f.incarnation, f.began = map[Name]*peer{}, rand.Uint32(), clock.Now()
+	}
+}
+
+// look keeps this VM in the directory and learns the others' addresses.
+func (f *Fleet) look(ctx context.Context) {
+	registered := false
+	for pause := tick; ctx.Err() == nil; {
+		var err error
+		if !registered {
+			err = f.Directory.Register(ctx, f.VM, f.Conn.LocalAddr().String())
+			registered = err == nil
+		}
+		var list map[Name]string
+		if registered {
+			list, err = f.Directory.List(ctx)
+		}
+		if err != nil && ctx.Err() == nil {
+			eventDirectory.Log(f.Logger, "err", err)
+			pause = min(2*pause, time.Second)
+		} else {
+			pause = lookEvery
+			f.know(list)
+		}
+		sleep(ctx, pause/2+rand.N(pause))
+	}
+}
+
+func (f *Fleet) know(list map[Name]string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.listed = true
+	for name, address := range list {
+		if name == f.VM {
+			continue
+		}
+		if p := f.peers[name]; p == nil {
+			f.peers[name] = &peer{address: address, added: clock.Now()}
+		} else if !p.live {
+			p.address = address
+		}
+	}
+}
+
+// speak sends beats.
+func (f *Fleet) speak(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	var last time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		f.fade()
+		if time.Since(last) < interval && !f.Urgent() {
+			continue
+		}
+		last = time.Now()
+		f.Tell()
+	}
+}
+
+// Tell sends a beat to all.
+func (f *Fleet) Tell() {
+	f.mu.Lock()
+	f.init()
+	b := Beat{VM: f.VM, Incarnation: f.incarnation, Address: f.Conn.LocalAddr().String()}
+	var addresses []string
+	for _, p := range f.peers {
+		addresses = append(addresses, p.address)
+	}
+	if len(addresses) == 0 {
+		addresses = f.Seeds
+	}
+	f.mu.Unlock()
+	f.Fill(&b)
+	text, err := json.Marshal(b)
+	if err != nil {
+		eventBeat.Log(f.Logger, "err", err)
+		return
+	}
+	for _, a := range addresses {
+		address, err := net.ResolveUDPAddr("udp", a)
+		if err != nil {
+			continue
+		}
+		// A lost beat is made up for by the next.
+		_, _ = f.Conn.WriteTo(text, address)
+	}
+}
+
+// fade takes note of VMs that have fallen silent.
+func (f *Fleet) fade() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := clock.Now()
+	for name, p := range f.peers {
+		if p.live && now.Sub(p.heard) > liveFor {
+			p.live = false
+			eventPeer.Log(f.Logger, "peer", name, "silent", now.Sub(p.heard), "outcome", "silent")
+		}
+		if now.Sub(max(p.heard, p.added)) > knownFor {
+			delete(f.peers, name)
+		}
+	}
+}
+
+func (f *Fleet) listen(ctx context.Context) {
+	buffer := make([]byte, maxBeat)
+	for ctx.Err() == nil {
+		n, from, err := f.Conn.ReadFrom(buffer)
+		if err != nil {
+			// Such as an unreachable peer's refusal; a closed socket ends with ctx.
+			sleep(ctx, time.Millisecond)
+			continue
+		}
+		var b Beat
+		if err := json.Unmarshal(buffer[:n], &b); err != nil || b.VM == "" {
+			eventBeat.Log(f.Logger, "from", from, "bytes", n, "err", err)
+			continue
+		}
+		if b.VM != f.VM {
+			f.hear(b)
+		}
+	}
+}
+
+func (f *Fleet) hear(b Beat) {
+	f.mu.Lock()
+	f.init()
+	p := f.peers[b.VM]
+	if p == nil {
+		p = &peer{added: clock.Now()}
+		f.peers[b.VM] = p
+	}
+	if !p.live || p.beat.Leaving != b.Leaving {
+		eventPeer.Log(f.Logger, "peer", b.VM, "incarnation", b.Incarnation, "leaving", b.Leaving, "outcome", "heard")
+	}
+	fresh := p.heard == 0
+	p.live, p.heard, p.beat, p.address = true, clock.Now(), b, b.Address
+	f.mu.Unlock()
+	f.Hear(b)
+	if fresh {
+		f.Tell()
+	}
+}
+
+// Peer is another VM as this one hears it.
+type Peer struct {
+	Beat
+	// Silent VMs were heard of lately but not at present.
+	Silent bool
+}
+
+// Peers lists the other VMs that live or fell silent lately, by name.
+func (f *Fleet) Peers() []Peer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []Peer
+	for name, p := range f.peers {
+		b := p.beat
+		b.VM, b.Address = name, p.address
+		list = append(list, Peer{Beat: b, Silent: !p.live})
+	}
+	slices.SortFunc(list, func(a, b Peer) int {
+		if a.VM < b.VM {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
+
+// Size counts the VMs that live, this one included.
+func (f *Fleet) Size() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 1
+	for _, p := range f.peers {
+		if p.counts(f.began) {
+			n++
+		}
+	}
+	return n
+}
+
+// counts tells whether the peer is taken for live: also while it was only listed and
+// this VM has hardly begun to listen.
+func (p *peer) counts(began clock.Instant) bool {
+	return p.live && !p.beat.Leaving || p.heard == 0 && clock.Since(began) < liveFor
+}
+
+// Rank is this VM's place by name among those that live, from 0.
+func (f *Fleet) Rank() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for name, p := range f.peers {
+		if p.counts(f.began) && name < f.VM {
+			n++
+		}
+	}
+	return n
+}
+
+// settleFor is how long a VM that starts listens before it takes callers: each other VM
+// answers a first beat at once.
+const settleFor = 400 * time.Millisecond
+
+// Settled tells whether this VM has had the time to hear the others.
+func (f *Fleet) Settled() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.listed && clock.Since(f.began) > settleFor
+}
+
+// Leave says that this VM ends, and takes it out of the directory.
+func (f *Fleet) Leave(ctx context.Context) {
+	f.Tell()
+	if err := f.Directory.Remove(ctx, f.VM); err != nil {
+		eventDirectory.Log(f.Logger, "err", err)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/operator/main.go
+++ b/internal/operator/main.go
@@ -7,6 +7,9 @@
 	"io"
 
 	"github.com/savoryramp/savoryramp/internal/event"
+	// Their events belong in the catalogue.
+	_ "github.com/savoryramp/savoryramp/internal/proxy"
+	_ "github.com/savoryramp/savoryramp/platform"
 )
 
 // ExitCode tells a script what kind of failure ended a command.
--- /dev/null
+++ b/internal/proxy/keeper.go
@@ -0,0 +1,107 @@
+package proxy
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/savoryramp/savoryramp/internal/clock"
+)
+
+const (
+	// keepTick is how often a group is looked after.
+	keepTick = 200 * time.Millisecond
+	// proveEvery bounds the age of the newest proof of the lead: well under the bounds
+	// of routes, so that reads find a floor that replicas have reached.
+	proveEvery = 500 * time.Millisecond
+	// proveWithin bounds one proof; it takes no slot.
+	proveWithin = 400 * time.Millisecond
+	// shedEvery is how often idle connections are looked through.
+	shedEvery = 2 * time.Second
+)
+
+// run looks after the group until ctx ends.
+func (g *Group) run(ctx context.Context) {
+	tick := time.NewTicker(keepTick)
+	defer tick.Stop()
+	var shed time.Time
+	for {
+		g.tend(ctx)
+		if time.Since(shed) > shedEvery {
+			shed = time.Now()
+			for _, m := range g.list() {
+				m.pool.Shed()
+			}
+		}
+		select {
+		case <-ctx.Done():
+			for _, m := range g.list() {
+				m.pool.Close()
+			}
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// tend proves the lead anew, or looks for one.
+func (g *Group) tend(ctx context.Context) {
+	if g.VM.Configuration() == nil {
+		return
+	}
+	m, _ := g.leader()
+	if m == nil {
+		for _, candidate := range g.list() {
+			g.proveAt(ctx, candidate)
+		}
+		return
+	}
+	sent, _, found := g.Samples.Newest()
+	g.mu.Lock()
+	failing := g.health.failing > 0
+	g.mu.Unlock()
+	if found && !failing && clock.Now().Sub(clock.Instant(sent)) < proveEvery {
+		return
+	}
+	g.proveAt(ctx, m)
+}
+
+// list gives the members by id.
+func (g *Group) list() []*member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	list := make([]*member, 0, len(g.members))
+	for _, m := range g.members {
+		list = append(list, m)
+	}
+	slices.SortFunc(list, func(a, b *member) int {
+		if a.server.ID < b.server.ID {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
+
+// proveAt asks a server to prove that it leads.
+func (g *Group) proveAt(ctx context.Context, m *member) {
+	until := time.Now().Add(proveWithin)
+	c, err := m.pool.TakeAny(ctx, until)
+	if isType(err, ErrBusy) || isType(err, ErrRefused) {
+		return
+	}
+	if err != nil {
+		g.failed(m.pool.Server.ID, err)
+		return
+	}
+	l := newLease(c, g)
+	_, a, err := l.prove(until)
+	l.give(err == nil && a.Phase == Idle)
+	switch {
+	case err != nil:
+		m.pool.Drop()
+		g.failed(m.pool.Server.ID, err)
+	case a.Failure == NotPrimary:
+		g.Deposed(m.pool.Server.ID, "refused to prove that it leads")
+	}
+}
--- /dev/null
+++ b/internal/proxy/metrics.go
@@ -0,0 +1,46 @@
+package proxy
+
+import (
+	"context"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+)
+
+// instruments count what callers see; the zero value counts nothing.
+type instruments struct {
+	answers metric.Int64Counter
+	latency metric.Float64Histogram
+}
+
+// latencyBounds are in seconds: around the objectives and time-outs of routes.
+var latencyBounds = []float64{.002, .005, .01, .02, .05, .1, .15, .25, .5, 1, 2, 5}
+
+// Measure registers the VM's instruments. ErrMalformed.
+func (v *VM) Measure(m metric.Meter) error {
+	answers, err := m.Int64Counter("savoryramp.vm.answers", metric.WithDescription("Answers to callers by database and outcome."))
+	if err != nil {
+		return ErrMalformed.Wrap(err, "instrument")
+	}
+	latency, err := m.Float64Histogram("savoryramp.vm.latency", metric.WithUnit("s"),
+		metric.WithDescription("Time from a statement's arrival to its answer."), metric.WithExplicitBucketBoundaries(latencyBounds...))
+	if err != nil {
+		return ErrMalformed.Wrap(err, "instrument")
+	}
+	v.metrics = instruments{answers, latency}
+	return nil
+}
+
+func (i instruments) answered(r *Route, a Answer, took time.Duration) {
+	if i.answers == nil {
+		return
+	}
+	outcome := string(a.Failure)
+	if a.Succeeded() {
+		outcome = "ok"
+	}
+	set := metric.WithAttributes(attribute.String("database", string(r.Database)), attribute.String("outcome", outcome))
+	i.answers.Add(context.Background(), 1, set)
+	i.latency.Record(context.Background(), took.Seconds(), set)
+}
--- /dev/null
+++ b/internal/proxy/vm.go
@@ -0,0 +1,307 @@
+package proxy
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-kit/log"
+	"github.com/joomcode/errorx"
+
+	"github.com/savoryramp/savoryramp/pkg/position"
+	"github.com/savoryramp/savoryramp/pkg/quota"
+)
+
+// Fleet is the VMs that run now, as this one hears of them.
+type Fleet interface {
+	// Size counts the VMs, this one included; Rank is its place among them, from 0.
+	Size() int
+	Rank() int
+	// Settled tells whether the VM has had the time to hear the others.
+	Settled() bool
+}
+
+// VM serves callers. The exported fields are set before Run.
+type VM struct {
+	Name    VMName
+	Zone    AvailabilityZone
+	Connect Connect
+	Fleet   Fleet
+	Quota   *quota.Limiter
+	Logger  log.Logger
+
+	configuration atomic.Pointer[Configuration]
+	draining      atomic.Bool
+	// cutting is true once open transactions must end, too.
+	cutting atomic.Bool
+	open    atomic.Int64
+	metrics instruments
+
+	mu       sync.Mutex
+	sessions map[*Session]bool
+	groups   map[ServiceName]*Group
+	servers  []Server
+	// listed is true once the platform's list of servers has been read.
+	listed   bool
+	typicals map[DatabaseName]time.Duration
+	ctx      context.Context
+	tasks    sync.WaitGroup
+}
+
+// Run keeps the groups until ctx ends.
+func (v *VM) Run(ctx context.Context) error {
+	v.mu.Lock()
+	v.init()
+	v.ctx = ctx
+	for _, g := range v.groups {
+		v.keep(g)
+	}
+	v.mu.Unlock()
+	<-ctx.Done()
+	v.mu.Lock()
+	sessions := make([]*Session, 0, len(v.sessions))
+	for s := range v.sessions {
+		sessions = append(sessions, s)
+	}
+	v.mu.Unlock()
+	for _, s := range sessions {
+		s.caller.Close()
+	}
+	v.tasks.Wait()
+	return nil
+}
+
+func (v *VM) init() {
+	if v.sessions == nil {
+		v.sessions, v.groups, v.typicals = map[*Session]bool{}, map[ServiceName]*Group{}, map[DatabaseName]time.Duration{}
+	}
+}
+
+// keep starts the upkeep of a group; v.mu is held.
+func (v *VM) keep(g *Group) {
+	ctx := v.ctx
+	v.tasks.Go(func() { g.run(ctx) })
+}
+
+// Serve runs one caller's connection to its end.
+func (v *VM) Serve(ctx context.Context, c Caller) {
+	v.open.Add(1)
+	defer v.open.Add(-1)
+	s := &Session{vm: v, caller: c, values: map[string]string{}, plans: map[StatementName]Plan{}, floors: map[ServiceName]position.Position{}}
+	s.run(ctx)
+}
+
+// Configuration is the one in force, nil before the first.
+func (v *VM) Configuration() *Configuration { return v.configuration.Load() }
+
+// Configure puts a configuration into force unless a newer one is.
+func (v *VM) Configure(c *Configuration, source string) {
+	for {
+		before := v.configuration.Load()
+		if before != nil && before.Version >= c.Version {
+			return
+		}
+		if v.configuration.CompareAndSwap(before, c) {
+			break
+		}
+	}
+	eventConfiguration.Log(v.Logger, "version", c.Version, "routes", len(c.Routes), "keys", len(c.Keys), "source", source)
+	v.mu.Lock()
+	v.init()
+	for name := range c.Services {
+		if v.groups[name] == nil {
+			g := newGroup(v, name)
+			v.groups[name] = g
+			g.update(of(v.servers, name))
+			if v.ctx != nil {
+				v.keep(g)
+			}
+		}
+	}
+	v.mu.Unlock()
+	v.interrupt()
+}
+
+// List takes the servers that the platform lists.
+func (v *VM) List(servers []Server) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.init()
+	v.servers, v.listed = servers, true
+	for name, g := range v.groups {
+		g.update(of(servers, name))
+	}
+}
+
+func of(servers []Server, name ServiceName) []Server {
+	var list []Server
+	for _, s := range servers {
+		if s.Service == name {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+func (v *VM) group(name ServiceName) *Group {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.groups[name]
+}
+
+// Groups lists the groups.
+func (v *VM) Groups() []*Group {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	list := make([]*Group, 0, len(v.groups))
+	for _, g := range v.groups {
+		list = append(list, g)
+	}
+	return list
+}
+
+// Ready tells whether the VM can serve callers.
+func (v *VM) Ready() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.configuration.Load() != nil && v.listed && v.Fleet.Settled() && !v.draining.Load()
+}
+
+// Draining tells whether the VM is about to end.
+func (v *VM) Draining() bool { return v.draining.Load() }
+
+const (
+	// drainTick is how often a drain looks for sessions that have come to rest.
+	drainTick = 25 * time.Millisecond
+)
+
+// Drain ends sessions between operations, and returns when none is left. Transactions
+// may go on until cut; ctx bounds it all.
+func (v *VM) Drain(ctx context.Context, cut time.Duration) {
+	eventDrain.Log(v.Logger, "sessions", v.open.Load())
+	v.draining.Store(true)
+	began := time.Now()
+	tick := time.NewTicker(drainTick)
+	defer tick.Stop()
+	for {
+		if time.Since(began) > cut {
+			v.cutting.Store(true)
+		}
+		v.interrupt()
+		if v.open.Load() == 0 && time.Since(began) > lingerFor {
+			break
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			eventDrained.Log(v.Logger, "sessions", v.open.Load(), "outcome", "cut short")
+			return
+		}
+	}
+	eventDrained.Log(v.Logger, "sessions", 0, "outcome", "done")
+}
+
+// lingerFor is how long a VM that drains goes on taking callers: until the platform's
+// balancer has missed it twice, a second apart.
+const lingerFor = 2500 * time.Millisecond
+
+// interrupt wakes the sessions that wait for a request, so that they look around.
+func (v *VM) interrupt() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for s := range v.sessions {
+		if !s.busy.Load() {
+			s.caller.Interrupt()
+		}
+	}
+}
+
+func (v *VM) add(s *Session) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.init()
+	v.sessions[s] = true
+}
+
+func (v *VM) remove(s *Session) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	delete(v.sessions, s)
+}
+
+// share is how many connections to a server this VM may have. Where the limit doesn't
+// divide evenly, the VMs that get one more differ from server to server.
+func (v *VM) share(service ServiceName, id ServerID) int {
+	c := v.Configuration()
+	if c == nil || c.Services[service] == nil {
+		return 1
+	}
+	limit, size := c.Services[service].Connections, max(v.Fleet.Size(), 1)
+	n := limit / size
+	if (uint64(v.Fleet.Rank())+xxhash.Sum64String(string(id)))%uint64(size) < uint64(limit%size) {
+		n++
+	}
+	return max(n, 1)
+}
+
+// admit counts an operation against its workspace's rate; refused comes with how long
+// until one would be admitted.
+func (v *VM) admit(w *Workspace) (wait time.Duration, refused bool) {
+	if v.Quota == nil || w.Rate <= 0 {
+		return 0, false
+	}
+	wait, admitted := v.Quota.Admit(string(w.Name), float64(w.Rate), float64(w.Burst))
+	return wait, !admitted
+}
+
+const (
+	// typicalFirst is taken for a route's statement time before one was measured.
+	typicalFirst = 20 * time.Millisecond
+	// patienceTimes typical times are waited for a repeatable statement: more than a
+	// server's full queue takes.
+	patienceTimes = 10
+	patienceLeast = 150 * time.Millisecond
+	// patienceMost is that part of the statement's time-out.
+	patienceMost = 0.45
+)
+
+// typical is how long the route's reads take on average.
+func (v *VM) typical(r *Route) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if t := v.typicals[r.Database]; t > 0 {
+		return t
+	}
+	return typicalFirst
+}
+
+func (v *VM) took(op *operation, id ServerID, d time.Duration) {
+	v.mu.Lock()
+	before := v.typicals[op.route.Database]
+	v.typicals[op.route.Database] = average(before, d)
+	v.mu.Unlock()
+	op.group.succeeded(id, d, before)
+}
+
+// patience is how long one attempt at a repeatable statement may take.
+func (v *VM) patience(r *Route) time.Duration {
+	p := max(patienceTimes*v.typical(r), patienceLeast)
+	return min(p, time.Duration(patienceMost*float64(r.StatementTimeout)))
+}
+
+func isType(err error, t *errorx.Type) bool { return err != nil && errorx.IsOfType(err, t) }
+
+func itoa(n int64) string { return strconv.FormatInt(n, 10) }
+
+// sleep pauses for d, or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/pkg/failover/failover.go
@@ -0,0 +1,152 @@
+// Package failover decides when a group's primary is replaced, and by whom.
+//
+// Each VM has an opinion of the primary and hears the others'. A primary is replaced when
+// more than half of the VMs heard of lately can't use it, so that a VM's own cut, pause or
+// slowness never moves one; a silent VM counts against. Any number of VMs may act: they
+// take turns by rank, and fencing tokens make all but the last of them harmless.
+package failover
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Opinion is what one VM says of a group's primary.
+type Opinion struct {
+	VM string
+	// Primary is whom the VM takes for it; empty if it knows none.
+	Primary string
+	// Failing is true while the VM can't use it, or knows none.
+	Failing bool
+	// Silent VMs were heard of lately but not at present.
+	Silent bool
+}
+
+// View is all that one VM's decision rests on.
+type View struct {
+	VM, Group string
+	// Own is this VM's opinion.
+	Own Opinion
+	// Others has each other VM that isn't ending.
+	Others []Opinion
+	// Leaving primaries have said that they end; Unlisted ones are no longer known to
+	// the platform.
+	Leaving, Unlisted bool
+}
+
+// Verdict is what is to be done.
+type Verdict string
+
+// The verdicts.
+const (
+	// Keep the primary.
+	Keep Verdict = "keep"
+	// Replace a primary that can't be used.
+	Replace Verdict = "replace"
+	// HandOver from a primary that works, losing nothing.
+	HandOver Verdict = "hand-over"
+)
+
+// Verdict decides.
+func (v View) Verdict() Verdict {
+	if v.Own.Failing && 2*len(v.agreeing()) > len(v.Others)+1 {
+		return Replace
+	}
+	if !v.Own.Failing && (v.Leaving || v.Unlisted) {
+		return HandOver
+	}
+	return Keep
+}
+
+// agreeing are the VMs that can't use the primary, this one included.
+func (v View) agreeing() []string {
+	list := []string{v.VM}
+	for _, o := range v.Others {
+		if o.Failing && !o.Silent && (o.Primary == v.Own.Primary || o.Primary == "" || v.Own.Primary == "") {
+			list = append(list, o.VM)
+		}
+	}
+	return list
+}
+
+// turnEvery is how much longer each rank waits: about what an order takes.
+const turnEvery = 700 * time.Millisecond
+
+// Wait is how long the verdict must have stood before this VM acts, so that one acts at
+// first, and another when that comes to nothing.
+func (v View) Wait() time.Duration {
+	rank := 0
+	mine := v.weight(v.VM)
+	for _, vm := range v.actors() {
+		if w := v.weight(vm); w > mine || w == mine && vm < v.VM {
+			rank++
+		}
+	}
+	return time.Duration(rank) * turnEvery
+}
+
+// actors are the VMs that may act on the verdict.
+func (v View) actors() []string {
+	if v.Own.Failing {
+		return v.agreeing()
+	}
+	var list []string
+	for _, o := range v.Others {
+		if !o.Silent {
+			list = append(list, o.VM)
+		}
+	}
+	return list
+}
+
+// weight spreads groups over VMs.
+func (v View) weight(vm string) uint64 { return xxhash.Sum64String(v.Group + "/" + vm) }
+
+// Replica is what a replica says of itself when a primary is sought.
+type Replica struct {
+	Server string
+	// Received orders replicas by how much of the log they have.
+	Received Place
+	// Leaving replicas are taken only if there is no other.
+	Leaving bool
+}
+
+// Place is an end of a log.
+type Place struct{ Term, Offset int64 }
+
+func (p Place) less(q Place) bool {
+	return p.Term < q.Term || p.Term == q.Term && p.Offset < q.Offset
+}
+
+// Pick gives the replica that loses least, false if too few answered: with confirmed
+// commits on at least sync replicas of all, so many must be heard that each commit is on
+// one of them.
+func Pick(heard []Replica, all, sync int) (Replica, bool) {
+	if len(heard) == 0 || sync > 0 && len(heard) < all-sync+1 {
+		return Replica{}, false
+	}
+	var best Replica
+	found := false
+	for _, r := range heard {
+		if !found || better(r, best, sync) {
+			best, found = r, true
+		}
+	}
+	return best, found
+}
+
+// better prefers the longer log; where no commit was confirmed by replicas, one that
+// stays goes before one that leaves.
+func better(r, best Replica, sync int) bool {
+	if sync == 0 && r.Leaving != best.Leaving {
+		return best.Leaving
+	}
+	if r.Received == best.Received {
+		if r.Leaving != best.Leaving {
+			return best.Leaving
+		}
+		return r.Server < best.Server
+	}
+	return best.Received.less(r.Received)
+}
--- /dev/null
+++ b/pkg/quota/quota.go
@@ -0,0 +1,150 @@
+// Package quota shares rates over VMs by demand.
+//
+// Each VM counts what its callers ask of each workspace and tells the others. A VM's part
+// of a rate is its part of the demand, so the parts of all VMs add up to about the rate
+// wherever callers are. What the parts may add up to beyond it, because VMs hear of each
+// other late, has to fit the slack that the contract leaves.
+package quota
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+const (
+	// demandMemory is over how long demand is averaged: short enough for a burst to be
+	// seen within a few heartbeats, long enough for a few requests a second to count.
+	demandMemory = time.Second
+	// floorPart of a rate is dealt out evenly, whatever the demand, so that a VM whose
+	// callers have just come isn't without.
+	floorPart = 0.15
+	// marginPart of a rate is given beyond it, for parts that other VMs don't use; it is
+	// under a third of the tenth that contracts leave.
+	marginPart = 0.03
+	// extraTokens, over all VMs, is half of the tolerance that contracts leave.
+	extraTokens = 10
+	// forgetAfter is when a silent VM's demand no longer counts: until then it may serve
+	// callers although others don't hear it.
+	forgetAfter = 15 * time.Second
+)
+
+// Demand is operations a second by workspace.
+type Demand map[string]float64
+
+// Limiter admits operations at one VM. The exported fields are set before the first use.
+type Limiter struct {
+	// Now is a clock that also counts suspensions.
+	Now func() time.Duration
+	// Size counts the VMs, this one included.
+	Size func() int
+
+	mu      sync.Mutex
+	buckets map[string]*bucket
+	peers   map[string]peer
+}
+
+type peer struct {
+	demand Demand
+	heard  time.Duration
+}
+
+type bucket struct {
+	tokens float64
+	// last is when tokens and demand were brought up to date.
+	last   time.Duration
+	demand float64
+}
+
+// Admit counts one operation of a workspace with that rate (a second) and burst. If it is
+// over this VM's part, wait is how long until one would be admitted.
+func (l *Limiter) Admit(workspace string, rate, burst float64) (wait time.Duration, admitted bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.Now()
+	b := l.bucket(workspace, now)
+	b.demand += 1 / demandMemory.Seconds()
+	part := l.part(workspace, b.demand, rate, now)
+	size := float64(max(l.Size(), 1))
+	refill := part * rate * (1 + marginPart)
+	ceiling := max(part*burst+extraTokens/size, 1)
+	if b.last == 0 {
+		b.tokens = ceiling
+	} else {
+		b.tokens = min(b.tokens+refill*(now-b.last).Seconds(), ceiling)
+	}
+	b.last = now
+	if b.tokens >= 1 {
+		b.tokens--
+		return 0, true
+	}
+	return time.Duration((1 - b.tokens) / refill * float64(time.Second)), false
+}
+
+// bucket gives the workspace's bucket with its demand brought up to date; l.mu is held.
+func (l *Limiter) bucket(workspace string, now time.Duration) *bucket {
+	if l.buckets == nil {
+		l.buckets = map[string]*bucket{}
+	}
+	b := l.buckets[workspace]
+	if b == nil {
+		b = &bucket{}
+		l.buckets[workspace] = b
+		return b
+	}
+	b.demand *= math.Exp(-(now - b.last).Seconds() / demandMemory.Seconds())
+	return b
+}
+
+// part is this VM's part of a workspace's rate; l.mu is held. A VM that hasn't been heard
+// of yet counts with an even part of the rate as its demand.
+func (l *Limiter) part(workspace string, own, rate float64, now time.Duration) float64 {
+	size := max(l.Size(), 1)
+	others, heard := 0.0, 0
+	for name, p := range l.peers {
+		if now-p.heard > forgetAfter {
+			delete(l.peers, name)
+			continue
+		}
+		others += p.demand[workspace]
+		heard++
+	}
+	even := rate / float64(size)
+	others += float64(max(size-1-heard, 0)) * even
+	return min((own+floorPart*even)/(own+others+floorPart*rate), 1)
+}
+
+// Hear takes what another VM says its callers ask.
+func (l *Limiter) Hear(vm string, d Demand) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.peers == nil {
+		l.peers = map[string]peer{}
+	}
+	l.peers[vm] = peer{demand: d, heard: l.Now()}
+}
+
+// Forget drops a VM that has said it ends.
+func (l *Limiter) Forget(vm string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.peers, vm)
+}
+
+// worthTelling is the least demand that others are told of, in operations a second.
+const worthTelling = 0.05
+
+// Demand is what this VM's callers ask.
+func (l *Limiter) Demand() Demand {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.Now()
+	d := Demand{}
+	for name, b := range l.buckets {
+		faded := b.demand * math.Exp(-(now-b.last).Seconds()/demandMemory.Seconds())
+		if faded >= worthTelling {
+			d[name] = math.Round(faded*100) / 100
+		}
+	}
+	return d
+}
