Open server connections in the background, by workspace

Ruled out: the servers' work itself (28 % of their slots), the rate limits (85 refusals).

Change: requests wait for connections of their workspace; one connection is opened at a time a server, for whoever has waited longest, and goes on when its request has given up; an idle connection changes hands only after it has rested. The queue by deficit round robin is dropped here, since places are shared by workspace now.

--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -24,8 +24,6 @@
 	farCost = 8 * time.Millisecond
 	// leadShare of the typical time is added for the primary, to leave room for writes.
 	leadShare = 0.5
-	// evictCost is added for closing a connection that another workspace may want again.
-	evictCost = 5 * time.Millisecond
 	// behindCost is added for a replica that lacked a position.
 	behindCost = 100 * time.Millisecond
 	// avoidCost puts servers that failed behind all others.
@@ -34,17 +32,7 @@
 
 // cost estimates how long a read would take at the server, with what it takes from others.
 func (c Candidate) cost(typical time.Duration) time.Duration {
-	o := c.Outlook
-	t := time.Duration(c.Factor * float64(typical))
-	switch {
-	case o.ready:
-	case o.room:
-		t += o.handshake
-	case o.evictable:
-		t += o.handshake + evictCost
-	default:
-		t += o.use*time.Duration(o.waiting+1)/time.Duration(max(o.inUse, 1)) + o.handshake
-	}
+	t := c.Outlook.wait + time.Duration(c.Factor*float64(typical))
 	if !c.Near {
 		t += farCost
 	}
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -2,21 +2,28 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
-
-	"github.com/savoryramp/savoryramp/pkg/turn"
 )
 
 const (
 	// idleAtMost is how long a connection may idle; servers close theirs after a minute.
 	idleAtMost = 30 * time.Second
-	// connectWithin bounds opening one: several round trips, and the server's own wait
-	// for a slot while it is loaded.
-	connectWithin = 600 * time.Millisecond
-	// refusedPause follows a server's word that it has too many connections.
+	// connectWithin bounds opening one. An attempt goes on when the request that wanted it
+	// has given up: the server has already spent a slot on it.
+	connectWithin = 2500 * time.Millisecond
+	// handshakeFirst is taken for the time to open one before it was measured.
+	handshakeFirst = 20 * time.Millisecond
+	// refusedPause follows a server's word that it has too many connections, and
+	// failedPause an attempt that failed otherwise.
 	refusedPause = 250 * time.Millisecond
+	failedPause  = 100 * time.Millisecond
+	// maxOpening connections are opened at once: each takes a slot of the server, which
+	// has two or three, and the other VMs open theirs.
+	maxOpening = 1
+	// restLeast is how long a connection must have idled before another workspace may
+	// have its place: a caller that works in sequence comes back within that.
+	restLeast = 50 * time.Millisecond
 	// smoothing weighs one observation in the averages of the pool.
 	smoothing = 0.1
 )
@@ -24,260 +31,387 @@
 // Pool holds this VM's connections to one server.
 //
 // A connection belongs to one workspace, since servers are told at its start for whom it
-// is. A workspace without a connection gets a new one while the VM's share has room,
-// else in place of one that another workspace left idle for longest.
+// is. Opening one costs a server as much as a read, so a workspace that has some waits for
+// them unless that takes longer, and its connections change hands only when they rest.
 type Pool struct {
-	// Server may change its state, never its id or address; guarded by the group.
 	Server  Server
 	Connect Connect
 	// Share is how many connections this VM may have to the server at this moment.
 	Share func() int
 
-	mu sync.Mutex
+	mu    sync.Mutex
+	lines map[WorkspaceName]*line
+	// open counts all connections: idle, in use and being opened.
+	open, opening int
+	// handshake is how long opening takes, on average.
+	handshake time.Duration
+	// notBefore is when another may be opened, after an attempt that failed.
+	notBefore time.Time
+	// failure is why the last attempt failed, nil after one that didn't.
+	failure error
+	closed  bool
+	tasks   sync.WaitGroup
+}
+
+// line is one workspace's part of a pool.
+type line struct {
+	workspace *Workspace
 	// idle connections, that given back last at the end.
 	idle []*Conn
-	// open counts the idle ones, those in use and those being opened.
-	open  int
-	queue turn.Queue
+	// open counts the workspace's idle, used and opening connections.
+	open, opening int
+	// waiting tickets, in the order in which they came.
+	waiting []*ticket
 	// use is how long connections are taken for, on average.
 	use time.Duration
-	// handshake is how long opening takes, on average.
-	handshake time.Duration
-	// fullUntil is when to try again after the server wanted no more connections.
-	fullUntil time.Time
-	closed    bool
-	// lastFor is the workspace of the last request.
-	lastFor *Workspace
+	// usedAt is when one was last taken or given back.
+	usedAt time.Time
+}
+
+// ticket is a request that waits.
+type ticket struct {
+	// granted gets the connection, or the reason why there is none.
+	granted chan grant
+	since   time.Time
+}
+
+type grant struct {
+	conn *Conn
+	err  error
 }
 
 // outlook is what a request finds in a pool, for choosing between pools.
 type outlook struct {
-	// ready connections of the workspace, and room for a new one.
-	ready, room bool
-	// evictable connections of others stand idle.
-	evictable bool
-	waiting   int
-	inUse     int
-	share     int
-	use       time.Duration
-	handshake time.Duration
+	// ready connections of the workspace.
+	ready bool
+	// wait is how long until one is, with the time to open one where needed.
+	wait time.Duration
 }
 
 func (p *Pool) outlook(w WorkspaceName) outlook {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return outlook{
-		ready: p.find(w) >= 0, room: p.roomy(), evictable: len(p.idle) > 0,
-		waiting: p.queue.Len(), inUse: p.open - len(p.idle), share: p.Share(),
-		use: p.use, handshake: p.handshake,
+	l := p.lines[w]
+	if l != nil && len(l.idle) > 0 {
+		return outlook{ready: true}
 	}
+	return outlook{wait: p.wait(l)}
 }
 
-// find is where the workspace's newest idle connection stands, -1 if there is none;
-// p.mu is held.
-func (p *Pool) find(w WorkspaceName) int {
-	for i := len(p.idle) - 1; i >= 0; i-- {
-		if p.idle[i].Workspace == w {
-			return i
+// wait estimates how long one more request of a line would wait; p.mu is held.
+func (p *Pool) wait(l *line) time.Duration {
+	fresh := p.handshakeTime()*time.Duration(p.opening+1) + max(time.Until(p.notBefore), 0)
+	if l == nil || l.open == l.opening {
+		if !p.roomy() && p.rested("") == nil {
+			fresh *= 2
 		}
+		return fresh
+	}
+	own := l.use * time.Duration(len(l.waiting)+1) / time.Duration(l.open)
+	return min(own, fresh)
+}
+
+func (p *Pool) handshakeTime() time.Duration {
+	if p.handshake == 0 {
+		return handshakeFirst
 	}
-	return -1
+	return p.handshake
 }
 
-func (p *Pool) roomy() bool { return p.open < p.Share() && !time.Now().Before(p.fullUntil) }
+func (p *Pool) roomy() bool { return p.open < p.Share() }
 
-// Take waits for a connection until deadline. ErrBusy, ErrConnect, ErrRefused,
-// ErrWrongServer; nothing was sent of the request.
+func (p *Pool) line(w *Workspace) *line {
+	if p.lines == nil {
+		p.lines = map[WorkspaceName]*line{}
+	}
+	l := p.lines[w.Name]
+	if l == nil {
+		l = &line{}
+		p.lines[w.Name] = l
+	}
+	l.workspace, l.usedAt = w, time.Now()
+	return l
+}
+
+// Take waits for a connection until deadline; at once if the wait would be longer.
+// ErrBusy, ErrConnect, ErrRefused, ErrWrongServer, ErrNoServer; nothing was sent.
 func (p *Pool) Take(ctx context.Context, w *Workspace, deadline time.Time) (*Conn, error) {
 	p.mu.Lock()
 	if p.closed {
 		p.mu.Unlock()
 		return nil, ErrNoServer.New("server %s is gone", p.Server.ID)
 	}
-	p.lastFor = w
-	if i := p.find(w.Name); i >= 0 {
-		c := p.idle[i]
-		p.idle = slices.Delete(p.idle, i, i+1)
+	l := p.line(w)
+	if n := len(l.idle); n > 0 {
+		c := l.idle[n-1]
+		l.idle = l.idle[:n-1]
 		p.mu.Unlock()
 		return c, nil
 	}
-	if p.roomy() {
-		p.open++
+	if wait := p.wait(l); wait > time.Until(deadline) {
+		waiting := len(l.waiting)
 		p.mu.Unlock()
-		return p.dial(ctx, w, deadline)
+		return nil, ErrBusy.New("%s server %s: %d wait before it, a connection takes about %s", retryAfter(wait), p.Server.ID, waiting, wait)
 	}
-	if len(p.idle) > 0 {
-		// Its place goes to the new one: open stays.
-		old := p.idle[0]
-		p.idle = p.idle[1:]
-		p.mu.Unlock()
-		old.Link.Close()
-		return p.dial(ctx, w, deadline)
+	t := &ticket{granted: make(chan grant, 1), since: time.Now()}
+	l.waiting = append(l.waiting, t)
+	p.balance()
+	p.mu.Unlock()
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	select {
+	case g := <-t.granted:
+		return g.conn, g.err
+	case <-timer.C:
+	case <-ctx.Done():
 	}
-	if wait := p.wait(); wait > time.Until(deadline) {
-		p.mu.Unlock()
-		return nil, ErrBusy.New("server %s: %d wait for %d connections, about %s", p.Server.ID, p.queue.Len(), p.Share(), wait)
+	return p.giveUp(l, t)
+}
+
+// giveUp takes a ticket out, unless it was granted in the last moment.
+func (p *Pool) giveUp(l *line, t *ticket) (*Conn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, other := range l.waiting {
+		if other == t {
+			l.waiting = append(l.waiting[:i:i], l.waiting[i+1:]...)
+			return nil, ErrBusy.New("no connection to server %s became free", p.Server.ID)
+		}
 	}
-	t := p.queue.Push(string(w.Name), 1)
-	p.mu.Unlock()
-	return p.await(ctx, w, t, deadline)
+	g := <-t.granted
+	return g.conn, g.err
 }
 
-// TakeAny takes any connection, for the VM's own commands; ErrBusy at once if none is
-// free and there is no room for a new one.
+// TakeAny takes any idle connection, for the VM's own commands, or opens one for the
+// workspace that was served last. ErrBusy if all are in use.
 func (p *Pool) TakeAny(ctx context.Context, deadline time.Time) (*Conn, error) {
 	p.mu.Lock()
-	if n := len(p.idle); n > 0 {
-		c := p.idle[n-1]
-		p.idle = p.idle[:n-1]
-		p.mu.Unlock()
-		return c, nil
+	var last *line
+	for _, l := range p.lines {
+		if len(l.idle) > 0 {
+			c := l.idle[0]
+			l.idle = l.idle[1:]
+			p.mu.Unlock()
+			return c, nil
+		}
+		if last == nil || l.usedAt.After(last.usedAt) {
+			last = l
+		}
 	}
-	if p.closed || !p.roomy() {
+	if !p.roomy() {
 		p.mu.Unlock()
 		return nil, ErrBusy.New("server %s: all connections are in use", p.Server.ID)
 	}
-	p.open++
-	w := p.lastFor
 	p.mu.Unlock()
-	if w == nil {
-		w = openWorkspace
+	w := openWorkspace
+	if last != nil {
+		w = last.workspace
 	}
-	return p.dial(ctx, w, deadline)
+	return p.Take(ctx, w, deadline)
 }
 
-// wait estimates how long one more would wait; p.mu is held.
-func (p *Pool) wait() time.Duration {
-	return time.Duration(p.queue.Len()+1) * p.use / time.Duration(max(p.open, 1))
+// balance opens a connection for a workspace that lacks one; p.mu is held.
+func (p *Pool) balance() {
+	if p.closed || p.opening >= maxOpening || time.Now().Before(p.notBefore) {
+		return
+	}
+	l := p.neediest()
+	if l == nil {
+		return
+	}
+	if !p.roomy() {
+		rested := p.rested(l.workspace.Name)
+		if rested == nil {
+			return
+		}
+		p.closeIdle(rested)
+	}
+	p.open++
+	p.opening++
+	l.open++
+	l.opening++
+	p.tasks.Go(func() { p.dial(l) })
 }
 
-// await waits for the turn t.
-func (p *Pool) await(ctx context.Context, w *Workspace, t *turn.Ticket, deadline time.Time) (*Conn, error) {
-	timer := time.NewTimer(time.Until(deadline))
-	defer timer.Stop()
-	select {
-	case <-t.Granted():
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	p.mu.Lock()
-	if !p.queue.Remove(t) {
-		// Granted, perhaps in the last moment.
-		p.mu.Unlock()
-		c, _ := t.Value.(*Conn)
-		if c == nil {
-			return p.dial(ctx, w, deadline)
+// neediest is the line whose first request has waited longest, of those that need a
+// further connection, nil if none does; p.mu is held.
+func (p *Pool) neediest() *line {
+	var neediest *line
+	for _, l := range p.lines {
+		if len(l.waiting) <= l.opening {
+			continue
 		}
-		if c.Workspace == w.Name {
-			return c, nil
+		own := l.open - l.opening
+		if own > 0 && l.use*time.Duration(len(l.waiting))/time.Duration(own) < p.handshakeTime() {
+			continue
+		}
+		if neediest == nil || l.waiting[0].since.Before(neediest.waiting[0].since) {
+			neediest = l
 		}
-		c.Link.Close()
-		return p.dial(ctx, w, deadline)
 	}
-	p.mu.Unlock()
-	return nil, ErrBusy.New("no connection to server %s became free", p.Server.ID)
+	return neediest
 }
 
-// dial opens a connection in a place that is already counted.
-func (p *Pool) dial(ctx context.Context, w *Workspace, deadline time.Time) (*Conn, error) {
-	until := time.Now().Add(connectWithin)
-	if deadline.Before(until) {
-		until = deadline
+// rested is the line of another workspace whose oldest idle connection has rested
+// longest, nil if none has for long enough; p.mu is held.
+func (p *Pool) rested(not WorkspaceName) *line {
+	var best *line
+	for name, l := range p.lines {
+		if name == not || len(l.idle) == 0 || time.Since(l.idle[0].idleSince) < restLeast {
+			continue
+		}
+		if best == nil || l.idle[0].idleSince.Before(best.idle[0].idleSince) {
+			best = l
+		}
 	}
-	ctx, cancel := context.WithDeadline(ctx, until)
+	return best
+}
+
+// closeIdle closes a line's oldest idle connection; p.mu is held.
+func (p *Pool) closeIdle(l *line) {
+	c := l.idle[0]
+	l.idle = l.idle[1:]
+	p.forget(l)
+	c.Link.Close()
+}
+
+// forget counts one connection of a line less; p.mu is held.
+func (p *Pool) forget(l *line) {
+	p.open--
+	l.open--
+}
+
+// dial opens a connection for a line, which is already counted.
+func (p *Pool) dial(l *line) {
+	ctx, cancel := context.WithTimeout(context.Background(), connectWithin)
 	defer cancel()
 	began := time.Now()
-	link, floor, err := p.Connect(ctx, p.Server, w.Name)
+	link, floor, err := p.Connect(ctx, p.Server, l.workspace.Name)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.opening--
+	l.opening--
+	p.failure = err
 	if err != nil {
-		p.dialFailed(err)
-		return nil, err
+		p.dialFailed(l, err)
+		return
 	}
-	p.mu.Lock()
 	p.handshake = average(p.handshake, time.Since(began))
-	p.mu.Unlock()
-	return &Conn{Link: link, Server: p.Server.ID, Workspace: w.Name, pool: p, values: map[string]string{}, plans: map[Plan]StatementName{}, floor: floor}, nil
+	c := &Conn{Link: link, Server: p.Server.ID, Workspace: l.workspace.Name, pool: p, values: map[string]string{}, plans: map[Plan]StatementName{}, floor: floor}
+	p.put(l, c)
+	p.balance()
 }
 
-func (p *Pool) dialFailed(err error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+// dialFailed lets those know who wait for nothing else; p.mu is held.
+func (p *Pool) dialFailed(l *line, err error) {
+	p.forget(l)
+	pause := failedPause
 	if isType(err, ErrRefused) {
-		p.fullUntil = time.Now().Add(refusedPause)
+		pause = refusedPause
 	}
-	p.passPlace()
+	p.notBefore = time.Now().Add(pause)
+	if l.open == 0 {
+		for _, t := range l.waiting {
+			t.granted <- grant{err: err}
+		}
+		l.waiting = nil
+	}
+	time.AfterFunc(pause, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.balance()
+	})
 }
 
-// passPlace gives the place of a connection that ended to whoever waits; p.mu is held.
-func (p *Pool) passPlace() {
-	if p.open <= p.Share() {
-		if t := p.queue.Pop(); t != nil {
-			t.Grant(nil)
-			return
-		}
+// put hands a connection to the line's first waiter, or keeps it; p.mu is held.
+func (p *Pool) put(l *line, c *Conn) {
+	if len(l.waiting) > 0 {
+		t := l.waiting[0]
+		l.waiting = l.waiting[1:]
+		t.granted <- grant{conn: c}
+		return
 	}
-	p.open--
+	if p.closed || p.open > p.Share() {
+		p.forget(l)
+		c.Link.Close()
+		return
+	}
+	c.idleSince = time.Now()
+	l.idle = append(l.idle, c)
 }
 
 // Give takes a connection back. Only one that is outside of transactions with all
 // commands answered may be kept.
 func (p *Pool) Give(c *Conn, keep bool, took time.Duration) {
 	p.mu.Lock()
-	p.use = average(p.use, took)
-	if !keep || p.closed || p.open > p.Share() {
-		p.passPlace()
-		p.mu.Unlock()
+	defer p.mu.Unlock()
+	l := p.lines[c.Workspace]
+	l.use, l.usedAt = average(l.use, took), time.Now()
+	if !keep || p.closed || p.starving(l) {
+		p.forget(l)
 		c.Link.Close()
-		return
+	} else {
+		p.put(l, c)
 	}
-	if t := p.queue.Pop(); t != nil {
-		p.mu.Unlock()
-		t.Grant(c)
-		return
+	p.balance()
+}
+
+// starving tells whether a workspace without any connection has waited longer than
+// opening one takes, with no other place than one of the line's; p.mu is held.
+func (p *Pool) starving(l *line) bool {
+	if p.roomy() {
+		return false
 	}
-	c.idleSince = time.Now()
-	p.idle = append(p.idle, c)
-	p.mu.Unlock()
+	for _, other := range p.lines {
+		if other != l && other.open == 0 && len(other.waiting) > 0 && time.Since(other.waiting[0].since) > p.handshakeTime() {
+			return p.opening < maxOpening
+		}
+	}
+	return false
 }
 
 // Shed closes connections that idle for long or are more than the share.
 func (p *Pool) Shed() {
 	p.mu.Lock()
-	var doomed []*Conn
-	for len(p.idle) > 0 && (p.open > p.Share() || time.Since(p.idle[0].idleSince) > idleAtMost) {
-		doomed = append(doomed, p.idle[0])
-		p.idle = p.idle[1:]
-		p.open--
+	defer p.mu.Unlock()
+	for name, l := range p.lines {
+		for len(l.idle) > 0 && (p.open > p.Share() || time.Since(l.idle[0].idleSince) > idleAtMost) {
+			p.closeIdle(l)
+		}
+		if l.open == 0 && len(l.waiting) == 0 && time.Since(l.usedAt) > idleAtMost {
+			delete(p.lines, name)
+		}
 	}
-	p.mu.Unlock()
-	closeAll(doomed)
+	p.balance()
 }
 
 // Drop closes the idle connections, as after one of them was found broken or silent:
 // whatever made it so may have made the others, too.
 func (p *Pool) Drop() {
 	p.mu.Lock()
-	doomed := p.idle
-	p.idle = nil
-	p.open -= len(doomed)
-	p.mu.Unlock()
-	closeAll(doomed)
+	defer p.mu.Unlock()
+	p.drop()
+}
+
+func (p *Pool) drop() {
+	for _, l := range p.lines {
+		for len(l.idle) > 0 {
+			p.closeIdle(l)
+		}
+	}
 }
 
 // Close ends the pool; connections in use are closed as they are given back.
 func (p *Pool) Close() {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.closed = true
-	for t := p.queue.Pop(); t != nil; t = p.queue.Pop() {
-		p.open++
-		t.Grant(nil)
-	}
-	p.mu.Unlock()
-	p.Drop()
-}
-
-func closeAll(list []*Conn) {
-	for _, c := range list {
-		c.Link.Close()
+	p.drop()
+	for _, l := range p.lines {
+		for _, t := range l.waiting {
+			t.granted <- grant{err: ErrNoServer.New("server %s is gone", p.Server.ID)}
+		}
+		l.waiting = nil
 	}
 }
 
