Test the modules of the platform's path, and mend what the tests found

A refusal named a time that was a rounding too early. - Pool: a request behind a resting transaction waited without opening a connection though there was room; attempts to connect outlived the pool. - Group: the number of failures and a server's state were read without the lock.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -11,8 +11,20 @@
 // part of it, so steps of the wall clock don't move it.
 type Instant time.Duration
 
+// now is what Now reads; only Fake changes it.
+var now = boot
+
 // Now reads the clock.
-func Now() Instant {
+func Now() Instant { return now() }
+
+// Fake has Now read another clock until restore is called, for tests.
+func Fake(read func() Instant) (restore func()) {
+	before := now
+	now = read
+	return func() { now = before }
+}
+
+func boot() Instant {
 	var ts unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
 		// Linux has had the clock since 2.6.39; going on without it would break promises.
--- a/internal/proxy/failover.go
+++ b/internal/proxy/failover.go
@@ -202,15 +202,17 @@
 
 // heardReplica is a replica's answer when a primary is sought.
 type heardReplica struct {
-	member *member
-	status ServerStatus
+	id ServerID
+	// leaving replicas have said that they end.
+	leaving bool
+	status  ServerStatus
 }
 
 func replicas(heard []heardReplica) []failover.Replica {
 	var list []failover.Replica
 	for _, h := range heard {
 		list = append(list, failover.Replica{
-			Server: string(h.member.server.ID), Leaving: h.member.server.Leaving,
+			Server: string(h.id), Leaving: h.leaving,
 			Received: failover.Place{Term: int64(h.status.Received.Term), Offset: int64(h.status.Received.Offset)},
 		})
 	}
@@ -234,13 +236,19 @@
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			heard = append(heard, heardReplica{m, s})
+			heard = append(heard, heardReplica{m.pool.Server.ID, g.leaving(m), s})
 		})
 	}
 	tasks.Wait()
 	return heard
 }
 
+func (g *Group) leaving(m *member) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return m.server.Leaving
+}
+
 // command runs one command whose answer is a status; busy servers are asked again.
 func (g *Group) command(ctx context.Context, m *member, c Command) (ServerStatus, error) {
 	until := time.Now().Add(statusWithin)
--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -246,12 +246,12 @@
 	}
 	m.failures++
 	m.avoidUntil = time.Now().Add(min(avoidFirst<<min(m.failures-1, 8), avoidMost))
-	lead := id == g.lead
+	lead, failures := id == g.lead, m.failures
 	if lead {
 		g.health.fail(clock.Now())
 	}
 	g.mu.Unlock()
-	eventServerFailed.Log(g.Logger, "server", id, "failures", m.failures, "lead", lead, "err", err)
+	eventServerFailed.Log(g.Logger, "server", id, "failures", failures, "lead", lead, "err", err)
 }
 
 // behind takes note that a replica lacked a position.
--- a/internal/proxy/keeper.go
+++ b/internal/proxy/keeper.go
@@ -37,6 +37,7 @@
 		case <-ctx.Done():
 			for _, m := range g.list() {
 				m.pool.Close()
+				m.pool.Wait()
 			}
 			return
 		case <-tick.C:
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -50,7 +50,10 @@
 	// failure is why the last attempt failed, nil after one that didn't.
 	failure error
 	closed  bool
-	tasks   sync.WaitGroup
+	// end stops the attempts to open connections, nil before the first.
+	end   context.CancelFunc
+	ctx   context.Context
+	tasks sync.WaitGroup
 }
 
 // line is one workspace's part of a pool.
@@ -156,6 +159,9 @@
 	t := &ticket{granted: make(chan grant, 1), since: time.Now()}
 	l.waiting = append(l.waiting, t)
 	p.balance()
+	if l.opening == 0 {
+		time.AfterFunc(p.handshakeTime(), p.rebalance)
+	}
 	p.mu.Unlock()
 	timer := time.NewTimer(time.Until(deadline))
 	defer timer.Stop()
@@ -226,11 +232,15 @@
 		}
 		p.closeIdle(rested)
 	}
+	if p.end == nil {
+		p.ctx, p.end = context.WithCancel(context.Background())
+	}
 	p.open++
 	p.opening++
 	l.open++
 	l.opening++
-	p.tasks.Go(func() { p.dial(l) })
+	w := l.workspace.Name
+	p.tasks.Go(func() { p.dial(l, w) })
 }
 
 // neediest is the line whose first request has waited longest, of those that need a
@@ -241,8 +251,7 @@
 		if len(l.waiting) <= l.opening {
 			continue
 		}
-		own := l.open - l.opening
-		if own > 0 && l.use*time.Duration(len(l.waiting))/time.Duration(own) < p.handshakeTime() {
+		if p.soon(l) {
 			continue
 		}
 		if neediest == nil || l.waiting[0].since.Before(neediest.waiting[0].since) {
@@ -252,6 +261,23 @@
 	return neediest
 }
 
+// soon tells whether the line's own connections are likely free before a new one would
+// be open; p.mu is held.
+func (p *Pool) soon(l *line) bool {
+	own := l.open - l.opening
+	if own == 0 || l.use == 0 || time.Since(l.waiting[0].since) >= p.handshakeTime() {
+		return false
+	}
+	return l.use*time.Duration(len(l.waiting))/time.Duration(own) < p.handshakeTime()
+}
+
+// rebalance looks again at who waits.
+func (p *Pool) rebalance() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.balance()
+}
+
 // rested is the line of another workspace whose oldest idle connection has rested
 // longest, nil if none has for long enough; p.mu is held.
 func (p *Pool) rested(not WorkspaceName) *line {
@@ -282,11 +308,11 @@
 }
 
 // dial opens a connection for a line, which is already counted.
-func (p *Pool) dial(l *line) {
-	ctx, cancel := context.WithTimeout(context.Background(), connectWithin)
+func (p *Pool) dial(l *line, w WorkspaceName) {
+	ctx, cancel := context.WithTimeout(p.ctx, connectWithin)
 	defer cancel()
 	began := time.Now()
-	link, floor, err := p.Connect(ctx, p.Server, l.workspace.Name)
+	link, floor, err := p.Connect(ctx, p.Server, w)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.opening--
@@ -297,7 +323,7 @@
 		return
 	}
 	p.handshake = average(p.handshake, time.Since(began))
-	c := &Conn{Link: link, Server: p.Server.ID, Workspace: l.workspace.Name, pool: p, values: map[string]string{}, plans: map[Plan]StatementName{}, floor: floor}
+	c := &Conn{Link: link, Server: p.Server.ID, Workspace: w, pool: p, values: map[string]string{}, plans: map[Plan]StatementName{}, floor: floor}
 	p.put(l, c)
 	p.balance()
 }
@@ -316,11 +342,7 @@
 		}
 		l.waiting = nil
 	}
-	time.AfterFunc(pause, func() {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		p.balance()
-	})
+	time.AfterFunc(pause, p.rebalance)
 }
 
 // put hands a connection to the line's first waiter, or keeps it; p.mu is held.
@@ -406,6 +428,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
+	if p.end != nil {
+		p.end()
+	}
 	p.drop()
 	for _, l := range p.lines {
 		for _, t := range l.waiting {
@@ -415,6 +440,9 @@
 	}
 }
 
+// Wait waits for the attempts under way; it is called after Close.
+func (p *Pool) Wait() { p.tasks.Wait() }
+
 func average(before, one time.Duration) time.Duration {
 	if before == 0 {
 		return one
--- /dev/null
+++ b/internal/proxy/rig_test.go
@@ -0,0 +1,443 @@
+package proxy
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/savoryramp/savoryramp/internal/clock"
+	"github.com/savoryramp/savoryramp/pkg/position"
+)
+
+// rig is one VM before one group of servers in memory, without a network. Its time is
+// that of a synctest bubble.
+type rig struct {
+	t      *testing.T
+	vm     *VM
+	ctx    context.Context
+	cancel context.CancelFunc
+	// tasks end with ctx.
+	tasks sync.WaitGroup
+
+	mu      sync.Mutex
+	servers map[ServerID]*memServer
+	lead    ServerID
+	term    position.Term
+	// ran are the statements that servers ran, as "server id statement".
+	ran []string
+	// links counts those open, mostOpening the most that were being opened at once.
+	links, opening, mostOpening, opened int
+	handshake                           time.Duration
+}
+
+// memServer is a server of the group. Its fields are guarded by the rig.
+type memServer struct {
+	id ServerID
+	// log is how far it has come.
+	log position.Position
+	// deaf replicas receive nothing.
+	deaf bool
+	// fault decides what becomes of a command: faultNone, or how it fails.
+	fault func(c Command) fault
+	// work is how long statements take.
+	work time.Duration
+	// limit of connections; 0 is none.
+	limit, open int
+}
+
+type fault string
+
+const (
+	faultNone fault = ""
+	// loseAnswer runs the command and falls silent, breakAfter ends the connection then.
+	loseAnswer fault = "lose-answer"
+	breakAfter fault = "break-after"
+	// breakBefore ends the connection without running the command.
+	breakBefore fault = "break-before"
+	shed        fault = "shed"
+)
+
+type solo struct{ size int }
+
+func (s solo) Size() int   { return s.size }
+func (solo) Rank() int     { return 0 }
+func (solo) Settled() bool { return true }
+
+const (
+	testService  ServiceName  = "ledger"
+	testKey      Key          = "key"
+	testDatabase DatabaseName = "strict"
+	// boundedDatabase reads may be a second old, ownDatabase ones two.
+	boundedDatabase DatabaseName = "bounded"
+	ownDatabase     DatabaseName = "own"
+)
+
+func testConfiguration(version ConfigurationVersion) *Configuration {
+	w := &Workspace{Name: "amman"}
+	c := &Configuration{
+		Version: version, Routes: map[DatabaseName]*Route{}, Keys: map[Key]*Workspace{testKey: w},
+		Workspaces:      map[WorkspaceName]*Workspace{w.Name: w},
+		Services:        map[ServiceName]*Service{testService: {Name: testService, Connections: 6}},
+		TransactionIdle: 3 * time.Second,
+	}
+	for name, r := range map[DatabaseName]Route{
+		testDatabase:    {Consistency: Linearizable},
+		boundedDatabase: {Consistency: BoundedStaleness, MaxStaleness: time.Second},
+		ownDatabase:     {Consistency: ReadYourWrites, MaxStaleness: 2 * time.Second},
+	} {
+		r.Database, r.Service, r.StatementTimeout = name, testService, 800*time.Millisecond
+		c.Routes[name] = &r
+	}
+	return c
+}
+
+// play runs a test in a bubble with a VM and servers a (the primary), b and c.
+func play(t *testing.T, test func(r *rig)) {
+	synctest.Test(t, func(t *testing.T) {
+		defer clock.Fake(func() clock.Instant { return clock.Instant(time.Now().UnixNano()) })()
+		r := &rig{t: t, servers: map[ServerID]*memServer{}, lead: "a", term: 1, handshake: 10 * time.Millisecond}
+		var listed []Server
+		for _, id := range []ServerID{"a", "b", "c"} {
+			r.servers[id] = &memServer{id: id, log: position.Position{Term: 1, Offset: 1}, work: 5 * time.Millisecond}
+			listed = append(listed, Server{ID: id, Service: testService, Address: Address(id), Slots: 2, Zone: AvailabilityZone(id), Primary: id == "a"})
+		}
+		r.vm = &VM{Name: "vm", Zone: "b", Connect: r.connect, Fleet: solo{1}, Logger: log.NewNopLogger()}
+		r.vm.List(listed)
+		r.vm.Configure(testConfiguration(1), "test")
+		r.ctx, r.cancel = context.WithCancel(context.Background())
+		r.tasks.Go(func() { _ = r.vm.Run(r.ctx) })
+		defer func() {
+			r.cancel()
+			r.tasks.Wait()
+		}()
+		test(r)
+	})
+}
+
+// opensIn sets how long opening a connection takes.
+func (r *rig) opensIn(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.handshake = d
+}
+
+// on changes a server.
+func (r *rig) on(id ServerID, change func(s *memServer)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	change(r.servers[id])
+}
+
+// promote moves the lead at once, with what the server has.
+func (r *rig) promote(id ServerID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lead, r.term = id, r.term+1
+	r.servers[id].log.Term = r.term
+	r.servers[id].log.Offset++
+}
+
+// runs counts the statements that were run with a text.
+func (r *rig) runs(text string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, one := range r.ran {
+		if strings.HasSuffix(one, " "+text) {
+			n++
+		}
+	}
+	return n
+}
+
+// where gives the server that last ran a text.
+func (r *rig) where(text string) ServerID {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := len(r.ran) - 1; i >= 0; i-- {
+		if strings.HasSuffix(r.ran[i], " "+text) {
+			id, _, _ := strings.Cut(r.ran[i], " ")
+			return ServerID(id)
+		}
+	}
+	return ""
+}
+
+func (r *rig) connect(ctx context.Context, s Server, w WorkspaceName) (Link, position.Position, error) {
+	r.mu.Lock()
+	r.opening++
+	r.opened++
+	r.mostOpening = max(r.mostOpening, r.opening)
+	server := r.servers[s.ID]
+	full, took := server.limit > 0 && server.open >= server.limit, r.handshake
+	if !full {
+		server.open++
+	}
+	r.mu.Unlock()
+	sleep(ctx, took)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.opening--
+	if full {
+		return nil, position.Position{}, ErrRefused.New("full")
+	}
+	if server.fault != nil && server.fault(nil) == breakBefore {
+		server.open--
+		return nil, position.Position{}, ErrConnect.New("server %s is down", s.ID)
+	}
+	return &memLink{rig: r, server: server, workspace: w, values: map[string]string{}, plans: map[StatementName]Plan{}, phase: Idle}, server.log, nil
+}
+
+// memLink is a connection to a memServer.
+type memLink struct {
+	rig       *rig
+	server    *memServer
+	workspace WorkspaceName
+	commands  []Command
+	answers   []Answer
+	values    map[string]string
+	plans     map[StatementName]Plan
+	phase     Phase
+	plain     bool
+	wrote     bool
+	silent    bool
+	broken    bool
+	closed    bool
+}
+
+func (l *memLink) Send(c Command) { l.commands = append(l.commands, c) }
+
+func (l *memLink) Flush(time.Time) error {
+	r := l.rig
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range l.commands {
+		if l.broken || l.silent {
+			break
+		}
+		f := faultNone
+		if l.server.fault != nil {
+			f = l.server.fault(c)
+		}
+		switch f {
+		case breakBefore:
+			l.broken = true
+			continue
+		case shed:
+			l.answers = append(l.answers, Answer{Failure: Busy, Phase: l.phase})
+			continue
+		}
+		a := l.run(c)
+		a.Phase, a.Position = l.phase, l.server.log
+		switch f {
+		case loseAnswer:
+			l.silent = true
+		case breakAfter:
+			l.broken = true
+		default:
+			l.answers = append(l.answers, a)
+		}
+	}
+	l.commands = nil
+	return nil
+}
+
+// run does what a command says; the rig is held.
+func (l *memLink) run(c Command) Answer {
+	leads := l.rig.lead == l.server.id
+	switch c := c.(type) {
+	case Reset:
+		l.values, l.plans = map[string]string{}, map[StatementName]Plan{}
+	case Assign:
+		l.values[c.Name] = c.Value
+	case Plant:
+		l.plans[c.Name] = c.Plan
+	case BeginAt:
+		if !c.ReadOnly && !leads {
+			return Answer{Failure: NotPrimary}
+		}
+		if !l.server.log.Covers(c.Floor) {
+			return Answer{Failure: Lagging}
+		}
+		l.phase, l.plain = InTransaction, !c.ReadOnly
+	case Abandon:
+		l.phase, l.wrote = Idle, false
+	case Forward:
+		return l.forward(c, leads)
+	}
+	return Answer{Digest: "-"}
+}
+
+func (l *memLink) forward(c Forward, leads bool) Answer {
+	text, writes := "", false
+	switch t := c.Statement.(type) {
+	case Read:
+		text = t.Text
+	case Write:
+		text, writes = t.Text, true
+	case Execute:
+		plan, found := l.plans[t.Name]
+		if !found {
+			return Answer{Failure: Unprepared}
+		}
+		text, writes = "EXECUTE "+plan.Shape+" "+t.Arguments, plan.Writes
+	case Commit:
+		text = "COMMIT"
+	}
+	if !l.server.log.Covers(c.Floor) {
+		return Answer{Failure: Lagging}
+	}
+	if !leads && (writes || l.plain && l.phase == InTransaction && (text != "COMMIT" || l.wrote)) {
+		if l.phase == InTransaction {
+			l.phase = Failed
+		}
+		return Answer{Failure: NotPrimary}
+	}
+	l.rig.ran = append(l.rig.ran, fmt.Sprintf("%s %s %v %s", l.server.id, l.workspace, l.values, text))
+	l.wrote = l.wrote || writes
+	if text == "COMMIT" {
+		l.phase = Idle
+	}
+	if l.wrote && l.phase == Idle {
+		l.wrote = false
+		l.server.log.Offset++
+		for _, s := range l.rig.servers {
+			if !s.deaf {
+				s.log = l.server.log
+			}
+		}
+	}
+	return Answer{Digest: "d-" + string(c.ID), Rows: []string{"row"}}
+}
+
+func (l *memLink) Receive(deadline time.Time) (Answer, error) {
+	l.rig.mu.Lock()
+	work, broken := l.server.work, l.broken
+	ready := len(l.answers) > 0
+	l.rig.mu.Unlock()
+	if !ready && broken {
+		return Answer{}, ErrBroken.New("server %s is gone", l.server.id)
+	}
+	until := time.Now().Add(work)
+	if !ready || until.After(deadline) {
+		sleep(context.Background(), time.Until(deadline))
+		return Answer{}, ErrSilent.New("server %s", l.server.id)
+	}
+	sleep(context.Background(), work)
+	l.rig.mu.Lock()
+	defer l.rig.mu.Unlock()
+	a := l.answers[0]
+	l.answers = l.answers[1:]
+	return a, nil
+}
+
+func (l *memLink) Status(Answer) (ServerStatus, error) {
+	l.rig.mu.Lock()
+	defer l.rig.mu.Unlock()
+	return ServerStatus{Primary: l.rig.lead == l.server.id, Term: l.rig.term, Received: l.server.log}, nil
+}
+
+func (l *memLink) Alive() bool {
+	l.rig.mu.Lock()
+	defer l.rig.mu.Unlock()
+	return !l.broken
+}
+
+func (l *memLink) Close() {
+	l.rig.mu.Lock()
+	defer l.rig.mu.Unlock()
+	if !l.closed {
+		l.closed = true
+		l.server.open--
+	}
+}
+
+// client is a caller of the rig's VM.
+type client struct {
+	requests  chan Request
+	replies   chan Answer
+	interrupt chan bool
+	database  DatabaseName
+	key       Key
+	next      int
+	rejected  Failure
+	closed    chan bool
+	once      sync.Once
+}
+
+// call opens a session; it must be let in.
+func (r *rig) call(database DatabaseName) *client {
+	c := r.dial(database, testKey)
+	if a := <-c.replies; a.Phase != Idle {
+		r.t.Fatalf("not let in: %v", a)
+	}
+	return c
+}
+
+func (r *rig) dial(database DatabaseName, key Key) *client {
+	c := &client{rejected: sessionClosed, requests: make(chan Request), replies: make(chan Answer, 1), interrupt: make(chan bool, 1), database: database, key: key, closed: make(chan bool)}
+	r.tasks.Go(func() { r.vm.Serve(r.ctx, c) })
+	return c
+}
+
+func (c *client) Start(time.Time) (DatabaseName, Key, error) { return c.database, c.key, nil }
+
+func (c *client) Receive(deadline time.Time) (Request, error) {
+	var timer <-chan time.Time
+	if !deadline.IsZero() {
+		timer = time.After(time.Until(deadline))
+	}
+	select {
+	case r := <-c.requests:
+		return r, nil
+	case <-timer:
+		return Request{}, ErrSilent.New("no request")
+	case <-c.interrupt:
+		return Request{}, ErrSilent.New("interrupted")
+	case <-c.closed:
+		return Request{}, ErrCaller.New("gone")
+	}
+}
+
+func (c *client) Reply(a Answer) error { c.replies <- a; return nil }
+
+func (c *client) Reject(f Failure, _ string) {
+	c.rejected = f
+	c.Close()
+}
+
+func (c *client) Pending() bool { return false }
+
+func (c *client) Interrupt() {
+	select {
+	case c.interrupt <- true:
+	default:
+	}
+}
+
+func (c *client) Close() { c.once.Do(func() { close(c.closed) }) }
+
+// sessionClosed is what do gives when the session ended without a word.
+const sessionClosed Failure = "session-closed"
+
+// do runs one statement; the answer is that of an ended session if there is none.
+func (c *client) do(s Statement) Answer {
+	c.next++
+	select {
+	case c.requests <- Request{ID: RequestID(fmt.Sprint("r", c.next)), Statement: s}:
+	case <-c.closed:
+		return Answer{Failure: c.rejected}
+	}
+	select {
+	case a := <-c.replies:
+		return a
+	case <-c.closed:
+		return Answer{Failure: c.rejected}
+	}
+}
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -26,7 +26,9 @@
 	extraTokens = 10
 	// forgetAfter is when a silent VM's demand no longer counts: until then it may serve
 	// callers although others don't hear it.
-	forgetAfter = 15 * time.Second
+	forgetAfter = time.Minute
+	// whole is what counts as a whole token, so that rounding doesn't make one late.
+	whole = 1 - 1e-6
 )
 
 // Demand is operations a second by workspace.
@@ -74,11 +76,11 @@
 		b.tokens = min(b.tokens+refill*(now-b.last).Seconds(), ceiling)
 	}
 	b.last = now
-	if b.tokens >= 1 {
+	if b.tokens >= whole {
 		b.tokens--
 		return 0, true
 	}
-	return time.Duration((1 - b.tokens) / refill * float64(time.Second)), false
+	return time.Duration(math.Ceil((1 - b.tokens) / refill * float64(time.Second))), false
 }
 
 // bucket gives the workspace's bucket with its demand brought up to date; l.mu is held.
@@ -97,7 +99,7 @@
 }
 
 // part is this VM's part of a workspace's rate; l.mu is held. A VM that hasn't been heard
-// of yet counts with an even part of the rate as its demand.
+// of yet may ask as much as this one, at least an even part of the rate.
 func (l *Limiter) part(workspace string, own, rate float64, now time.Duration) float64 {
 	size := max(l.Size(), 1)
 	others, heard := 0.0, 0
@@ -110,7 +112,7 @@
 		heard++
 	}
 	even := rate / float64(size)
-	others += float64(max(size-1-heard, 0)) * even
+	others += float64(max(size-1-heard, 0)) * max(even, own)
 	return min((own+floorPart*even)/(own+others+floorPart*rate), 1)
 }
 
--- /dev/null
+++ b/pkg/quota/quota_test.go
@@ -0,0 +1,188 @@
+package quota
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	rate  = 100.0
+	burst = 100.0
+	// step is the resolution of the simulated load.
+	step = 10 * time.Millisecond
+	// window, overshoot and tolerance are what the operators' contract allows.
+	window    = 5 * time.Second
+	overshoot = 0.1
+	tolerance = 20
+)
+
+// fleet is VMs that tell each other their demand.
+type fleet struct {
+	now      time.Duration
+	limiters []*Limiter
+	// cut VMs neither speak nor hear.
+	cut map[int]bool
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{now: time.Hour, cut: map[int]bool{}}
+	for range n {
+		f.limiters = append(f.limiters, &Limiter{Now: func() time.Duration { return f.now }, Size: func() int { return n }})
+	}
+	f.tell()
+	return f
+}
+
+func (f *fleet) tell() {
+	for i, from := range f.limiters {
+		d := from.Demand()
+		for j, to := range f.limiters {
+			if i != j && !f.cut[i] && !f.cut[j] {
+				to.Hear(fmt.Sprint(i), d)
+			}
+		}
+	}
+}
+
+// load is what one VM's callers ask at a time, in operations a second.
+type load func(vm int, at time.Duration) float64
+
+// play gives the times of what was admitted and the counts of what was asked and refused
+// from 3 s on.
+func (f *fleet) play(l load, length, beat time.Duration, r *rand.Rand) (admitted []time.Duration, asked, refused int) {
+	began := f.now
+	for at := time.Duration(0); at < length; at += step {
+		f.now = began + at
+		if at%beat == 0 {
+			f.tell()
+		}
+		for vm, limiter := range f.limiters {
+			expected := l(vm, at) * step.Seconds()
+			n := int(expected)
+			if r.Float64() < expected-float64(n) {
+				n++
+			}
+			for range n {
+				_, ok := limiter.Admit("w", rate, burst)
+				if ok {
+					admitted = append(admitted, at)
+				}
+				if at >= 3*time.Second {
+					asked++
+					if !ok {
+						refused++
+					}
+				}
+			}
+		}
+	}
+	return admitted, asked, refused
+}
+
+// worst is the most admitted in any window.
+func worst(admitted []time.Duration) int {
+	most, first := 0, 0
+	for i, at := range admitted {
+		for at-admitted[first] >= window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// uneven gives VM i a part of a total that falls with i.
+func uneven(total float64) func(vm int) float64 {
+	return func(vm int) float64 { return total * float64(9-vm) / 45 }
+}
+
+func TestRate(t *testing.T) {
+	usual := rate / 1.6
+	tests := map[string]struct {
+		load load
+		cut  []int
+		// most of what is inside the rate that may be refused, as a part.
+		wrongful float64
+	}{
+		"usual load, spread unevenly": {load: func(vm int, _ time.Duration) float64 { return uneven(usual)(vm) }, wrongful: 0.005},
+		"all callers at one VM": {load: func(vm int, _ time.Duration) float64 {
+			if vm == 0 {
+				return usual
+			}
+			return 0
+		}, wrongful: 0.005},
+		"one workspace at 7.5 times its usual from 10 s on": {load: func(vm int, at time.Duration) float64 {
+			if at < 10*time.Second {
+				return uneven(usual)(vm)
+			}
+			return uneven(7.5 * usual)(vm)
+		}, wrongful: 1},
+		"callers of three VMs move to the others": {load: func(vm int, at time.Duration) float64 {
+			if at < 10*time.Second {
+				return usual / 9
+			}
+			if vm < 3 {
+				return 0
+			}
+			return usual / 6
+		}, wrongful: 0.02},
+		"seven times the rate while two VMs are cut off": {load: func(vm int, _ time.Duration) float64 { return uneven(7 * rate)(vm) }, cut: []int{3, 7}, wrongful: 1},
+	}
+	allowed := int((rate*window.Seconds()+burst)*(1+overshoot) + tolerance)
+	for name, test := range tests {
+		for seed := range uint64(5) {
+			t.Run(fmt.Sprintf("%s, seed %d", name, seed), func(t *testing.T) {
+				f := newFleet(9)
+				r := rand.New(rand.NewPCG(seed, 1))
+				f.play(test.load, time.Second, 600*time.Millisecond, r)
+				for _, vm := range test.cut {
+					f.cut[vm] = true
+				}
+				admitted, asked, refused := f.play(test.load, 20*time.Second, 600*time.Millisecond, r)
+				assert.Assert(t, worst(admitted) <= allowed, "%d admitted in a window, %d are allowed", worst(admitted), allowed)
+				assert.Assert(t, float64(refused) <= test.wrongful*float64(asked), "%d of %d refused", refused, asked)
+			})
+		}
+	}
+}
+
+// A workspace that asks too much gets its rate, not less.
+func TestRateIsUsed(t *testing.T) {
+	f := newFleet(9)
+	r := rand.New(rand.NewPCG(1, 1))
+	admitted, _, _ := f.play(func(vm int, _ time.Duration) float64 { return uneven(5 * rate)(vm) }, 20*time.Second, 600*time.Millisecond, r)
+	assert.Assert(t, float64(len(admitted)) >= 0.97*rate*20, "%d admitted in 20 s at %v a second", len(admitted), rate)
+}
+
+// The time that a refusal names is when an operation is admitted, if nobody else asks.
+func TestRefusalNamesATrueTime(t *testing.T) {
+	f := newFleet(1)
+	l := f.limiters[0]
+	for {
+		wait, ok := l.Admit("w", rate, burst)
+		if ok {
+			continue
+		}
+		f.now += wait
+		_, ok = l.Admit("w", rate, burst)
+		assert.Assert(t, ok, "refused again after %s", wait)
+		return
+	}
+}
+
+// A VM that starts beside others gets an even part until it hears them.
+func TestStartsWithAnEvenPart(t *testing.T) {
+	now := time.Hour
+	l := &Limiter{Now: func() time.Duration { return now }, Size: func() int { return 9 }}
+	admitted := 0
+	for range 1000 {
+		if _, ok := l.Admit("w", rate, burst); ok {
+			admitted++
+		}
+	}
+	assert.Assert(t, admitted <= int(burst), "%d admitted of a burst of %v over nine VMs", admitted, burst)
+}
