--- a/cmd/savoryramp-vm/daemon.go
+++ b/cmd/savoryramp-vm/daemon.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -14,81 +17,240 @@
 	"github.com/oklog/run"
 
 	"github.com/savoryramp/savoryramp/internal/clock"
+	"github.com/savoryramp/savoryramp/internal/event"
 	"github.com/savoryramp/savoryramp/internal/heartbeat"
+	"github.com/savoryramp/savoryramp/internal/meter"
 	"github.com/savoryramp/savoryramp/internal/proxy"
 	"github.com/savoryramp/savoryramp/pkg/quota"
 	"github.com/savoryramp/savoryramp/platform"
 )
 
-func start() error {
-	settings, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
-	if err != nil {
+var (
+	eventStarted  = event.Define(7001, "vm-started", event.Info, "The process runs and listens.")
+	eventStopped  = event.Define(7002, "vm-stopped", event.Info, "The process ends.")
+	eventReloaded = event.Define(7003, "vm-reloaded", event.Info, "The settings were read again after a signal.")
+	eventBadFile  = event.Define(7004, "vm-settings-refused", event.Error, "The settings can't be used; those in force stay.")
+	eventNoPort   = event.Define(7005, "vm-no-metrics", event.Warn, "The metrics address can't be had; the VM serves without.")
+)
+
+const (
+	// endBefore the platform's kill a drain is cut short, to close what is left in order.
+	endBefore = 400 * time.Millisecond
+	// headerWithin bounds the head of a request to the VM's own pages.
+	headerWithin = 5 * time.Second
+)
+
+// daemon is the process. The exported fields are set before Run.
+type daemon struct {
+	Options  options
+	Settings platform.Settings
+	Logs     io.Writer
+
+	logger   log.Logger
+	vm       *proxy.VM
+	fleet    *heartbeat.Fleet
+	quota    *quota.Limiter
+	store    *platform.Store
+	operator *platform.Operator
+	promoter *platform.Promoter
+	group    run.Group
+}
+
+// Run serves until a signal ends it. ErrConnect when an address can't be had.
+func (d *daemon) Run() error {
+	d.logger = log.With(log.NewLogfmtLogger(d.Logs), "time", log.DefaultTimestampUTC)
+	if err := d.build(); err != nil {
 		return err
 	}
-	logger := log.NewLogfmtLogger(log.NewSyncWriter(os.Stdout))
-	datagrams, err := net.ListenPacket("udp", net.JoinHostPort(settings.IP, strconv.Itoa(settings.FirstPort)))
+	d.signals()
+	eventStarted.Log(d.logger, "vm", d.Settings.VM, "version", version, "zone", d.Settings.Zone, "callers", d.Settings.Callers, "pid", os.Getpid())
+	err := d.group.Run()
+	eventStopped.Log(d.logger, "vm", d.Settings.VM, "err", err)
+	return err
+}
+
+// build makes the parts and binds them together.
+func (d *daemon) build() error {
+	s := d.Settings
+	datagrams, err := net.ListenPacket("udp", net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)))
+	if err != nil {
+		return proxy.ErrConnect.Wrap(err, "heartbeats")
+	}
+	d.store = platform.NewStore(string(s.Store))
+	d.fleet = &heartbeat.Fleet{
+		VM: heartbeat.Name(s.VM), Conn: datagrams, Directory: platform.Directory{Store: d.store}, Logger: d.logger,
+		Seeds: d.seeds(), Fill: d.fill, Hear: d.hear, Urgent: func() bool { return len(d.vm.Leads()) > 0 },
+	}
+	d.quota = &quota.Limiter{Now: func() time.Duration { return time.Duration(clock.Now()) }, Size: d.fleet.Size}
+	d.vm = &proxy.VM{
+		Name: s.VM, Zone: s.Zone, Connect: platform.Connect, Fleet: d.fleet, Quota: d.quota, Logger: d.logger,
+		Isolated: func() time.Duration { return min(d.store.Silence(), d.fleet.Silence()) },
+	}
+	d.operator = &platform.Operator{Store: d.store, Configure: d.vm.Configure, Logger: d.logger}
+	d.promoter = &platform.Promoter{VM: s.VM, Incarnation: rand.Int64(), Store: d.store, Client: platform.NewClient()}
+	d.promoter.Move(string(s.Orders))
+	d.add(d.vm.Run)
+	d.add(d.fleet.Run)
+	d.add(d.operator.Run)
+	d.add((&platform.Listing{Store: d.store, List: d.vm.List, Hurry: d.vm.Seeking, Logger: d.logger}).Run)
+	d.add((&proxy.Failover{VM: d.vm, Fleet: d.fleet, Promotions: d.promoter, Logger: d.logger}).Run)
+	return d.listen()
+}
+
+// listen takes the addresses.
+func (d *daemon) listen() error {
+	callers, err := net.Listen("tcp", string(d.Settings.Callers))
 	if err != nil {
+		return proxy.ErrConnect.Wrap(err, "callers")
+	}
+	d.add((&platform.Callers{Listener: callers, Serve: d.vm.Serve}).Run)
+	if err := d.serve(string(d.Settings.Ready), platform.Readiness(d.vm.Ready)); err != nil {
 		return err
 	}
-	store := platform.NewStore(string(settings.Store))
-	fleet := &heartbeat.Fleet{VM: heartbeat.Name(settings.VM), Conn: datagrams, Directory: platform.Directory{Store: store}, Logger: logger}
-	limiter := &quota.Limiter{Now: func() time.Duration { return time.Duration(clock.Now()) }, Size: fleet.Size}
-	vm := &proxy.VM{
-		Name: settings.VM, Zone: settings.Zone, Connect: platform.Connect, Fleet: fleet, Logger: logger, Quota: limiter,
+	if control := string(d.Settings.Control); control != "" {
+		if err := d.serve(control, d.control()); err != nil {
+			return err
+		}
+		_, port, _ := net.SplitHostPort(control)
+		d.add((&heartbeat.CatchUp{Fleet: d.fleet, Version: d.version, Port: port, Fetch: d.operator.FetchFrom, Logger: d.logger}).Run)
 	}
-	fleet.Fill = func(b *heartbeat.Beat) {
-		b.Leaving, b.Demand, b.Leads = vm.Draining(), limiter.Demand(), vm.Leads()
-		if c := vm.Configuration(); c != nil {
-			b.Configuration = int64(c.Version)
+	if address := d.Options.metricsAddress(d.Settings.IP); address != "" {
+		handler, err := d.metrics()
+		if err != nil {
+			return err
+		}
+		if err := d.serve(address, handler); err != nil {
+			eventNoPort.Log(d.logger, "address", address, "err", err)
 		}
 	}
-	fleet.Urgent = func() bool { return len(vm.Leads()) > 0 }
-	fleet.Hear = func(b heartbeat.Beat) {
-		if b.Leaving {
-			limiter.Forget(string(b.VM))
-		} else {
-			limiter.Hear(string(b.VM), b.Demand)
+	return nil
+}
+
+// control serves the other VMs and the person on call.
+func (d *daemon) control() *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /state", d.state)
+	mux.HandleFunc("GET "+platform.ConfigurationPath, func(w http.ResponseWriter, _ *http.Request) {
+		c := d.vm.Configuration()
+		if c == nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
 		}
-		vm.Heard(b)
+		// Whoever went away meanwhile asks again.
+		_, _ = w.Write(c.Raw)
+	})
+	return mux
+}
+
+func (d *daemon) state(w http.ResponseWriter, _ *http.Request) {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	if err := e.Encode(d.vm.State()); err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
 	}
-	promoter := &platform.Promoter{VM: settings.VM, Incarnation: time.Now().UnixNano(), Store: store, Client: http.DefaultClient}
-	promoter.Move(string(settings.Orders))
-	callers, err := net.Listen("tcp", string(settings.Callers))
+}
+
+func (d *daemon) metrics() (http.Handler, error) {
+	m, err := meter.New()
 	if err != nil {
-		return err
+		return nil, err
 	}
-	ready, err := net.Listen("tcp", string(settings.Ready))
+	if err := d.vm.Measure(m.Meter("vm")); err != nil {
+		return nil, err
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", m.Handler())
+	mux.HandleFunc("GET /state", d.state)
+	return mux, nil
+}
+
+// serve adds an HTTP server.
+func (d *daemon) serve(address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return err
+		return proxy.ErrConnect.Wrap(err, "%s", address)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerWithin}
+	d.group.Add(func() error { return server.Serve(listener) }, func(error) { server.Close() })
+	return nil
+}
+
+// add adds a part that runs until its context ends.
+func (d *daemon) add(part func(context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	d.group.Add(func() error { return part(ctx) }, func(error) { cancel() })
+}
+
+// seeds are where other VMs hear heartbeats: ports are the same on all.
+func (d *daemon) seeds() []string {
+	var list []string
+	for _, seed := range d.Settings.Seeds {
+		if host, _, err := net.SplitHostPort(string(seed)); err == nil && host != d.Settings.IP {
+			list = append(list, net.JoinHostPort(host, strconv.Itoa(d.Settings.FirstPort)))
+		}
+	}
+	return list
+}
+
+func (d *daemon) version() int64 {
+	if c := d.vm.Configuration(); c != nil {
+		return int64(c.Version)
 	}
-	var group run.Group
-	add := func(f func(context.Context) error) {
-		ctx, cancel := context.WithCancel(context.Background())
-		group.Add(func() error { return f(ctx) }, func(error) { cancel() })
-	}
-	add(vm.Run)
-	add(fleet.Run)
-	add((&proxy.Failover{VM: vm, Fleet: fleet, Promotions: promoter, Logger: logger}).Run)
-	add((&platform.Operator{Store: store, Configure: vm.Configure, Logger: logger}).Run)
-	add((&platform.Listing{Store: store, List: vm.List, Hurry: vm.Seeking, Logger: logger}).Run)
-	add((&platform.Callers{Listener: callers, Serve: vm.Serve}).Run)
-	server := &http.Server{Handler: platform.Readiness(vm.Ready)}
-	group.Add(func() error { return server.Serve(ready) }, func(error) { server.Close() })
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP)
-	group.Add(func() error {
-		for s := range signals {
-			if s == syscall.SIGTERM {
-				grace := time.Duration(settings.DrainSeconds * float64(time.Second))
-				ctx, cancel := context.WithTimeout(context.Background(), grace-500*time.Millisecond)
-				go fleet.Tell()
-				vm.Drain(ctx, grace/2)
-				fleet.Leave(ctx)
-				cancel()
-				return nil
+	return 0
+}
+
+// fill says in a heartbeat what this VM has to say.
+func (d *daemon) fill(b *heartbeat.Beat) {
+	b.Leaving, b.Demand, b.Leads, b.Configuration = d.vm.Draining(), d.quota.Demand(), d.vm.Leads(), d.version()
+}
+
+// hear takes what another VM says.
+func (d *daemon) hear(b heartbeat.Beat) {
+	if b.Leaving {
+		d.quota.Forget(string(b.VM))
+	} else {
+		d.quota.Hear(string(b.VM), b.Demand)
+	}
+	d.vm.Heard(b)
+}
+
+// signals drains on SIGTERM and reads the settings again on SIGHUP.
+func (d *daemon) signals() {
+	received := make(chan os.Signal, 4)
+	signal.Notify(received, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	d.group.Add(func() error {
+		for s := range received {
+			if s == syscall.SIGHUP {
+				d.reload()
+				continue
 			}
+			d.drain()
+			return nil
 		}
 		return nil
-	}, func(error) { signal.Stop(signals); close(signals) })
-	return group.Run()
+	}, func(error) {
+		signal.Stop(received)
+		close(received)
+	})
+}
+
+func (d *daemon) drain() {
+	grace := time.Duration(d.Settings.DrainSeconds * float64(time.Second))
+	ctx, cancel := context.WithTimeout(context.Background(), grace-endBefore)
+	defer cancel()
+	d.vm.BeginDrain()
+	d.fleet.Leave(ctx)
+	d.vm.Drain(ctx, grace/2)
+}
+
+// reload follows the addresses of the platform; those that are listened on need a restart.
+func (d *daemon) reload() {
+	s, err := platform.ReadSettings(d.Options.Settings)
+	if err != nil {
+		eventBadFile.Log(d.logger, "path", d.Options.Settings, "err", err)
+		return
+	}
+	d.store.Move(string(s.Store))
+	d.promoter.Move(string(s.Orders))
+	eventReloaded.Log(d.logger, "store", s.Store, "orders", s.Orders)
 }
--- a/cmd/savoryramp-vm/main.go
+++ b/cmd/savoryramp-vm/main.go
@@ -3,12 +3,42 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
+
+	"github.com/savoryramp/savoryramp/internal/event"
+	"github.com/savoryramp/savoryramp/platform"
 )
 
-func main() {
-	if err := start(); err != nil {
-		fmt.Fprintf(os.Stderr, "savoryramp-vm: %s\n", err)
-		os.Exit(1)
+func main() { os.Exit(execute(os.Args[1:], os.Stdout, os.Stderr)) }
+
+// execute gives the exit code: 0 done, 1 a part failed, 2 the command line or the settings are
+// wrong.
+func execute(arguments []string, out, errOut io.Writer) int {
+	o, err := parse(arguments)
+	if err != nil {
+		fmt.Fprintf(errOut, "savoryramp-vm: %s\n", err)
+		return 2
+	}
+	if o.Events {
+		fmt.Fprint(out, event.Catalogue())
+		return 0
+	}
+	settings, err := platform.ReadSettings(o.Settings)
+	if err != nil {
+		fmt.Fprintf(errOut, "savoryramp-vm: %s\n", err)
+		return 2
+	}
+	if o.Check {
+		fmt.Fprintf(out, "settings of %s in %s can be used\n", settings.VM, settings.Zone)
+		return 0
+	}
+	lines := &event.Bounded{Out: out, PerSecond: o.LogLines}
+	defer lines.Close()
+	d := &daemon{Options: o, Settings: settings, Logs: lines}
+	if err := d.Run(); err != nil {
+		fmt.Fprintf(errOut, "savoryramp-vm: %s\n", err)
+		return 1
 	}
+	return 0
 }
--- a/internal/caller/access_test.go
+++ b/internal/caller/access_test.go
@@ -25,7 +25,7 @@
 	"github.com/savoryramp/savoryramp/internal/fakenet"
 	"github.com/savoryramp/savoryramp/internal/fakeplatform"
 	"github.com/savoryramp/savoryramp/internal/fakeupstream"
-	"github.com/savoryramp/savoryramp/internal/operator"
+	"github.com/savoryramp/savoryramp/internal/meter"
 	"github.com/savoryramp/savoryramp/internal/platform"
 	"github.com/savoryramp/savoryramp/internal/upstream"
 )
@@ -118,7 +118,7 @@
 	upstreams *upstream.Upstreams
 	server    *caller.Server
 	trust     *platform.Trust
-	metrics   *operator.Metrics
+	metrics   *meter.Metrics
 	// cutTable and cutPeers are what the VM doesn't reach.
 	cutTable, cutPeers atomic.Bool
 	// paused VMs hold the task that looks at their trust until resume, and have none.
@@ -251,7 +251,7 @@
 	f.mu.Lock()
 	f.vms = append(f.vms, v)
 	f.mu.Unlock()
-	v.metrics, err = operator.NewMetrics()
+	v.metrics, err = meter.New()
 	assert.NilError(f, err)
 	v.server.Meter = v.metrics.Meter("caller")
 	var running sync.WaitGroup
--- a/internal/heartbeat/heartbeat.go
+++ b/internal/heartbeat/heartbeat.go
@@ -89,6 +89,9 @@
 	incarnation uint32
 	began       clock.Instant
 	listed      bool
+	// heardAt is when any other VM was last heard; met is true once one was.
+	heardAt clock.Instant
+	met     bool
 }
 
 type peer struct {
@@ -267,6 +270,7 @@
 		eventPeer.Log(f.Logger, "peer", b.VM, "incarnation", b.Incarnation, "leaving", b.Leaving, "outcome", "heard")
 	}
 	fresh := p.heard == 0
+	f.met, f.heardAt = true, clock.Now()
 	p.live, p.heard, p.beat, p.address = true, clock.Now(), b, b.Address
 	f.mu.Unlock()
 	f.Hear(b)
@@ -333,6 +337,16 @@
 	return n
 }
 
+// Silence is how long this VM has heard no other; zero if it knows of none.
+func (f *Fleet) Silence() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.met {
+		return 0
+	}
+	return clock.Since(f.heardAt)
+}
+
 // settleFor is how long a VM that starts listens before it takes callers: each other VM
 // answers a first beat at once.
 const settleFor = 400 * time.Millisecond
--- a/internal/load/vm.go
+++ b/internal/load/vm.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-kit/log"
 
+	"github.com/savoryramp/savoryramp/internal/meter"
 	"github.com/savoryramp/savoryramp/internal/operator"
 	"github.com/savoryramp/savoryramp/internal/platform"
 )
@@ -87,7 +88,7 @@
 
 // run starts a VM's daemon.
 func (s *Site) run(v *VM) error {
-	metrics, err := operator.NewMetrics()
+	metrics, err := meter.New()
 	if err != nil {
 		return ErrSetup.Wrap(err, "metrics")
 	}
--- a/internal/operator/metrics.go
+++ b/internal/meter/meter.go
@@ -1,8 +1,10 @@
-package operator
+// Package meter exports a process's metrics.
+package meter
 
 import (
 	"net/http"
 
+	"github.com/joomcode/errorx"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -11,20 +13,26 @@
 	sdk "go.opentelemetry.io/otel/sdk/metric"
 )
 
+var (
+	errs = errorx.NewNamespace("meter")
+	// ErrExport means that metrics can't be exported.
+	ErrExport = errs.NewType("export")
+)
+
 // Metrics exports OpenTelemetry's instruments in Prometheus's text format.
 type Metrics struct {
 	registry *prometheus.Registry
 	provider *sdk.MeterProvider
 }
 
-// NewMetrics exports the process's and the runtime's own metrics from the start.
-func NewMetrics() (*Metrics, error) {
+// New exports the process's and the runtime's own metrics from the start.
+func New() (*Metrics, error) {
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector())
 	registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	reader, err := exporter.New(exporter.WithRegisterer(registry), exporter.WithoutScopeInfo(), exporter.WithoutTargetInfo())
 	if err != nil {
-		return nil, ErrBroken.Wrap(err, "metrics")
+		return nil, ErrExport.Wrap(err, "metrics")
 	}
 	return &Metrics{registry: registry, provider: sdk.NewMeterProvider(sdk.WithReader(reader))}, nil
 }
@@ -43,7 +51,7 @@
 func (m *Metrics) Names() ([]string, error) {
 	families, err := m.registry.Gather()
 	if err != nil {
-		return nil, ErrBroken.Wrap(err, "metrics")
+		return nil, ErrExport.Wrap(err, "metrics")
 	}
 	names := make([]string, 0, len(families))
 	for _, f := range families {
--- a/internal/operator/daemon.go
+++ b/internal/operator/daemon.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log"
 	"github.com/oklog/run"
 
+	"github.com/savoryramp/savoryramp/internal/meter"
 	"github.com/savoryramp/savoryramp/internal/platform"
 )
 
@@ -37,7 +38,7 @@
 	Options  RunOptions
 	Platform PlatformOptions
 	Logger   log.Logger
-	Metrics  *Metrics
+	Metrics  *meter.Metrics
 	Admin    *Admin
 	// Certificates are those of the files in Options.
 	Certificates Certificates
@@ -78,7 +79,7 @@
 	if err != nil {
 		return err
 	}
-	metrics, err := NewMetrics()
+	metrics, err := meter.New()
 	if err != nil {
 		return err
 	}
--- a/internal/operator/daemon_test.go
+++ b/internal/operator/daemon_test.go
@@ -16,12 +16,13 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/assert/cmp"
 
+	"github.com/savoryramp/savoryramp/internal/meter"
 	"github.com/savoryramp/savoryramp/internal/platform"
 )
 
 func newDaemon(t *testing.T) *Daemon {
 	t.Helper()
-	metrics, err := NewMetrics()
+	metrics, err := meter.New()
 	assert.NilError(t, err)
 	d := &Daemon{
 		Logger:        log.NewNopLogger(),
--- a/internal/proxy/errors.go
+++ b/internal/proxy/errors.go
@@ -39,3 +39,6 @@
 
 // IsMalformed tells whether something isn't what it should be.
 func IsMalformed(err error) bool { return isType(err, ErrMalformed) }
+
+// IsSilent tells whether a deadline passed without a message.
+func IsSilent(err error) bool { return isType(err, ErrSilent) }
--- a/internal/proxy/keeper.go
+++ b/internal/proxy/keeper.go
@@ -76,10 +76,7 @@
 		list = append(list, m)
 	}
 	slices.SortFunc(list, func(a, b *member) int {
-		if a.server.ID < b.server.ID {
-			return -1
-		}
-		return 1
+		return compareText(string(a.server.ID), string(b.server.ID))
 	})
 	return list
 }
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -179,6 +179,10 @@
 		s.caller.Reject(f, string(s.database))
 		return false
 	}
+	if s.vm.isolated() && s.tx == nil {
+		eventRefused.Log(s.vm.Logger, "request", r.ID, "database", s.database, "configuration", op.configuration.Version, "isolated", s.vm.Isolated(), "outcome", Busy)
+		return s.caller.Reply(Answer{Failure: Busy, Detail: "this VM can't learn which keys are valid", Phase: s.phase()}) == nil
+	}
 	if s.tx != nil {
 		op.route = s.tx.route
 	}
--- /dev/null
+++ b/internal/proxy/state.go
@@ -0,0 +1,100 @@
+package proxy
+
+import (
+	"slices"
+	"time"
+
+	"github.com/savoryramp/savoryramp/internal/clock"
+)
+
+// State is a dump of what the VM believes and holds.
+type State struct {
+	VM            VMName               `json:"vm"`
+	Zone          AvailabilityZone     `json:"availability-zone"`
+	Ready         bool                 `json:"ready"`
+	Draining      bool                 `json:"draining"`
+	Configuration ConfigurationVersion `json:"configuration"`
+	// Sessions counts open connections of callers.
+	Sessions int64        `json:"sessions"`
+	VMs      int          `json:"vms"`
+	Groups   []GroupState `json:"groups"`
+}
+
+// GroupState is one group's part of State.
+type GroupState struct {
+	Service ServiceName `json:"service"`
+	Lead    ServerID    `json:"lead"`
+	Term    int64       `json:"term"`
+	// Failing is true while this VM can't use the lead.
+	Failing bool `json:"failing"`
+	// ProvedMs is how long ago the lead last proved that it leads; -1 if it hasn't.
+	ProvedMs int64         `json:"proved-ms"`
+	Servers  []ServerState `json:"servers"`
+}
+
+// ServerState is one server's part of State.
+type ServerState struct {
+	Server   ServerID         `json:"server"`
+	Address  Address          `json:"address"`
+	Zone     AvailabilityZone `json:"availability-zone"`
+	Leaving  bool             `json:"leaving"`
+	Avoided  bool             `json:"avoided"`
+	Open     int              `json:"open"`
+	Opening  int              `json:"opening"`
+	Share    int              `json:"share"`
+	Waiting  int              `json:"waiting"`
+	Failures int              `json:"failures"`
+}
+
+// State gives a dump.
+func (v *VM) State() State {
+	s := State{VM: v.Name, Zone: v.Zone, Ready: v.Ready(), Draining: v.Draining(), Sessions: v.open.Load(), VMs: v.Fleet.Size()}
+	if c := v.Configuration(); c != nil {
+		s.Configuration = c.Version
+	}
+	for _, g := range v.Groups() {
+		s.Groups = append(s.Groups, g.state())
+	}
+	slices.SortFunc(s.Groups, func(a, b GroupState) int { return compareText(string(a.Service), string(b.Service)) })
+	return s
+}
+
+func compareText(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+func (g *Group) state() GroupState {
+	s := GroupState{Service: g.Name, ProvedMs: -1}
+	if sent, _, found := g.Samples.Newest(); found {
+		s.ProvedMs = clock.Since(clock.Instant(sent)).Milliseconds()
+	}
+	members := g.list()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s.Lead, s.Term, s.Failing = g.lead, int64(g.term), g.health.failed()
+	for _, m := range members {
+		one := ServerState{
+			Server: m.server.ID, Address: m.server.Address, Zone: m.server.Zone, Leaving: m.server.Leaving,
+			Avoided: time.Now().Before(m.avoidUntil), Failures: m.failures,
+		}
+		one.Open, one.Opening, one.Share, one.Waiting = m.pool.counts()
+		s.Servers = append(s.Servers, one)
+	}
+	return s
+}
+
+// counts gives connections open and being opened, the share, and requests waiting.
+func (p *Pool) counts() (open, opening, share, waiting int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.lines {
+		waiting += len(l.waiting)
+	}
+	return p.open, p.opening, p.Share(), waiting
+}
--- a/internal/proxy/vm.go
+++ b/internal/proxy/vm.go
@@ -32,6 +32,9 @@
 	Fleet   Fleet
 	Quota   *quota.Limiter
 	Logger  log.Logger
+	// Isolated tells since when the VM can have heard of a withdrawn key neither from the
+	// platform nor from another VM; zero while it can. Nil where that isn't known.
+	Isolated func() time.Duration
 
 	configuration atomic.Pointer[Configuration]
 	draining      atomic.Bool
@@ -167,9 +170,16 @@
 func (v *VM) Ready() bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.configuration.Load() != nil && v.listed && v.Fleet.Settled() && !v.draining.Load()
+	return v.configuration.Load() != nil && v.listed && v.Fleet.Settled() && !v.draining.Load() && !v.isolated()
 }
 
+// isolatedFor is how long a VM serves that can't learn of withdrawn keys: as long as the
+// operators' bound for a configuration stretches while the platform is in trouble.
+const isolatedFor = 15 * time.Second
+
+// isolated tells whether the VM may not rely on its configuration any more.
+func (v *VM) isolated() bool { return v.Isolated != nil && v.Isolated() > isolatedFor }
+
 // Draining tells whether the VM is about to end.
 func (v *VM) Draining() bool { return v.draining.Load() }
 
@@ -178,11 +188,14 @@
 	drainTick = 25 * time.Millisecond
 )
 
+// BeginDrain has the VM no longer be ready, so that no new callers are sent to it.
+func (v *VM) BeginDrain() { v.draining.Store(true) }
+
 // Drain ends sessions between operations, and returns when none is left. Transactions
 // may go on until cut; ctx bounds it all.
 func (v *VM) Drain(ctx context.Context, cut time.Duration) {
 	eventDrain.Log(v.Logger, "sessions", v.open.Load())
-	v.draining.Store(true)
+	v.BeginDrain()
 	began := time.Now()
 	tick := time.NewTicker(drainTick)
 	defer tick.Stop()
