Add a fault soak of the real programs before stand-ins

Randomized by seed: VMs as processes are killed, paused, stopped and told to reload; the ways to the store and to servers are delayed, silenced, cut one way and reset; servers crash, lose answers, fall behind and leave; the store is out, loses answers and forgets. Checked while it runs: fresh reads, writes that take effect once, true refusals, kept acknowledgements, own answers, workspaces, withdrawn keys, rates, no cut by planned work, recovery.

--- /dev/null
+++ b/internal/soak/faults.go
@@ -0,0 +1,149 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"github.com/savoryramp/savoryramp/platform/standin"
+)
+
+// fault is one thing done from outside: it begins, lasts and is undone.
+type fault struct {
+	name string
+	// planned faults may not cut a request.
+	planned bool
+	do      func(s *Soak, r *rand.Rand, lasts time.Duration) string
+}
+
+// faults are those that a run draws from.
+var faults = []fault{
+	{name: "kill a VM", do: func(s *Soak, r *rand.Rand, lasts time.Duration) string {
+		p := s.take(r)
+		if p == nil {
+			return "none left"
+		}
+		p.signal(syscall.SIGKILL, true)
+		p.wait(time.Second)
+		s.pause(lasts / 2)
+		s.restart(p)
+		return p.name
+	}},
+	{name: "stop and start a VM", planned: true, do: func(s *Soak, r *rand.Rand, _ time.Duration) string {
+		p := s.take(r)
+		if p == nil {
+			return "none left"
+		}
+		p.signal(syscall.SIGTERM, true)
+		if !p.wait(stopWithin) {
+			s.broken("a VM ends within its grace after SIGTERM", "%s", p.name)
+			p.signal(syscall.SIGKILL, true)
+			p.wait(time.Second)
+		}
+		s.restart(p)
+		return p.name
+	}},
+	{name: "pause a VM", do: func(s *Soak, r *rand.Rand, lasts time.Duration) string {
+		p := s.take(r)
+		if p == nil {
+			return "none left"
+		}
+		p.signal(syscall.SIGSTOP, false)
+		s.pause(lasts)
+		p.signal(syscall.SIGCONT, false)
+		s.give(p)
+		return p.name
+	}},
+	{name: "have a VM read its settings", planned: true, do: func(s *Soak, r *rand.Rand, _ time.Duration) string {
+		p := s.take(r)
+		if p == nil {
+			return "none left"
+		}
+		p.signal(syscall.SIGHUP, false)
+		s.give(p)
+		return p.name
+	}},
+	{name: "store fails", do: func(s *Soak, r *rand.Rand, lasts time.Duration) string {
+		f := []standin.Fault{standin.Busy, standin.Silent, standin.Lost}[r.IntN(3)]
+		s.store.Fail(f)
+		s.pause(lasts)
+		s.store.Fail(standin.Works)
+		return string(f)
+	}},
+	{name: "store forgets its history", do: func(s *Soak, _ *rand.Rand, _ time.Duration) string {
+		s.store.Forget()
+		return ""
+	}},
+	{name: "harm a VM's way to the store", do: func(s *Soak, r *rand.Rand, lasts time.Duration) string {
+		p := s.vms[r.IntN(len(s.vms))]
+		return s.harm(p.store, r, lasts) + " for " + p.name
+	}},
+	{name: "harm the ways to a server", do: func(s *Soak, r *rand.Rand, lasts time.Duration) string {
+		id := s.ids[r.IntN(len(s.ids))]
+		return s.harm(s.servers[id], r, lasts) + " to " + id
+	}},
+	{name: "crash a server", do: func(s *Soak, r *rand.Rand, lasts time.Duration) string {
+		id := s.ids[r.IntN(len(s.ids))]
+		if r.IntN(2) == 0 {
+			id = s.ledger.Lead()
+		}
+		if !s.ledger.Crash(id) {
+			return id + " was down"
+		}
+		s.pause(lasts)
+		if err := s.ledger.Restart(id); err != nil {
+			s.broken("the stand-in starts again", "%s: %v", id, err)
+		}
+		return id
+	}},
+	{name: "a replica receives nothing", do: func(s *Soak, r *rand.Rand, lasts time.Duration) string {
+		id := s.ids[r.IntN(len(s.ids))]
+		s.ledger.Deafen(id, true)
+		s.pause(lasts)
+		s.ledger.Deafen(id, false)
+		return id
+	}},
+	{name: "a server loses answers", do: func(s *Soak, r *rand.Rand, lasts time.Duration) string {
+		id := s.ids[r.IntN(len(s.ids))]
+		n := 0
+		s.ledger.Lose(id, func(string) bool { n++; return n%20 == 0 })
+		s.pause(lasts)
+		s.ledger.Lose(id, nil)
+		return id
+	}},
+	{name: "the primary is to leave", planned: true, do: func(s *Soak, _ *rand.Rand, _ time.Duration) string {
+		id := s.ledger.Lead()
+		s.ledger.Drain(id, true)
+		s.pause(drainFor)
+		s.ledger.Drain(id, false)
+		return id
+	}},
+	{name: "withdraw a key", planned: true, do: func(s *Soak, _ *rand.Rand, _ time.Duration) string {
+		return s.withdraw()
+	}},
+	{name: "change the configuration", planned: true, do: func(s *Soak, r *rand.Rand, _ time.Duration) string {
+		s.change(func(d *standin.Document) {
+			d.Routes[0].TimeoutMs = 700 + r.IntN(3)*100
+			d.Routes = append(d.Routes[:3:3], standin.Route{Database: fmt.Sprint("extra", r.IntN(100)), Service: serviceName, Kind: "primary", TimeoutMs: 800})
+		})
+		return ""
+	}},
+}
+
+const (
+	// stopWithin is the grace in the stand-in's settings.
+	stopWithin = 6 * time.Second
+	// drainFor is how long a server that leaves still serves.
+	drainFor = 4 * time.Second
+)
+
+// harm does something to a way and undoes it.
+func (s *Soak) harm(p *proxy, r *rand.Rand, lasts time.Duration) string {
+	m := []mode{delayed, silenced, halfSilenced, refusing}[r.IntN(4)]
+	every := 1 + r.IntN(3)
+	p.set(m, every)
+	s.pause(lasts)
+	p.set(passing, 1)
+	return fmt.Sprintf("%s, one in %d", m, every)
+}
--- /dev/null
+++ b/internal/soak/soak.go
@@ -0,0 +1,323 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/savoryramp/savoryramp/platform/standin"
+)
+
+const (
+	serviceName = "ledger"
+	// heartbeat is how often the stand-in's servers write their rows.
+	heartbeat = 500 * time.Millisecond
+	// startWithin and recoverWithin bound the VMs' start and their return to service
+	// once all is well again.
+	startWithin   = 15 * time.Second
+	recoverWithin = 12 * time.Second
+	// pollEvery is how often the balancer asks who is ready.
+	pollEvery = 250 * time.Millisecond
+)
+
+// Soak is one run. The exported fields are set before Run.
+type Soak struct {
+	// Binary is the VM's program; Folder takes settings and logs.
+	Binary, Folder string
+	Seed           uint64
+	VMs            int
+	// Lasts is how long faults come; Planned draws only those that may cut no request.
+	Lasts   time.Duration
+	Planned bool
+	// Network is the third byte of the VMs' loopback addresses, so that runs may overlap.
+	Network int
+	Log     io.Writer
+
+	ledger  *standin.Ledger
+	store   *standin.Store
+	http    *http.Server
+	servers map[string]*proxy
+	ids     []string
+	vms     []*process
+	stop    chan struct{}
+	tasks   sync.WaitGroup
+	check   checks
+
+	mu       sync.Mutex
+	free     []*process
+	ready    []*process
+	document standin.Document
+}
+
+// Report is what a run showed.
+type Report struct {
+	Faults []string
+	// Outcomes counts the answers.
+	Outcomes map[standin.Outcome]int
+	// Broken promises, each with what was seen.
+	Broken []string
+}
+
+// Run plays one run. The error is one of the soak's own making.
+func (s *Soak) Run() (Report, error) {
+	s.stop = make(chan struct{})
+	s.check.begin()
+	if err := s.stand(); err != nil {
+		return Report{}, err
+	}
+	defer s.end()
+	for _, p := range s.vms {
+		if err := p.start(); err != nil {
+			return Report{}, err
+		}
+	}
+	s.free = slices.Clone(s.vms)
+	s.tasks.Go(s.poll)
+	if !s.until(startWithin, func() bool { return len(s.balanced()) == len(s.vms) }) {
+		s.broken("all VMs get ready", "%d of %d in %s", len(s.balanced()), len(s.vms), startWithin)
+	}
+	var callers sync.WaitGroup
+	halt := make(chan struct{})
+	for _, call := range s.callers() {
+		callers.Go(func() { call(halt) })
+	}
+	names := s.play()
+	s.recover()
+	close(halt)
+	callers.Wait()
+	s.audit()
+	for _, p := range s.vms {
+		if p.unexpected > 0 {
+			s.broken("no process ends by itself", "%s ended %d times", p.name, p.unexpected)
+		}
+	}
+	return Report{Faults: names, Outcomes: s.check.outcomes, Broken: s.check.broken}, nil
+}
+
+// stand starts the stand-ins and the proxies before them.
+func (s *Soak) stand() error {
+	s.ids = []string{"i-1", "i-2", "i-3"}
+	addresses, zones := map[string]string{}, map[string]string{}
+	for i, id := range s.ids {
+		addresses[id], zones[id] = "127.0.0.1:0", fmt.Sprint("zone-", i+1)
+	}
+	s.ledger = &standin.Ledger{
+		Service: serviceName, Addresses: addresses, Zones: zones, Listed: map[string]string{}, Slots: 3, Queue: 24, Limit: 24,
+		Handshake: 8 * time.Millisecond, Work: 4 * time.Millisecond, Lag: 10 * time.Millisecond, Promote: 200 * time.Millisecond,
+	}
+	if err := s.ledger.Start(); err != nil {
+		return err
+	}
+	s.servers = map[string]*proxy{}
+	for _, id := range s.ids {
+		p, err := newProxy(func() string { return s.ledger.Address(id) })
+		if err != nil {
+			return err
+		}
+		s.servers[id] = p
+		s.ledger.Listed[id] = p.address()
+	}
+	s.store = &standin.Store{Ledgers: map[string]*standin.Ledger{serviceName: s.ledger}}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	s.http = &http.Server{Handler: s.store, ReadHeaderTimeout: time.Second}
+	s.tasks.Go(func() { _ = s.http.Serve(listener) })
+	s.document = firstDocument()
+	s.store.Put("op", "config", s.document.Text())
+	s.tasks.Go(s.beat)
+	for i := range s.VMs {
+		p, err := newProxy(func() string { return listener.Addr().String() })
+		if err != nil {
+			return err
+		}
+		s.vms = append(s.vms, &process{
+			name: fmt.Sprintf("vm-%d-%d", i+1, i%3+1), ip: fmt.Sprintf("127.%d.%d.%d", 1+s.Network/200, 1+s.Network%200, i+1),
+			binary: s.Binary, folder: s.Folder, store: p,
+		})
+	}
+	return nil
+}
+
+// beat has the servers write their rows until the run ends.
+func (s *Soak) beat() {
+	tick := time.NewTicker(heartbeat)
+	defer tick.Stop()
+	for {
+		s.store.Register()
+		select {
+		case <-s.stop:
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// poll is the balancer's look at the VMs.
+func (s *Soak) poll() {
+	client := &http.Client{Timeout: pollEvery, Transport: &http.Transport{DisableKeepAlives: true}}
+	for {
+		var ready []*process
+		for _, p := range s.vms {
+			if p.ready(client) {
+				ready = append(ready, p)
+			}
+		}
+		s.mu.Lock()
+		s.ready = ready
+		s.mu.Unlock()
+		if !s.pause(pollEvery) {
+			return
+		}
+	}
+}
+
+func (s *Soak) balanced() []*process {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.ready)
+}
+
+// pause waits; false once the run is over.
+func (s *Soak) pause(d time.Duration) bool {
+	select {
+	case <-s.stop:
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+func (s *Soak) until(within time.Duration, done func() bool) bool {
+	for end := time.Now().Add(within); time.Now().Before(end); {
+		if done() {
+			return true
+		}
+		s.pause(pollEvery)
+	}
+	return done()
+}
+
+// play injects faults, in series and overlapping, and gives what it did.
+func (s *Soak) play() []string {
+	r := rand.New(rand.NewPCG(s.Seed, 0))
+	var names []string
+	var mu sync.Mutex
+	var running sync.WaitGroup
+	began := time.Now()
+	for time.Since(began) < s.Lasts {
+		f := faults[r.IntN(len(faults))]
+		for s.Planned && !f.planned {
+			f = faults[r.IntN(len(faults))]
+		}
+		lasts := time.Duration(300+r.IntN(3000)) * time.Millisecond
+		own := rand.New(rand.NewPCG(s.Seed, r.Uint64()))
+		running.Go(func() {
+			at := time.Since(began).Round(time.Millisecond)
+			what := f.do(s, own, lasts)
+			mu.Lock()
+			defer mu.Unlock()
+			names = append(names, fmt.Sprintf("%s +%s %s: %s", at, lasts, f.name, what))
+		})
+		s.pause(time.Duration(200+r.IntN(1500)) * time.Millisecond)
+	}
+	running.Wait()
+	slices.Sort(names)
+	return names
+}
+
+// take reserves a VM that no other fault has, unless it is the last but one.
+func (s *Soak) take(r *rand.Rand) *process {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if 2*len(s.free) <= len(s.vms) {
+		return nil
+	}
+	i := r.IntN(len(s.free))
+	p := s.free[i]
+	s.free = slices.Delete(s.free, i, i+1)
+	return p
+}
+
+func (s *Soak) give(p *process) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.free = append(s.free, p)
+}
+
+func (s *Soak) restart(p *process) {
+	if err := p.start(); err != nil {
+		s.broken("a VM starts again", "%s: %v", p.name, err)
+	}
+	s.give(p)
+}
+
+// recover waits until all is served again.
+func (s *Soak) recover() {
+	if !s.until(recoverWithin, func() bool { return len(s.balanced()) == len(s.vms) }) {
+		s.broken("all VMs are ready again", "%d of %d after %s", len(s.balanced()), len(s.vms), recoverWithin)
+	}
+	for _, p := range s.vms {
+		for _, r := range s.document.Routes[:3] {
+			text := ""
+			if !s.until(recoverWithin, func() bool { ok, why := s.try(p, r.Database); text = why; return ok }) {
+				s.broken("every VM serves again", "%s, %s: %s", p.name, r.Database, text)
+			}
+		}
+	}
+}
+
+// try writes or reads through one VM.
+func (s *Soak) try(p *process, database string) (bool, string) {
+	c, a := standin.Dial(p.callers(), database, mainKey, time.Second)
+	if c == nil {
+		return false, a.Text
+	}
+	defer c.Close()
+	text := "READ probe"
+	if database == "strict" {
+		text = "WRITE probe x"
+	}
+	a = c.Do(s.check.id(), text, time.Second)
+	return a.Outcome == standin.Done, a.Text
+}
+
+// change puts a further configuration into force.
+func (s *Soak) change(edit func(d *standin.Document)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	edit(&s.document)
+	s.document.Version += 3
+	s.store.Put("op", "config", s.document.Text())
+}
+
+func (s *Soak) broken(promise, format string, arguments ...any) {
+	s.check.fail(promise, fmt.Sprintf(format, arguments...))
+}
+
+// end ends all that the run started.
+func (s *Soak) end() {
+	for _, p := range s.vms {
+		if p.command != nil {
+			p.signal(9, true)
+			p.wait(5 * time.Second)
+			p.log.Close()
+		}
+	}
+	close(s.stop)
+	s.http.Close()
+	for _, p := range s.vms {
+		p.store.close()
+	}
+	for _, p := range s.servers {
+		p.close()
+	}
+	s.ledger.Stop()
+	s.tasks.Wait()
+}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,74 @@
+package soak
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var (
+	seeds    = flag.Int("seeds", 2, "how many seeds to play")
+	from     = flag.Uint64("from", 1, "the first seed")
+	parallel = flag.Int("at-once", 2, "runs at once")
+	vms      = flag.Int("vms", 4, "VMs a run")
+	lasts    = flag.Duration("lasts", 6*time.Second, "how long faults come in a run")
+	keep     = flag.String("keep", "", "folder for the logs of runs that fail")
+)
+
+// regressions are the seeds that ever failed, with the cause. A seed draws the same faults
+// in the same order; what they meet differs from run to run.
+var regressions = map[uint64]string{}
+
+func TestSoak(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "savoryramp-vm")
+	out, err := exec.Command("go", "build", "-o", binary, "../../cmd/savoryramp-vm").CombinedOutput()
+	assert.NilError(t, err, string(out))
+	list := map[uint64]bool{}
+	for seed := range regressions {
+		list[seed] = true
+	}
+	for i := range *seeds {
+		list[*from+uint64(i)] = true
+	}
+	turns := make(chan struct{}, *parallel)
+	var runs sync.WaitGroup
+	network := os.Getpid() % 10000
+	for seed := range list {
+		network++
+		own := network
+		runs.Go(func() {
+			turns <- struct{}{}
+			defer func() { <-turns }()
+			soakOnce(t, binary, seed, own)
+		})
+	}
+	runs.Wait()
+}
+
+// soakOnce plays a seed; every fourth draws planned faults only.
+func soakOnce(t *testing.T, binary string, seed uint64, network int) {
+	folder, err := os.MkdirTemp(*keep, fmt.Sprintf("soak-%d-", seed))
+	assert.Check(t, err)
+	s := &Soak{Binary: binary, Folder: folder, Seed: seed, VMs: *vms, Lasts: *lasts, Planned: seed%4 == 0, Network: network % 10000}
+	report, err := s.Run()
+	assert.Check(t, err)
+	t.Logf("seed %d: %v", seed, report.Outcomes)
+	if len(report.Broken) == 0 && err == nil {
+		os.RemoveAll(folder)
+		return
+	}
+	t.Errorf("seed %d, logs in %s", seed, folder)
+	for _, f := range report.Faults {
+		t.Logf("seed %d: %s", seed, f)
+	}
+	for _, b := range report.Broken {
+		t.Errorf("seed %d: %s", seed, b)
+	}
+}
