Relay statements to the VM that holds a workspace's connections

Ruled out: the work itself, and the start of the VMs, which are ready 50 ms after they run.

Change: for each server and workspace one VM in the server's zone, by rendezvous hashing, holds the connections; the others send it batches of commands over TCP (internal/relay). A VM that can't be reached is passed by with own connections. Only what a VM saw over its own connections counts for a primary's health.

--- a/cmd/savoryramp-vm/daemon.go
+++ b/cmd/savoryramp-vm/daemon.go
@@ -21,6 +21,7 @@
 	"github.com/savoryramp/savoryramp/internal/heartbeat"
 	"github.com/savoryramp/savoryramp/internal/meter"
 	"github.com/savoryramp/savoryramp/internal/proxy"
+	"github.com/savoryramp/savoryramp/internal/relay"
 	"github.com/savoryramp/savoryramp/pkg/quota"
 	"github.com/savoryramp/savoryramp/platform"
 )
@@ -78,7 +79,7 @@
 	}
 	d.store = platform.NewStore(string(s.Store))
 	d.fleet = &heartbeat.Fleet{
-		VM: heartbeat.Name(s.VM), Conn: datagrams, Directory: platform.Directory{Store: d.store}, Logger: d.logger,
+		VM: heartbeat.Name(s.VM), Zone: string(s.Zone), Conn: datagrams, Directory: platform.Directory{Store: d.store}, Logger: d.logger,
 		Seeds: d.seeds(), Fill: d.fill, Hear: d.hear, Urgent: func() bool { return len(d.vm.Leads()) > 0 },
 	}
 	d.quota = &quota.Limiter{Now: func() time.Duration { return time.Duration(clock.Now()) }, Size: d.fleet.Size}
@@ -86,6 +87,13 @@
 		Name: s.VM, Zone: s.Zone, Connect: platform.Connect, Fleet: d.fleet, Quota: d.quota, Logger: d.logger,
 		Isolated: func() time.Duration { return min(d.store.Silence(), d.fleet.Silence()) },
 	}
+	ways, err := net.Listen("tcp", net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)))
+	if err != nil {
+		return proxy.ErrConnect.Wrap(err, "relay")
+	}
+	r := &relay.Relay{VM: d.vm, Fleet: d.fleet, Listener: ways, Logger: d.logger}
+	d.vm.Relay = r
+	d.add(r.Run)
 	d.operator = &platform.Operator{Store: d.store, Configure: d.vm.Configure, Logger: d.logger}
 	d.promoter = &platform.Promoter{VM: s.VM, Incarnation: rand.Int64(), Store: d.store, Client: platform.NewClient()}
 	d.promoter.Move(string(s.Orders))
--- a/internal/heartbeat/heartbeat.go
+++ b/internal/heartbeat/heartbeat.go
@@ -45,6 +45,7 @@
 	// Incarnation is drawn at each start.
 	Incarnation uint32 `json:"incarnation"`
 	Address     string `json:"address"`
+	Zone        string `json:"zone"`
 	// Configuration is the version in force.
 	Configuration int64 `json:"configuration,omitempty"`
 	// Leaving VMs end soon.
@@ -71,7 +72,9 @@
 
 // Fleet hears the other VMs. The exported fields are set before Run.
 type Fleet struct {
-	VM        Name
+	VM Name
+	// Zone is the VM's availability zone.
+	Zone      string
 	Conn      net.PacketConn
 	Directory Directory
 	// Seeds are addresses to speak to when the directory is out.
@@ -197,7 +200,7 @@
 func (f *Fleet) Tell() {
 	f.mu.Lock()
 	f.init()
-	b := Beat{VM: f.VM, Incarnation: f.incarnation, Address: f.Conn.LocalAddr().String()}
+	b := Beat{VM: f.VM, Incarnation: f.incarnation, Address: f.Conn.LocalAddr().String(), Zone: f.Zone}
 	var addresses []string
 	for _, p := range f.peers {
 		addresses = append(addresses, p.address)
--- a/internal/operator/main.go
+++ b/internal/operator/main.go
@@ -9,6 +9,7 @@
 	"github.com/savoryramp/savoryramp/internal/event"
 	// Their events belong in the catalogue.
 	_ "github.com/savoryramp/savoryramp/internal/proxy"
+	_ "github.com/savoryramp/savoryramp/internal/relay"
 	_ "github.com/savoryramp/savoryramp/platform"
 )
 
--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -98,8 +98,6 @@
 	// values and plans are what stands on the server.
 	values map[string]string
 	plans  map[Plan]StatementName
-	// floor is the last position that the server reported here.
-	floor position.Position
 	// idleSince is when it was given back.
 	idleSince time.Time
 }
--- a/internal/proxy/errors.go
+++ b/internal/proxy/errors.go
@@ -18,6 +18,10 @@
 	ErrNoServer = errs.NewType("no-server")
 	// ErrBusy means that no connection became free in time.
 	ErrBusy = errs.NewType("busy")
+	// ErrUnreached means that another VM couldn't be reached; nothing was sent to it.
+	ErrUnreached = errs.NewType("unreached")
+	// ErrPeer means that another VM didn't say what became of a batch.
+	ErrPeer = errs.NewType("peer")
 	// ErrCaller means that the caller is gone, or broke the protocol.
 	ErrCaller = errs.NewType("caller")
 	// ErrUnavailable means that the platform's store did nothing.
--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -33,4 +33,6 @@
 		"This VM's attempt at a failover is over.")
 	eventStopped = event.Define(6016, "proxy-primary-stopped", event.Info,
 		"A primary that leaves was told to take no more writes, and how far its log came.")
+	eventRelay = event.Define(6017, "proxy-relay", event.Warn,
+		"The VM that holds connections to a server can't be reached; this one uses its own.")
 )
--- a/internal/proxy/failover.go
+++ b/internal/proxy/failover.go
@@ -255,8 +255,8 @@
 	for {
 		conn, err := m.pool.TakeAny(ctx, until)
 		if err == nil {
-			l := newLease(conn, g)
-			a, failed := l.run(0, c, until)
+			l := g.lease(local{conn}, conn.Server, true)
+			a, failed := l.run(nil, c, until)
 			l.give(failed == nil && a.Phase == Idle)
 			if failed == nil && a.Succeeded() {
 				return conn.Link.Status(a)
--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -140,8 +140,9 @@
 	g.lead, g.term = id, max(g.term, t)
 }
 
-// Led takes note that a server acted as primary in an answer to something sent at sent.
-func (g *Group) Led(id ServerID, sent clock.Instant, p position.Position) {
+// led takes note that a server acted as primary in an answer to something sent at sent;
+// only what this VM saw over a connection of its own counts for its health.
+func (g *Group) led(id ServerID, sent clock.Instant, p position.Position, direct bool) {
 	if p.IsZero() {
 		return
 	}
@@ -152,7 +153,7 @@
 		return
 	}
 	g.believe(id, p.Term, "acted as primary")
-	if id == g.lead {
+	if direct && id == g.lead {
 		g.health.ok(sent)
 	}
 }
@@ -236,8 +237,12 @@
 	return m.factor + (1-m.factor)*float64(age)/float64(fadeWithin)
 }
 
-// failed takes note of a connection that broke, fell silent or couldn't be opened.
-func (g *Group) failed(id ServerID, err error) {
+// failed takes note of a connection that broke, fell silent or couldn't be opened. What
+// another VM met says nothing of this one's way to the server, nor does a busy one.
+func (g *Group) failed(id ServerID, err error, direct bool) {
+	if isType(err, ErrPeer) || isType(err, ErrUnreached) || isType(err, ErrBusy) || isType(err, ErrRefused) {
+		return
+	}
 	g.mu.Lock()
 	m := g.members[id]
 	if m == nil {
@@ -247,7 +252,7 @@
 	m.failures++
 	m.avoidUntil = time.Now().Add(min(avoidFirst<<min(m.failures-1, 8), avoidMost))
 	lead, failures := id == g.lead, m.failures
-	if lead {
+	if lead && direct {
 		g.health.fail(clock.Now())
 	}
 	g.mu.Unlock()
--- a/internal/proxy/keeper.go
+++ b/internal/proxy/keeper.go
@@ -89,16 +89,16 @@
 		return
 	}
 	if err != nil {
-		g.failed(m.pool.Server.ID, err)
+		g.failed(m.pool.Server.ID, err, true)
 		return
 	}
-	l := newLease(c, g)
+	l := g.lease(local{c}, c.Server, true)
 	_, a, err := l.prove(until)
 	l.give(err == nil && a.Phase == Idle)
 	switch {
 	case err != nil:
 		m.pool.Drop()
-		g.failed(m.pool.Server.ID, err)
+		g.failed(m.pool.Server.ID, err, true)
 	case a.Failure == NotPrimary:
 		g.Deposed(m.pool.Server.ID, "refused to prove that it leads")
 	}
--- /dev/null
+++ b/internal/proxy/local.go
@@ -0,0 +1,92 @@
+package proxy
+
+import "time"
+
+// local is the channel over a connection of this VM's pool.
+type local struct{ conn *Conn }
+
+func (l local) give(keep bool, took time.Duration) { l.conn.pool.Give(l.conn, keep, took) }
+
+// maxPlans bounds the statements kept prepared on one connection.
+const maxPlans = 128
+
+func (l local) exec(p *profile, commands []Command, until time.Time) ([]Answer, error) {
+	c := l.conn
+	// extra has, for each command, how many answers come before its own.
+	extra := make([]int, len(commands))
+	for i, command := range commands {
+		if p != nil {
+			extra[i], command = c.prepare(p, command)
+		}
+		c.Link.Send(command)
+	}
+	if err := c.Link.Flush(until); err != nil {
+		return nil, err
+	}
+	answers := make([]Answer, len(commands))
+	for i := range commands {
+		refused := ""
+		for range extra[i] {
+			a, err := c.Link.Receive(until)
+			if err != nil {
+				return nil, err
+			}
+			if !a.Succeeded() {
+				refused = string(a.Failure) + " " + a.Detail
+			}
+		}
+		a, err := c.Link.Receive(until)
+		if err != nil {
+			return nil, err
+		}
+		if refused != "" {
+			// The statement may have met values that aren't the session's.
+			return nil, ErrBroken.New("server %s refused a session value: %s", c.Server, refused)
+		}
+		answers[i] = a
+	}
+	return answers, nil
+}
+
+// prepare gathers what makes the connection's values and plans the profile's, and gives
+// how many answers that brings, and the command as the server is to see it.
+func (c *Conn) prepare(p *profile, command Command) (int, Command) {
+	n := 0
+	if c.stale(p.values) || len(c.plans) >= maxPlans {
+		c.Link.Send(Reset{})
+		c.values, c.plans = map[string]string{}, map[Plan]StatementName{}
+		n++
+	}
+	for name, value := range p.values {
+		if before, found := c.values[name]; !found || before != value {
+			c.Link.Send(Assign{Name: name, Value: value})
+			c.values[name] = value
+			n++
+		}
+	}
+	f, isForward := command.(Forward)
+	e, isExecute := f.Statement.(Execute)
+	if !isForward || !isExecute {
+		return n, command
+	}
+	plan := p.plans[e.Name]
+	name, found := c.plans[plan]
+	if !found {
+		name = StatementName("p" + itoa(int64(len(c.plans)+1)))
+		c.Link.Send(Plant{Name: name, Plan: plan})
+		c.plans[plan] = name
+		n++
+	}
+	f.Statement = Execute{Name: name, Arguments: e.Arguments}
+	return n, f
+}
+
+// stale tells whether the connection has values that the session hasn't.
+func (c *Conn) stale(values map[string]string) bool {
+	for name := range c.values {
+		if _, found := values[name]; !found {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -312,7 +312,7 @@
 	ctx, cancel := context.WithTimeout(p.ctx, connectWithin)
 	defer cancel()
 	began := time.Now()
-	link, floor, err := p.Connect(ctx, p.Server, w)
+	link, _, err := p.Connect(ctx, p.Server, w)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.opening--
@@ -323,7 +323,7 @@
 		return
 	}
 	p.handshake = average(p.handshake, time.Since(began))
-	c := &Conn{Link: link, Server: p.Server.ID, Workspace: w, pool: p, values: map[string]string{}, plans: map[Plan]StatementName{}, floor: floor}
+	c := &Conn{Link: link, Server: p.Server.ID, Workspace: w, pool: p, values: map[string]string{}, plans: map[Plan]StatementName{}}
 	p.put(l, c)
 	p.balance()
 }
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -38,9 +38,8 @@
 	database DatabaseName
 	key      Key
 
-	// values and plans are the caller's, as acknowledged.
-	values map[string]string
-	plans  map[StatementName]Plan
+	// profile is what the caller set and prepared, as acknowledged.
+	profile profile
 	// floors are how far the session's own commits reached; they never fall.
 	floors map[ServiceName]position.Position
 	// tx is the open transaction, nil outside of one.
@@ -219,16 +218,16 @@
 	}
 	switch t := op.request.Statement.(type) {
 	case Set:
-		s.values[t.Name] = t.Value
+		s.profile.values[t.Name] = t.Value
 		return done
 	case Prepare:
-		s.plans[t.Name] = t.Plan
+		s.profile.plans[t.Name] = t.Plan
 		return done
 	case Deallocate:
-		if _, found := s.plans[t.Name]; !found {
+		if _, found := s.profile.plans[t.Name]; !found {
 			return Answer{Failure: Unprepared, Detail: string(t.Name)}
 		}
-		delete(s.plans, t.Name)
+		delete(s.profile.plans, t.Name)
 		return done
 	case Begin:
 		return s.begin(op, t)
@@ -241,7 +240,7 @@
 	case Write:
 		return s.runOne(ctx, op, true)
 	case Execute:
-		plan, found := s.plans[t.Name]
+		plan, found := s.profile.plans[t.Name]
 		if !found {
 			return s.refuse(Unprepared, string(t.Name))
 		}
--- a/internal/proxy/single.go
+++ b/internal/proxy/single.go
@@ -28,21 +28,16 @@
 		if err != nil {
 			return nil, Answer{Failure: Busy, Detail: err.Error()}
 		}
-		c, err := m.pool.Take(ctx, op.workspace, op.deadline)
-		if err == nil && c.Link.Alive() {
-			return newLease(c, op.group), done
-		}
+		l, err := op.group.take(ctx, m, op.workspace, op.deadline)
 		if err == nil {
-			m.pool.Give(c, false, 0)
-			m.pool.Drop()
-			continue
+			return l, done
 		}
 		eventRetry.Log(s.vm.Logger, "request", op.request.ID, "server", m.pool.Server.ID, "err", err)
 		if isType(err, ErrBusy) {
 			return nil, Answer{Failure: Busy, Detail: err.Error()}
 		}
 		if !isType(err, ErrRefused) {
-			op.group.failed(m.pool.Server.ID, err)
+			op.group.failed(m.pool.Server.ID, err, true)
 		}
 		if time.Until(op.deadline) < 2*retryPause {
 			return nil, Answer{Failure: Busy, Detail: err.Error()}
@@ -59,11 +54,18 @@
 		if l == nil {
 			return refusal
 		}
-		a, err := l.forward(s, op, op.deadline)
+		a, err := l.forward(s, op, position.Position{}, op.deadline)
+		if notSent(err) {
+			l.give(true)
+			if refusal := s.leadFailed(ctx, op, l, a, err); !refusal.Succeeded() {
+				return refusal
+			}
+			continue
+		}
 		if err != nil {
 			l.give(false)
-			op.group.failed(l.conn.Server, err)
-			return Answer{Failure: InDoubt, Detail: "server " + string(l.conn.Server) + ": " + err.Error()}
+			l.failed(err)
+			return Answer{Failure: InDoubt, Detail: "server " + string(l.server) + ": " + err.Error()}
 		}
 		l.give(a.Phase == Idle)
 		if a.Succeeded() {
@@ -87,9 +89,9 @@
 	}
 	l, a := s.readAny(ctx, op, func(l *lease, floor position.Position, until time.Time) (Answer, error) {
 		began := time.Now()
-		a, err := l.read(s, op, floor, until)
+		a, err := l.forward(s, op, floor, until)
 		if err == nil && a.Succeeded() {
-			s.vm.took(op, l.conn.Server, time.Since(began))
+			s.vm.took(op, l.server, time.Since(began))
 		}
 		return a, err
 	})
@@ -117,13 +119,13 @@
 		until := s.attemptUntil(op)
 		floor, a, err := l.prove(until)
 		if err == nil && a.Succeeded() {
-			a, err = l.read(s, op, floor, until)
+			a, err = l.forward(s, op, floor, until)
 		}
 		if err == nil && a.Succeeded() {
 			l.give(true)
 			return a
 		}
-		l.give(err == nil && a.Phase == Idle)
+		l.give(notSent(err) || err == nil && a.Phase == Idle)
 		if attempt == maxAttempts && err == nil {
 			return a
 		}
@@ -154,21 +156,20 @@
 			continue
 		}
 		tried[best.ID] = true
-		c, err := members[best.ID].pool.Take(ctx, op.workspace, s.attemptUntil(op))
+		l, err := op.group.take(ctx, members[best.ID], op.workspace, s.attemptUntil(op))
 		if err != nil {
 			eventRetry.Log(s.vm.Logger, "request", op.request.ID, "server", best.ID, "attempt", attempt, "err", err)
 			if !isType(err, ErrBusy) && !isType(err, ErrRefused) {
-				op.group.failed(best.ID, err)
+				op.group.failed(best.ID, err, true)
 			}
 			last = Answer{Failure: Busy, Detail: err.Error()}
 			continue
 		}
-		l := newLease(c, op.group)
 		a, err := try(l, floor, s.attemptUntil(op))
 		switch {
 		case err != nil:
-			l.give(false)
-			op.group.failed(best.ID, err)
+			l.give(notSent(err))
+			l.failed(err)
 			a = Answer{Failure: Busy, Detail: "server " + string(best.ID) + ": " + err.Error()}
 		case a.Succeeded():
 			return l, a
@@ -199,7 +200,7 @@
 			return position.Position{}, ErrNoServer.New("%s", refusal.Detail)
 		}
 		_, a, err := l.prove(s.attemptUntil(op))
-		l.give(err == nil && a.Phase == Idle)
+		l.give(notSent(err) || err == nil && a.Phase == Idle)
 		if err == nil && a.Succeeded() {
 			own = op.group.Samples.Survivor(s.floors[op.route.Service])
 			continue
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/savoryramp/savoryramp/internal/clock"
+	"github.com/savoryramp/savoryramp/pkg/position"
 )
 
 // transaction is a caller's open transaction. It begins at a server with its first
@@ -78,14 +79,14 @@
 	if patience := time.Now().Add(s.vm.patience(op.route)); patience.Before(until) {
 		until = patience
 	}
-	a, err := l.forward(s, op, until)
+	a, err := l.forward(s, op, position.Position{}, until)
 	if err != nil {
 		l.give(false)
 		s.tx.lease = nil
 		s.breakTransaction()
-		op.group.failed(l.conn.Server, err)
+		l.failed(err)
 		// Its commit was never sent, and a connection that ends rolls back.
-		return Answer{Failure: Aborted, Detail: "server " + string(l.conn.Server) + ": " + err.Error()}
+		return Answer{Failure: Aborted, Detail: "server " + string(l.server) + ": " + err.Error()}
 	}
 	if a.Succeeded() {
 		s.tx.wrote = s.tx.wrote || writes
@@ -93,7 +94,7 @@
 		return a
 	}
 	if a.Failure == NotPrimary {
-		op.group.Deposed(l.conn.Server, "refused a statement of a transaction")
+		op.group.Deposed(l.server, "refused a statement of a transaction")
 	}
 	s.breakTransaction()
 	a.Phase = Failed
@@ -140,10 +141,10 @@
 // leadFailed takes note of a primary that didn't do what hadn't run, and pauses before
 // the next attempt; a failure when there is no time for one.
 func (s *Session) leadFailed(ctx context.Context, op *operation, l *lease, a Answer, err error) Answer {
-	id := l.conn.Server
+	id := l.server
 	switch {
 	case err != nil:
-		op.group.failed(id, err)
+		l.failed(err)
 	case a.Failure == NotPrimary:
 		op.group.Deposed(id, "refused to act as primary")
 	}
@@ -175,15 +176,15 @@
 	tx, l := s.tx, s.tx.lease
 	s.tx = nil
 	for {
-		a, err := l.forward(s, op, op.deadline)
+		a, err := l.forward(s, op, position.Position{}, op.deadline)
 		switch {
 		case err != nil:
 			l.give(false)
-			op.group.failed(l.conn.Server, err)
+			l.failed(err)
 			if !tx.wrote {
 				return Answer{Failure: Aborted, Detail: err.Error()}
 			}
-			return Answer{Failure: InDoubt, Detail: "server " + string(l.conn.Server) + ": " + err.Error()}
+			return Answer{Failure: InDoubt, Detail: "server " + string(l.server) + ": " + err.Error()}
 		case a.Failure == Busy && a.Phase == InTransaction && time.Until(op.deadline) > 2*retryPause:
 			sleep(ctx, retryPause)
 			continue
@@ -196,7 +197,7 @@
 			return a
 		}
 		if a.Failure == NotPrimary {
-			op.group.Deposed(l.conn.Server, "refused a commit")
+			op.group.Deposed(l.server, "refused a commit")
 		}
 		s.unsettled = append(s.unsettled, l)
 		a.Phase = Idle
--- a/internal/proxy/vm.go
+++ b/internal/proxy/vm.go
@@ -32,6 +32,8 @@
 	Fleet   Fleet
 	Quota   *quota.Limiter
 	Logger  log.Logger
+	// Relay reaches servers over other VMs' connections; nil where there are enough.
+	Relay Relay
 	// Isolated tells since when the VM can have heard of a withdrawn key neither from the
 	// platform nor from another VM; zero while it can. Nil where that isn't known.
 	Isolated func() time.Duration
@@ -93,7 +95,7 @@
 func (v *VM) Serve(ctx context.Context, c Caller) {
 	v.open.Add(1)
 	defer v.open.Add(-1)
-	s := &Session{vm: v, caller: c, values: map[string]string{}, plans: map[StatementName]Plan{}, floors: map[ServiceName]position.Position{}}
+	s := &Session{vm: v, caller: c, profile: newProfile(), floors: map[ServiceName]position.Position{}}
 	s.run(ctx)
 }
 
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,308 @@
+// Package relay speaks with the other VMs about statements: a VM sends what is for a
+// server to the VM that holds the connections to it, so that a few connections serve
+// many VMs.
+//
+// A way between two VMs is a TCP connection that carries one batch at a time, in gob. It
+// isn't gRPC: a fleet of small VMs would pay for a hundred HTTP/2 connections each in
+// memory and processor time, and needs none of their streams.
+package relay
+
+import (
+	"bufio"
+	"context"
+	"encoding/gob"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-kit/log"
+	"github.com/joomcode/errorx"
+
+	"github.com/savoryramp/savoryramp/internal/event"
+	"github.com/savoryramp/savoryramp/internal/heartbeat"
+	"github.com/savoryramp/savoryramp/internal/proxy"
+)
+
+func init() {
+	for _, one := range []any{
+		proxy.Forward{},
+		proxy.BeginAt{},
+		proxy.Abandon{},
+		proxy.Reset{},
+		proxy.Assign{},
+		proxy.Plant{},
+		proxy.AskStatus{},
+		proxy.Demote{},
+		proxy.Hold{},
+		proxy.Unhold{},
+		proxy.Read{},
+		proxy.Write{},
+		proxy.Execute{},
+		proxy.Commit{},
+	} {
+		gob.Register(one)
+	}
+}
+
+const (
+	// dialWithin bounds opening a way: a few round trips to the farthest zone.
+	dialWithin = 150 * time.Millisecond
+	// slack is waited beyond a batch's time, for the way back.
+	slack = 50 * time.Millisecond
+	// avoidFirst follows a failure of a VM; each further one doubles it.
+	avoidFirst = 500 * time.Millisecond
+	avoidMost  = 4 * time.Second
+	// keepIdle ways to a VM are kept, each for idleAtMost.
+	keepIdle   = 4
+	idleAtMost = 10 * time.Second
+	buffer     = 4 << 10
+)
+
+var (
+	eventPeerFailed = event.Define(5201, "relay-peer-failed", event.Warn,
+		"Another VM couldn't be reached or didn't answer; statements go over own connections for a while.")
+	eventAccept = event.Define(5202, "relay-accept", event.Warn, "A way from another VM couldn't be taken.")
+)
+
+// reply is the answer to a batch.
+type reply struct {
+	Answers []proxy.Answer
+	// Kind and Text are of the error, empty for none.
+	Kind, Text string
+}
+
+// kinds are the errors that are told to the VM that sent a batch.
+var kinds = map[string]*errorx.Type{
+	"broken": proxy.ErrBroken, "silent": proxy.ErrSilent, "connect": proxy.ErrConnect, "refused": proxy.ErrRefused,
+	"wrong-server": proxy.ErrWrongServer, "no-server": proxy.ErrNoServer, "busy": proxy.ErrBusy,
+}
+
+func kindOf(err error) string {
+	for name, t := range kinds {
+		if errorx.IsOfType(err, t) {
+			return name
+		}
+	}
+	return "broken"
+}
+
+// Relay sends batches to other VMs and takes theirs. The exported fields are set before Run.
+type Relay struct {
+	VM       *proxy.VM
+	Fleet    *heartbeat.Fleet
+	Listener net.Listener
+	Logger   log.Logger
+
+	mu    sync.Mutex
+	peers map[proxy.Address]*peer
+	// homes by server and workspace, as of the time in homesAt.
+	homes   map[string]proxy.Address
+	homesAt time.Time
+}
+
+// peer is another VM.
+type peer struct {
+	idle       []*link
+	failures   int
+	avoidUntil time.Time
+}
+
+// homesFor is how long a choice of homes is kept: VMs come and go more slowly.
+const homesFor = 250 * time.Millisecond
+
+// Home is the VM that holds the connections to a server for a workspace: one of those in
+// the server's zone, so that only the way there crosses zones, by rendezvous hashing.
+func (r *Relay) Home(s proxy.Server, w proxy.WorkspaceName) (proxy.Address, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	if r.homes == nil || now.Sub(r.homesAt) > homesFor {
+		r.homes, r.homesAt = map[string]proxy.Address{}, now
+	}
+	key := string(s.ID) + "/" + string(w)
+	address, known := r.homes[key]
+	if !known {
+		address = r.choose(key, s.Zone, now)
+		r.homes[key] = address
+	}
+	return address, address == ""
+}
+
+// choose gives the home's address, empty for this VM; r.mu is held.
+func (r *Relay) choose(key string, zone proxy.AvailabilityZone, now time.Time) proxy.Address {
+	var best proxy.Address
+	var most uint64
+	if r.VM.Zone == zone {
+		most = xxhash.Sum64String(key + "/" + string(r.VM.Name))
+	}
+	for _, p := range r.Fleet.Peers() {
+		known := r.peers[proxy.Address(p.Address)]
+		if p.Silent || p.Leaving || p.Zone != string(zone) || known != nil && now.Before(known.avoidUntil) {
+			continue
+		}
+		if score := xxhash.Sum64String(key + "/" + string(p.VM)); score > most {
+			best, most = proxy.Address(p.Address), score
+		}
+	}
+	return best
+}
+
+// Open gives a way to a VM, kept or new.
+func (r *Relay) Open(ctx context.Context, address proxy.Address) (proxy.RemoteLink, error) {
+	r.mu.Lock()
+	p := r.peer(address)
+	for len(p.idle) > 0 {
+		l := p.idle[len(p.idle)-1]
+		p.idle = p.idle[:len(p.idle)-1]
+		if time.Since(l.idleSince) < idleAtMost {
+			r.mu.Unlock()
+			return l, nil
+		}
+		l.net.Close()
+	}
+	r.mu.Unlock()
+	dialer := net.Dialer{Timeout: dialWithin, KeepAlive: -1}
+	nc, err := dialer.DialContext(ctx, "tcp", string(address))
+	if err != nil {
+		r.failed(address, err)
+		return nil, proxy.ErrUnreached.Wrap(err, "VM at %s", address)
+	}
+	out := bufio.NewWriterSize(nc, buffer)
+	return &link{
+		relay: r, address: address, net: nc, out: out,
+		encoder: gob.NewEncoder(out), decoder: gob.NewDecoder(bufio.NewReaderSize(nc, buffer)),
+	}, nil
+}
+
+// peer gives what is known of a VM; r.mu is held.
+func (r *Relay) peer(address proxy.Address) *peer {
+	if r.peers == nil {
+		r.peers = map[proxy.Address]*peer{}
+	}
+	p := r.peers[address]
+	if p == nil {
+		p = &peer{}
+		r.peers[address] = p
+	}
+	return p
+}
+
+// failed keeps statements from a VM for a while.
+func (r *Relay) failed(address proxy.Address, err error) {
+	r.mu.Lock()
+	p := r.peer(address)
+	p.failures++
+	pause := min(avoidFirst<<min(p.failures-1, 6), avoidMost)
+	p.avoidUntil = time.Now().Add(pause)
+	idle := p.idle
+	p.idle, r.homes = nil, nil
+	r.mu.Unlock()
+	for _, l := range idle {
+		l.net.Close()
+	}
+	eventPeerFailed.Log(r.Logger, "peer", address, "failures", p.failures, "avoided", pause, "err", err)
+}
+
+// link is a way to another VM.
+type link struct {
+	relay     *Relay
+	address   proxy.Address
+	net       net.Conn
+	out       *bufio.Writer
+	encoder   *gob.Encoder
+	decoder   *gob.Decoder
+	idleSince time.Time
+	// used is true once a batch was answered here.
+	used bool
+}
+
+// Exec runs a batch at the other VM.
+func (l *link) Exec(b proxy.Batch, until time.Time) ([]proxy.Answer, error) {
+	_ = l.net.SetDeadline(until.Add(slack))
+	err := l.encoder.Encode(b)
+	if err == nil {
+		err = l.out.Flush()
+	}
+	var answer reply
+	if err == nil {
+		err = l.decoder.Decode(&answer)
+	}
+	if err != nil {
+		l.relay.failed(l.address, err)
+		return nil, proxy.ErrPeer.Wrap(err, "VM at %s", l.address)
+	}
+	if answer.Kind != "" {
+		t := kinds[answer.Kind]
+		if t == nil {
+			t = proxy.ErrBroken
+		}
+		return nil, t.New("by VM at %s: %s", l.address, answer.Text)
+	}
+	return answer.Answers, nil
+}
+
+// Give keeps the way, or ends it.
+func (l *link) Give(keep bool) {
+	r := l.relay
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.peer(l.address)
+	if !keep || len(p.idle) >= keepIdle {
+		l.net.Close()
+		return
+	}
+	p.failures = 0
+	l.idleSince = time.Now()
+	p.idle = append(p.idle, l)
+}
+
+// Run takes other VMs' batches until ctx ends.
+func (r *Relay) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { r.Listener.Close() })
+	defer stop()
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	for ctx.Err() == nil {
+		nc, err := r.Listener.Accept()
+		if err != nil {
+			if ctx.Err() == nil {
+				eventAccept.Log(r.Logger, "err", err)
+				<-time.After(time.Millisecond)
+			}
+			continue
+		}
+		tasks.Go(func() { r.serve(ctx, nc) })
+	}
+	return nil
+}
+
+// guestIdle is how long a way may be without a batch: longer than the far end keeps it.
+const guestIdle = 2 * idleAtMost
+
+// serve runs what comes over one way.
+func (r *Relay) serve(ctx context.Context, nc net.Conn) {
+	defer nc.Close()
+	stop := context.AfterFunc(ctx, func() { nc.Close() })
+	defer stop()
+	guest := proxy.Guest{VM: r.VM}
+	defer guest.Close()
+	out := bufio.NewWriterSize(nc, buffer)
+	encoder, decoder := gob.NewEncoder(out), gob.NewDecoder(bufio.NewReaderSize(nc, buffer))
+	for {
+		_ = nc.SetDeadline(time.Now().Add(guestIdle))
+		var b proxy.Batch
+		// The end of the way is the usual end of a guest.
+		if err := decoder.Decode(&b); err != nil {
+			return
+		}
+		answers, err := guest.Exec(ctx, b)
+		answer := reply{Answers: answers}
+		if err != nil {
+			answer = reply{Kind: kindOf(err), Text: err.Error()}
+		}
+		if encoder.Encode(answer) != nil || out.Flush() != nil {
+			return
+		}
+	}
+}
