Let a large fleet's zones speak through scouts, and deal connections out by demand

Change: nine VMs a group watch its primary and decide on a failover; homes are chosen by capacity; a home's connections follow its workspaces' part of the demand, and less than half of a server's are dealt out, so that VMs that lost power find room when they return; in fleets over 24 VMs two scouts a zone exchange digests and read the platform's list.

--- a/cmd/savoryramp-vm/daemon.go
+++ b/cmd/savoryramp-vm/daemon.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -31,6 +32,7 @@
 	eventStopped  = event.Define(7002, "vm-stopped", event.Info, "The process ends.")
 	eventReloaded = event.Define(7003, "vm-reloaded", event.Info, "The settings were read again after a signal.")
 	eventBadFile  = event.Define(7004, "vm-settings-refused", event.Error, "The settings can't be used; those in force stay.")
+	eventNote     = event.Define(7006, "vm-note-malformed", event.Warn, "What a scout of the zone said of the servers can't be told.")
 	eventNoPort   = event.Define(7005, "vm-no-metrics", event.Warn, "The metrics address can't be had; the VM serves without.")
 )
 
@@ -55,6 +57,9 @@
 	operator *platform.Operator
 	promoter *platform.Promoter
 	group    run.Group
+	// heardList is when a scout last said which servers there are; notedAt when this VM did.
+	heardList atomic.Int64
+	notedAt   time.Time
 }
 
 // Run serves until a signal ends it. ErrConnect when an address can't be had.
@@ -80,27 +85,27 @@
 	d.store = platform.NewStore(string(s.Store))
 	d.fleet = &heartbeat.Fleet{
 		VM: heartbeat.Name(s.VM), Zone: string(s.Zone), Conn: datagrams, Directory: platform.Directory{Store: d.store}, Logger: d.logger,
-		Seeds: d.seeds(), Fill: d.fill, Hear: d.hear, Urgent: func() bool { return len(d.vm.Leads()) > 0 },
+		Seeds: d.seeds(), Fill: d.fill, Hear: d.hear, HearZone: d.quotaZone, Note: d.note, Urgent: func() bool { return len(d.vm.Leads()) > 0 },
 	}
 	d.quota = &quota.Limiter{Now: func() time.Duration { return time.Duration(clock.Now()) }, Size: d.fleet.Size}
 	d.vm = &proxy.VM{
-		Name: s.VM, Zone: s.Zone, Connect: platform.Connect, Fleet: d.fleet, Quota: d.quota, Logger: d.logger,
+		Name: s.VM, Zone: s.Zone, Connect: platform.Connect, Fleet: watch{d.fleet}, Quota: d.quota, Logger: d.logger,
 		Isolated: func() time.Duration { return min(d.store.Silence(), d.fleet.Silence()) },
 	}
 	ways, err := net.Listen("tcp", net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)))
 	if err != nil {
 		return proxy.ErrConnect.Wrap(err, "relay")
 	}
-	r := &relay.Relay{VM: d.vm, Fleet: d.fleet, Listener: ways, Logger: d.logger}
+	r := &relay.Relay{VM: d.vm, Capacity: s.Cores, Fleet: d.fleet, Listener: ways, Logger: d.logger}
 	d.vm.Relay = r
 	d.add(r.Run)
-	d.operator = &platform.Operator{Store: d.store, Configure: d.vm.Configure, Logger: d.logger}
+	d.operator = &platform.Operator{Store: d.store, Configure: d.vm.Configure, Others: d.others, Logger: d.logger}
 	d.promoter = &platform.Promoter{VM: s.VM, Incarnation: rand.Int64(), Store: d.store, Client: platform.NewClient()}
 	d.promoter.Move(string(s.Orders))
 	d.add(d.vm.Run)
 	d.add(d.fleet.Run)
 	d.add(d.operator.Run)
-	d.add((&platform.Listing{Store: d.store, List: d.vm.List, Hurry: d.vm.Seeking, Logger: d.logger}).Run)
+	d.add((&platform.Listing{Store: d.store, List: d.list, Hurry: d.vm.Seeking, Others: d.othersList, Logger: d.logger}).Run)
 	d.add((&proxy.Failover{VM: d.vm, Fleet: d.fleet, Promotions: d.promoter, Logger: d.logger}).Run)
 	return d.listen()
 }
@@ -210,18 +215,24 @@
 // fill says in a heartbeat what this VM has to say.
 func (d *daemon) fill(b *heartbeat.Beat) {
 	b.Leaving, b.Demand, b.Leads, b.Configuration = d.vm.Draining(), d.quota.Demand(), d.vm.Leads(), d.version()
+	b.Capacity = d.Settings.Cores
 }
 
 // hear takes what another VM says.
 func (d *daemon) hear(b heartbeat.Beat) {
-	if b.Leaving {
+	switch {
+	case b.Leaving:
 		d.quota.Forget(string(b.VM))
-	} else {
+	case b.Demand != nil || b.Zone == string(d.Settings.Zone):
 		d.quota.Hear(string(b.VM), b.Demand)
 	}
 	d.vm.Heard(b)
 }
 
+func (d *daemon) quotaZone(zone string, demand map[string]float64, vms int) {
+	d.quota.HearSum("zone "+zone, demand, vms)
+}
+
 // signals drains on SIGTERM and reads the settings again on SIGHUP.
 func (d *daemon) signals() {
 	received := make(chan os.Signal, 4)
--- a/internal/heartbeat/heartbeat.go
+++ b/internal/heartbeat/heartbeat.go
@@ -27,13 +27,18 @@
 	tick = 100 * time.Millisecond
 	// liveFor three lost beats a VM counts as live.
 	liveFor = 2 * time.Second
+	// farLiveFor is the same for a VM that is heard of in digests only.
+	farLiveFor = 4 * time.Second
+	// meshMost VMs all speak with each other; in a larger fleet those of a zone do, and
+	// zones exchange digests.
+	meshMost = 24
 	// knownFor is how long a silent VM counts against a majority.
 	knownFor = 15 * time.Second
 	// lookEvery is how often the directory is read after the start: VMs that come speak
 	// first, so it only mends what was lost.
 	lookEvery = 15 * time.Second
 	// maxBeat is the largest datagram read, in bytes.
-	maxBeat = 16 << 10
+	maxBeat = 64 << 10
 )
 
 // Name names a VM.
@@ -46,6 +51,8 @@
 	Incarnation uint32 `json:"incarnation"`
 	Address     string `json:"address"`
 	Zone        string `json:"zone"`
+	// Capacity is the VM's part of a core, for dealing out work.
+	Capacity float64 `json:"capacity,omitempty"`
 	// Configuration is the version in force.
 	Configuration int64 `json:"configuration,omitempty"`
 	// Leaving VMs end soon.
@@ -54,6 +61,21 @@
 	Demand map[string]float64 `json:"demand,omitempty"`
 	// Leads by group; only those that fail or were replaced lately.
 	Leads map[string]Lead `json:"leads,omitempty"`
+	// Digest, in place of the rest, is what a zone's scout says of its zone.
+	Digest *Digest `json:"digest,omitempty"`
+	// Note, in place of the rest, is for VMs of the zone.
+	Note json.RawMessage `json:"note,omitempty"`
+}
+
+// Digest is what a zone's VMs say, for other zones.
+type Digest struct {
+	Zone string `json:"zone"`
+	// Beats of the zone's live VMs, without their demand.
+	Beats []Beat `json:"beats"`
+	// Demand of all of them.
+	Demand map[string]float64 `json:"demand,omitempty"`
+	// Passed digests have been passed on within the zone that they came to.
+	Passed bool `json:"passed,omitempty"`
 }
 
 // Lead is what a VM says of a group's primary.
@@ -84,8 +106,12 @@
 	// Urgent tells whether the others should hear at once.
 	Urgent func() bool
 	// Hear takes each beat of another VM.
-	Hear   func(Beat)
-	Logger log.Logger
+	Hear func(Beat)
+	// HearZone takes what all of another zone's so many VMs ask; Note what a VM of this
+	// zone has to say to all.
+	HearZone func(zone string, demand map[string]float64, vms int)
+	Note     func(json.RawMessage)
+	Logger   log.Logger
 
 	mu          sync.Mutex
 	peers       map[Name]*peer
@@ -95,6 +121,9 @@
 	// heardAt is when any other VM was last heard; met is true once one was.
 	heardAt clock.Instant
 	met     bool
+	// generation rises whenever a VM comes or goes.
+	generation uint64
+	among      map[string]among
 }
 
 type peer struct {
@@ -105,6 +134,8 @@
 	added clock.Instant
 	beat  Beat
 	live  bool
+	// far peers are heard of in digests only.
+	far bool
 }
 
 var (
@@ -188,28 +219,47 @@
 		case <-ticker.C:
 		}
 		f.fade()
-		if time.Since(last) < interval && !f.Urgent() {
+		if time.Since(last) < interval && !f.Urgent() && !f.zoneUrgent() {
 			continue
 		}
 		last = time.Now()
 		f.Tell()
+		f.tellZones()
 	}
 }
 
-// Tell sends a beat to all.
+// Tell sends a beat to those that this VM speaks with.
 func (f *Fleet) Tell() {
 	f.mu.Lock()
 	f.init()
-	b := Beat{VM: f.VM, Incarnation: f.incarnation, Address: f.Conn.LocalAddr().String(), Zone: f.Zone}
-	var addresses []string
-	for _, p := range f.peers {
-		addresses = append(addresses, p.address)
-	}
+	b := f.own()
+	addresses := f.near()
 	if len(addresses) == 0 {
 		addresses = f.Seeds
 	}
 	f.mu.Unlock()
 	f.Fill(&b)
+	f.send(b, addresses)
+}
+
+// own is this VM's beat, unfilled; f.mu is held.
+func (f *Fleet) own() Beat {
+	return Beat{VM: f.VM, Incarnation: f.incarnation, Address: f.Conn.LocalAddr().String(), Zone: f.Zone}
+}
+
+// near are the addresses of the VMs that this one speaks with; f.mu is held. One whose
+// zone isn't known yet is among them.
+func (f *Fleet) near() []string {
+	var addresses []string
+	for _, p := range f.peers {
+		if !f.zoned() || p.heard == 0 || p.beat.Zone == f.Zone {
+			addresses = append(addresses, p.address)
+		}
+	}
+	return addresses
+}
+
+func (f *Fleet) send(b Beat, addresses []string) {
 	text, err := json.Marshal(b)
 	if err != nil {
 		eventBeat.Log(f.Logger, "err", err)
@@ -218,6 +268,7 @@
 	for _, a := range addresses {
 		address, err := net.ResolveUDPAddr("udp", a)
 		if err != nil {
+			eventBeat.Log(f.Logger, "address", a, "err", err)
 			continue
 		}
 		// A lost beat is made up for by the next.
@@ -231,8 +282,9 @@
 	defer f.mu.Unlock()
 	now := clock.Now()
 	for name, p := range f.peers {
-		if p.live && now.Sub(p.heard) > liveFor {
+		if p.live && now.Sub(p.heard) > p.liveFor() {
 			p.live = false
+			f.generation++
 			eventPeer.Log(f.Logger, "peer", name, "silent", now.Sub(p.heard), "outcome", "silent")
 		}
 		if now.Sub(max(p.heard, p.added)) > knownFor {
@@ -255,13 +307,19 @@
 			eventBeat.Log(f.Logger, "from", from, "bytes", n, "err", err)
 			continue
 		}
-		if b.VM != f.VM {
-			f.hear(b)
+		switch {
+		case b.VM == f.VM:
+		case b.Digest != nil:
+			f.hearDigest(b)
+		case b.Note != nil:
+			f.Note(b.Note)
+		default:
+			f.hear(b, false)
 		}
 	}
 }
 
-func (f *Fleet) hear(b Beat) {
+func (f *Fleet) hear(b Beat, far bool) {
 	f.mu.Lock()
 	f.init()
 	p := f.peers[b.VM]
@@ -270,9 +328,11 @@
 		f.peers[b.VM] = p
 	}
 	if !p.live || p.beat.Leaving != b.Leaving {
+		f.generation++
 		eventPeer.Log(f.Logger, "peer", b.VM, "incarnation", b.Incarnation, "leaving", b.Leaving, "outcome", "heard")
 	}
-	fresh := p.heard == 0
+	fresh := p.heard == 0 && !far
+	p.far = far
 	f.met, f.heardAt = true, clock.Now()
 	p.live, p.heard, p.beat, p.address = true, clock.Now(), b, b.Address
 	f.mu.Unlock()
--- a/internal/proxy/configuration.go
+++ b/internal/proxy/configuration.go
@@ -91,14 +91,14 @@
 
 // Server is one server of a group, as the platform lists it.
 type Server struct {
-	ID      ServerID
-	Service ServiceName
-	Address Address
-	Zone    AvailabilityZone
+	ID      ServerID         `json:"id"`
+	Service ServiceName      `json:"service"`
+	Address Address          `json:"address"`
+	Zone    AvailabilityZone `json:"availability-zone"`
 	// Slots is how many statements it runs at once.
-	Slots int
+	Slots int `json:"slots"`
 	// Leaving servers take no new work.
-	Leaving bool
+	Leaving bool `json:"leaving"`
 	// Primary is what the server says of itself; it may be out of date.
-	Primary bool
+	Primary bool `json:"primary"`
 }
--- a/internal/proxy/failover.go
+++ b/internal/proxy/failover.go
@@ -92,7 +92,11 @@
 
 // decide acts on the group's verdict when this VM's turn has come.
 func (f *Failover) decide(ctx context.Context, g *Group, peers []heartbeat.Peer) {
-	view := g.view(peers)
+	proves, provers := f.Fleet.Among("prove/"+string(g.Name), Provers)
+	if !proves {
+		return
+	}
+	view := g.view(peers, provers)
 	verdict, wait := view.Verdict(), view.Wait()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -160,8 +164,12 @@
 	return g.awaitPromoted(ctx, ServerID(pick.Server))
 }
 
+// Provers is how many VMs watch a group's primary: enough for a majority to tell a cut of
+// some from its end, few enough for the servers' connections.
+const Provers = 9
+
 // view is what this VM's decision on the group rests on.
-func (g *Group) view(peers []heartbeat.Peer) failover.View {
+func (g *Group) view(peers []heartbeat.Peer, provers map[heartbeat.Name]bool) failover.View {
 	own := g.opinion()
 	v := failover.View{
 		VM: string(g.VM.Name), Group: string(g.Name),
@@ -173,7 +181,7 @@
 	}
 	g.mu.Unlock()
 	for _, p := range peers {
-		if p.Leaving && !p.Silent {
+		if !provers[p.VM] || p.Leaving && !p.Silent {
 			continue
 		}
 		o := failover.Opinion{VM: string(p.VM), Silent: p.Silent, Primary: own.Server}
@@ -355,6 +363,9 @@
 func (v *VM) Leads() map[string]heartbeat.Lead {
 	leads := map[string]heartbeat.Lead{}
 	for _, g := range v.Groups() {
+		if !v.Fleet.Proves(g.Name) {
+			continue
+		}
 		o := g.opinion()
 		g.mu.Lock()
 		fresh := g.term > 0 && clock.Since(g.movedAt) < tellFor
--- a/internal/proxy/keeper.go
+++ b/internal/proxy/keeper.go
@@ -57,11 +57,14 @@
 		}
 		return
 	}
+	if !g.VM.Fleet.Proves(g.Name) {
+		return
+	}
 	sent, _, found := g.Samples.Newest()
 	g.mu.Lock()
-	failing := g.health.failing > 0
+	failing, okAt := g.health.failing > 0, g.health.okAt
 	g.mu.Unlock()
-	if found && !failing && clock.Now().Sub(clock.Instant(sent)) < proveEvery {
+	if found && !failing && clock.Now().Sub(max(okAt, clock.Instant(sent)-clock.Instant(proveEvery))) < proveEvery {
 		return
 	}
 	g.proveAt(ctx, m)
@@ -81,10 +84,11 @@
 	return list
 }
 
-// proveAt asks a server to prove that it leads.
+// proveAt asks a server to prove that it leads: over an own connection, if this VM is one
+// of those that watch it, else over whoever's there is.
 func (g *Group) proveAt(ctx context.Context, m *member) {
 	until := time.Now().Add(proveWithin)
-	c, err := m.pool.TakeAny(ctx, until)
+	l, err := g.takeToProve(ctx, m, until)
 	if isType(err, ErrBusy) || isType(err, ErrRefused) {
 		return
 	}
@@ -92,14 +96,26 @@
 		g.failed(m.pool.Server.ID, err, true)
 		return
 	}
-	l := g.lease(local{c}, c.Server, true)
 	_, a, err := l.prove(until)
 	l.give(err == nil && a.Phase == Idle)
 	switch {
 	case err != nil:
-		m.pool.Drop()
-		g.failed(m.pool.Server.ID, err, true)
+		if l.direct {
+			m.pool.Drop()
+		}
+		l.failed(err)
 	case a.Failure == NotPrimary:
 		g.Deposed(m.pool.Server.ID, "refused to prove that it leads")
 	}
 }
+
+func (g *Group) takeToProve(ctx context.Context, m *member, until time.Time) (*lease, error) {
+	if !g.VM.Fleet.Proves(g.Name) {
+		return g.take(ctx, m, openWorkspace, until)
+	}
+	c, err := m.pool.TakeAny(ctx, until)
+	if err != nil {
+		return nil, err
+	}
+	return g.lease(local{c}, c.Server, true), nil
+}
--- a/internal/proxy/rig_test.go
+++ b/internal/proxy/rig_test.go
@@ -69,6 +69,8 @@
 func (solo) Rank() int     { return 0 }
 func (solo) Settled() bool { return true }
 
+func (solo) Proves(ServiceName) bool { return true }
+
 const (
 	testService  ServiceName  = "ledger"
 	testKey      Key          = "key"
--- a/internal/proxy/vm.go
+++ b/internal/proxy/vm.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 	"github.com/joomcode/errorx"
 
@@ -22,6 +21,8 @@
 	Rank() int
 	// Settled tells whether the VM has had the time to hear the others.
 	Settled() bool
+	// Proves tells whether the VM is one of those that watch a group's primary.
+	Proves(ServiceName) bool
 }
 
 // VM serves callers. The exported fields are set before Run.
@@ -45,6 +46,9 @@
 	open    atomic.Int64
 	metrics instruments
 
+	shareMu sync.Mutex
+	shares  map[ServerID]share
+
 	mu       sync.Mutex
 	sessions map[*Session]bool
 	groups   map[ServiceName]*Group
@@ -247,21 +251,6 @@
 	delete(v.sessions, s)
 }
 
-// share is how many connections to a server this VM may have. Where the limit doesn't
-// divide evenly, the VMs that get one more differ from server to server.
-func (v *VM) share(service ServiceName, id ServerID) int {
-	c := v.Configuration()
-	if c == nil || c.Services[service] == nil {
-		return 1
-	}
-	limit, size := c.Services[service].Connections, max(v.Fleet.Size(), 1)
-	n := limit / size
-	if (uint64(v.Fleet.Rank())+xxhash.Sum64String(string(id)))%uint64(size) < uint64(limit%size) {
-		n++
-	}
-	return max(n, 1)
-}
-
 // admit counts an operation against its workspace's rate; refused comes with how long
 // until one would be admitted.
 func (v *VM) admit(w *Workspace) (wait time.Duration, refused bool) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -11,6 +11,7 @@
 	"bufio"
 	"context"
 	"encoding/gob"
+	"math"
 	"net"
 	"sync"
 	"time"
@@ -89,16 +90,28 @@
 
 // Relay sends batches to other VMs and takes theirs. The exported fields are set before Run.
 type Relay struct {
-	VM       *proxy.VM
+	VM *proxy.VM
+	// Capacity is this VM's part of a core.
+	Capacity float64
 	Fleet    *heartbeat.Fleet
 	Listener net.Listener
 	Logger   log.Logger
 
 	mu    sync.Mutex
 	peers map[proxy.Address]*peer
-	// homes by server and workspace, as of the time in homesAt.
-	homes   map[string]proxy.Address
-	homesAt time.Time
+	// homes are the choices made since a VM last came, went or failed.
+	homes map[home]proxy.Address
+	// generation of the fleet that homes are of; homesAt is when they were begun.
+	generation uint64
+	homesAt    time.Time
+	// zones has the VMs by zone.
+	zones map[proxy.AvailabilityZone][]heartbeat.Peer
+}
+
+// home is what a VM is home for.
+type home struct {
+	server    proxy.ServerID
+	workspace proxy.WorkspaceName
 }
 
 // peer is another VM.
@@ -108,8 +121,8 @@
 	avoidUntil time.Time
 }
 
-// homesFor is how long a choice of homes is kept: VMs come and go more slowly.
-const homesFor = 250 * time.Millisecond
+// homesFor is how long a choice of homes is kept: as long as VMs are avoided.
+const homesFor = 2 * time.Second
 
 // Home is the VM that holds the connections to a server for a workspace: one of those in
 // the server's zone, so that only the way there crosses zones, by rendezvous hashing.
@@ -117,13 +130,18 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	if r.homes == nil || now.Sub(r.homesAt) > homesFor {
-		r.homes, r.homesAt = map[string]proxy.Address{}, now
+	if generation := r.Fleet.Generation(); r.homes == nil || generation != r.generation || now.Sub(r.homesAt) > homesFor {
+		r.homes, r.homesAt, r.generation = map[home]proxy.Address{}, now, generation
+		r.zones = map[proxy.AvailabilityZone][]heartbeat.Peer{}
+		for _, p := range r.Fleet.Peers() {
+			zone := proxy.AvailabilityZone(p.Zone)
+			r.zones[zone] = append(r.zones[zone], p)
+		}
 	}
-	key := string(s.ID) + "/" + string(w)
+	key := home{s.ID, w}
 	address, known := r.homes[key]
 	if !known {
-		address = r.choose(key, s.Zone, now)
+		address = r.choose(string(s.ID)+"/"+string(w), s.Zone, now)
 		r.homes[key] = address
 	}
 	return address, address == ""
@@ -132,22 +150,31 @@
 // choose gives the home's address, empty for this VM; r.mu is held.
 func (r *Relay) choose(key string, zone proxy.AvailabilityZone, now time.Time) proxy.Address {
 	var best proxy.Address
-	var most uint64
+	most := -1.0
 	if r.VM.Zone == zone {
-		most = xxhash.Sum64String(key + "/" + string(r.VM.Name))
+		most = score(key, string(r.VM.Name), r.Capacity)
 	}
-	for _, p := range r.Fleet.Peers() {
+	for _, p := range r.zones[zone] {
 		known := r.peers[proxy.Address(p.Address)]
-		if p.Silent || p.Leaving || p.Zone != string(zone) || known != nil && now.Before(known.avoidUntil) {
+		if p.Silent || p.Leaving || known != nil && now.Before(known.avoidUntil) {
 			continue
 		}
-		if score := xxhash.Sum64String(key + "/" + string(p.VM)); score > most {
-			best, most = proxy.Address(p.Address), score
+		if s := score(key, string(p.VM), p.Capacity); s > most {
+			best, most = proxy.Address(p.Address), s
 		}
 	}
 	return best
 }
 
+// score ranks a VM for a key: over all keys, VMs come first in proportion to capacity.
+func score(key, vm string, capacity float64) float64 {
+	if capacity <= 0 {
+		capacity = 1
+	}
+	u := (float64(xxhash.Sum64String(key+"/"+vm)) + 1) / math.MaxUint64
+	return -capacity / math.Log(min(u, 1-1e-12))
+}
+
 // Open gives a way to a VM, kept or new.
 func (r *Relay) Open(ctx context.Context, address proxy.Address) (proxy.RemoteLink, error) {
 	r.mu.Lock()
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -48,7 +48,9 @@
 
 type peer struct {
 	demand Demand
-	heard  time.Duration
+	// vms is for how many VMs the demand is.
+	vms   int
+	heard time.Duration
 }
 
 type bucket struct {
@@ -109,7 +111,7 @@
 			continue
 		}
 		others += p.demand[workspace]
-		heard++
+		heard += p.vms
 	}
 	even := rate / float64(size)
 	others += float64(max(size-1-heard, 0)) * max(even, own)
@@ -117,13 +119,16 @@
 }
 
 // Hear takes what another VM says its callers ask.
-func (l *Limiter) Hear(vm string, d Demand) {
+func (l *Limiter) Hear(vm string, d Demand) { l.HearSum(vm, d, 1) }
+
+// HearSum takes what the callers of several VMs ask, under a name for them all.
+func (l *Limiter) HearSum(vm string, d Demand, vms int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.peers == nil {
 		l.peers = map[string]peer{}
 	}
-	l.peers[vm] = peer{demand: d, heard: l.Now()}
+	l.peers[vm] = peer{demand: d, vms: vms, heard: l.Now()}
 }
 
 // Forget drops a VM that has said it ends.
@@ -150,3 +155,16 @@
 	}
 	return d
 }
+
+// Totals is what the callers of all VMs ask.
+func (l *Limiter) Totals() Demand {
+	d := l.Demand()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, p := range l.peers {
+		for workspace, one := range p.demand {
+			d[workspace] += one
+		}
+	}
+	return d
+}
