Hand a primary over once, and learn of new servers from other VMs

Ruled out: the fences (both orders were in turn), the heartbeats (they came).

Change: turns are 1.5 s apart for a primary that failed and 3 s for one that leaves; before an order, a server that says it leads a newer term is believed; a primary is told to stop only once a replica has caught up, and leads again if that then doesn't receive the rest; a VM that the store turns away takes the list of servers from another one.

--- a/cmd/savoryramp-vm/daemon.go
+++ b/cmd/savoryramp-vm/daemon.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -60,6 +61,11 @@
 	// heardList is when a scout last said which servers there are; notedAt when this VM did.
 	heardList atomic.Int64
 	notedAt   time.Time
+
+	listedMu sync.Mutex
+	// servers are those that the platform listed at listedAt.
+	servers  []proxy.Server
+	listedAt clock.Instant
 }
 
 // Run serves until a signal ends it. ErrConnect when an address can't be had.
@@ -105,7 +111,7 @@
 	d.add(d.vm.Run)
 	d.add(d.fleet.Run)
 	d.add(d.operator.Run)
-	d.add((&platform.Listing{Store: d.store, List: d.list, Hurry: d.vm.Seeking, Others: d.othersList, Logger: d.logger}).Run)
+	d.add((&platform.Listing{Store: d.store, List: d.list, Hurry: d.vm.Seeking, Others: d.othersList, Ask: d.askServers, Logger: d.logger}).Run)
 	d.add((&proxy.Failover{VM: d.vm, Fleet: d.fleet, Promotions: d.promoter, Logger: d.logger}).Run)
 	return d.listen()
 }
@@ -143,6 +149,7 @@
 func (d *daemon) control() *http.ServeMux {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /state", d.state)
+	mux.HandleFunc("GET "+platform.ServersPath, d.giveServers)
 	mux.HandleFunc("GET "+platform.ConfigurationPath, func(w http.ResponseWriter, _ *http.Request) {
 		c := d.vm.Configuration()
 		if c == nil {
--- a/cmd/savoryramp-vm/fleet.go
+++ b/cmd/savoryramp-vm/fleet.go
@@ -1,12 +1,17 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"net/http"
 	"time"
 
 	"github.com/savoryramp/savoryramp/internal/clock"
 	"github.com/savoryramp/savoryramp/internal/heartbeat"
 	"github.com/savoryramp/savoryramp/internal/proxy"
+	"github.com/savoryramp/savoryramp/platform"
 )
 
 const (
@@ -27,7 +32,7 @@
 
 // list takes the servers that the platform lists, and says them to the zone.
 func (d *daemon) list(servers []proxy.Server) {
-	d.vm.List(servers)
+	d.listed(servers, 0)
 	if time.Since(d.notedAt) < noteEvery {
 		return
 	}
@@ -48,7 +53,48 @@
 		return
 	}
 	d.heardList.Store(int64(clock.Now()))
+	d.listed(servers, 0)
+}
+
+// listed takes servers that the platform listed so long ago.
+func (d *daemon) listed(servers []proxy.Server, age time.Duration) {
 	d.vm.List(servers)
+	d.listedMu.Lock()
+	defer d.listedMu.Unlock()
+	d.servers, d.listedAt = servers, clock.Now().Add(-age)
+}
+
+// giveServers says what the platform listed last.
+func (d *daemon) giveServers(w http.ResponseWriter, _ *http.Request) {
+	d.listedMu.Lock()
+	l := platform.Listed{AgeMs: clock.Since(d.listedAt).Milliseconds(), Servers: d.servers}
+	d.listedMu.Unlock()
+	if err := json.NewEncoder(w).Encode(l); err != nil {
+		eventNote.Log(d.logger, "err", err)
+	}
+}
+
+// askServers asks another VM, drawn at random, which servers the platform lists.
+func (d *daemon) askServers(ctx context.Context) error {
+	var addresses []string
+	_, port, err := net.SplitHostPort(string(d.Settings.Control))
+	if err != nil {
+		return proxy.ErrUnavailable.Wrap(err, "no control address")
+	}
+	for _, p := range d.fleet.Peers() {
+		if host, _, err := net.SplitHostPort(p.Address); err == nil && !p.Silent && !p.Leaving {
+			addresses = append(addresses, net.JoinHostPort(host, port))
+		}
+	}
+	if len(addresses) == 0 {
+		return proxy.ErrUnavailable.New("no other VM is heard")
+	}
+	l, err := platform.FetchServers(ctx, d.store.Client, addresses[rand.IntN(len(addresses))])
+	if err != nil {
+		return err
+	}
+	d.listed(l.Servers, l.Age())
+	return nil
 }
 
 // others tells whether scouts ask the platform on behalf of this VM.
--- a/internal/proxy/failover.go
+++ b/internal/proxy/failover.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/joomcode/errorx"
 
 	"github.com/savoryramp/savoryramp/internal/clock"
 	"github.com/savoryramp/savoryramp/internal/heartbeat"
@@ -140,6 +141,9 @@
 		return err
 	}
 	heard := g.ask(ctx, before)
+	if g.succeededBy(heard) {
+		return nil
+	}
 	pick, found := failover.Pick(replicas(heard), g.followers(before), g.sync())
 	if !found {
 		return ErrNoServer.New("service %s: %d replicas answered, too few to promote one", g.Name, len(heard))
@@ -148,7 +152,7 @@
 		if pick.Leaving {
 			return ErrNoServer.New("service %s: every replica is leaving", g.Name)
 		}
-		if err := g.stopPrimary(ctx, before, ServerID(pick.Server)); err != nil {
+		if err := f.stopPrimary(ctx, g, before, ServerID(pick.Server), token); err != nil {
 			return err
 		}
 	}
@@ -297,29 +301,62 @@
 	return 0
 }
 
+// succeededBy believes a server that leads a newer term than is known here: another VM
+// was quicker.
+func (g *Group) succeededBy(heard []heardReplica) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, h := range heard {
+		if h.status.Primary && h.status.Term > g.term {
+			g.believe(h.id, h.status.Term, "says that it leads")
+			return true
+		}
+	}
+	return false
+}
+
 // stopPrimary has a primary take no more writes and waits until a replica has received
-// all that it acknowledged.
-func (g *Group) stopPrimary(ctx context.Context, lead *member, to ServerID) error {
+// all that it acknowledged. If the replica doesn't, the primary leads again.
+func (f *Failover) stopPrimary(ctx context.Context, g *Group, lead *member, to ServerID, token Token) error {
 	g.mu.Lock()
-	term, target := g.term, g.members[to]
+	target := g.members[to]
 	g.mu.Unlock()
 	if target == nil || lead == nil {
 		return ErrNoServer.New("service %s: the servers changed", g.Name)
 	}
-	stopped, err := g.command(ctx, lead, Demote{Term: term + 1})
+	now, err := g.command(ctx, lead, AskStatus{})
 	if err != nil {
 		return err
 	}
-	eventStopped.Log(g.Logger, "server", lead.pool.Server.ID, "term", term, "received", stopped.Received)
+	if !now.Primary {
+		return ErrNoServer.New("server %s doesn't lead any more", lead.pool.Server.ID)
+	}
+	if err := g.awaitReceived(ctx, target, now.Received); err != nil {
+		return err
+	}
+	stopped, err := g.command(ctx, lead, Demote{Term: now.Term + 1})
+	if err != nil {
+		return err
+	}
+	eventStopped.Log(g.Logger, "server", lead.pool.Server.ID, "term", now.Term, "received", stopped.Received)
+	if err := g.awaitReceived(ctx, target, stopped.Received); err != nil {
+		// Whoever promotes it anew loses nothing; an error of that is the outcome.
+		return errorx.DecorateMany("handed back", err, f.Promotions.Promote(ctx, g.Name, lead.pool.Server.ID, token))
+	}
+	return nil
+}
+
+// awaitReceived waits until a server has received a position.
+func (g *Group) awaitReceived(ctx context.Context, m *member, p position.Position) error {
 	until := time.Now().Add(catchUpWithin)
 	for time.Now().Before(until) {
-		s, err := g.command(ctx, target, AskStatus{})
-		if err == nil && s.Received.Compare(stopped.Received) >= 0 {
+		s, err := g.command(ctx, m, AskStatus{})
+		if err == nil && s.Received.Compare(p) >= 0 {
 			return nil
 		}
 		sleep(ctx, settlePause)
 	}
-	return ErrSilent.New("server %s hasn't received position %s", to, stopped.Received)
+	return ErrSilent.New("server %s hasn't received position %s", m.pool.Server.ID, p)
 }
 
 // awaitPromoted waits until a server acts as primary.
--- a/internal/proxy/rig_test.go
+++ b/internal/proxy/rig_test.go
@@ -272,6 +272,10 @@
 		l.phase, l.plain = InTransaction, !c.ReadOnly
 	case Abandon:
 		l.phase, l.wrote = Idle, false
+	case Demote:
+		if leads && c.Term > l.rig.term {
+			l.rig.lead = ""
+		}
 	case Forward:
 		return l.forward(c, leads)
 	}
--- a/pkg/failover/failover.go
+++ b/pkg/failover/failover.go
@@ -7,6 +7,7 @@
 package failover
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -70,8 +71,14 @@
 	return list
 }
 
-// turnEvery is how much longer each rank waits: about what an order takes.
-const turnEvery = 700 * time.Millisecond
+const (
+	// replaceTurn is how much longer each rank waits to replace a primary: what the slowest
+	// promotion takes, and the time to tell of it.
+	replaceTurn = 1500 * time.Millisecond
+	// handOverTurn is the same for a primary that leaves, of which VMs learn up to a reading
+	// of the platform's list apart.
+	handOverTurn = 3 * time.Second
+)
 
 // Wait is how long the verdict must have stood before this VM acts, so that one acts at
 // first, and another when that comes to nothing.
@@ -83,7 +90,10 @@
 			rank++
 		}
 	}
-	return time.Duration(rank) * turnEvery
+	if v.Own.Failing {
+		return time.Duration(rank) * replaceTurn
+	}
+	return time.Duration(rank) * handOverTurn
 }
 
 // actors are the VMs that may act on the verdict.
@@ -115,6 +125,9 @@
 // Place is an end of a log.
 type Place struct{ Term, Offset int64 }
 
+// String gives "term/offset".
+func (p Place) String() string { return fmt.Sprintf("%d/%d", p.Term, p.Offset) }
+
 func (p Place) less(q Place) bool {
 	return p.Term < q.Term || p.Term == q.Term && p.Offset < q.Offset
 }
--- a/pkg/failover/failover_test.go
+++ b/pkg/failover/failover_test.go
@@ -78,6 +78,22 @@
 	}
 }
 
+// A VM whose turn comes next leaves the first the time to order, to see the new primary
+// act, and to tell: a listing's age apart in when they learn that a primary leaves, and the
+// slowest promotion in use.
+func TestTurnsLeaveTimeForTheFirst(t *testing.T) {
+	const listing, promotion, telling = 1500 * time.Millisecond, time.Second, 200 * time.Millisecond
+	for name, least := range map[string]time.Duration{"replace": promotion + telling, "hand over": listing + promotion + telling} {
+		t.Run(name, func(t *testing.T) {
+			a, b := fleet(name == "replace", 8, 0), fleet(name == "replace", 8, 0)
+			b.VM, b.Others[0].VM = "b", "a"
+			a.Leaving, b.Leaving = true, true
+			gap := a.Wait() - b.Wait()
+			assert.Assert(t, max(gap, -gap) >= least, "%s and %s", a.Wait(), b.Wait())
+		})
+	}
+}
+
 func TestPick(t *testing.T) {
 	a, b := Replica{Server: "a", Received: Place{1, 10}}, Replica{Server: "b", Received: Place{1, 12}}
 	leaving := Replica{Server: "c", Received: Place{1, 15}, Leaving: true}
