Don't use a way between VMs that has ended, and drain other VMs' transactions

Ruled out: the server (it was never reached), the drain of the caller's own VM.

Tests that failed first: TestEndedWayIsNotUsed (broken pipe), TestDrainWaitsForGuests.

--- a/internal/proxy/remote.go
+++ b/internal/proxy/remote.go
@@ -98,6 +98,7 @@
 			return nil, err
 		}
 		h.lease = l
+		h.VM.guests.Add(1)
 	}
 	var p *profile
 	if b.Profiled {
@@ -107,23 +108,27 @@
 	switch {
 	case err != nil:
 		h.lease.failed(err)
-		h.lease.give(false)
-		h.lease = nil
+		h.end(false)
 	case len(answers) == 0 || answers[len(answers)-1].Phase == Idle:
-		h.lease.give(true)
-		h.lease = nil
+		h.end(true)
 	}
 	return answers, err
 }
 
+// end gives the connection back.
+func (h *Guest) end(keep bool) {
+	h.lease.give(keep)
+	h.lease = nil
+	h.VM.guests.Add(-1)
+}
+
 // Close ends what is open.
 func (h *Guest) Close() {
 	if h.lease == nil {
 		return
 	}
 	a, err := h.lease.abandon(time.Now().Add(settleWithin))
-	h.lease.give(err == nil && a.Phase == Idle)
-	h.lease = nil
+	h.end(err == nil && a.Phase == Idle)
 }
 
 // host takes one of this VM's own connections for a batch.
--- a/internal/proxy/remote_test.go
+++ b/internal/proxy/remote_test.go
@@ -88,7 +88,7 @@
 			b.mu.Unlock()
 			c.Close()
 		},
-		"a caller that leaves has its transaction rolled back there": func(t *testing.T, r *rig, b *between) {
+		"a caller that leaves has its transaction rolled back there": func(t *testing.T, r *rig, _ *between) {
 			c := r.call(testDatabase)
 			assert.Equal(t, c.do(Begin{}).Failure, NoFailure)
 			assert.Equal(t, c.do(write("1")).Failure, NoFailure)
@@ -136,6 +136,30 @@
 	}
 }
 
+// A home that drains lets other VMs' transactions end.
+func TestDrainWaitsForGuests(t *testing.T) {
+	play(t, func(r *rig) {
+		b := r.relayed()
+		c := r.call(testDatabase)
+		assert.Equal(t, c.do(Begin{}).Failure, NoFailure)
+		assert.Equal(t, c.do(write("1")).Failure, NoFailure)
+		done := make(chan bool)
+		go func() {
+			b.home.Drain(r.ctx, 5*time.Second)
+			close(done)
+		}()
+		sleep(r.ctx, lingerFor+4*drainTick)
+		select {
+		case <-done:
+			t.Error("the drain ended before the transaction")
+		default:
+		}
+		assert.Equal(t, c.do(Rollback{}).Failure, NoFailure)
+		<-done
+		c.Close()
+	})
+}
+
 // A transaction whose connection at the home is gone doesn't go on with another.
 func TestGuestDoesNotGoOnElsewhere(t *testing.T) {
 	play(t, func(r *rig) {
--- a/internal/proxy/vm.go
+++ b/internal/proxy/vm.go
@@ -43,6 +43,8 @@
 	draining      atomic.Bool
 	// cutting is true once open transactions must end, too.
 	cutting atomic.Bool
+	// guests counts the connections that other VMs use.
+	guests  atomic.Int64
 	open    atomic.Int64
 	metrics instruments
 
@@ -210,7 +212,7 @@
 			v.cutting.Store(true)
 		}
 		v.interrupt()
-		if v.open.Load() == 0 && time.Since(began) > lingerFor {
+		if v.open.Load() == 0 && v.guests.Load() == 0 && time.Since(began) > lingerFor {
 			break
 		}
 		select {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -23,6 +23,7 @@
 	"github.com/savoryramp/savoryramp/internal/event"
 	"github.com/savoryramp/savoryramp/internal/heartbeat"
 	"github.com/savoryramp/savoryramp/internal/proxy"
+	"github.com/savoryramp/savoryramp/internal/socket"
 )
 
 func init() {
@@ -182,7 +183,7 @@
 	for len(p.idle) > 0 {
 		l := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
-		if time.Since(l.idleSince) < idleAtMost {
+		if time.Since(l.idleSince) < idleAtMost && socket.Alive(l.net) {
 			r.mu.Unlock()
 			return l, nil
 		}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"bufio"
 	"context"
+	"encoding/gob"
 	"fmt"
 	"net"
 	"testing"
@@ -121,6 +123,28 @@
 	}
 }
 
+// A kept way whose far end has ended isn't used: what was sent on it would be in doubt.
+func TestEndedWayIsNotUsed(t *testing.T) {
+	ends, stays := start(t, nil), start(t, nil)
+	r := &Relay{Logger: log.NewNopLogger()}
+	address := proxy.Address(stays.Listener.Addr().String())
+	nc, err := net.Dial("tcp", ends.Listener.Addr().String())
+	assert.NilError(t, err)
+	assert.NilError(t, nc.(*net.TCPConn).CloseWrite())
+	var one [1]byte
+	// Its end has come once this returns.
+	_, _ = nc.Read(one[:])
+	r.peer(address).idle = []*link{{
+		relay: r, address: address, net: nc, idleSince: time.Now(), out: bufio.NewWriter(nc),
+		encoder: gob.NewEncoder(nc), decoder: gob.NewDecoder(nc),
+	}}
+	link, err := r.Open(context.Background(), address)
+	assert.NilError(t, err)
+	defer link.Give(false)
+	_, err = link.Exec(batch(proxy.Reset{}), time.Now().Add(time.Second))
+	assert.NilError(t, err)
+}
+
 // A VM that can't be reached, or doesn't answer, is avoided for a while.
 func TestFailingVMIsAvoided(t *testing.T) {
 	silent, err := net.Listen("tcp", "127.0.0.1:0")
--- /dev/null
+++ b/internal/socket/socket_test.go
@@ -0,0 +1,42 @@
+package socket
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestAlive(t *testing.T) {
+	tests := map[string]struct {
+		do   func(far net.Conn)
+		want bool
+	}{
+		"rests":            {func(net.Conn) {}, true},
+		"ended":            {func(far net.Conn) { far.Close() }, false},
+		"said something":   {func(far net.Conn) { _, _ = far.Write([]byte("x")) }, false},
+		"ended by a reset": {func(far net.Conn) { _ = far.(*net.TCPConn).SetLinger(0); far.Close() }, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer listener.Close()
+			near, err := net.Dial("tcp", listener.Addr().String())
+			assert.NilError(t, err)
+			defer near.Close()
+			far, err := listener.Accept()
+			assert.NilError(t, err)
+			defer far.Close()
+			test.do(far)
+			if !test.want {
+				// Its sign is on the way; it stays unread for Alive.
+				for end := time.Now().Add(time.Second); Alive(near) && time.Now().Before(end); {
+					<-time.After(time.Millisecond)
+				}
+			}
+			assert.Equal(t, Alive(near), test.want)
+		})
+	}
+}
