Round shares of connections down, so that twice their sum fits a server

Cause: rounding up dealt out 12 or 13 of 23 connections over three homes, and after all VMs lost power the new ones met too-many-connections until the old were dropped, 3 s later. Test that failed first: TestSharesLeaveRoomAfterPowerLoss (14 of 23).

--- a/internal/proxy/remote_test.go
+++ b/internal/proxy/remote_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"gotest.tools/v3/assert"
+
+	"github.com/savoryramp/savoryramp/pkg/quota"
 )
 
 // between is a relay from one VM of the rig to another, without a network.
@@ -182,6 +186,45 @@
 	})
 }
 
+// homes deals workspaces out over VMs by number.
+type homes struct {
+	between
+	vms, own int
+}
+
+func (h *homes) Home(_ Server, w WorkspaceName) (Address, bool) {
+	return "", int(w[len(w)-1]-'0')%h.vms == h.own
+}
+
+// All VMs lose power and come back at once: a server still has their old connections, and
+// must have room for as many new ones.
+func TestSharesLeaveRoomAfterPowerLoss(t *testing.T) {
+	for name, test := range map[string]struct{ limit, vms int }{"Ataa": {23, 3}, "Druckkonto": {34, 3}, "one VM": {10, 1}} {
+		t.Run(name, func(t *testing.T) {
+			c := testConfiguration(1)
+			c.Services[testService].Connections = test.limit
+			for i := range 9 {
+				w := &Workspace{Name: WorkspaceName(fmt.Sprint("w", i))}
+				c.Workspaces[w.Name] = w
+			}
+			sum := 0
+			for own := range test.vms {
+				limiter := &quota.Limiter{Now: func() time.Duration { return time.Hour }, Size: func() int { return 1 }}
+				for i := range 9 {
+					for range i * 10 {
+						limiter.Admit(fmt.Sprint("w", i), 1000, 1000)
+					}
+				}
+				vm := &VM{Relay: &homes{vms: test.vms, own: own}, Quota: limiter, Fleet: solo{test.vms}, Logger: log.NewNopLogger()}
+				delete(c.Workspaces, "amman")
+				vm.Configure(c, "test")
+				sum += vm.countShare(testService, Server{ID: "a", Service: testService})
+			}
+			assert.Assert(t, 2*sum <= test.limit, "%d of %d are dealt out", sum, test.limit)
+		})
+	}
+}
+
 func TestEvenShare(t *testing.T) {
 	for name, test := range map[string]struct{ limit, size, most int }{
 		"more connections than VMs": {23, 9, 23},
--- a/internal/proxy/share.go
+++ b/internal/proxy/share.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -49,7 +48,7 @@
 	limit := c.Services[service].Connections
 	if v.Relay != nil && v.Quota != nil {
 		part := v.homePart(c, server)
-		return max(int(math.Ceil(sharePart*float64(limit)*part)), ownConnections)
+		return max(int(sharePart*float64(limit)*part), ownConnections)
 	}
 	return evenShare(limit, max(v.Fleet.Size(), 1), v.Fleet.Rank(), server.ID)
 }
