Keep a large fleet's scouts from choking their links; few homes with several connections each

A scout passed each digest of 5 KB from two scouts of two zones on to 29 VMs, ten times a second while any workspace's demand grew by two requests, about 8 Mbit/s on links of 10. Ruled out: processor time (0.017 of 0.192 cores), lost datagrams.

Tests that failed first: TestSurgeInALargeFleet (712 to 752 of 680).

Tried and reverted: growth counted up to 2 and 3 operations a second (700 and 741 of 680), less than 1.5 (3 to 15 % of usual load refused).

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,7 @@
-.PHONY: demo fleet test build lint generate protocol fuzz
+SEEDS ?= 10
+FROM ?= 1
+
+.PHONY: demo fleet soak test build lint generate protocol fuzz
 
 build:
 	mkdir -p bin
@@ -27,6 +30,10 @@
 	go run . events > docs/EVENTS.md
 	go run . man > savoryramp.1
 
+# VMs as processes before stand-ins of the users' platform, under SEEDS seeds of faults.
+soak:
+	go test ./internal/soak -count=1 -timeout 60m -v -args -seeds $(SEEDS) -from $(FROM) -at-once 4 -lasts 10s
+
 lint:
 	@unformatted=$$(go tool gofumpt -l $$(git ls-files '*.go' | grep -v '\.pb\.go$$')); \
 	  if [ -n "$$unformatted" ]; then echo "gofumpt would change:"; echo "$$unformatted"; exit 1; fi
--- a/cmd/savoryramp-vm/daemon.go
+++ b/cmd/savoryramp-vm/daemon.go
@@ -90,8 +90,8 @@
 	}
 	d.store = platform.NewStore(string(s.Store))
 	d.fleet = &heartbeat.Fleet{
-		VM: heartbeat.Name(s.VM), Zone: string(s.Zone), Conn: datagrams, Directory: platform.Directory{Store: d.store}, Logger: d.logger,
-		Seeds: d.seeds(), Fill: d.fill, Hear: d.hear, HearZone: d.quotaZone, Note: d.note, Urgent: func() bool { return len(d.vm.Leads()) > 0 },
+		VM: heartbeat.Name(s.VM), Zone: string(s.Zone), Link: s.LinkMbps, Conn: datagrams, Directory: platform.Directory{Store: d.store}, Logger: d.logger,
+		Seeds: d.seeds(), Fill: d.fill, Hear: d.hear, HearZone: d.quotaZone, Note: d.note, Urgent: func() bool { return len(d.vm.Leads()) > 0 || d.quota.Restless() },
 	}
 	d.quota = &quota.Limiter{Now: func() time.Duration { return time.Duration(clock.Now()) }, Size: d.fleet.Size}
 	d.vm = &proxy.VM{
@@ -221,7 +221,7 @@
 
 // fill says in a heartbeat what this VM has to say.
 func (d *daemon) fill(b *heartbeat.Beat) {
-	b.Leaving, b.Demand, b.Leads, b.Configuration = d.vm.Draining(), d.quota.Demand(), d.vm.Leads(), d.version()
+	b.Leaving, b.Demand, b.Leads, b.Configuration = d.vm.Draining(), d.quota.Tell(), d.vm.Leads(), d.version()
 	b.Capacity = d.Settings.Cores
 }
 
--- a/internal/heartbeat/heartbeat.go
+++ b/internal/heartbeat/heartbeat.go
@@ -23,8 +23,9 @@
 const (
 	// interval between beats while nothing urgent changes.
 	interval = 600 * time.Millisecond
-	// tick is how soon an urgent change is told.
-	tick = 100 * time.Millisecond
+	// tick is how soon an urgent change is told, and urgentEvery how often at the most.
+	tick        = 100 * time.Millisecond
+	urgentEvery = 200 * time.Millisecond
 	// liveFor three lost beats a VM counts as live.
 	liveFor = 2 * time.Second
 	// farLiveFor is the same for a VM that is heard of in digests only.
@@ -50,11 +51,15 @@
 	// Incarnation is drawn at each start.
 	Incarnation uint32 `json:"incarnation"`
 	Address     string `json:"address"`
-	Zone        string `json:"zone"`
+	Zone        string `json:"zone,omitempty"`
 	// Capacity is the VM's part of a core, for dealing out work.
 	Capacity float64 `json:"capacity,omitempty"`
+	// Link is the width of the VM's link in Mbit/s.
+	Link float64 `json:"link,omitempty"`
 	// Configuration is the version in force.
 	Configuration int64 `json:"configuration,omitempty"`
+	// Urgent beats are to be heard in other zones at once, too.
+	Urgent bool `json:"urgent,omitempty"`
 	// Leaving VMs end soon.
 	Leaving bool `json:"leaving,omitempty"`
 	// Demand is operations a second by workspace.
@@ -95,8 +100,9 @@
 // Fleet hears the other VMs. The exported fields are set before Run.
 type Fleet struct {
 	VM Name
-	// Zone is the VM's availability zone.
+	// Zone is the VM's availability zone, Link the width of its link in Mbit/s.
 	Zone      string
+	Link      float64
 	Conn      net.PacketConn
 	Directory Directory
 	// Seeds are addresses to speak to when the directory is out.
@@ -123,7 +129,12 @@
 	met     bool
 	// generation rises whenever a VM comes or goes.
 	generation uint64
-	among      map[string]among
+	// dirty is true once a VM of the zone said something urgent that other zones haven't
+	// been told.
+	dirty bool
+	// toldZones is when this VM last sent a digest.
+	toldZones time.Time
+	among     map[string]among
 }
 
 type peer struct {
@@ -186,6 +197,9 @@
 		} else {
 			pause = lookEvery
 			f.know(list)
+			if !f.Scout() {
+				pause *= scouts * scouts
+			}
 		}
 		sleep(ctx, pause/2+rand.N(pause))
 	}
@@ -219,20 +233,24 @@
 		case <-ticker.C:
 		}
 		f.fade()
-		if time.Since(last) < interval && !f.Urgent() && !f.zoneUrgent() {
+		urgent, zone := f.Urgent(), f.zoneUrgent()
+		if since := time.Since(last); since < urgentEvery || since < interval && !urgent && !zone {
 			continue
 		}
 		last = time.Now()
-		f.Tell()
+		f.tell(urgent)
 		f.tellZones()
 	}
 }
 
 // Tell sends a beat to those that this VM speaks with.
-func (f *Fleet) Tell() {
+func (f *Fleet) Tell() { f.tell(true) }
+
+func (f *Fleet) tell(urgent bool) {
 	f.mu.Lock()
 	f.init()
 	b := f.own()
+	b.Urgent = urgent
 	addresses := f.near()
 	if len(addresses) == 0 {
 		addresses = f.Seeds
@@ -244,7 +262,7 @@
 
 // own is this VM's beat, unfilled; f.mu is held.
 func (f *Fleet) own() Beat {
-	return Beat{VM: f.VM, Incarnation: f.incarnation, Address: f.Conn.LocalAddr().String(), Zone: f.Zone}
+	return Beat{VM: f.VM, Incarnation: f.incarnation, Address: f.Conn.LocalAddr().String(), Zone: f.Zone, Link: f.Link}
 }
 
 // near are the addresses of the VMs that this one speaks with; f.mu is held. One whose
@@ -334,14 +352,24 @@
 	fresh := p.heard == 0 && !far
 	p.far = far
 	f.met, f.heardAt = true, clock.Now()
+	f.dirty = f.dirty || b.Urgent && !far
 	p.live, p.heard, p.beat, p.address = true, clock.Now(), b, b.Address
 	f.mu.Unlock()
 	f.Hear(b)
 	if fresh {
-		f.Tell()
+		f.greet(b.Address)
 	}
 }
 
+// greet says to a VM that is new here who this one is.
+func (f *Fleet) greet(address string) {
+	f.mu.Lock()
+	own := f.own()
+	f.mu.Unlock()
+	f.Fill(&own)
+	f.send(own, []string{address})
+}
+
 // Peer is another VM as this one hears it.
 type Peer struct {
 	Beat
--- a/internal/heartbeat/zone.go
+++ b/internal/heartbeat/zone.go
@@ -1,6 +1,7 @@
 package heartbeat
 
 import (
+	"cmp"
 	"encoding/json"
 	"math"
 	"slices"
@@ -11,8 +12,14 @@
 	"github.com/savoryramp/savoryramp/internal/clock"
 )
 
-// scouts of a zone speak for it: two, so that one may fail.
-const scouts = 2
+const (
+	// scouts of a zone ask the platform for it: two, so that one may fail. The first of them
+	// also exchanges digests.
+	scouts = 2
+	// digestEvery is how often digests are sent while nothing urgent was said: they are the
+	// most of what a scout's link carries.
+	digestEvery = time.Second
+)
 
 // zoned tells whether the fleet is so large that zones exchange digests; f.mu is held.
 func (f *Fleet) zoned() bool { return len(f.peers) >= meshMost }
@@ -25,22 +32,23 @@
 	return liveFor
 }
 
-// scoutsOf are the addresses of a zone's scouts, by rendezvous hashing; empty for this VM
-// itself; f.mu is held.
+// scoutsOf are the addresses of a zone's scouts: those with the widest links, by hashing
+// where these are alike; empty for this VM itself; f.mu is held.
 func (f *Fleet) scoutsOf(zone string) []string {
 	type candidate struct {
 		address string
+		link    float64
 		score   uint64
 	}
 	var list []candidate
 	if zone == f.Zone {
-		list = append(list, candidate{"", xxhash.Sum64String("scout/" + string(f.VM))})
+		list = append(list, candidate{"", f.Link, xxhash.Sum64String("scout/" + string(f.VM))})
 	}
 	// Those of a zone that wasn't heard for long may still hear this one.
 	for _, live := range []bool{true, false} {
 		for name, p := range f.peers {
 			if p.live == live && p.heard > 0 && !p.beat.Leaving && p.beat.Zone == zone {
-				list = append(list, candidate{p.address, xxhash.Sum64String("scout/" + string(name))})
+				list = append(list, candidate{p.address, p.beat.Link, xxhash.Sum64String("scout/" + string(name))})
 			}
 		}
 		if len(list) > 0 {
@@ -48,10 +56,7 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b candidate) int {
-		if a.score > b.score {
-			return -1
-		}
-		return 1
+		return cmp.Or(cmp.Compare(b.link, a.link), cmp.Compare(b.score, a.score))
 	})
 	var addresses []string
 	for _, c := range list[:min(len(list), scouts)] {
@@ -63,6 +68,12 @@
 // scout tells whether this VM speaks for its zone; f.mu is held.
 func (f *Fleet) scout() bool { return !f.zoned() || slices.Contains(f.scoutsOf(f.Zone), "") }
 
+// speaker tells whether this VM exchanges its zone's digests; f.mu is held.
+func (f *Fleet) speaker() bool {
+	of := f.scoutsOf(f.Zone)
+	return len(of) > 0 && of[0] == ""
+}
+
 // Scout tells whether this VM asks the platform on behalf of its zone.
 func (f *Fleet) Scout() bool {
 	f.mu.Lock()
@@ -75,25 +86,19 @@
 func (f *Fleet) zoneUrgent() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.zoned() || !f.scout() {
-		return false
-	}
-	for _, p := range f.peers {
-		if p.live && !p.far && len(p.beat.Leads) > 0 {
-			return true
-		}
-	}
-	return false
+	return f.zoned() && f.dirty && f.speaker()
 }
 
 // tellZones sends the zone's digest to the other zones' scouts, if this VM is a scout.
 func (f *Fleet) tellZones() {
 	f.mu.Lock()
-	if !f.zoned() || !f.scout() {
+	if !f.zoned() || !f.speaker() || !f.dirty && time.Since(f.toldZones) < digestEvery {
 		f.mu.Unlock()
 		return
 	}
+	f.toldZones = time.Now()
 	own := f.own()
+	f.dirty = false
 	zones, addresses := map[string]bool{}, []string{}
 	var beats []Beat
 	for _, p := range f.peers {
@@ -106,7 +111,9 @@
 		}
 	}
 	for zone := range zones {
-		addresses = append(addresses, f.scoutsOf(zone)...)
+		if of := f.scoutsOf(zone); len(of) > 0 {
+			addresses = append(addresses, of[0])
+		}
 	}
 	f.mu.Unlock()
 	f.Fill(&own)
@@ -115,7 +122,7 @@
 		for workspace, demand := range b.Demand {
 			d.Demand[workspace] = math.Round((d.Demand[workspace]+demand)*100) / 100
 		}
-		b.Demand = nil
+		b.Demand, b.Zone = nil, ""
 		d.Beats = append(d.Beats, b)
 	}
 	f.send(Beat{VM: f.VM, Digest: &d}, addresses)
@@ -129,6 +136,7 @@
 	}
 	for _, one := range d.Beats {
 		if one.VM != "" && one.VM != f.VM {
+			one.Zone = d.Zone
 			f.hear(one, true)
 		}
 	}
@@ -212,12 +220,7 @@
 			list = append(list, candidate{name, xxhash.Sum64String(purpose + "/" + string(name))})
 		}
 	}
-	slices.SortFunc(list, func(a, b candidate) int {
-		if a.score > b.score {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(b.score, a.score) })
 	names := map[Name]bool{}
 	for _, c := range list[:min(len(list), n)] {
 		names[c.name] = true
--- a/internal/proxy/remote.go
+++ b/internal/proxy/remote.go
@@ -25,7 +25,8 @@
 type Relay interface {
 	// Home is where the VM listens that holds the connections to a server for a workspace;
 	// here is true if that is this one, or no other can be reached.
-	Home(s Server, w WorkspaceName) (address Address, here bool)
+	// All VMs together may use so many connections to the server.
+	Home(s Server, w WorkspaceName, connections int) (address Address, here bool)
 	// Open gives a way to another VM. ErrUnreached; nothing was sent.
 	Open(ctx context.Context, address Address) (RemoteLink, error)
 }
@@ -79,6 +80,9 @@
 	return plans
 }
 
+// wayBack is kept of a batch's time for the answer's way.
+const wayBack = 10 * time.Millisecond
+
 // Guest runs another VM's batches on this one's connections; one for each way.
 type Guest struct {
 	VM *VM
@@ -88,7 +92,7 @@
 
 // Exec runs a batch. Between transactions the connection goes back to its pool.
 func (h *Guest) Exec(ctx context.Context, b Batch) ([]Answer, error) {
-	until := time.Now().Add(b.Within)
+	until := time.Now().Add(b.Within - wayBack)
 	if h.lease == nil && b.Open {
 		return nil, ErrBroken.New("the transaction at server %s is gone", b.Server)
 	}
@@ -149,7 +153,7 @@
 // take gives a lease on a server for a workspace, over whichever VM holds connections.
 func (g *Group) take(ctx context.Context, m *member, w *Workspace, until time.Time) (*lease, error) {
 	if g.VM.Relay != nil {
-		if address, here := g.VM.Relay.Home(m.pool.Server, w.Name); !here {
+		if address, here := g.VM.Relay.Home(m.pool.Server, w.Name, g.VM.dealt(g.Name)); !here {
 			link, err := g.VM.Relay.Open(ctx, address)
 			if err == nil {
 				return g.lease(&remote{link: link, service: g.Name, server: m.pool.Server.ID, workspace: w.Name}, m.pool.Server.ID, false), nil
--- a/internal/proxy/remote_test.go
+++ b/internal/proxy/remote_test.go
@@ -24,7 +24,7 @@
 	opened          int
 }
 
-func (b *between) Home(Server, WorkspaceName) (Address, bool) {
+func (b *between) Home(Server, WorkspaceName, int) (Address, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return "home", !b.on
@@ -192,7 +192,7 @@
 	vms, own int
 }
 
-func (h *homes) Home(_ Server, w WorkspaceName) (Address, bool) {
+func (h *homes) Home(_ Server, w WorkspaceName, _ int) (Address, bool) {
 	return "", int(w[len(w)-1]-'0')%h.vms == h.own
 }
 
--- a/internal/proxy/share.go
+++ b/internal/proxy/share.go
@@ -47,12 +47,21 @@
 	}
 	limit := c.Services[service].Connections
 	if v.Relay != nil && v.Quota != nil {
-		part := v.homePart(c, server)
-		return max(int(sharePart*float64(limit)*part), ownConnections)
+		dealt := v.dealt(service)
+		return max(int(float64(dealt)*v.homePart(c, server, dealt)), ownConnections)
 	}
 	return evenShare(limit, max(v.Fleet.Size(), 1), v.Fleet.Rank(), server.ID)
 }
 
+// dealt is how many connections to each server of a service homes have together.
+func (v *VM) dealt(service ServiceName) int {
+	c := v.Configuration()
+	if c == nil || c.Services[service] == nil {
+		return 0
+	}
+	return int(sharePart * float64(c.Services[service].Connections))
+}
+
 // evenShare deals a limit out over VMs. Where it doesn't divide evenly, the VMs that get
 // one more differ from server to server.
 func evenShare(limit, size, rank int, id ServerID) int {
@@ -65,13 +74,13 @@
 
 // homePart is the part of all demand that comes from the workspaces whose connections to a
 // server this VM holds.
-func (v *VM) homePart(c *Configuration, server Server) float64 {
+func (v *VM) homePart(c *Configuration, server Server, dealt int) float64 {
 	demand := v.Quota.Totals()
 	mine, all := 0.0, 0.0
 	for name := range c.Workspaces {
 		d := max(demand[string(name)], quietDemand)
 		all += d
-		if _, here := v.Relay.Home(server, name); here {
+		if _, here := v.Relay.Home(server, name, dealt); here {
 			mine += d
 		}
 	}
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -149,6 +149,10 @@
 		op.group.Deposed(id, "refused to act as primary")
 	}
 	eventRetry.Log(s.vm.Logger, "request", op.request.ID, "server", id, "failure", a.Failure, "err", err)
+	if isType(err, ErrBusy) {
+		// Its wait would be longer than is left; the caller does better to come back.
+		return Answer{Failure: Busy, Detail: err.Error()}
+	}
 	pause := retryPause
 	if time.Until(op.deadline) < 2*pause {
 		return Answer{Failure: Busy, Detail: "no primary took the request in time"}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -9,10 +9,13 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/gob"
 	"math"
 	"net"
+	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -50,8 +53,13 @@
 const (
 	// dialWithin bounds opening a way: a few round trips to the farthest zone.
 	dialWithin = 150 * time.Millisecond
-	// slack is waited beyond a batch's time, for the way back.
-	slack = 50 * time.Millisecond
+	// slack is waited beyond a batch's time, for the way back and a loaded VM.
+	slack = 150 * time.Millisecond
+	// homeConnections are dealt to each home of a server at least, so that a workspace finds
+	// one of its own more often than not: with fewer homes each has more.
+	homeConnections = 4
+	// silentTimes batches in a row must have had no answer before a VM is avoided.
+	silentTimes = 2
 	// avoidFirst follows a failure of a VM; each further one doubles it.
 	avoidFirst = 500 * time.Millisecond
 	avoidMost  = 4 * time.Second
@@ -127,7 +135,7 @@
 
 // Home is the VM that holds the connections to a server for a workspace: one of those in
 // the server's zone, so that only the way there crosses zones, by rendezvous hashing.
-func (r *Relay) Home(s proxy.Server, w proxy.WorkspaceName) (proxy.Address, bool) {
+func (r *Relay) Home(s proxy.Server, w proxy.WorkspaceName, connections int) (proxy.Address, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
@@ -142,26 +150,42 @@
 	key := home{s.ID, w}
 	address, known := r.homes[key]
 	if !known {
-		address = r.choose(string(s.ID)+"/"+string(w), s.Zone, now)
+		address = r.choose(s, w, connections, now)
 		r.homes[key] = address
 	}
 	return address, address == ""
 }
 
-// choose gives the home's address, empty for this VM; r.mu is held.
-func (r *Relay) choose(key string, zone proxy.AvailabilityZone, now time.Time) proxy.Address {
-	var best proxy.Address
-	most := -1.0
-	if r.VM.Zone == zone {
-		most = score(key, string(r.VM.Name), r.Capacity)
+// choose gives the home's address, empty for this VM; r.mu is held. Of the VMs in the
+// server's zone a few hold connections to it, and one of these is the workspace's home.
+func (r *Relay) choose(s proxy.Server, w proxy.WorkspaceName, connections int, now time.Time) proxy.Address {
+	type candidate struct {
+		name    string
+		address proxy.Address
+		score   float64
+		size    float64
+	}
+	var list []candidate
+	if r.VM.Zone == s.Zone {
+		list = append(list, candidate{name: string(r.VM.Name), size: r.Capacity})
 	}
-	for _, p := range r.zones[zone] {
+	for _, p := range r.zones[s.Zone] {
 		known := r.peers[proxy.Address(p.Address)]
 		if p.Silent || p.Leaving || known != nil && now.Before(known.avoidUntil) {
 			continue
 		}
-		if s := score(key, string(p.VM), p.Capacity); s > most {
-			best, most = proxy.Address(p.Address), s
+		list = append(list, candidate{name: string(p.VM), address: proxy.Address(p.Address), size: p.Capacity})
+	}
+	for i := range list {
+		list[i].score = score(string(s.ID), list[i].name, list[i].size)
+	}
+	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(b.score, a.score) })
+	list = list[:min(len(list), max(connections/homeConnections, 1))]
+	var best proxy.Address
+	most := -1.0
+	for _, c := range list {
+		if own := score(string(s.ID)+"/"+string(w), c.name, c.size); own > most {
+			best, most = c.address, own
 		}
 	}
 	return best
@@ -221,6 +245,10 @@
 	r.mu.Lock()
 	p := r.peer(address)
 	p.failures++
+	if os.IsTimeout(err) && p.failures < silentTimes {
+		r.mu.Unlock()
+		return
+	}
 	pause := min(avoidFirst<<min(p.failures-1, 6), avoidMost)
 	p.avoidUntil = time.Now().Add(pause)
 	idle := p.idle
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -154,14 +154,16 @@
 	address := proxy.Address(silent.Addr().String())
 	link, err := r.Open(context.Background(), address)
 	assert.NilError(t, err)
-	_, err = link.Exec(batch(proxy.Reset{}), time.Now().Add(10*time.Millisecond))
-	assert.Assert(t, errorx.IsOfType(err, proxy.ErrPeer), "%v", err)
+	for range silentTimes {
+		_, err = link.Exec(batch(proxy.Reset{}), time.Now().Add(10*time.Millisecond))
+		assert.Assert(t, errorx.IsOfType(err, proxy.ErrPeer), "%v", err)
+	}
 	link.Give(false)
 	assert.Assert(t, time.Now().Before(r.peers[address].avoidUntil))
 	silent.Close()
 	_, err = r.Open(context.Background(), address)
 	assert.Assert(t, err != nil)
-	assert.Equal(t, r.peers[address].failures, 2)
+	assert.Equal(t, r.peers[address].failures, silentTimes+1)
 }
 
 // Over many keys VMs are homes in proportion to their capacity.
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -22,8 +22,18 @@
 	// marginPart of a rate is given beyond it, for parts that other VMs don't use; it is
 	// under a third of the tenth that contracts leave.
 	marginPart = 0.03
+	// growth is how much of a grown demand counts before the others have heard of it, and
+	// growthLeast the same for a small one, in operations a second.
+	growth      = 1.3
+	growthLeast = 1.5
+	// restlessTimes and restlessLeast, in operations a second, are the growth that can't wait
+	// for the next beat: several times what a few requests by chance make.
+	restlessTimes = 1.5
+	restlessLeast = 3
 	// extraTokens, over all VMs, is half of the tolerance that contracts leave.
 	extraTokens = 10
+	// extraBurst of the burst is given beyond it, over all VMs: half of the tenth.
+	extraBurst = 0.05
 	// forgetAfter is when a silent VM's demand no longer counts: until then it may serve
 	// callers although others don't hear it.
 	forgetAfter = time.Minute
@@ -58,6 +68,8 @@
 	// last is when tokens and demand were brought up to date.
 	last   time.Duration
 	demand float64
+	// told is the demand that the others were told last.
+	told float64
 }
 
 // Admit counts one operation of a workspace with that rate (a second) and burst. If it is
@@ -68,10 +80,10 @@
 	now := l.Now()
 	b := l.bucket(workspace, now)
 	b.demand += 1 / demandMemory.Seconds()
-	part := l.part(workspace, b.demand, rate, now)
+	part := l.part(workspace, b.counted(b.demand), rate, now)
 	size := float64(max(l.Size(), 1))
 	refill := part * rate * (1 + marginPart)
-	ceiling := max(part*burst+extraTokens/size, 1)
+	ceiling := max(part*burst+(extraTokens+extraBurst*burst)/size, 1)
 	if b.last == 0 {
 		b.tokens = ceiling
 	} else {
@@ -168,3 +180,33 @@
 	}
 	return d
 }
+
+// Tell is Demand for the others; what is told now counts in full at this VM.
+func (l *Limiter) Tell() Demand {
+	d := l.Demand()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for name, b := range l.buckets {
+		b.told = d[name]
+	}
+	return d
+}
+
+// Restless tells whether some demand has grown so much since it was told that the others
+// should hear of it before the next beat.
+func (l *Limiter) Restless() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, b := range l.buckets {
+		if b.demand > max(b.told*restlessTimes, b.told+restlessLeast) {
+			return true
+		}
+	}
+	return false
+}
+
+// counted is what of a demand counts for this VM's part: others that haven't heard of the
+// rest still take their own parts for larger.
+func (b *bucket) counted(demand float64) float64 {
+	return min(demand, max(b.told*growth, b.told+growthLeast))
+}
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -39,7 +39,7 @@
 
 func (f *fleet) tell() {
 	for i, from := range f.limiters {
-		d := from.Demand()
+		d := from.Tell()
 		for j, to := range f.limiters {
 			if i != j && !f.cut[i] && !f.cut[j] {
 				to.Hear(fmt.Sprint(i), d)
@@ -83,6 +83,85 @@
 	return admitted, asked, refused
 }
 
+// zones plays a large fleet, whose VMs hear those of their own zone at once and those of
+// others a digest's way later, at beats and when they have something urgent to say.
+func (f *fleet) zones(l load, length time.Duration, r *rand.Rand) (admitted []time.Duration, refused int) {
+	const beat, tick, way = 600 * time.Millisecond, 100 * time.Millisecond, 300 * time.Millisecond
+	type told struct {
+		at     time.Duration
+		from   int
+		demand Demand
+	}
+	var under []told
+	began := f.now
+	for at := time.Duration(0); at < length; at += step {
+		f.now = began + at
+		for i, from := range f.limiters {
+			if at%beat == 0 || at%tick == 0 && from.Restless() {
+				d := from.Tell()
+				for j, to := range f.limiters {
+					if i != j && i%3 == j%3 {
+						to.Hear(fmt.Sprint(i), d)
+					}
+				}
+				under = append(under, told{at + way, i, d})
+			}
+		}
+		for len(under) > 0 && under[0].at <= at {
+			for j, to := range f.limiters {
+				if j%3 != under[0].from%3 {
+					to.Hear(fmt.Sprint(under[0].from), under[0].demand)
+				}
+			}
+			under = under[1:]
+		}
+		for vm, limiter := range f.limiters {
+			expected := l(vm, at) * step.Seconds()
+			n := int(expected)
+			if r.Float64() < expected-float64(n) {
+				n++
+			}
+			for range n {
+				if _, ok := limiter.Admit("w", rate, burst); ok {
+					admitted = append(admitted, at)
+				} else {
+					refused++
+				}
+			}
+		}
+	}
+	return admitted, refused
+}
+
+// A large workspace of a large fleet suddenly asks several times its usual.
+func TestSurgeInALargeFleet(t *testing.T) {
+	usual := rate / 1.6
+	allowed := int((rate*window.Seconds()+burst)*(1+overshoot) + tolerance)
+	for name, times := range map[string]float64{"three times": 3.1, "eight times": 8} {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprintf("%s, seed %d", name, seed), func(t *testing.T) {
+				f := newFleet(89)
+				r := rand.New(rand.NewPCG(seed, 2))
+				admitted, _ := f.zones(func(_ int, at time.Duration) float64 {
+					if at < 5*time.Second {
+						return usual / 89
+					}
+					return times * usual / 89
+				}, 12*time.Second, r)
+				assert.Assert(t, worst(admitted) <= allowed, "%d admitted in a window, %d are allowed", worst(admitted), allowed)
+			})
+		}
+	}
+}
+
+// Usual load in a large fleet isn't refused.
+func TestUsualLoadInALargeFleet(t *testing.T) {
+	f := newFleet(89)
+	r := rand.New(rand.NewPCG(1, 2))
+	admitted, refused := f.zones(func(int, time.Duration) float64 { return rate / 1.6 / 89 }, 12*time.Second, r)
+	assert.Assert(t, float64(refused) <= 0.02*float64(len(admitted)), "%d refused, %d admitted", refused, len(admitted))
+}
+
 // worst is the most admitted in any window.
 func worst(admitted []time.Duration) int {
 	most, first := 0, 0
