--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -27,9 +27,9 @@
 	growth      = 1.3
 	growthLeast = 1.5
 	// restlessTimes and restlessLeast, in operations a second, are the growth that can't wait
-	// for the next beat: several times what a few requests by chance make.
+	// for the next beat: a little more than what counts before others have heard of it.
 	restlessTimes = 1.5
-	restlessLeast = 3
+	restlessLeast = 1.7
 	// extraTokens, over all VMs, is half of the tolerance that contracts leave.
 	extraTokens = 10
 	// extraBurst of the burst is given beyond it, over all VMs: half of the tenth.
