--- a/cmd/savoryramp-vm/daemon.go
+++ b/cmd/savoryramp-vm/daemon.go
@@ -60,7 +60,9 @@
 	group    run.Group
 	// heardList is when a scout last said which servers there are; notedAt when this VM did.
 	heardList atomic.Int64
-	notedAt   time.Time
+	// toldVersion is the configuration that others were told of.
+	toldVersion atomic.Int64
+	notedAt     time.Time
 
 	listedMu sync.Mutex
 	// servers are those that the platform listed at listedAt.
@@ -91,7 +93,7 @@
 	d.store = platform.NewStore(string(s.Store))
 	d.fleet = &heartbeat.Fleet{
 		VM: heartbeat.Name(s.VM), Zone: string(s.Zone), Link: s.LinkMbps, Conn: datagrams, Directory: platform.Directory{Store: d.store}, Logger: d.logger,
-		Seeds: d.seeds(), Fill: d.fill, Hear: d.hear, HearZone: d.quotaZone, Note: d.note, Urgent: func() bool { return len(d.vm.Leads()) > 0 || d.quota.Restless() },
+		Seeds: d.seeds(), Fill: d.fill, Hear: d.hear, HearZone: d.quotaZone, Note: d.note, Urgent: d.urgent,
 	}
 	d.quota = &quota.Limiter{Now: func() time.Duration { return time.Duration(clock.Now()) }, Size: d.fleet.Size}
 	d.vm = &proxy.VM{
@@ -223,6 +225,12 @@
 func (d *daemon) fill(b *heartbeat.Beat) {
 	b.Leaving, b.Demand, b.Leads, b.Configuration = d.vm.Draining(), d.quota.Tell(), d.vm.Leads(), d.version()
 	b.Capacity = d.Settings.Cores
+	d.toldVersion.Store(b.Configuration)
+}
+
+// urgent tells whether the others should hear before the next beat is due.
+func (d *daemon) urgent() bool {
+	return len(d.vm.Leads()) > 0 || d.quota.Restless() || d.version() > d.toldVersion.Load()
 }
 
 // hear takes what another VM says.
--- a/internal/heartbeat/catchup.go
+++ b/internal/heartbeat/catchup.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"time"
 
@@ -14,8 +15,10 @@
 	// askAfter is how long this VM must be behind another before it asks for the newer
 	// configuration: the store brings it sooner as a rule.
 	askAfter = 700 * time.Millisecond
+	// askSoon is the same where the store isn't asked by every VM.
+	askSoon = 50 * time.Millisecond
 	// askEvery is how often it looks.
-	askEvery = 200 * time.Millisecond
+	askEvery = 100 * time.Millisecond
 	// askWithin bounds one question to another VM.
 	askWithin = time.Second
 )
@@ -57,22 +60,44 @@
 			behind = time.Time{}
 		case behind.IsZero():
 			behind = time.Now()
-		case time.Since(behind) >= askAfter:
+		case time.Since(behind) >= c.patience():
 			c.ask(ctx, ahead)
 			behind = time.Now()
 		}
 	}
 }
 
-// ahead is the live VM with the newest configuration, if that is newer than this one's.
+// patience is how long the store is waited for.
+func (c *CatchUp) patience() time.Duration {
+	if c.Fleet.Scout() {
+		return askAfter
+	}
+	return askSoon
+}
+
+// ahead is a live VM with the newest configuration, if that is newer than this one's; one
+// of this zone, if there is one.
 func (c *CatchUp) ahead() (Peer, bool) {
-	var newest Peer
+	var newest []Peer
+	own := c.Version()
+	near := false
 	for _, p := range c.Fleet.Peers() {
-		if !p.Silent && p.Configuration > max(newest.Configuration, c.Version()) {
-			newest = p
+		if p.Silent || p.Configuration <= own || len(newest) > 0 && p.Configuration < newest[0].Configuration {
+			continue
 		}
+		closer := p.Zone == c.Fleet.Zone
+		if len(newest) > 0 && p.Configuration == newest[0].Configuration && near && !closer {
+			continue
+		}
+		if len(newest) > 0 && (p.Configuration > newest[0].Configuration || closer && !near) {
+			newest = nil
+		}
+		newest, near = append(newest, p), closer
+	}
+	if len(newest) == 0 {
+		return Peer{}, false
 	}
-	return newest, newest.VM != ""
+	return newest[rand.IntN(len(newest))], true
 }
 
 func (c *CatchUp) ask(ctx context.Context, p Peer) {
--- /dev/null
+++ b/internal/heartbeat/catchup_test.go
@@ -0,0 +1,59 @@
+package heartbeat
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"gotest.tools/v3/assert"
+)
+
+// A VM that the store doesn't bring a configuration takes it from another one: soon in a
+// large fleet, where only scouts ask the store.
+func TestCatchUp(t *testing.T) {
+	tests := map[string]struct {
+		vms    int
+		within time.Duration
+	}{
+		"small fleet": {9, 2 * time.Second},
+		"large fleet": {33, time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			play(t, test.vms, func(r *rig) {
+				r.wait(4 * time.Second)
+				r.mu.Lock()
+				r.version = map[Name]int64{r.vms[0].VM: 7}
+				r.mu.Unlock()
+				ctx, cancel := context.WithCancel(context.Background())
+				var tasks sync.WaitGroup
+				var mu sync.Mutex
+				var version int64
+				asked := ""
+				behind := r.vms[3]
+				c := &CatchUp{
+					Fleet: behind, Port: "8462", Logger: log.NewNopLogger(),
+					Version: func() int64 {
+						mu.Lock()
+						defer mu.Unlock()
+						return version
+					},
+					Fetch: func(_ context.Context, address string) error {
+						mu.Lock()
+						defer mu.Unlock()
+						version, asked = 7, address
+						return nil
+					},
+				}
+				tasks.Go(func() { _ = c.Run(ctx) })
+				r.wait(interval + test.within)
+				cancel()
+				tasks.Wait()
+				assert.Equal(t, version, int64(7))
+				assert.Equal(t, asked, "10.0.0.1:8462")
+			})
+		})
+	}
+}
--- a/internal/heartbeat/heartbeat_test.go
+++ b/internal/heartbeat/heartbeat_test.go
@@ -127,6 +127,8 @@
 	leads  map[Name]map[Name]map[string]Lead
 	// says is what each VM has to say of primaries.
 	says map[Name]map[string]Lead
+	// version of the configuration that each VM has.
+	version map[Name]int64
 }
 
 func play(t *testing.T, n int, test func(r *rig)) {
@@ -166,7 +168,7 @@
 		Fill: func(b *Beat) {
 			r.mu.Lock()
 			defer r.mu.Unlock()
-			b.Demand, b.Leads = map[string]float64{"w": 1}, r.says[name]
+			b.Demand, b.Leads, b.Configuration = map[string]float64{"w": 1}, r.says[name], r.version[name]
 		},
 		Urgent: func() bool {
 			r.mu.Lock()
