Have the soak find withdrawn keys that go on working

Cause: with the look at keys taken out of requests the soak passed: its caller left for another VM every 25 requests, where the start refuses the key. It now stays, and a key is withdrawn at the start of each run.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -73,7 +73,9 @@
 	database string
 	key      string
 	uses     int
-	random   *rand.Rand
+	// stays on its VM as long as it may.
+	stays  bool
+	random *rand.Rand
 }
 
 // usesMost is after how many operations a caller roams to another VM.
@@ -81,7 +83,7 @@
 
 // open gives a session in which a request can be sent, nil if there is none now.
 func (c *session) open() *standin.Client {
-	if c.client != nil && (c.uses > usesMost || c.client.Ended()) {
+	if c.client != nil && (c.uses > usesMost && !c.stays || c.client.Ended()) {
 		c.close()
 	}
 	if c.client != nil {
@@ -245,7 +247,7 @@
 // gone uses keys until and after they are withdrawn.
 func (s *Soak) gone(halt <-chan struct{}) {
 	r := rand.New(rand.NewPCG(s.Seed, 400))
-	c := &session{soak: s, database: "bounded", random: r}
+	c := &session{soak: s, database: "bounded", stays: true, random: r}
 	defer c.close()
 	for !halted(halt) {
 		s.pause(20 * time.Millisecond)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -21,6 +21,8 @@
 	// once all is well again.
 	startWithin   = 15 * time.Second
 	recoverWithin = 12 * time.Second
+	// firstPause lets callers open sessions before the first fault.
+	firstPause = 300 * time.Millisecond
 	// pollEvery is how often the balancer asks who is ready.
 	pollEvery = 250 * time.Millisecond
 )
@@ -211,6 +213,9 @@
 	var mu sync.Mutex
 	var running sync.WaitGroup
 	began := time.Now()
+	// At the start, so that the run is still on when the key must have stopped.
+	s.pause(firstPause)
+	names = append(names, "withdraw a key: "+s.withdraw())
 	for time.Since(began) < s.Lasts {
 		f := faults[r.IntN(len(faults))]
 		for s.Planned && !f.planned {
