--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -2,6 +2,7 @@
 package clock
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -41,3 +42,13 @@
 
 // Since is the time from i to now.
 func Since(i Instant) time.Duration { return Now().Sub(i) }
+
+// Sleep pauses for d, or until ctx ends.
+func Sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/heartbeat/heartbeat.go
+++ b/internal/heartbeat/heartbeat.go
@@ -201,7 +201,7 @@
 				pause *= scouts * scouts
 			}
 		}
-		sleep(ctx, pause/2+rand.N(pause))
+		clock.Sleep(ctx, pause/2+rand.N(pause))
 	}
 }
 
@@ -317,7 +317,7 @@
 		n, from, err := f.Conn.ReadFrom(buffer)
 		if err != nil {
 			// Such as an unreachable peer's refusal; a closed socket ends with ctx.
-			sleep(ctx, time.Millisecond)
+			clock.Sleep(ctx, time.Millisecond)
 			continue
 		}
 		var b Beat
@@ -456,12 +456,3 @@
 		eventDirectory.Log(f.Logger, "err", err)
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/heartbeat/heartbeat_test.go
+++ b/internal/heartbeat/heartbeat_test.go
@@ -196,7 +196,7 @@
 	return f
 }
 
-func (r *rig) wait(d time.Duration) { sleep(context.Background(), d) }
+func (r *rig) wait(d time.Duration) { clock.Sleep(context.Background(), d) }
 
 func TestFleet(t *testing.T) {
 	for name, n := range map[string]int{"small": 9, "over zones": 33} {
--- a/internal/proxy/failover.go
+++ b/internal/proxy/failover.go
@@ -281,7 +281,7 @@
 		if time.Until(until) < settlePause || !isType(err, ErrBusy) && !isType(err, ErrRefused) {
 			return ServerStatus{}, err
 		}
-		sleep(ctx, settlePause)
+		clock.Sleep(ctx, settlePause)
 	}
 }
 
@@ -354,7 +354,7 @@
 		if err == nil && s.Received.Compare(p) >= 0 {
 			return nil
 		}
-		sleep(ctx, settlePause)
+		clock.Sleep(ctx, settlePause)
 	}
 	return ErrSilent.New("server %s hasn't received position %s", m.pool.Server.ID, p)
 }
@@ -373,7 +373,7 @@
 		if lead, _ := g.leader(); lead == m {
 			return nil
 		}
-		sleep(ctx, settlePause)
+		clock.Sleep(ctx, settlePause)
 	}
 	return ErrSilent.New("server %s doesn't act as primary yet", id)
 }
--- a/internal/proxy/pool_test.go
+++ b/internal/proxy/pool_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/savoryramp/savoryramp/internal/clock"
+
 	"gotest.tools/v3/assert"
 )
 
@@ -30,7 +32,7 @@
 			tasks.Go(func() {
 				c, err := r.pool().Take(r.ctx, workspace(i%4), time.Now().Add(600*time.Millisecond))
 				if err == nil {
-					sleep(r.ctx, 20*time.Millisecond)
+					clock.Sleep(r.ctx, 20*time.Millisecond)
 					r.pool().Give(c, true, 20*time.Millisecond)
 				}
 			})
@@ -69,7 +71,7 @@
 				c, err := p.Take(r.ctx, workspace(i), soon())
 				assert.NilError(t, err)
 				p.Give(c, true, time.Millisecond)
-				sleep(r.ctx, 2*restLeast)
+				clock.Sleep(r.ctx, 2*restLeast)
 				r.on("b", func(s *memServer) { assert.Assert(t, s.open <= 7, "%d open, one of them the group's own", s.open) })
 			}
 		},
@@ -89,7 +91,7 @@
 					p.Give(c, false, time.Millisecond)
 				}
 			})
-			sleep(r.ctx, 100*time.Millisecond)
+			clock.Sleep(r.ctx, 100*time.Millisecond)
 			for _, c := range taken {
 				p.Give(c, true, 100*time.Millisecond)
 			}
@@ -101,7 +103,7 @@
 			_, err := p.Take(r.ctx, workspace(1), soon())
 			assert.Assert(t, isType(err, ErrRefused), "%v", err)
 			r.on("b", func(s *memServer) { s.limit = 0; s.open-- })
-			sleep(r.ctx, refusedPause)
+			clock.Sleep(r.ctx, refusedPause)
 			c, err := p.Take(r.ctx, workspace(1), soon())
 			assert.NilError(t, err)
 			p.Give(c, false, time.Millisecond)
@@ -122,7 +124,7 @@
 			time.AfterFunc(50*time.Millisecond, cancel)
 			_, err := p.Take(ctx, workspace(1), soon())
 			assert.Assert(t, isType(err, ErrBusy), "%v", err)
-			sleep(r.ctx, 200*time.Millisecond)
+			clock.Sleep(r.ctx, 200*time.Millisecond)
 			assert.Assert(t, p.outlook(workspace(1).Name).ready)
 		},
 		"a closed pool sends those who wait away": func(t *testing.T, r *rig, p *Pool) {
--- a/internal/proxy/remote_test.go
+++ b/internal/proxy/remote_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/savoryramp/savoryramp/internal/clock"
+
 	"github.com/go-kit/log"
 	"gotest.tools/v3/assert"
 
@@ -152,7 +154,7 @@
 			b.home.Drain(r.ctx, 5*time.Second)
 			close(done)
 		}()
-		sleep(r.ctx, lingerFor+4*drainTick)
+		clock.Sleep(r.ctx, lingerFor+4*drainTick)
 		select {
 		case <-done:
 			t.Error("the drain ended before the transaction")
--- a/internal/proxy/rig_test.go
+++ b/internal/proxy/rig_test.go
@@ -184,7 +184,7 @@
 		server.open++
 	}
 	r.mu.Unlock()
-	sleep(ctx, took)
+	clock.Sleep(ctx, took)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.opening--
@@ -334,10 +334,10 @@
 	}
 	until := time.Now().Add(work)
 	if !ready || until.After(deadline) {
-		sleep(context.Background(), time.Until(deadline))
+		clock.Sleep(context.Background(), time.Until(deadline))
 		return Answer{}, ErrSilent.New("server %s", l.server.id)
 	}
-	sleep(context.Background(), work)
+	clock.Sleep(context.Background(), work)
 	l.rig.mu.Lock()
 	defer l.rig.mu.Unlock()
 	a := l.answers[0]
--- a/internal/proxy/session_test.go
+++ b/internal/proxy/session_test.go
@@ -7,13 +7,15 @@
 	"testing"
 	"time"
 
+	"github.com/savoryramp/savoryramp/internal/clock"
+
 	"gotest.tools/v3/assert"
 
 	"github.com/savoryramp/savoryramp/pkg/position"
 )
 
 // settle lets the VM prove its primary.
-func settle() { sleep(context.Background(), time.Second) }
+func settle() { clock.Sleep(context.Background(), time.Second) }
 
 func read(item string) Read   { return Read{Text: "READ " + item} }
 func write(item string) Write { return Write{Text: "WRITE " + item + " x"} }
@@ -193,7 +195,7 @@
 					m.pool.Give(c, true, time.Millisecond)
 				}
 				assert.Equal(t, writer.do(write("1")).Failure, NoFailure)
-				sleep(context.Background(), test.pause)
+				clock.Sleep(context.Background(), test.pause)
 				assert.Equal(t, reader.do(read("1")).Failure, NoFailure)
 				if test.stale {
 					assert.Assert(t, r.where("READ 1") != "a", "a replica near may serve this")
@@ -332,7 +334,7 @@
 		c := r.call(testDatabase)
 		assert.Equal(t, c.do(Begin{}).Failure, NoFailure)
 		assert.Equal(t, c.do(write("1")).Failure, NoFailure)
-		sleep(context.Background(), 4*time.Second)
+		clock.Sleep(context.Background(), 4*time.Second)
 		a := c.do(Commit{})
 		assert.Equal(t, a.Failure, Aborted)
 		assert.Equal(t, r.runs("COMMIT"), 0)
@@ -351,7 +353,7 @@
 		drained.Go(func() { r.vm.Drain(r.ctx, 3*time.Second) })
 		<-idle.closed
 		assert.Assert(t, !r.vm.Ready())
-		sleep(context.Background(), time.Second)
+		clock.Sleep(context.Background(), time.Second)
 		assert.Equal(t, busy.do(Commit{}).Failure, NoFailure)
 		<-busy.closed
 		drained.Wait()
--- a/internal/proxy/single.go
+++ b/internal/proxy/single.go
@@ -42,7 +42,7 @@
 		if time.Until(op.deadline) < 2*retryPause {
 			return nil, Answer{Failure: Busy, Detail: err.Error()}
 		}
-		sleep(ctx, retryPause)
+		clock.Sleep(ctx, retryPause)
 	}
 }
 
@@ -152,7 +152,7 @@
 				return nil, last
 			}
 			tried = map[ServerID]bool{}
-			sleep(ctx, retryPause)
+			clock.Sleep(ctx, retryPause)
 			continue
 		}
 		tried[best.ID] = true
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -157,7 +157,7 @@
 	if time.Until(op.deadline) < 2*pause {
 		return Answer{Failure: Busy, Detail: "no primary took the request in time"}
 	}
-	sleep(ctx, pause)
+	clock.Sleep(ctx, pause)
 	return done
 }
 
@@ -190,7 +190,7 @@
 			}
 			return Answer{Failure: InDoubt, Detail: "server " + string(l.server) + ": " + err.Error()}
 		case a.Failure == Busy && a.Phase == InTransaction && time.Until(op.deadline) > 2*retryPause:
-			sleep(ctx, retryPause)
+			clock.Sleep(ctx, retryPause)
 			continue
 		case a.Succeeded():
 			if tx.wrote {
--- a/internal/proxy/vm.go
+++ b/internal/proxy/vm.go
@@ -301,13 +301,3 @@
 func isType(err error, t *errorx.Type) bool { return err != nil && errorx.IsOfType(err, t) }
 
 func itoa(n int64) string { return strconv.FormatInt(n, 10) }
-
-// sleep pauses for d, or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
