--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -32,8 +32,6 @@
 	health health
 	// movedAt is when lead last changed.
 	movedAt clock.Instant
-	// expected is when a lead that failed is likely replaced; zero if that isn't known.
-	expected time.Time
 }
 
 // member is one server of the group.
@@ -133,7 +131,6 @@
 		g.health.reset()
 		close(g.changed)
 		g.changed = make(chan struct{})
-		g.expected = time.Time{}
 		g.movedAt = clock.Now()
 		eventLead.Log(g.Logger, "server", id, "term", t, "before", g.lead, "term-before", g.term, "why", why)
 	}
@@ -158,8 +155,8 @@
 	}
 }
 
-// Deposed takes note that a server refused to act as primary.
-func (g *Group) Deposed(id ServerID, why string) {
+// deposed takes note that a server refused to act as primary.
+func (g *Group) deposed(id ServerID, why string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if id != g.lead {
@@ -181,19 +178,15 @@
 	return g.members[g.lead], g.changed
 }
 
-// awaitLead waits for a lead until deadline. ErrNoServer, at once when none is expected
-// by then.
+// awaitLead waits for a lead that answers until deadline. ErrNoServer.
 func (g *Group) awaitLead(ctx context.Context, deadline time.Time) (*member, error) {
 	for {
 		g.mu.Lock()
-		m, changed, expected, failing := g.members[g.lead], g.changed, g.expected, g.health.failed()
+		m, changed, failing := g.members[g.lead], g.changed, g.health.failed()
 		g.mu.Unlock()
 		if m != nil && !failing {
 			return m, nil
 		}
-		if !expected.IsZero() && expected.After(deadline) {
-			return nil, ErrNoServer.New("service %s has no primary for another %s", g.Name, time.Until(expected).Round(time.Millisecond))
-		}
 		timer := time.NewTimer(min(time.Until(deadline), leadTick))
 		select {
 		case <-changed:
--- a/internal/proxy/keeper.go
+++ b/internal/proxy/keeper.go
@@ -105,7 +105,7 @@
 		}
 		l.failed(err)
 	case a.Failure == NotPrimary:
-		g.Deposed(m.pool.Server.ID, "refused to prove that it leads")
+		g.deposed(m.pool.Server.ID, "refused to prove that it leads")
 	}
 }
 
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -94,7 +94,7 @@
 		return a
 	}
 	if a.Failure == NotPrimary {
-		op.group.Deposed(l.server, "refused a statement of a transaction")
+		op.group.deposed(l.server, "refused a statement of a transaction")
 	}
 	s.breakTransaction()
 	a.Phase = Failed
@@ -146,7 +146,7 @@
 	case err != nil:
 		l.failed(err)
 	case a.Failure == NotPrimary:
-		op.group.Deposed(id, "refused to act as primary")
+		op.group.deposed(id, "refused to act as primary")
 	}
 	eventRetry.Log(s.vm.Logger, "request", op.request.ID, "server", id, "failure", a.Failure, "err", err)
 	if isType(err, ErrBusy) {
@@ -201,7 +201,7 @@
 			return a
 		}
 		if a.Failure == NotPrimary {
-			op.group.Deposed(l.server, "refused a commit")
+			op.group.deposed(l.server, "refused a commit")
 		}
 		s.unsettled = append(s.unsettled, l)
 		a.Phase = Idle
