Close at once the connections of VMs that are no home

A VM that hadn't heard the others also took itself for the only home and opened up to 27.

Change: a share says how many connections may be open and how many may rest. A VM that is neither home nor watches the primary may open one and keeps none. One that hasn't settled has an even part of what is dealt.

Each new test fails with its part of the change taken out.

--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -105,7 +105,7 @@
 }
 
 func (g *Group) newPool(s Server) *Pool {
-	return &Pool{Server: s, Connect: g.VM.Connect, Share: func() int { return g.VM.share(g.Name, s) }}
+	return &Pool{Server: s, Connect: g.VM.Connect, Share: func() Share { return g.VM.share(g.Name, s) }}
 }
 
 // believeList takes the lead from the servers' own word while nothing better is known;
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -37,7 +37,7 @@
 	Server  Server
 	Connect Connect
 	// Share is how many connections this VM may have to the server at this moment.
-	Share func() int
+	Share func() Share
 
 	mu    sync.Mutex
 	lines map[WorkspaceName]*line
@@ -121,7 +121,7 @@
 	return p.handshake
 }
 
-func (p *Pool) roomy() bool { return p.open < p.Share() }
+func (p *Pool) roomy() bool { return p.open < p.Share().Open }
 
 func (p *Pool) line(w *Workspace) *line {
 	if p.lines == nil {
@@ -353,7 +353,7 @@
 		t.granted <- grant{conn: c}
 		return
 	}
-	if p.closed || p.open > p.Share() {
+	if p.closed || p.open > p.Share().Rest {
 		p.forget(l)
 		c.Link.Close()
 		return
@@ -397,7 +397,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for name, l := range p.lines {
-		for len(l.idle) > 0 && (p.open > p.Share() || time.Since(l.idle[0].idleSince) > idleAtMost) {
+		for len(l.idle) > 0 && (p.open > p.Share().Rest || time.Since(l.idle[0].idleSince) > idleAtMost) {
 			p.closeIdle(l)
 		}
 		if l.open == 0 && len(l.waiting) == 0 && time.Since(l.usedAt) > idleAtMost {
--- a/internal/proxy/pool_test.go
+++ b/internal/proxy/pool_test.go
@@ -127,6 +127,13 @@
 			clock.Sleep(r.ctx, 200*time.Millisecond)
 			assert.Assert(t, p.outlook(workspace(1).Name).ready)
 		},
+		"a connection that may not rest ends as it is given back": func(t *testing.T, r *rig, p *Pool) {
+			p.Share = func() Share { return Share{Open: 1} }
+			c, err := p.Take(r.ctx, workspace(1), soon())
+			assert.NilError(t, err)
+			p.Give(c, true, time.Millisecond)
+			assert.Equal(t, p.open, 0)
+		},
 		"a closed pool sends those who wait away": func(t *testing.T, r *rig, p *Pool) {
 			r.opensIn(200 * time.Millisecond)
 			time.AfterFunc(50*time.Millisecond, p.Close)
@@ -138,7 +145,7 @@
 		t.Run(name, func(t *testing.T) {
 			play(t, func(r *rig) {
 				settle()
-				p := &Pool{Server: Server{ID: "b", Service: testService}, Connect: r.connect, Share: func() int { return 6 }}
+				p := &Pool{Server: Server{ID: "b", Service: testService}, Connect: r.connect, Share: func() Share { return Share{6, 6} }}
 				test(t, r, p)
 				p.Close()
 				p.Wait()
--- a/internal/proxy/remote_test.go
+++ b/internal/proxy/remote_test.go
@@ -220,13 +220,49 @@
 				vm := &VM{Relay: &homes{vms: test.vms, own: own}, Quota: limiter, Fleet: solo{test.vms}, Logger: log.NewNopLogger()}
 				delete(c.Workspaces, "amman")
 				vm.Configure(c, "test")
-				sum += vm.countShare(testService, Server{ID: "a", Service: testService})
+				sum += vm.countShare(testService, Server{ID: "a", Service: testService}).Open
 			}
 			assert.Assert(t, 2*sum <= test.limit, "%d of %d are dealt out", sum, test.limit)
 		})
 	}
 }
 
+// lone is a VM of a large fleet that neither settles nor proves.
+type lone struct {
+	size    int
+	settled bool
+}
+
+func (f lone) Size() int             { return f.size }
+func (lone) Rank() int               { return 0 }
+func (f lone) Settled() bool         { return f.settled }
+func (lone) Proves(ServiceName) bool { return false }
+
+// More VMs than a server takes connections, killed and started all at once: what each of
+// them keeps open has to leave the homes theirs.
+func TestSharesOfALargeFleetLeaveRoom(t *testing.T) {
+	const limit, vms = 62, 89
+	for name, test := range map[string]struct {
+		settled bool
+		own     int
+		want    Share
+	}{
+		"the only home":                         {true, 0, Share{27, 27}},
+		"no home, which may go round one":       {true, 1, Share{1, 0}},
+		"a VM that hasn't heard the others yet": {false, 0, Share{1, 1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			limiter := &quota.Limiter{Now: func() time.Duration { return time.Hour }, Size: func() int { return vms }}
+			vm := &VM{Relay: &homes{vms: vms, own: test.own}, Quota: limiter, Fleet: lone{vms, test.settled}, Logger: log.NewNopLogger()}
+			c := testConfiguration(1)
+			c.Services[testService].Connections = limit
+			c.Workspaces = map[WorkspaceName]*Workspace{"w0": {Name: "w0"}}
+			vm.Configure(c, "test")
+			assert.Equal(t, vm.countShare(testService, Server{ID: "a", Service: testService}), test.want)
+		})
+	}
+}
+
 func TestEvenShare(t *testing.T) {
 	for name, test := range map[string]struct{ limit, size, most int }{
 		"more connections than VMs": {23, 9, 23},
--- a/internal/proxy/share.go
+++ b/internal/proxy/share.go
@@ -18,39 +18,59 @@
 	ownConnections = 1
 )
 
-// shares are what this VM last found its shares to be.
-type share struct {
-	n  int
-	at time.Time
+// Share is how many connections to a server a VM may have.
+type Share struct {
+	// Open connections at the most, in use or idle.
+	Open int
+	// Rest is how many may stay open when they aren't in use. It is at most Open, and zero
+	// for a VM that only now and then goes round a home: in a large fleet the idle
+	// connections of all of them would be more than the server takes.
+	Rest int
 }
 
-// share is how many connections to a server this VM may have.
-func (v *VM) share(service ServiceName, server Server) int {
+// keptShare is what this VM last found a share to be.
+type keptShare struct {
+	share Share
+	at    time.Time
+}
+
+// share gives this VM's share of the connections to a server.
+func (v *VM) share(service ServiceName, server Server) Share {
 	v.shareMu.Lock()
 	defer v.shareMu.Unlock()
 	now := time.Now()
 	if s, found := v.shares[server.ID]; found && now.Sub(s.at) < shareFor {
-		return s.n
+		return s.share
 	}
 	if v.shares == nil {
-		v.shares = map[ServerID]share{}
+		v.shares = map[ServerID]keptShare{}
 	}
-	n := v.countShare(service, server)
-	v.shares[server.ID] = share{n, now}
-	return n
+	s := v.countShare(service, server)
+	v.shares[server.ID] = keptShare{s, now}
+	return s
 }
 
-func (v *VM) countShare(service ServiceName, server Server) int {
+func (v *VM) countShare(service ServiceName, server Server) Share {
 	c := v.Configuration()
 	if c == nil || c.Services[service] == nil {
-		return ownConnections
+		return Share{ownConnections, ownConnections}
+	}
+	if v.Relay == nil || v.Quota == nil {
+		n := evenShare(c.Services[service].Connections, max(v.Fleet.Size(), 1), v.Fleet.Rank(), server.ID)
+		return Share{n, n}
+	}
+	dealt := v.dealt(service)
+	if !v.Fleet.Settled() {
+		// It would take itself for the only home.
+		n := evenShare(dealt, max(v.Fleet.Size(), 1), v.Fleet.Rank(), server.ID)
+		return Share{n, n}
 	}
-	limit := c.Services[service].Connections
-	if v.Relay != nil && v.Quota != nil {
-		dealt := v.dealt(service)
-		return max(int(float64(dealt)*v.homePart(c, server, dealt)), ownConnections)
+	part := v.homePart(c, server, dealt)
+	n := max(int(float64(dealt)*part), ownConnections)
+	if part == 0 && !v.Fleet.Proves(service) {
+		return Share{Open: n}
 	}
-	return evenShare(limit, max(v.Fleet.Size(), 1), v.Fleet.Rank(), server.ID)
+	return Share{n, n}
 }
 
 // dealt is how many connections to each server of a service homes have together.
--- a/internal/proxy/state.go
+++ b/internal/proxy/state.go
@@ -96,5 +96,5 @@
 	for _, l := range p.lines {
 		waiting += len(l.waiting)
 	}
-	return p.open, p.opening, p.Share(), waiting
+	return p.open, p.opening, p.Share().Open, waiting
 }
--- a/internal/proxy/vm.go
+++ b/internal/proxy/vm.go
@@ -49,7 +49,7 @@
 	metrics instruments
 
 	shareMu sync.Mutex
-	shares  map[ServerID]share
+	shares  map[ServerID]keptShare
 
 	mu       sync.Mutex
 	sessions map[*Session]bool
