Leave room for others beside transactions that rest

Change: a transaction that has waited for its caller for 200 ms doesn't count against the share, up to as many again (0.9 of a server's connections in all). Once as many rest as the share has, their workspaces begin no further one there and are told when one may end. Estimates of waits leave resting connections out.

--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -95,6 +95,8 @@
 	Workspace WorkspaceName
 
 	pool *Pool
+	// inTransaction is true between the statements of a transaction.
+	inTransaction bool
 	// values and plans are what stands on the server.
 	values map[string]string
 	plans  map[Plan]StatementName
--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -105,7 +105,16 @@
 }
 
 func (g *Group) newPool(s Server) *Pool {
-	return &Pool{Server: s, Connect: g.VM.Connect, Share: func() Share { return g.VM.share(g.Name, s) }}
+	return &Pool{
+		Server: s, Connect: g.VM.Connect,
+		Share: func() Share { return g.VM.share(g.Name, s) },
+		TransactionIdle: func() time.Duration {
+			if c := g.VM.Configuration(); c != nil {
+				return c.TransactionIdle
+			}
+			return 0
+		},
+	}
 }
 
 // believeList takes the lead from the servers' own word while nothing better is known;
--- a/internal/proxy/local.go
+++ b/internal/proxy/local.go
@@ -12,6 +12,23 @@
 
 func (l local) exec(p *profile, commands []Command, until time.Time) ([]Answer, error) {
 	c := l.conn
+	if _, begins := commands[0].(BeginAt); begins && len(commands) == 1 {
+		if err := c.pool.begins(c); err != nil {
+			return nil, err
+		}
+	}
+	if c.inTransaction {
+		c.pool.works(c)
+	}
+	answers, err := c.exec(p, commands, until)
+	c.inTransaction = err == nil && answers[len(answers)-1].Phase == InTransaction
+	if c.inTransaction {
+		c.pool.rest(c)
+	}
+	return answers, err
+}
+
+func (c *Conn) exec(p *profile, commands []Command, until time.Time) ([]Answer, error) {
 	// extra has, for each command, how many answers come before its own.
 	extra := make([]int, len(commands))
 	for i, command := range commands {
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -38,9 +38,12 @@
 	Connect Connect
 	// Share is how many connections this VM may have to the server at this moment.
 	Share func() Share
+	// TransactionIdle is how long a transaction may rest; nil for no bound.
+	TransactionIdle func() time.Duration
 
 	mu    sync.Mutex
 	lines map[WorkspaceName]*line
+	rests rests
 	// open counts all connections: idle, in use and being opened.
 	open, opening int
 	// handshake is how long opening takes, on average.
@@ -104,16 +107,22 @@
 // wait estimates how long one more request of a line would wait; p.mu is held.
 func (p *Pool) wait(l *line) time.Duration {
 	fresh := p.handshakeTime()*time.Duration(p.opening+1) + max(time.Until(p.notBefore), 0)
-	if l == nil || l.open == l.opening {
+	if l == nil || p.working(l) <= 0 {
 		if !p.roomy() && p.rested("") == nil {
 			fresh *= 2
 		}
 		return fresh
 	}
-	own := l.use * time.Duration(len(l.waiting)+1) / time.Duration(l.open)
+	own := l.use * time.Duration(len(l.waiting)+1) / time.Duration(p.working(l))
 	return min(own, fresh)
 }
 
+// working counts a line's connections that are open and don't rest; p.mu is held.
+func (p *Pool) working(l *line) int {
+	_, rest := p.rests.long(l.workspace.Name)
+	return l.open - l.opening - rest
+}
+
 func (p *Pool) handshakeTime() time.Duration {
 	if p.handshake == 0 {
 		return handshakeFirst
@@ -121,7 +130,16 @@
 	return p.handshake
 }
 
-func (p *Pool) roomy() bool { return p.open < p.Share().Open }
+func (p *Pool) roomy() bool {
+	share := p.Share().Open
+	return p.open < share+p.spare(share)
+}
+
+// crowded tells whether more connections are open than may rest; p.mu is held.
+func (p *Pool) crowded() bool {
+	share := p.Share()
+	return p.open > share.Rest+p.spare(share.Open)
+}
 
 func (p *Pool) line(w *Workspace) *line {
 	if p.lines == nil {
@@ -162,6 +180,9 @@
 	if l.opening == 0 {
 		time.AfterFunc(p.handshakeTime(), p.rebalance)
 	}
+	if len(p.rests) > 0 {
+		time.AfterFunc(restsLong, p.rebalance)
+	}
 	p.mu.Unlock()
 	timer := time.NewTimer(time.Until(deadline))
 	defer timer.Stop()
@@ -264,8 +285,8 @@
 // soon tells whether the line's own connections are likely free before a new one would
 // be open; p.mu is held.
 func (p *Pool) soon(l *line) bool {
-	own := l.open - l.opening
-	if own == 0 || l.use == 0 || time.Since(l.waiting[0].since) >= p.handshakeTime() {
+	own := p.working(l)
+	if own <= 0 || l.use == 0 || time.Since(l.waiting[0].since) >= p.handshakeTime() {
 		return false
 	}
 	return l.use*time.Duration(len(l.waiting))/time.Duration(own) < p.handshakeTime()
@@ -353,7 +374,7 @@
 		t.granted <- grant{conn: c}
 		return
 	}
-	if p.closed || p.open > p.Share().Rest {
+	if p.closed || p.crowded() {
 		p.forget(l)
 		c.Link.Close()
 		return
@@ -367,6 +388,7 @@
 func (p *Pool) Give(c *Conn, keep bool, took time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	delete(p.rests, c)
 	l := p.lines[c.Workspace]
 	l.use, l.usedAt = average(l.use, took), time.Now()
 	if !keep || p.closed || p.starving(l) {
@@ -397,7 +419,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for name, l := range p.lines {
-		for len(l.idle) > 0 && (p.open > p.Share().Rest || time.Since(l.idle[0].idleSince) > idleAtMost) {
+		for len(l.idle) > 0 && (p.crowded() || time.Since(l.idle[0].idleSince) > idleAtMost) {
 			p.closeIdle(l)
 		}
 		if l.open == 0 && len(l.waiting) == 0 && time.Since(l.usedAt) > idleAtMost {
--- a/internal/proxy/remote.go
+++ b/internal/proxy/remote.go
@@ -112,7 +112,7 @@
 	switch {
 	case err != nil:
 		h.lease.failed(err)
-		h.end(false)
+		h.end(notSent(err) && !b.Open)
 	case len(answers) == 0 || answers[len(answers)-1].Phase == Idle:
 		h.end(true)
 	}
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -131,7 +131,7 @@
 		if err == nil && a.Succeeded() {
 			return l, a
 		}
-		l.give(err == nil)
+		l.give(err == nil || notSent(err))
 		if refusal := s.leadFailed(ctx, op, l, a, err); !refusal.Succeeded() {
 			return nil, refusal
 		}
