--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 SEEDS ?= 10
 FROM ?= 1
 
-.PHONY: demo fleet soak test build lint generate protocol fuzz
+.PHONY: demo platform fleet soak test build lint generate protocol fuzz
 
 build:
 	mkdir -p bin
@@ -21,6 +21,10 @@
 demo:
 	script/demo.sh
 
+# Four VMs on the users' platform's protocol before stand-ins of it, a checked load, no faults.
+platform: build
+	./bin/savoryramp-soak
+
 # Nine VMs as processes, killed, paused, restarted and replaced under a checked load.
 fleet:
 	script/fleet.sh
--- /dev/null
+++ b/cmd/savoryramp-soak/main.go
@@ -0,0 +1,74 @@
+// Command savoryramp-soak runs VMs before stand-ins of the users' platform and checks what
+// their callers get.
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"slices"
+
+	"github.com/savoryramp/savoryramp/internal/soak"
+)
+
+func main() { os.Exit(execute(os.Args[1:], os.Stdout, os.Stderr)) }
+
+// execute gives the exit code: 0 all promises were kept, 1 one was broken or the run couldn't
+// be made, 2 the command line is wrong.
+func execute(arguments []string, out, errOut io.Writer) int {
+	o, err := parse(arguments)
+	if err != nil {
+		fmt.Fprintf(errOut, "savoryramp-soak: %s\n", err)
+		return 2
+	}
+	folder, err := os.MkdirTemp(o.Keep, "savoryramp-soak-")
+	if err != nil {
+		fmt.Fprintf(errOut, "savoryramp-soak: %s\n", err)
+		return 1
+	}
+	fmt.Fprintf(out, "%d VMs before three servers for %s, faults: %s, seed %d\n", o.VMs, o.Lasts, o.Faults, o.Seed)
+	s := &soak.Soak{
+		Binary: o.Binary, Folder: folder, Seed: o.Seed, VMs: o.VMs, Lasts: o.Lasts, Faults: o.Faults,
+		Network: os.Getpid() % networks,
+	}
+	report, err := s.Run()
+	if err != nil {
+		fmt.Fprintf(errOut, "savoryramp-soak: %s, logs in %s\n", err, folder)
+		return 1
+	}
+	tell(out, report)
+	if len(report.Broken) > 0 {
+		fmt.Fprintf(errOut, "savoryramp-soak: logs in %s\n", folder)
+		return 1
+	}
+	if o.Keep != "" {
+		fmt.Fprintf(out, "logs in %s\n", folder)
+		return 0
+	}
+	if err := os.RemoveAll(folder); err != nil {
+		fmt.Fprintf(errOut, "savoryramp-soak: %s\n", err)
+		return 1
+	}
+	return 0
+}
+
+// networks is how many runs may overlap on one machine's loopback addresses.
+const networks = 10000
+
+func tell(out io.Writer, report soak.Report) {
+	for _, f := range report.Faults {
+		fmt.Fprintf(out, "fault   %s\n", f)
+	}
+	var lines []string
+	for outcome, n := range report.Outcomes {
+		lines = append(lines, fmt.Sprintf("%-9s %7d", outcome, n))
+	}
+	slices.Sort(lines)
+	for _, l := range lines {
+		fmt.Fprintln(out, l)
+	}
+	for _, b := range report.Broken {
+		fmt.Fprintf(out, "BROKEN  %s\n", b)
+	}
+	fmt.Fprintf(out, "%d promises broken\n", len(report.Broken))
+}
--- /dev/null
+++ b/cmd/savoryramp-soak/options.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/joomcode/errorx"
+
+	"github.com/savoryramp/savoryramp/internal/soak"
+)
+
+var version = "0.2.0"
+
+const help = `Runs VMs before stand-ins of the users' platform and checks what their callers get.
+
+Starts the platform's store, three servers of one service and the VMs as processes on
+loopback addresses, lets callers read, write and run transactions, and checks their answers
+against the servers' logs: nothing lost, doubled or stale, no rate exceeded, no withdrawn key
+accepted. With --faults, connections are delayed, cut and silenced, and processes stopped,
+paused, killed and started meanwhile. Exits with 1 when a promise was broken.`
+
+// leastVMs leave one that serves when a fault has taken another.
+const leastVMs = 3
+
+var errMalformed = errorx.CommonErrors.NewType("malformed")
+
+// options are the command line and environment.
+type options struct {
+	// Binary is the path of savoryramp-vm.
+	Binary string
+	Seed   uint64
+	VMs    int
+	// Lasts is how long callers work.
+	Lasts  time.Duration
+	Faults soak.Faults
+	// Keep is the folder for settings and logs; empty for one that is removed.
+	Keep string
+}
+
+// parse reads the command line; an error of errMalformed.
+func parse(arguments []string) (options, error) {
+	var o options
+	var faults string
+	app := kingpin.New("savoryramp-soak", help).Version(version)
+	app.Flag("binary", "The VM's program.").Default("bin/savoryramp-vm").Envar("SAVORYRAMP_SOAK_BINARY").StringVar(&o.Binary)
+	app.Flag("seed", "What the faults are drawn by.").Default("1").Uint64Var(&o.Seed)
+	app.Flag("vms", "How many VMs run.").Default("4").IntVar(&o.VMs)
+	app.Flag("lasts", "How long callers work.").Default("10s").DurationVar(&o.Lasts)
+	app.Flag("faults", "Which faults come: none, planned or all.").Default(string(soak.NoFaults)).EnumVar(&faults, string(soak.NoFaults), string(soak.PlannedFaults), string(soak.AllFaults))
+	app.Flag("keep", "Folder in which the VMs' settings and logs are kept.").StringVar(&o.Keep)
+	if _, err := app.Parse(arguments); err != nil {
+		return options{}, errMalformed.Wrap(err, "command line")
+	}
+	o.Faults = soak.Faults(faults)
+	if o.VMs < leastVMs {
+		return options{}, errMalformed.New("--vms is %d, %d or more is expected", o.VMs, leastVMs)
+	}
+	if o.Lasts <= 0 {
+		return options{}, errMalformed.New("--lasts is %s, a time above 0 is expected", o.Lasts)
+	}
+	return o, nil
+}
--- a/internal/caller/alloc_test.go
+++ b/internal/caller/alloc_test.go
@@ -234,3 +234,15 @@
 		})
 	}
 }
+
+// BenchmarkStatement is a read of one row through the proxy, with what the process
+// allocates for it. The same of the other protocol stands beside it in ./platform.
+func BenchmarkStatement(b *testing.B) {
+	c, _ := startPumped(b, 1, 10)
+	query := encode(&pgproto3.Query{String: "SELECT one"})
+	c.ask(b, query)
+	b.ReportAllocs()
+	for b.Loop() {
+		c.ask(b, query)
+	}
+}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -77,7 +77,7 @@
 	if ran := s.ledger.Ran(id); ran != "" && ran != workspace {
 		s.broken("a request runs for its key's workspace", "%s of %s ran for %s", id, workspace, ran)
 	}
-	if s.Planned && a.Outcome == standin.Cut && s.ledger.Ran(id) != "" {
+	if s.Faults != AllFaults && a.Outcome == standin.Cut && s.ledger.Ran(id) != "" {
 		s.broken("planned work cuts no request", "%s %s at %s: %s", id, text, p.name, a.Text)
 	}
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -33,9 +33,10 @@
 	Binary, Folder string
 	Seed           uint64
 	VMs            int
-	// Lasts is how long faults come; Planned draws only those that may cut no request.
-	Lasts   time.Duration
-	Planned bool
+	// Lasts is how long callers work and faults come.
+	Lasts time.Duration
+	// Faults that are drawn.
+	Faults Faults
 	// Network is the third byte of the VMs' loopback addresses, so that runs may overlap.
 	Network int
 	Log     io.Writer
@@ -56,6 +57,16 @@
 	document standin.Document
 }
 
+// Faults says which faults a run draws.
+type Faults string
+
+// The kinds of faults; planned ones may cut no request.
+const (
+	AllFaults     Faults = "all"
+	PlannedFaults Faults = "planned"
+	NoFaults      Faults = "none"
+)
+
 // Report is what a run showed.
 type Report struct {
 	Faults []string
@@ -216,9 +227,13 @@
 	// At the start, so that the run is still on when the key must have stopped.
 	s.pause(firstPause)
 	names = append(names, "withdraw a key: "+s.withdraw())
+	if s.Faults == NoFaults {
+		s.pause(s.Lasts)
+		return names
+	}
 	for time.Since(began) < s.Lasts {
 		f := faults[r.IntN(len(faults))]
-		for s.Planned && !f.planned {
+		for s.Faults == PlannedFaults && !f.planned {
 			f = faults[r.IntN(len(faults))]
 		}
 		lasts := time.Duration(300+r.IntN(3000)) * time.Millisecond
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -56,7 +56,10 @@
 func soakOnce(t *testing.T, binary string, seed uint64, network int) {
 	folder, err := os.MkdirTemp(*keep, fmt.Sprintf("soak-%d-", seed))
 	assert.Check(t, err)
-	s := &Soak{Binary: binary, Folder: folder, Seed: seed, VMs: *vms, Lasts: *lasts, Planned: seed%4 == 0, Network: network % 10000}
+	s := &Soak{Binary: binary, Folder: folder, Seed: seed, VMs: *vms, Lasts: *lasts, Faults: AllFaults, Network: network % 10000}
+	if seed%4 == 0 {
+		s.Faults = PlannedFaults
+	}
 	report, err := s.Run()
 	assert.Check(t, err)
 	t.Logf("seed %d: %v", seed, report.Outcomes)
