Give back the rate of operations that no server has seen

Change: an operation that is refused without a statement having reached a server gives its token back. Anything that may have run keeps it.

The new test fails without the change in all three cases.

--- a/internal/proxy/lease.go
+++ b/internal/proxy/lease.go
@@ -58,7 +58,9 @@
 
 // forward runs the caller's statement on a log that covers floor; zero for no demand.
 func (l *lease) forward(s *Session, op *operation, floor position.Position, until time.Time) (Answer, error) {
-	return l.run(&s.profile, Forward{ID: op.request.ID, Statement: op.request.Statement, Floor: floor}, until)
+	a, err := l.run(&s.profile, Forward{ID: op.request.ID, Statement: op.request.Statement, Floor: floor}, until)
+	op.sent = op.sent || !notSent(err)
+	return a, err
 }
 
 // beginAt opens a transaction at the server.
--- a/internal/proxy/rig_test.go
+++ b/internal/proxy/rig_test.go
@@ -102,7 +102,10 @@
 }
 
 // play runs a test in a bubble with a VM and servers a (the primary), b and c.
-func play(t *testing.T, test func(r *rig)) {
+func play(t *testing.T, test func(r *rig)) { playWith(t, func(*VM) {}, test) }
+
+// playWith is play with a VM that was changed before it runs.
+func playWith(t *testing.T, change func(*VM), test func(r *rig)) {
 	synctest.Test(t, func(t *testing.T) {
 		defer clock.Fake(func() clock.Instant { return clock.Instant(time.Now().UnixNano()) })()
 		r := &rig{t: t, between: &between{}, servers: map[ServerID]*memServer{}, lead: "a", term: 1, handshake: 10 * time.Millisecond}
@@ -112,6 +115,7 @@
 			listed = append(listed, Server{ID: id, Service: testService, Address: Address(id), Slots: 2, Zone: AvailabilityZone(id), Primary: id == "a"})
 		}
 		r.vm = &VM{Name: "vm", Zone: "b", Connect: r.connect, Fleet: solo{1}, Relay: r.between, Logger: log.NewNopLogger()}
+		change(r.vm)
 		r.vm.List(listed)
 		r.vm.Configure(testConfiguration(1), "test")
 		r.ctx, r.cancel = context.WithCancel(context.Background())
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -63,6 +63,8 @@
 	// deadline of the statement.
 	deadline time.Time
 	request  Request
+	// sent is true once a statement may have reached a server.
+	sent bool
 }
 
 func (s *Session) run(ctx context.Context) {
@@ -269,12 +271,12 @@
 		return overRate(op.workspace, wait)
 	}
 	if op.group == nil {
-		return Answer{Failure: Busy, Detail: "service has no servers yet"}
+		return s.vm.refund(op, Answer{Failure: Busy, Detail: "service has no servers yet"})
 	}
 	if writes {
-		return s.write(ctx, op)
+		return s.vm.refund(op, s.write(ctx, op))
 	}
-	return s.read(ctx, op)
+	return s.vm.refund(op, s.read(ctx, op))
 }
 
 func overRate(w *Workspace, wait time.Duration) Answer {
--- a/internal/proxy/session_test.go
+++ b/internal/proxy/session_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/savoryramp/savoryramp/pkg/position"
+	"github.com/savoryramp/savoryramp/pkg/quota"
 )
 
 // settle lets the VM prove its primary.
@@ -377,3 +378,46 @@
 		c.Close()
 	})
 }
+
+// A burst meets servers that take no connections: what was refused without being sent
+// takes nothing off the workspace's rate.
+func TestRefusedRequestsTakeNoRate(t *testing.T) {
+	tests := map[string]func(c *client) Answer{
+		"a write": func(c *client) Answer { return c.do(write("1")) },
+		"a read":  func(c *client) Answer { return c.do(read("1")) },
+		"a transaction": func(c *client) Answer {
+			if a := c.do(Begin{}); !a.Succeeded() {
+				return a
+			}
+			a := c.do(write("1"))
+			c.do(Rollback{})
+			return a
+		},
+	}
+	for name, ask := range tests {
+		t.Run(name, func(t *testing.T) {
+			limiter := &quota.Limiter{Now: func() time.Duration { return time.Hour }, Size: func() int { return 1 }}
+			playWith(t, func(vm *VM) { vm.Quota = limiter }, func(r *rig) {
+				settle()
+				w := r.vm.Configuration().Workspaces["amman"]
+				w.Rate, w.Burst = 1, 2
+				for id := range r.servers {
+					r.on(id, func(s *memServer) { s.limit = 1 })
+				}
+				for _, m := range r.vm.group(testService).list() {
+					m.pool.Drop()
+				}
+				for id := range r.servers {
+					r.on(id, func(s *memServer) { s.open = s.limit })
+				}
+				c := r.call(testDatabase)
+				for range 20 {
+					a := ask(c)
+					assert.Equal(t, a.Failure, Busy)
+					assert.Assert(t, !strings.Contains(a.Detail, "over its rate"), "%s", a.Detail)
+				}
+				c.Close()
+			})
+		})
+	}
+}
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -72,7 +72,7 @@
 	}
 	if a := s.open(ctx, op); !a.Succeeded() {
 		s.breakTransaction()
-		return a
+		return s.vm.refund(op, a)
 	}
 	l := s.tx.lease
 	until := op.deadline
@@ -175,7 +175,7 @@
 	}
 	if a := s.open(ctx, op); !a.Succeeded() {
 		s.tx = nil
-		return a
+		return s.vm.refund(op, a)
 	}
 	tx, l := s.tx, s.tx.lease
 	s.tx = nil
--- a/internal/proxy/vm.go
+++ b/internal/proxy/vm.go
@@ -264,6 +264,14 @@
 	return wait, !admitted
 }
 
+// refund gives back what admit took for an operation that no server has seen.
+func (v *VM) refund(op *operation, a Answer) Answer {
+	if !a.Succeeded() && !op.sent && v.Quota != nil && op.workspace.Rate > 0 {
+		v.Quota.Refund(string(op.workspace.Name))
+	}
+	return a
+}
+
 const (
 	// typicalFirst is taken for a route's statement time before one was measured.
 	typicalFirst = 20 * time.Millisecond
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -97,6 +97,15 @@
 	return time.Duration(math.Ceil((1 - b.tokens) / refill * float64(time.Second))), false
 }
 
+// Refund takes an admission back whose operation wasn't run after all.
+func (l *Limiter) Refund(workspace string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if b := l.buckets[workspace]; b != nil {
+		b.tokens++
+	}
+}
+
 // bucket gives the workspace's bucket with its demand brought up to date; l.mu is held.
 func (l *Limiter) bucket(workspace string, now time.Duration) *bucket {
 	if l.buckets == nil {
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -265,3 +265,20 @@
 	}
 	assert.Assert(t, admitted <= int(burst), "%d admitted of a burst of %v over nine VMs", admitted, burst)
 }
+
+// What is refunded can be used again, and no more than that.
+func TestRefund(t *testing.T) {
+	l := newFleet(1).limiters[0]
+	admitted := 0
+	for {
+		if _, ok := l.Admit("w", rate, burst); !ok {
+			break
+		}
+		admitted++
+	}
+	l.Refund("w")
+	_, ok := l.Admit("w", rate, burst)
+	assert.Assert(t, ok)
+	_, ok = l.Admit("w", rate, burst)
+	assert.Assert(t, !ok, "%d were admitted before", admitted)
+}
