--- a/internal/heartbeat/heartbeat.go
+++ b/internal/heartbeat/heartbeat.go
@@ -10,7 +10,6 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net"
-	"slices"
 	"sync"
 	"time"
 
@@ -42,54 +41,6 @@
 	maxBeat = 64 << 10
 )
 
-// Name names a VM.
-type Name string
-
-// Beat is what a VM says of itself.
-type Beat struct {
-	VM Name `json:"vm"`
-	// Incarnation is drawn at each start.
-	Incarnation uint32 `json:"incarnation"`
-	Address     string `json:"address"`
-	Zone        string `json:"zone,omitempty"`
-	// Capacity is the VM's part of a core, for dealing out work.
-	Capacity float64 `json:"capacity,omitempty"`
-	// Link is the width of the VM's link in Mbit/s.
-	Link float64 `json:"link,omitempty"`
-	// Configuration is the version in force.
-	Configuration int64 `json:"configuration,omitempty"`
-	// Urgent beats are to be heard in other zones at once, too.
-	Urgent bool `json:"urgent,omitempty"`
-	// Leaving VMs end soon.
-	Leaving bool `json:"leaving,omitempty"`
-	// Demand is operations a second by workspace.
-	Demand map[string]float64 `json:"demand,omitempty"`
-	// Leads by group; only those that fail or were replaced lately.
-	Leads map[string]Lead `json:"leads,omitempty"`
-	// Digest, in place of the rest, is what a zone's scout says of its zone.
-	Digest *Digest `json:"digest,omitempty"`
-	// Note, in place of the rest, is for VMs of the zone.
-	Note json.RawMessage `json:"note,omitempty"`
-}
-
-// Digest is what a zone's VMs say, for other zones.
-type Digest struct {
-	Zone string `json:"zone"`
-	// Beats of the zone's live VMs, without their demand.
-	Beats []Beat `json:"beats"`
-	// Demand of all of them.
-	Demand map[string]float64 `json:"demand,omitempty"`
-	// Passed digests have been passed on within the zone that they came to.
-	Passed bool `json:"passed,omitempty"`
-}
-
-// Lead is what a VM says of a group's primary.
-type Lead struct {
-	Server  string `json:"server,omitempty"`
-	Term    int64  `json:"term,omitempty"`
-	Failing bool   `json:"failing,omitempty"`
-}
-
 // Directory is where VMs that start find the others.
 type Directory interface {
 	Register(ctx context.Context, vm Name, address string) error
@@ -137,18 +88,6 @@
 	among     map[string]among
 }
 
-type peer struct {
-	address string
-	// heard is zero for one known from the directory only.
-	heard clock.Instant
-	// added is when it was first known.
-	added clock.Instant
-	beat  Beat
-	live  bool
-	// far peers are heard of in digests only.
-	far bool
-}
-
 var (
 	eventPeer = event.Define(5101, "heartbeat-peer", event.Info,
 		"Another VM began to be heard, fell silent, or said that it ends.")
@@ -370,74 +309,6 @@
 	f.send(own, []string{address})
 }
 
-// Peer is another VM as this one hears it.
-type Peer struct {
-	Beat
-	// Silent VMs were heard of lately but not at present.
-	Silent bool
-}
-
-// Peers lists the other VMs that live or fell silent lately, by name.
-func (f *Fleet) Peers() []Peer {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var list []Peer
-	for name, p := range f.peers {
-		b := p.beat
-		b.VM, b.Address = name, p.address
-		list = append(list, Peer{Beat: b, Silent: !p.live})
-	}
-	slices.SortFunc(list, func(a, b Peer) int {
-		if a.VM < b.VM {
-			return -1
-		}
-		return 1
-	})
-	return list
-}
-
-// Size counts the VMs that live, this one included.
-func (f *Fleet) Size() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	n := 1
-	for _, p := range f.peers {
-		if p.counts(f.began) {
-			n++
-		}
-	}
-	return n
-}
-
-// counts tells whether the peer is taken for live: also while it was only listed and
-// this VM has hardly begun to listen.
-func (p *peer) counts(began clock.Instant) bool {
-	return p.live && !p.beat.Leaving || p.heard == 0 && clock.Since(began) < liveFor
-}
-
-// Rank is this VM's place by name among those that live, from 0.
-func (f *Fleet) Rank() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	n := 0
-	for name, p := range f.peers {
-		if p.counts(f.began) && name < f.VM {
-			n++
-		}
-	}
-	return n
-}
-
-// Silence is how long this VM has heard no other; zero if it knows of none.
-func (f *Fleet) Silence() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !f.met {
-		return 0
-	}
-	return clock.Since(f.heardAt)
-}
-
 // settleFor is how long a VM that starts listens before it takes callers: each other VM
 // answers a first beat at once.
 const settleFor = 400 * time.Millisecond
--- /dev/null
+++ b/internal/heartbeat/peer.go
@@ -0,0 +1,88 @@
+package heartbeat
+
+import (
+	"slices"
+	"time"
+
+	"github.com/savoryramp/savoryramp/internal/clock"
+)
+
+type peer struct {
+	address string
+	// heard is zero for one known from the directory only.
+	heard clock.Instant
+	// added is when it was first known.
+	added clock.Instant
+	beat  Beat
+	live  bool
+	// far peers are heard of in digests only.
+	far bool
+}
+
+// Peer is another VM as this one hears it.
+type Peer struct {
+	Beat
+	// Silent VMs were heard of lately but not at present.
+	Silent bool
+}
+
+// Peers lists the other VMs that live or fell silent lately, by name.
+func (f *Fleet) Peers() []Peer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []Peer
+	for name, p := range f.peers {
+		b := p.beat
+		b.VM, b.Address = name, p.address
+		list = append(list, Peer{Beat: b, Silent: !p.live})
+	}
+	slices.SortFunc(list, func(a, b Peer) int {
+		if a.VM < b.VM {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
+
+// Size counts the VMs that live, this one included.
+func (f *Fleet) Size() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 1
+	for _, p := range f.peers {
+		if p.counts(f.began) {
+			n++
+		}
+	}
+	return n
+}
+
+// counts tells whether the peer is taken for live: also while it was only listed and
+// this VM has hardly begun to listen.
+func (p *peer) counts(began clock.Instant) bool {
+	return p.live && !p.beat.Leaving || p.heard == 0 && clock.Since(began) < liveFor
+}
+
+// Rank is this VM's place by name among those that live, from 0.
+func (f *Fleet) Rank() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for name, p := range f.peers {
+		if p.counts(f.began) && name < f.VM {
+			n++
+		}
+	}
+	return n
+}
+
+// Silence is how long this VM has heard no other; zero if it knows of none.
+func (f *Fleet) Silence() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.met {
+		return 0
+	}
+	return clock.Since(f.heardAt)
+}
