Name commands by a letter between VMs, and tell builds apart

A statement's message to another VM was 196 bytes for a text of 8, half of it the full names of two Go types.

Change: commands and statements go under names of one or two letters. Since builds would misread each other, a VM tells the version of these messages in its heartbeats, and statements go only to VMs of the same; without one there, over an own connection.

TestBatchIsSmall: 196 bytes before, under 100 after (its bound).

--- a/cmd/savoryramp-vm/daemon.go
+++ b/cmd/savoryramp-vm/daemon.go
@@ -224,7 +224,7 @@
 // fill says in a heartbeat what this VM has to say.
 func (d *daemon) fill(b *heartbeat.Beat) {
 	b.Leaving, b.Demand, b.Leads, b.Configuration = d.vm.Draining(), d.quota.Tell(), d.vm.Leads(), d.version()
-	b.Capacity = d.Settings.Cores
+	b.Capacity, b.Relay = d.Settings.Cores, relay.Version
 	d.toldVersion.Store(b.Configuration)
 }
 
--- a/internal/heartbeat/beat.go
+++ b/internal/heartbeat/beat.go
@@ -14,6 +14,8 @@
 	Zone        string `json:"zone,omitempty"`
 	// Capacity is the VM's part of a core, for dealing out work.
 	Capacity float64 `json:"capacity,omitempty"`
+	// Relay is the version of the protocol in which the VM takes statements from others.
+	Relay int `json:"relay,omitempty"`
 	// Link is the width of the VM's link in Mbit/s.
 	Link float64 `json:"link,omitempty"`
 	// Configuration is the version in force.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -29,24 +29,32 @@
 	"github.com/savoryramp/savoryramp/internal/socket"
 )
 
+// Version is that of the messages between VMs. It rises with each change of them, so that
+// VMs of two builds don't send each other statements while one replaces the other.
+const Version = 2
+
+// names are what ways call the commands and statements, which are sent with each of them:
+// one letter or two, since the bytes between zones are paid for.
+var names = map[string]any{
+	"f":  proxy.Forward{},
+	"b":  proxy.BeginAt{},
+	"a":  proxy.Abandon{},
+	"rs": proxy.Reset{},
+	"as": proxy.Assign{},
+	"p":  proxy.Plant{},
+	"s":  proxy.AskStatus{},
+	"d":  proxy.Demote{},
+	"h":  proxy.Hold{},
+	"u":  proxy.Unhold{},
+	"r":  proxy.Read{},
+	"w":  proxy.Write{},
+	"x":  proxy.Execute{},
+	"c":  proxy.Commit{},
+}
+
 func init() {
-	for _, one := range []any{
-		proxy.Forward{},
-		proxy.BeginAt{},
-		proxy.Abandon{},
-		proxy.Reset{},
-		proxy.Assign{},
-		proxy.Plant{},
-		proxy.AskStatus{},
-		proxy.Demote{},
-		proxy.Hold{},
-		proxy.Unhold{},
-		proxy.Read{},
-		proxy.Write{},
-		proxy.Execute{},
-		proxy.Commit{},
-	} {
-		gob.Register(one)
+	for name, one := range names {
+		gob.RegisterName(name, one)
 	}
 }
 
@@ -171,7 +179,7 @@
 	}
 	for _, p := range r.zones[s.Zone] {
 		known := r.peers[proxy.Address(p.Address)]
-		if p.Silent || p.Leaving || known != nil && now.Before(known.avoidUntil) {
+		if p.Silent || p.Leaving || p.Relay != Version || known != nil && now.Before(known.avoidUntil) {
 			continue
 		}
 		list = append(list, candidate{name: string(p.VM), address: proxy.Address(p.Address), size: p.Capacity})
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/gob"
 	"fmt"
@@ -185,3 +186,40 @@
 		assert.Assert(t, float64(counts[vm]) > 0.9*want && float64(counts[vm]) < 1.1*want, "%s: %d of %.0f", vm, counts[vm], want)
 	}
 }
+
+// A statement's way between zones costs little more than what it says.
+func TestBatchIsSmall(t *testing.T) {
+	const text = "READ 1a4"
+	var out bytes.Buffer
+	encoder := gob.NewEncoder(&out)
+	batch := proxy.Batch{
+		Service: "ledger", Server: "i-7f3a91c2", Workspace: "amman", Profiled: true, Within: time.Second,
+		Commands: []proxy.Command{proxy.Forward{
+			ID: "5c0e7a21d94b36f8", Statement: proxy.Read{Text: text}, Floor: position.Position{Term: 3, Offset: 1207},
+		}},
+	}
+	for range 2 {
+		out.Reset()
+		assert.NilError(t, encoder.Encode(batch))
+	}
+	assert.Assert(t, out.Len() <= 100, "%d bytes for a statement of %d", out.Len(), len(text))
+}
+
+// While a build replaces another, statements go to VMs of the own build only.
+func TestOtherBuildIsNoHome(t *testing.T) {
+	for name, test := range map[string]struct {
+		version int
+		want    proxy.Address
+	}{
+		"the same":   {Version, "10.0.0.2:1"},
+		"another":    {Version + 1, ""},
+		"one before": {0, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := &Relay{VM: &proxy.VM{Name: "own", Zone: "z"}, Capacity: 1e-9}
+			other := heartbeat.Beat{VM: "other", Address: "10.0.0.2:1", Capacity: 1e9, Relay: test.version}
+			r.zones = map[proxy.AvailabilityZone][]heartbeat.Peer{"z": {{Beat: other}}}
+			assert.Equal(t, r.choose(proxy.Server{ID: "i-1", Zone: "z"}, "amman", 8, time.Now()), test.want)
+		})
+	}
+}
