Use a primary only while most VMs can, where a promotion doesn't depose it

A primary is cut from the platform, its replicas and six VMs; these promote another. The three that still reach the old one get its proofs, reads and acknowledged commits: such a platform's promotion doesn't reach it. On the sites as they are it is deposed at once. The watchers' reports didn't stop them either, since those that had given the primary up without knowing the next weren't counted.

Reports from VMs that know no primary count everywhere.

--- a/cmd/savoryramp-vm/daemon.go
+++ b/cmd/savoryramp-vm/daemon.go
@@ -114,7 +114,11 @@
 	d.add(d.fleet.Run)
 	d.add(d.operator.Run)
 	d.add((&platform.Listing{Store: d.store, List: d.list, Hurry: d.vm.Seeking, Others: d.othersList, Ask: d.askServers, Logger: d.logger}).Run)
-	d.add((&proxy.Failover{VM: d.vm, Fleet: d.fleet, Promotions: d.promoter, Logger: d.logger}).Run)
+	f := &proxy.Failover{VM: d.vm, Fleet: d.fleet, Promotions: d.promoter, Fenced: s.Fenced, Logger: d.logger}
+	if !s.Fenced {
+		d.vm.Endorsed = f.Endorsed
+	}
+	d.add(f.Run)
 	return d.listen()
 }
 
--- a/internal/heartbeat/peer.go
+++ b/internal/heartbeat/peer.go
@@ -24,6 +24,8 @@
 	Beat
 	// Silent VMs were heard of lately but not at present.
 	Silent bool
+	// Age is how long ago the beat came; it also counts this VM's suspensions.
+	Age time.Duration
 }
 
 // Peers lists the other VMs that live or fell silent lately, by name.
@@ -34,7 +36,7 @@
 	for name, p := range f.peers {
 		b := p.beat
 		b.VM, b.Address = name, p.address
-		list = append(list, Peer{Beat: b, Silent: !p.live})
+		list = append(list, Peer{Beat: b, Silent: !p.live, Age: clock.Since(p.heard)})
 	}
 	slices.SortFunc(list, func(a, b Peer) int {
 		if a.VM < b.VM {
--- a/internal/heartbeat/zone.go
+++ b/internal/heartbeat/zone.go
@@ -24,6 +24,13 @@
 // zoned tells whether the fleet is so large that zones exchange digests; f.mu is held.
 func (f *Fleet) zoned() bool { return len(f.peers) >= meshMost }
 
+// Zoned tells whether VMs hear most others in digests only.
+func (f *Fleet) Zoned() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.zoned()
+}
+
 // liveFor is how long a silent VM counts as live; f.mu is held.
 func (f *Fleet) liveFor(p *peer) time.Duration {
 	if p.far || f.zoned() && p.beat.Zone != f.Zone {
--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -35,4 +35,6 @@
 		"A primary that leaves was told to take no more writes, and how far its log came.")
 	eventRelay = event.Define(6017, "proxy-relay", event.Warn,
 		"The VM that holds connections to a server can't be reached; this one uses its own.")
+	eventEndorsed = event.Define(6018, "proxy-endorsed", event.Warn,
+		"Whether most VMs can use the primary changed, as this VM hears them; while they can't, it isn't used.")
 )
--- a/internal/proxy/failover.go
+++ b/internal/proxy/failover.go
@@ -55,12 +55,18 @@
 	VM         *VM
 	Fleet      *heartbeat.Fleet
 	Promotions Promotions
-	Logger     log.Logger
+	// Fenced platforms depose a primary by promoting another. Where they don't, VMs use a
+	// primary only while it is endorsed.
+	Fenced bool
+	Logger log.Logger
 
 	mu sync.Mutex
 	// standing has since when a group's verdict has stood.
 	standing map[ServiceName]standing
 	tasks    sync.WaitGroup
+
+	endorseMu    sync.Mutex
+	endorsements map[ServiceName]endorsement
 }
 
 type standing struct {
@@ -97,7 +103,8 @@
 	if !proves {
 		return
 	}
-	view := g.view(peers, provers)
+	view := g.view(peers, proves, provers)
+	view.Fence = f.fence()
 	verdict, wait := view.Verdict(), view.Wait()
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -157,7 +157,9 @@
 	if p.IsZero() {
 		return
 	}
-	g.Samples.Add(freshness.Instant(sent), p)
+	if g.endorsed() {
+		g.Samples.Add(freshness.Instant(sent), p)
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if p.Term < g.term {
@@ -196,9 +198,13 @@
 // by then. ErrNoServer.
 func (g *Group) awaitLead(ctx context.Context, deadline time.Time) (*member, error) {
 	for waited := false; ; waited = true {
+		endorsed := g.endorsed()
 		g.mu.Lock()
 		m, changed := g.members[g.lead], g.changed
 		since, failed, absent := g.absence()
+		if !absent && !endorsed {
+			since, failed, absent = clock.Now(), true, true
+		}
 		left := g.VM.outages.left(failed, clock.Since(since))
 		g.mu.Unlock()
 		if !absent {
--- a/internal/proxy/opinion.go
+++ b/internal/proxy/opinion.go
@@ -14,10 +14,10 @@
 const Provers = 9
 
 // view is what this VM's decision on the group rests on.
-func (g *Group) view(peers []heartbeat.Peer, provers map[heartbeat.Name]bool) failover.View {
+func (g *Group) view(peers []heartbeat.Peer, proves bool, provers map[heartbeat.Name]bool) failover.View {
 	own := g.opinion()
 	v := failover.View{
-		VM: string(g.VM.Name), Group: string(g.Name),
+		VM: string(g.VM.Name), Group: string(g.Name), Watches: proves,
 		Own: failover.Opinion{VM: string(g.VM.Name), Primary: own.Server, Failing: own.Failing},
 	}
 	g.mu.Lock()
@@ -57,12 +57,13 @@
 func (v *VM) Heard(b heartbeat.Beat) {
 	for name, lead := range b.Leads {
 		g := v.group(ServiceName(name))
-		if g == nil || lead.Server == "" {
+		if g == nil {
 			continue
 		}
 		g.mu.Lock()
-		if lead.Failing {
-			if ServerID(lead.Server) == g.lead {
+		if lead.Failing || lead.Server == "" {
+			// One that has given the primary up without knowing another counts as well.
+			if lead.Failing && (lead.Server == "" || ServerID(lead.Server) == g.lead) {
 				g.reports[string(b.VM)] = clock.Now()
 			}
 			g.mu.Unlock()
--- a/internal/proxy/single.go
+++ b/internal/proxy/single.go
@@ -29,14 +29,18 @@
 			return nil, Answer{Failure: Busy, Detail: err.Error()}
 		}
 		l, err := op.group.take(ctx, m, op.workspace, op.deadline)
-		if err == nil {
+		if err == nil && op.group.endorsed() {
 			return l, done
 		}
+		if err == nil {
+			l.give(true)
+			err = ErrNoServer.New("service %s: most VMs can't use the primary", op.group.Name)
+		}
 		eventRetry.Log(s.vm.Logger, "request", op.request.ID, "server", m.pool.Server.ID, "err", err)
 		if isType(err, ErrBusy) {
 			return nil, Answer{Failure: Busy, Detail: err.Error()}
 		}
-		if !isType(err, ErrRefused) {
+		if !isType(err, ErrRefused) && !isType(err, ErrNoServer) {
 			op.group.failed(m.pool.Server.ID, err, true)
 		}
 		if time.Until(op.deadline) < 2*retryPause {
@@ -118,7 +122,11 @@
 		}
 		until := s.attemptUntil(op)
 		floor, a, err := l.prove(until)
-		if err == nil && a.Succeeded() {
+		switch {
+		case err != nil || !a.Succeeded():
+		case !op.group.endorsed():
+			a = Answer{Failure: Busy, Detail: "most VMs can't use the primary", Phase: Idle}
+		default:
 			a, err = l.forward(s, op, floor, until)
 		}
 		if err == nil && a.Succeeded() {
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -177,6 +177,11 @@
 		s.tx = nil
 		return s.vm.refund(op, a)
 	}
+	if s.tx.wrote && !op.group.endorsed() {
+		s.breakTransaction()
+		s.broken = false
+		return Answer{Failure: Aborted, Detail: "most VMs can't use the primary"}
+	}
 	tx, l := s.tx, s.tx.lease
 	s.tx = nil
 	for {
--- a/internal/proxy/vm.go
+++ b/internal/proxy/vm.go
@@ -38,6 +38,9 @@
 	// Isolated tells since when the VM can have heard of a withdrawn key neither from the
 	// platform nor from another VM; zero while it can. Nil where that isn't known.
 	Isolated func() time.Duration
+	// Endorsed tells whether a group's primary may be used; nil where a promotion itself
+	// deposes the primary before.
+	Endorsed func(ServiceName) bool
 
 	configuration atomic.Pointer[Configuration]
 	draining      atomic.Bool
--- a/pkg/failover/failover.go
+++ b/pkg/failover/failover.go
@@ -34,6 +34,11 @@
 	// Leaving primaries have said that they end; Unlisted ones are no longer known to
 	// the platform.
 	Leaving, Unlisted bool
+	// Watches tells whether this VM is one of those whose opinions count.
+	Watches bool
+	// Fence is how long all VMs need to stop using a primary that most can't use. It is zero
+	// where a promotion itself deposes the one before.
+	Fence time.Duration
 }
 
 // Verdict is what is to be done.
@@ -60,6 +65,25 @@
 	return Keep
 }
 
+// Endorsed tells whether more than half of the VMs that were heard of lately are heard now
+// and can use the same primary. While that is so, none has been put in its place: a majority
+// that can't use it waits for Fence, and two majorities share a VM.
+func (v View) Endorsed() bool {
+	all, can := len(v.Others), 0
+	if v.Watches {
+		all++
+		if !v.Own.Failing {
+			can++
+		}
+	}
+	for _, o := range v.Others {
+		if !o.Silent && !o.Failing && o.Primary == v.Own.Primary {
+			can++
+		}
+	}
+	return 2*can > all
+}
+
 // agreeing are the VMs that can't use the primary, this one included.
 func (v View) agreeing() []string {
 	list := []string{v.VM}
@@ -91,7 +115,7 @@
 		}
 	}
 	if v.Own.Failing {
-		return time.Duration(rank) * replaceTurn
+		return v.Fence + time.Duration(rank)*replaceTurn
 	}
 	return time.Duration(rank) * handOverTurn
 }
--- a/pkg/failover/failover_test.go
+++ b/pkg/failover/failover_test.go
@@ -1,10 +1,12 @@
 package failover
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 )
 
 // fleet is a view from "a" of nine VMs, of which so many others fail to use the primary
@@ -121,3 +123,61 @@
 		})
 	}
 }
+
+func TestEndorsed(t *testing.T) {
+	can := Opinion{Primary: "a"}
+	cannot := Opinion{Primary: "a", Failing: true}
+	silent := Opinion{Primary: "a", Silent: true}
+	other := Opinion{Primary: "b"}
+	for name, test := range map[string]struct {
+		own     Opinion
+		watches bool
+		others  []Opinion
+		want    bool
+	}{
+		"alone":                                 {own: can, watches: true, want: true},
+		"all can":                               {own: can, watches: true, others: []Opinion{can, can}, want: true},
+		"most can":                              {own: can, watches: true, others: []Opinion{can, cannot}, want: true},
+		"half can":                              {own: can, watches: true, others: []Opinion{can, cannot, cannot}},
+		"cut off with the primary":              {own: can, watches: true, others: []Opinion{silent, silent}},
+		"others have another":                   {own: can, watches: true, others: []Opinion{other, other}},
+		"one that can't itself, while most can": {own: cannot, watches: true, others: []Opinion{can, can}, want: true},
+		"one that doesn't watch":                {own: can, others: []Opinion{can, can, cannot}, want: true},
+		"one that doesn't watch hears nobody":   {own: can, others: []Opinion{silent, silent, silent}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			test.own.Primary = "a"
+			v := View{VM: "own", Own: test.own, Watches: test.watches, Others: test.others}
+			assert.Equal(t, v.Endorsed(), test.want)
+		})
+	}
+}
+
+// However VMs hear one another, none may use a primary that another is about to replace:
+// each VM says one thing, and hears any part of the others.
+func TestNoMajorityBothEndorsesAndReplaces(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		size := rapid.IntRange(1, 9).Draw(r, "size")
+		fails := rapid.SliceOfN(rapid.Bool(), size, size).Draw(r, "fails")
+		var endorsed, replaces bool
+		for i := range size {
+			v := View{VM: fmt.Sprint(i), Watches: true, Own: Opinion{VM: fmt.Sprint(i), Primary: "a", Failing: fails[i]}}
+			for j := range size {
+				if i != j {
+					heard := rapid.IntRange(0, 9).Draw(r, "heard") > 0
+					v.Others = append(v.Others, Opinion{VM: fmt.Sprint(j), Primary: "a", Failing: fails[j], Silent: !heard})
+				}
+			}
+			endorsed = endorsed || v.Endorsed()
+			replaces = replaces || v.Verdict() == Replace
+		}
+		assert.Assert(t, !endorsed || !replaces)
+	})
+}
+
+func TestFenceComesBeforeTheTurn(t *testing.T) {
+	v := View{VM: "own", Group: "g", Watches: true, Own: Opinion{VM: "own", Primary: "a", Failing: true}, Fence: 3 * time.Second}
+	assert.Equal(t, v.Wait(), 3*time.Second)
+	v.Own.Failing, v.Leaving = false, true
+	assert.Equal(t, v.Wait(), time.Duration(0), "a primary that leaves is told to stop")
+}
