Take a batch without commands for what it is, and write the findings up

Cause: reading the change again. The pool looked at a batch's first command before it knew that there was one; a batch without any, as from another VM's fault, ended the process.

Change: it looks only if there is one.

TestEmptyBatch fails before (index out of range), passes after.

--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -203,6 +203,7 @@
 		m, changed := g.members[g.lead], g.changed
 		since, failed, absent := g.absence()
 		if !absent && !endorsed {
+			// A majority that can't use it is about to replace it.
 			since, failed, absent = clock.Now(), true, true
 		}
 		left := g.VM.outages.left(failed, clock.Since(since))
--- a/internal/proxy/local.go
+++ b/internal/proxy/local.go
@@ -10,18 +10,21 @@
 // maxPlans bounds the statements kept prepared on one connection.
 const maxPlans = 128
 
+// exec runs commands on the connection; a transaction that is left open rests until the next.
 func (l local) exec(p *profile, commands []Command, until time.Time) ([]Answer, error) {
 	c := l.conn
-	if _, begins := commands[0].(BeginAt); begins && len(commands) == 1 {
-		if err := c.pool.begins(c); err != nil {
-			return nil, err
+	if len(commands) == 1 {
+		if _, begins := commands[0].(BeginAt); begins {
+			if err := c.pool.begins(c); err != nil {
+				return nil, err
+			}
 		}
 	}
 	if c.inTransaction {
 		c.pool.works(c)
 	}
 	answers, err := c.exec(p, commands, until)
-	c.inTransaction = err == nil && answers[len(answers)-1].Phase == InTransaction
+	c.inTransaction = len(answers) > 0 && answers[len(answers)-1].Phase == InTransaction
 	if c.inTransaction {
 		c.pool.rest(c)
 	}
--- a/internal/proxy/remote_test.go
+++ b/internal/proxy/remote_test.go
@@ -280,3 +280,15 @@
 		})
 	}
 }
+
+// A batch without commands, which no VM of this build sends, ends nothing but itself.
+func TestEmptyBatch(t *testing.T) {
+	play(t, func(r *rig) {
+		settle()
+		g := Guest{VM: r.vm}
+		answers, err := g.Exec(r.ctx, Batch{Service: testService, Server: "a", Workspace: "amman", Within: time.Second})
+		assert.NilError(t, err)
+		assert.Equal(t, len(answers), 0)
+		g.Close()
+	})
+}
--- a/internal/proxy/single.go
+++ b/internal/proxy/single.go
@@ -125,6 +125,7 @@
 		switch {
 		case err != nil || !a.Succeeded():
 		case !op.group.endorsed():
+			// What the proof named may lack commits of a primary beside this one.
 			a = Answer{Failure: Busy, Detail: "most VMs can't use the primary", Phase: Idle}
 		default:
 			a, err = l.forward(s, op, floor, until)
