--- a/cmd/savoryramp-soak/main.go
+++ b/cmd/savoryramp-soak/main.go
@@ -18,7 +18,7 @@
 func execute(arguments []string, out, errOut io.Writer) int {
 	o, err := parse(arguments)
 	if err != nil {
-		fmt.Fprintf(errOut, "savoryramp-soak: %s\n", err)
+		fmt.Fprintln(errOut, err)
 		return 2
 	}
 	folder, err := os.MkdirTemp(o.Keep, "savoryramp-soak-")
@@ -70,5 +70,5 @@
 	for _, b := range report.Broken {
 		fmt.Fprintf(out, "BROKEN  %s\n", b)
 	}
-	fmt.Fprintf(out, "%d promises broken\n", len(report.Broken))
+	fmt.Fprintf(out, "promises broken: %d\n", len(report.Broken))
 }
--- a/cmd/savoryramp-soak/main_test.go
+++ b/cmd/savoryramp-soak/main_test.go
@@ -54,5 +54,5 @@
 func TestTell(t *testing.T) {
 	var out bytes.Buffer
 	tell(&out, soak.Report{Faults: []string{"a cut"}, Broken: []string{"a write twice"}})
-	assert.Equal(t, out.String(), "fault   a cut\nBROKEN  a write twice\n1 promises broken\n")
+	assert.Equal(t, out.String(), "fault   a cut\nBROKEN  a write twice\npromises broken: 1\n")
 }
--- a/cmd/savoryramp-soak/options.go
+++ b/cmd/savoryramp-soak/options.go
@@ -22,7 +22,7 @@
 // leastVMs leave one that serves when a fault has taken another.
 const leastVMs = 3
 
-var errMalformed = errorx.CommonErrors.NewType("malformed")
+var errMalformed = errorx.NewNamespace("savoryramp-soak").NewType("malformed")
 
 // options are the command line and environment.
 type options struct {
