heartbeat, relay: stop reading the clock and ranking owners once per VM

Cause: failovers and configuration catch-ups list the other VMs ten times a second each, and the list read the boot-time clock, a system call, for each of 294 VMs: about 5,900 calls a second and VM. Each selection of verifiers sorted all VMs, for 20 groups, after every change of membership. Each look-up of an owner ranked the VMs of the zone again, for 190 workspaces and 60 servers.

Ruled out: statements themselves (8 a second and VM), and garbage collection (peak 35 MB).

Change: lists read the clock once; failovers look up only the group's verifiers, catch-ups only VMs that are ahead; selections keep the highest n; owners are selected once per server, and a VM that is none skips the workspaces.

--- a/internal/heartbeat/catchup.go
+++ b/internal/heartbeat/catchup.go
@@ -83,8 +83,8 @@
 	var newest []Peer
 	ownVersion := c.OwnVersion()
 	sameZone := false
-	for _, p := range c.Fleet.Peers() {
-		if p.Silent || p.ConfigurationVersion <= ownVersion || len(newest) > 0 && p.ConfigurationVersion < newest[0].ConfigurationVersion {
+	for _, p := range c.Fleet.peersAhead(ownVersion) {
+		if len(newest) > 0 && p.ConfigurationVersion < newest[0].ConfigurationVersion {
 			continue
 		}
 		inOwnZone := p.Zone == c.Fleet.Zone
--- a/internal/heartbeat/peer.go
+++ b/internal/heartbeat/peer.go
@@ -1,6 +1,7 @@
 package heartbeat
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -37,47 +38,81 @@
 func (f *Fleet) Peers() []Peer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var list []Peer
+	now := clock.Now()
+	list := make([]Peer, 0, len(f.peers))
 	for name, p := range f.peers {
-		message := p.message
-		message.VM, message.Address = name, p.address
-		list = append(list, Peer{Message: message, Silent: !p.live, Age: clock.Since(p.lastSeen)})
+		list = append(list, p.export(name, now))
+	}
+	slices.SortFunc(list, func(a, b Peer) int { return cmp.Compare(a.VM, b.VM) })
+	return list
+}
+
+// PeersNamed returns the last known state of the VMs with the given names, apart from this VM and
+// from VMs that are unknown, sorted by name.
+func (f *Fleet) PeersNamed(names map[VMName]bool) []Peer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := clock.Now()
+	var list []Peer
+	for name := range names {
+		if p := f.peers[name]; p != nil {
+			list = append(list, p.export(name, now))
+		}
 	}
-	slices.SortFunc(list, func(a, b Peer) int {
-		if a.VM < b.VM {
-			return -1
+	slices.SortFunc(list, func(a, b Peer) int { return cmp.Compare(a.VM, b.VM) })
+	return list
+}
+
+// peersAhead returns the live VMs whose configuration is newer than a version, in no particular
+// order.
+func (f *Fleet) peersAhead(version int64) []Peer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []Peer
+	now := clock.Now()
+	for name, p := range f.peers {
+		if p.live && p.message.ConfigurationVersion > version {
+			list = append(list, p.export(name, now))
 		}
-		return 1
-	})
+	}
 	return list
 }
 
+func (p *peer) export(name VMName, now clock.Instant) Peer {
+	message := p.message
+	message.VM, message.Address = name, p.address
+	return Peer{Message: message, Silent: !p.live, Age: now.Sub(p.lastSeen)}
+}
+
 // Size returns the number of live VMs that aren't leaving, including this one.
 func (f *Fleet) Size() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	n := 1
+	n, starting := 1, f.isStarting()
 	for _, p := range f.peers {
-		if p.isPresumedLive(f.startedAt) {
+		if p.isPresumedLive(starting) {
 			n++
 		}
 	}
 	return n
 }
 
-// isPresumedLive reports whether the VM is live and isn't leaving. For a short time after this
-// VM's start, VMs known only from the directory are presumed live.
-func (p *peer) isPresumedLive(startedAt clock.Instant) bool {
-	return p.live && !p.message.Leaving || p.lastSeen == 0 && clock.Since(startedAt) < livenessTimeout
+// isStarting reports whether this VM has started too recently to have heard from all live VMs.
+func (f *Fleet) isStarting() bool { return clock.Since(f.startedAt) < livenessTimeout }
+
+// isPresumedLive reports whether the VM is live and isn't leaving. While this VM is starting, VMs
+// known only from the directory are presumed live.
+func (p *peer) isPresumedLive(starting bool) bool {
+	return p.live && !p.message.Leaving || p.lastSeen == 0 && starting
 }
 
 // Rank returns this VM's position among the VMs that Size counts, sorted by name, from 0.
 func (f *Fleet) Rank() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	n := 0
+	n, starting := 0, f.isStarting()
 	for name, p := range f.peers {
-		if p.isPresumedLive(f.startedAt) && name < f.VM {
+		if p.isPresumedLive(starting) && name < f.VM {
 			n++
 		}
 	}
--- a/internal/heartbeat/zone.go
+++ b/internal/heartbeat/zone.go
@@ -235,15 +235,27 @@
 		name  VMName
 		score uint64
 	}
-	list := []candidate{{f.VM, xxhash.Sum64String(purpose + "/" + string(f.VM))}}
+	// best has the candidates with the highest scores, highest first.
+	best := make([]candidate, 0, n+1)
+	key := append([]byte(purpose), '/')
+	consider := func(name VMName) {
+		c := candidate{name, xxhash.Sum64(append(key, name...))}
+		if len(best) == n && c.score <= best[n-1].score {
+			return
+		}
+		i, _ := slices.BinarySearchFunc(best, c, func(a, b candidate) int { return cmp.Compare(b.score, a.score) })
+		best = slices.Insert(best, i, c)
+		best = best[:min(len(best), n)]
+	}
+	consider(f.VM)
+	starting := now.Sub(f.startedAt) < livenessTimeout
 	for name, p := range f.peers {
-		if !p.message.Leaving && (p.lastSeen > 0 || p.isPresumedLive(f.startedAt)) && now.Sub(max(p.lastSeen, p.addedAt)) < silentPeerTTL {
-			list = append(list, candidate{name, xxhash.Sum64String(purpose + "/" + string(name))})
+		if !p.message.Leaving && (p.lastSeen > 0 || starting) && now.Sub(max(p.lastSeen, p.addedAt)) < silentPeerTTL {
+			consider(name)
 		}
 	}
-	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(b.score, a.score) })
-	names := map[VMName]bool{}
-	for _, c := range list[:min(len(list), n)] {
+	names := make(map[VMName]bool, n)
+	for _, c := range best {
 		names[c.name] = true
 	}
 	return names
--- a/internal/proxy/endorse.go
+++ b/internal/proxy/endorse.go
@@ -58,11 +58,11 @@
 	if g := f.VM.group(service); g != nil {
 		// All calls and all VMs must use the same string, so that they select the same verifiers.
 		isVerifier, verifiers := f.Fleet.SelectVMs("prove/"+string(service), MaxVerifiers)
-		peers := f.Fleet.Peers()
+		peers := f.Fleet.PeersNamed(verifiers)
 		for i := range peers {
 			peers[i].Silent = peers[i].Silent || peers[i].Age > observationTTL
 		}
-		check.hasQuorum = g.failoverView(peers, isVerifier, verifiers).HasQuorum()
+		check.hasQuorum = g.failoverView(peers, isVerifier).HasQuorum()
 		if before, found := f.quorumChecks[service]; found && before.hasQuorum != check.hasQuorum {
 			eventQuorum.Log(g.Logger, "endorsed", check.hasQuorum)
 		}
--- a/internal/proxy/failover.go
+++ b/internal/proxy/failover.go
@@ -100,22 +100,21 @@
 			return nil
 		case <-tick.C:
 		}
-		peers := f.Fleet.Peers()
 		for _, g := range f.VM.Groups() {
-			f.evaluate(ctx, g, peers)
+			f.evaluate(ctx, g)
 		}
 	}
 }
 
 // evaluate makes a decision on the group's primary, if this VM is one of its verifiers, and
 // carries the decision out when this VM's turn has come.
-func (f *Failover) evaluate(ctx context.Context, g *Group, peers []heartbeat.Peer) {
+func (f *Failover) evaluate(ctx context.Context, g *Group) {
 	// All calls and all VMs must use the same string, so that they select the same verifiers.
 	isVerifier, verifiers := f.Fleet.SelectVMs("prove/"+string(g.Name), MaxVerifiers)
 	if !isVerifier {
 		return
 	}
-	view := g.failoverView(peers, isVerifier, verifiers)
+	view := g.failoverView(f.Fleet.PeersNamed(verifiers), isVerifier)
 	view.FenceDelay = f.fenceDelay()
 	decision, wait := view.Decide(), view.ActionDelay()
 	f.mu.Lock()
--- a/internal/proxy/observation.go
+++ b/internal/proxy/observation.go
@@ -15,7 +15,8 @@
 const MaxVerifiers = 9
 
 // failoverView collects the observations that this VM's decision on the group is based on.
-func (g *Group) failoverView(peers []heartbeat.Peer, isVerifier bool, verifiers map[heartbeat.VMName]bool) failover.View {
+// verifiers has the state of the group's other verifiers.
+func (g *Group) failoverView(verifiers []heartbeat.Peer, isVerifier bool) failover.View {
 	own := g.observation()
 	v := failover.View{
 		VM: string(g.VM.Name), Group: string(g.Name), IsVerifier: isVerifier,
@@ -26,8 +27,8 @@
 		v.PrimaryLeaving = m.server.Leaving
 	}
 	g.mu.Unlock()
-	for _, p := range peers {
-		if !verifiers[p.VM] || p.Leaving && !p.Silent {
+	for _, p := range verifiers {
+		if p.Leaving && !p.Silent {
 			continue
 		}
 		// A verifier that reports nothing about the group regards the same primary as usable.
--- a/internal/proxy/remote.go
+++ b/internal/proxy/remote.go
@@ -30,6 +30,8 @@
 	// workspace. here is true if that is this VM, or if no owner can be reached.
 	// connections is how many connections to the server all owners may have together.
 	Owner(s Server, w WorkspaceName, connections int) (address Address, here bool)
+	// OwnsAny reports whether this VM may own the connections to a server for some workspace.
+	OwnsAny(s Server, connections int) bool
 	// Open opens a connection to another VM or reuses one. On ErrPeerUnreachable nothing was
 	// sent.
 	Open(ctx context.Context, address Address) (PeerLink, error)
--- a/internal/proxy/remote_test.go
+++ b/internal/proxy/remote_test.go
@@ -32,6 +32,8 @@
 	return "home", !fr.enabled
 }
 
+func (fr *fakeRelay) OwnsAny(Server, int) bool { return true }
+
 func (fr *fakeRelay) Open(ctx context.Context, _ Address) (PeerLink, error) {
 	fr.mu.Lock()
 	defer fr.mu.Unlock()
--- a/internal/proxy/share.go
+++ b/internal/proxy/share.go
@@ -105,6 +105,9 @@
 // ownedDemandFraction returns the fraction of the total demand that comes from the workspaces
 // whose connections to a server this VM owns, or 1 if there are no workspaces.
 func (v *VM) ownedDemandFraction(c *Configuration, server Server, connections int) float64 {
+	if !v.Relay.OwnsAny(server, connections) {
+		return 0
+	}
 	demand := v.Quota.TotalDemand()
 	owned, all := 0.0, 0.0
 	for name := range c.Workspaces {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -126,9 +126,9 @@
 
 	mu    sync.Mutex
 	peers map[proxy.Address]*peerState
-	// owners caches the choices of owners. It is emptied when the fleet's membership changes,
-	// when a VM is avoided, and after ownersTTL.
-	owners map[ownerKey]proxy.Address
+	// owners caches the choices of owners by server. It is emptied when the fleet's membership
+	// changes, when a VM is avoided, and after ownersTTL.
+	owners map[proxy.ServerID]*serverOwners
 	// membershipGeneration is the fleet's MembershipGeneration for which owners and peersByZone
 	// are valid, and ownersSince is when owners was last empty.
 	membershipGeneration uint64
@@ -137,10 +137,26 @@
 	peersByZone map[proxy.AvailabilityZone][]heartbeat.Peer
 }
 
-// ownerKey identifies the connections that one VM owns.
-type ownerKey struct {
-	server    proxy.ServerID
-	workspace proxy.WorkspaceName
+// serverOwners has the VMs that own connections to a server.
+type serverOwners struct {
+	// connections is how many connections to the server all owners may have together, from which
+	// the number of owners follows.
+	connections int
+	candidates  []candidate
+	// local is true if this VM is one of the candidates.
+	local bool
+	// byWorkspace has the address of the owner of each workspace looked up so far, empty for this
+	// VM.
+	byWorkspace map[proxy.WorkspaceName]proxy.Address
+}
+
+// candidate is a VM that may own connections to a server.
+type candidate struct {
+	name string
+	// address is empty for this VM.
+	address  proxy.Address
+	capacity float64
+	score    float64
 }
 
 // peerState is the state of the links to another VM.
@@ -162,34 +178,45 @@
 func (r *Relay) Owner(s proxy.Server, w proxy.WorkspaceName, connections int) (proxy.Address, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	owners := r.ownersOf(s, connections)
+	address, cached := owners.byWorkspace[w]
+	if !cached {
+		address = owners.choose(s.ID, w)
+		owners.byWorkspace[w] = address
+	}
+	return address, address == ""
+}
+
+// OwnsAny reports whether this VM may own the connections to a server for some workspace.
+func (r *Relay) OwnsAny(s proxy.Server, connections int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ownersOf(s, connections).local
+}
+
+// ownersOf returns the owners of the connections to a server, from the cache if it is valid. r.mu
+// must be held.
+func (r *Relay) ownersOf(s proxy.Server, connections int) *serverOwners {
 	now := time.Now()
 	if generation := r.Fleet.MembershipGeneration(); r.owners == nil || generation != r.membershipGeneration || now.Sub(r.ownersSince) > ownersTTL {
-		r.owners, r.ownersSince, r.membershipGeneration = map[ownerKey]proxy.Address{}, now, generation
+		r.owners, r.ownersSince, r.membershipGeneration = map[proxy.ServerID]*serverOwners{}, now, generation
 		r.peersByZone = map[proxy.AvailabilityZone][]heartbeat.Peer{}
 		for _, p := range r.Fleet.Peers() {
 			zone := proxy.AvailabilityZone(p.Zone)
 			r.peersByZone[zone] = append(r.peersByZone[zone], p)
 		}
 	}
-	key := ownerKey{s.ID, w}
-	address, cached := r.owners[key]
-	if !cached {
-		address = r.chooseOwner(s, w, connections, now)
-		r.owners[key] = address
+	owners := r.owners[s.ID]
+	if owners == nil || owners.connections != connections {
+		owners = r.selectOwners(s, connections, now)
+		r.owners[s.ID] = owners
 	}
-	return address, address == ""
+	return owners
 }
 
-// chooseOwner returns the owner's address, empty for this VM. A few VMs of the server's zone
-// are chosen to hold connections to it, and one of these to own those of the workspace. r.mu
-// must be held.
-func (r *Relay) chooseOwner(s proxy.Server, w proxy.WorkspaceName, connections int, now time.Time) proxy.Address {
-	type candidate struct {
-		name     string
-		address  proxy.Address
-		score    float64
-		capacity float64
-	}
+// selectOwners selects the owners of the connections to a server: the VMs of its zone with the
+// highest scores, or this VM if none of these can be used. r.mu must be held.
+func (r *Relay) selectOwners(s proxy.Server, connections int, now time.Time) *serverOwners {
 	var list []candidate
 	if r.VM.Zone == s.Zone {
 		list = append(list, candidate{name: string(r.VM.Name), capacity: r.Capacity})
@@ -206,10 +233,19 @@
 	}
 	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(b.score, a.score) })
 	list = list[:min(len(list), max(connections/minConnectionsPerOwner, 1))]
+	return &serverOwners{
+		connections: connections, candidates: list, byWorkspace: map[proxy.WorkspaceName]proxy.Address{},
+		local: len(list) == 0 || slices.ContainsFunc(list, func(c candidate) bool { return c.address == "" }),
+	}
+}
+
+// choose returns the address of the VM that owns a workspace's connections, empty for this VM.
+func (o *serverOwners) choose(id proxy.ServerID, w proxy.WorkspaceName) proxy.Address {
 	var best proxy.Address
 	bestScore := -1.0
-	for _, c := range list {
-		if workspaceScore := score(string(s.ID)+"/"+string(w), c.name, c.capacity); workspaceScore > bestScore {
+	key := string(id) + "/" + string(w)
+	for _, c := range o.candidates {
+		if workspaceScore := score(key, c.name, c.capacity); workspaceScore > bestScore {
 			best, bestScore = c.address, workspaceScore
 		}
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -7,6 +7,7 @@
 	"encoding/gob"
 	"fmt"
 	"net"
+	"strconv"
 	"testing"
 	"time"
 
@@ -224,7 +225,37 @@
 			r := &Relay{VM: &proxy.VM{Name: "own", Zone: "z"}, Capacity: 1e-9}
 			other := heartbeat.Message{VM: "other", Address: "10.0.0.2:1", Capacity: 1e9, RelayVersion: test.version}
 			r.peersByZone = map[proxy.AvailabilityZone][]heartbeat.Peer{"z": {{Message: other}}}
-			assert.Equal(t, r.chooseOwner(proxy.Server{ID: "i-1", Zone: "z"}, "amman", 8, time.Now()), test.want)
+			assert.Equal(t, r.selectOwners(proxy.Server{ID: "i-1", Zone: "z"}, 8, time.Now()).choose("i-1", "amman"), test.want)
 		})
 	}
 }
+
+// A VM that owns no connections to a server must not look through all workspaces to find that out,
+// and owners must not rank the VMs of a zone again for each workspace.
+func TestOwnersAreSelectedOncePerServer(t *testing.T) {
+	fleet := &heartbeat.Fleet{}
+	r := &Relay{VM: &proxy.VM{Name: "own", Zone: "z"}, Capacity: 1, Fleet: fleet}
+	server := proxy.Server{ID: "i-1", Zone: "z"}
+	assert.Assert(t, r.OwnsAny(server, 90))
+	for i := range 59 {
+		name := heartbeat.VMName("vm-" + strconv.Itoa(i))
+		r.peersByZone["z"] = append(r.peersByZone["z"], heartbeat.Peer{Message: heartbeat.Message{VM: name, Address: string(name) + ":1", Capacity: 1, RelayVersion: Version}})
+	}
+	r.owners = map[proxy.ServerID]*serverOwners{}
+	owned := 0
+	for i := range 190 {
+		address, local := r.Owner(server, proxy.WorkspaceName("tenant-"+strconv.Itoa(i)), 90)
+		assert.Equal(t, local, address == "")
+		if local {
+			owned++
+		}
+	}
+	assert.Equal(t, len(r.owners), 1)
+	owners := r.owners["i-1"]
+	assert.Equal(t, len(owners.candidates), 90/minConnectionsPerOwner)
+	assert.Equal(t, len(owners.byWorkspace), 190)
+	assert.Equal(t, r.OwnsAny(server, 90), owned > 0)
+	// A change of the limit selects again.
+	r.Owner(server, "tenant-1", 8)
+	assert.Equal(t, len(r.owners["i-1"].candidates), 8/minConnectionsPerOwner)
+}
