--- a/cmd/savoryramp-vm/daemon.go
+++ b/cmd/savoryramp-vm/daemon.go
@@ -59,17 +59,11 @@
 	configurationWatcher *platform.ConfigurationWatcher
 	promoter             *platform.Promoter
 	tasks                run.Group
-	// lastListReceived is when a zone delegate last sent the list of servers, as a clock.Instant;
-	// lastListShared is when this VM last sent it to its zone.
-	lastListReceived atomic.Int64
 	// announcedVersion is the configuration version in the last heartbeat sent.
 	announcedVersion atomic.Int64
-	lastListShared   time.Time
 
-	serversMu sync.Mutex
-	// servers is the list that the platform returned at listedAt.
-	servers  []proxy.Server
-	listedAt clock.Instant
+	listMu sync.Mutex
+	list   serverList
 }
 
 // Run serves until a signal stops the process. It returns ErrConnect if it can't listen on an
@@ -95,8 +89,8 @@
 	}
 	d.store = platform.NewStore(string(s.StoreAddress))
 	d.fleet = &heartbeat.Fleet{
-		VM: heartbeat.VMName(s.VM), Zone: string(s.Zone), LinkMbps: s.LinkMbps, Conn: heartbeatConn, Directory: platform.Directory{Store: d.store}, Logger: d.logger,
-		Seeds: d.seedAddresses(), FillMessage: d.fillMessage, OnMessage: d.onMessage, OnZoneDemand: d.onZoneDemand, OnZonePayload: d.onServerList, HasUrgentNews: d.hasUrgentNews,
+		VM: heartbeat.VMName(s.VM), Zone: string(s.Zone), LinkMbps: s.LinkMbps, Conn: heartbeatConn, Directory: platform.Directory{Store: d.store, Logger: d.logger}, Logger: d.logger,
+		Seeds: d.seedAddresses(), FillMessage: d.fillMessage, OnMessage: d.onMessage, OnFleetDemand: d.onFleetDemand, OnZonePayload: d.onServerList, HasUrgentNews: d.hasUrgentNews,
 	}
 	d.quota = &quota.Limiter{Now: func() time.Duration { return time.Duration(clock.Now()) }, VMCount: d.fleet.Size}
 	d.vm = &proxy.VM{
@@ -116,7 +110,7 @@
 	d.addTask(d.vm.Run)
 	d.addTask(d.fleet.Run)
 	d.addTask(d.configurationWatcher.Run)
-	d.addTask((&platform.ServerListWatcher{Store: d.store, OnServers: d.onServers, NeedsUpdate: d.vm.HasMissingPrimary, ReadByDelegate: d.listReadByDelegate, FetchFromPeer: d.fetchServersFromPeer, Logger: d.logger}).Run)
+	d.addTask((&platform.ServerListWatcher{Store: d.store, OnServers: d.onServers, ReadByDelegate: d.listReadByDelegate, LacksList: d.lacksServerList, FetchFromPeer: d.fetchServersFromPeer, Logger: d.logger}).Run)
 	failover := &proxy.Failover{VM: d.vm, Fleet: d.fleet, Promoter: d.promoter, PromotionFences: s.FencingEnforced, Logger: d.logger}
 	if !s.FencingEnforced {
 		d.vm.HasQuorum = failover.HasQuorum
@@ -230,11 +224,21 @@
 	return 0
 }
 
-// fillMessage adds this VM's state to a heartbeat.
+// fillMessage adds this VM's state to a heartbeat. Only the zone delegates of a large fleet tell how
+// old their reads of the store are, since no other VM relies on them.
 func (d *daemon) fillMessage(message *heartbeat.Message) {
 	message.Leaving, message.Demand, message.Observations, message.ConfigurationVersion = d.vm.IsDraining(), d.quota.ReportDemand(), d.vm.PrimaryObservations(), d.configurationVersion()
 	message.Capacity, message.RelayVersion = d.Settings.CPUCores, relay.Version
 	d.announcedVersion.Store(message.ConfigurationVersion)
+	if !d.fleet.UsesDigests() || !d.fleet.IsZoneDelegate() {
+		return
+	}
+	message.StoreAgeMs = d.store.TimeSinceReply().Milliseconds()
+	d.listMu.Lock()
+	defer d.listMu.Unlock()
+	if d.list.hash != 0 {
+		message.ServerList, message.ServerListAgeMs = d.list.hash, clock.Since(d.list.listedAt).Milliseconds()
+	}
 }
 
 // hasUrgentNews reports whether a heartbeat should be sent before the next one is due.
@@ -247,15 +251,16 @@
 	switch {
 	case message.Leaving:
 		d.quota.RemovePeer(string(message.VM))
-	case message.Demand != nil || message.Zone == string(d.Settings.Zone):
+	case !message.Digested:
 		d.quota.ObserveDemand(string(message.VM), message.Demand)
 	}
 	d.vm.ObserveHeartbeat(message)
+	d.compareServerList(message)
 }
 
-// onZoneDemand records the demand of another zone.
-func (d *daemon) onZoneDemand(zone string, demand map[string]float64, vms int) {
-	d.quota.ObserveGroupDemand("zone "+zone, demand, vms)
+// onFleetDemand records the demand of all VMs.
+func (d *daemon) onFleetDemand(total map[string]float64, vms int, own map[string]float64) {
+	d.quota.ObserveTotal(total, vms, own)
 }
 
 // handleSignals drains on SIGTERM and SIGINT and reloads the settings on SIGHUP.
--- a/internal/heartbeat/catchup_test.go
+++ b/internal/heartbeat/catchup_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"testing"
 	"time"
@@ -10,8 +11,8 @@
 	"gotest.tools/v3/assert"
 )
 
-// A VM to which the store doesn't deliver a new configuration fetches it from another VM. In a
-// large fleet it does so sooner, since only zone delegates read the store.
+// A configuration that the store delivers to a single VM reaches the others, which fetch it from
+// each other. In a large fleet a VM learns of it from its zone's delegate.
 func TestCatchUp(t *testing.T) {
 	tests := map[string]struct {
 		vms     int
@@ -24,36 +25,57 @@
 		t.Run(name, func(t *testing.T) {
 			runFleet(t, test.vms, func(fleet *testFleet) {
 				fleet.wait(4 * time.Second)
-				fleet.mu.Lock()
-				fleet.versions = map[VMName]int64{fleet.vms[0].VM: 7}
-				fleet.mu.Unlock()
 				ctx, cancel := context.WithCancel(context.Background())
 				var tasks sync.WaitGroup
-				var mu sync.Mutex
-				var version int64
-				fetchedFrom := ""
-				behind := fleet.vms[3]
-				c := &ConfigurationCatchUp{
-					Fleet: behind, Port: "8462", Logger: log.NewNopLogger(),
-					OwnVersion: func() int64 {
-						mu.Lock()
-						defer mu.Unlock()
-						return version
-					},
-					FetchConfiguration: func(_ context.Context, address string) error {
-						mu.Lock()
-						defer mu.Unlock()
-						version, fetchedFrom = 7, address
-						return nil
-					},
+				for _, f := range fleet.vms {
+					c := &ConfigurationCatchUp{
+						Fleet: f, Port: "8462", Logger: log.NewNopLogger(),
+						OwnVersion: func() int64 {
+							fleet.mu.Lock()
+							defer fleet.mu.Unlock()
+							return fleet.versions[f.VM]
+						},
+						FetchConfiguration: func(_ context.Context, address string) error {
+							fleet.mu.Lock()
+							defer fleet.mu.Unlock()
+							fleet.versions[f.VM] = max(fleet.versions[f.VM], fleet.versionAt(address))
+							return nil
+						},
+					}
+					tasks.Go(func() { _ = c.Run(ctx) })
 				}
-				tasks.Go(func() { _ = c.Run(ctx) })
+				fleet.mu.Lock()
+				fleet.versions[fleet.vms[0].VM] = 7
+				fleet.mu.Unlock()
 				fleet.wait(heartbeatInterval + test.timeout)
 				cancel()
 				tasks.Wait()
-				assert.Equal(t, version, int64(7))
-				assert.Equal(t, fetchedFrom, "10.0.0.1:8462")
+				for _, f := range fleet.vms {
+					if f.Zone == fleet.vms[0].Zone {
+						assert.Equal(t, fleet.versions[f.VM], int64(7), "%s", f.VM)
+					}
+				}
+				assert.Equal(t, fleet.versions[fleet.vms[3].VM], int64(7))
 			})
 		})
 	}
 }
+
+// versionAt returns the configuration version of the VM whose control port has an address.
+// fleet.mu must be held.
+func (fleet *testFleet) versionAt(address string) int64 {
+	for _, f := range fleet.vms {
+		if host(f.Conn.LocalAddr().String()) == host(address) {
+			return fleet.versions[f.VM]
+		}
+	}
+	return 0
+}
+
+func host(address string) string {
+	h, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return address
+	}
+	return h
+}
--- a/internal/heartbeat/heartbeat.go
+++ b/internal/heartbeat/heartbeat.go
@@ -9,8 +9,11 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
 	"net"
+	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,14 +34,19 @@
 	// livenessTimeout is how long a VM counts as live after its last heartbeat. It is a bit more
 	// than three intervals, so that two heartbeats in a row may be lost.
 	livenessTimeout = 2 * time.Second
-	// digestLivenessTimeout replaces livenessTimeout for a VM whose heartbeats arrive in digests.
+	// digestLivenessTimeout replaces livenessTimeout for a VM that is known from digests. It leaves
+	// time for another VM to take over from a zone's delegate.
 	digestLivenessTimeout = 4 * time.Second
 	// maxMeshSize is the largest number of VMs that all exchange heartbeats with each other.
-	// In a larger fleet only the VMs of a zone do, and the zones exchange digests.
+	// In a larger fleet VMs send them to their zone's delegates, which exchange digests with the
+	// other zones and send views of the fleet to their own.
 	maxMeshSize = 24
 	// silentPeerTTL is how long after its last heartbeat a VM is still counted as a member when
 	// VMs are selected or a majority is computed. After that, it is forgotten.
 	silentPeerTTL = 15 * time.Second
+	// directTTL is how long after its last heartbeat that arrived directly a VM is expected to send
+	// more of them. It is longer than digestLivenessTimeout.
+	directTTL = 5 * time.Second
 	// directoryReadInterval is the average time between two reads of the directory by a zone
 	// delegate; other VMs read it less often. A starting VM sends heartbeats to the others, so
 	// these reads only make up for lost ones.
@@ -49,11 +57,20 @@
 
 // Directory stores the VMs' addresses, so that a starting VM finds the others.
 type Directory interface {
-	Register(ctx context.Context, vm VMName, address string) error
-	List(ctx context.Context) (map[VMName]string, error)
+	Register(ctx context.Context, vm VMName, entry Entry) error
+	List(ctx context.Context) (map[VMName]Entry, error)
 	Remove(ctx context.Context, vm VMName) error
 }
 
+// Entry is a VM's entry in the directory.
+type Entry struct {
+	// Address is where the VM receives heartbeats.
+	Address string `json:"address"`
+	// Zone and LinkMbps are as in Message. They are empty if they aren't known.
+	Zone     string  `json:"zone,omitempty"`
+	LinkMbps float64 `json:"link,omitempty"`
+}
+
 // Fleet exchanges heartbeats with the other VMs and tracks which of them are live. Its
 // exported fields are set before Run.
 type Fleet struct {
@@ -71,11 +88,13 @@
 	FillMessage func(*Message)
 	// HasUrgentNews reports whether a heartbeat should be sent before the next one is due.
 	HasUrgentNews func() bool
-	// OnMessage is called with each heartbeat of another VM, direct or from a digest.
+	// OnMessage is called with each heartbeat of another VM, and with each change of a VM's state
+	// in a digest.
 	OnMessage func(Message)
-	// OnZoneDemand is called with another zone's total demand and its number of VMs.
+	// OnFleetDemand is called with the total demand of a number of VMs, of which own is the part
+	// that this VM reported. The maps must not be modified.
+	OnFleetDemand func(total map[string]float64, vms int, own map[string]float64)
 	// OnZonePayload is called with each payload sent to the VMs of this zone.
-	OnZoneDemand  func(zone string, demand map[string]float64, vms int)
 	OnZonePayload func(json.RawMessage)
 	Logger        log.Logger
 
@@ -90,11 +109,37 @@
 	hasSeenPeer  bool
 	// membershipGeneration increases whenever a VM joins, falls silent or starts to leave.
 	membershipGeneration uint64
-	// digestUrgent is true after another VM has sent urgent news that this VM hasn't yet included
-	// in a digest.
-	digestUrgent bool
-	// lastDigestSent is when this VM last sent a digest.
-	lastDigestSent time.Time
+	// sequence is the number of this VM's latest heartbeat. sentDemands has the demand in the
+	// latest ones by number.
+	sequence    uint32
+	sentDemands map[uint32]map[string]float64
+	// ownChecksum is the checksum of this VM's latest heartbeat, which last changed at
+	// ownChangedAt.
+	ownChecksum  uint64
+	ownChangedAt clock.Instant
+	// lastTick is when this VM last checked what to send, and pausedUntil when its last pause
+	// ended.
+	lastTick, pausedUntil clock.Instant
+	// lastHeartbeat, lastDigest and lastViewSent are when this VM last sent one. lastView is when a
+	// view last arrived.
+	lastHeartbeat, lastDigest, lastViewSent, lastView clock.Instant
+	// lastRedirect is when this VM last forwarded another zone's digest.
+	lastRedirect clock.Instant
+	// digestUrgent and viewUrgent are true after another VM has sent urgent news that this VM
+	// hasn't yet included in a digest or a view, viewDue after any change that it hasn't yet
+	// included in a view.
+	digestUrgent, viewUrgent, viewDue bool
+	// wake makes a first delegate pass on urgent news before its next check.
+	wake chan struct{}
+	// digestsReceived is the instant that the latest digest of each zone describes, lastRequests
+	// when a full one was last requested.
+	digestsReceived, lastRequests map[string]clock.Instant
+	// demandByVM has the demand of the VMs of this zone, demandByZone that of the other zones.
+	demandByVM   map[VMName]reportedDemand
+	demandByZone map[string]reportedDemand
+	published    publishedDemand
+	// delegatesByZone caches the choices of delegates.
+	delegatesByZone map[string]cachedDelegates
 	// selections caches the results of SelectVMs by purpose.
 	selections map[string]selection
 }
@@ -106,6 +151,8 @@
 		"The directory of VMs is unavailable; heartbeats to and from known VMs continue.")
 	eventMalformed = event.Define(5103, "heartbeat-malformed", event.Warn,
 		"A datagram couldn't be encoded, addressed or decoded and was skipped.")
+	eventPaused = event.Define(5106, "heartbeat-paused", event.Warn,
+		"This VM was paused. It isn't a delegate until it has heard from the other VMs again.")
 )
 
 // Run sends and receives heartbeats until ctx ends.
@@ -125,6 +172,11 @@
 func (f *Fleet) init() {
 	if f.peers == nil {
 		f.peers, f.incarnation, f.startedAt = map[VMName]*peer{}, rand.Uint32(), clock.Now()
+		// Another incarnation's numbers aren't mistaken for this one's.
+		f.wake = make(chan struct{}, 1)
+		f.sequence, f.sentDemands = rand.Uint32()>>1, map[uint32]map[string]float64{}
+		f.digestsReceived, f.lastRequests = map[string]clock.Instant{}, map[string]clock.Instant{}
+		f.demandByVM, f.demandByZone = map[VMName]reportedDemand{}, map[string]reportedDemand{}
 	}
 }
 
@@ -135,10 +187,10 @@
 	for pause := sendCheckInterval; ctx.Err() == nil; {
 		var err error
 		if !registered {
-			err = f.Directory.Register(ctx, f.VM, f.Conn.LocalAddr().String())
+			err = f.Directory.Register(ctx, f.VM, Entry{Address: f.Conn.LocalAddr().String(), Zone: f.Zone, LinkMbps: f.LinkMbps})
 			registered = err == nil
 		}
-		var list map[VMName]string
+		var list map[VMName]Entry
 		if registered {
 			list, err = f.Directory.List(ctx)
 		}
@@ -158,77 +210,123 @@
 
 // addListedPeers adds the VMs of the directory, and updates the addresses of those that aren't
 // live.
-func (f *Fleet) addListedPeers(list map[VMName]string) {
+func (f *Fleet) addListedPeers(list map[VMName]Entry) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.directoryRead = true
-	for name, address := range list {
+	for name, entry := range list {
 		if name == f.VM {
 			continue
 		}
-		if p := f.peers[name]; p == nil {
-			f.peers[name] = &peer{address: address, addedAt: clock.Now()}
-		} else if !p.live {
-			p.address = address
+		p := f.peers[name]
+		if p == nil {
+			p = &peer{addedAt: clock.Now()}
+			f.peers[name] = p
+		}
+		if p.lastSeen == 0 {
+			p.message.Zone, p.message.LinkMbps = entry.Zone, entry.LinkMbps
+		}
+		if !p.live {
+			p.address = entry.Address
 		}
 	}
 }
 
-// sendPeriodically sends heartbeats and digests when they are due, and marks VMs as silent.
+// sendPeriodically sends heartbeats, digests and views when they are due, and marks VMs as silent.
 func (f *Fleet) sendPeriodically(ctx context.Context) {
 	ticker := time.NewTicker(sendCheckInterval)
 	defer ticker.Stop()
-	var lastSent time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-f.wake:
 		}
+		f.detectPause(clock.Now())
 		f.expirePeers()
-		urgent, digestUrgent := f.HasUrgentNews(), f.hasUrgentDigest()
-		if since := time.Since(lastSent); since < minUrgentInterval || since < heartbeatInterval && !urgent && !digestUrgent {
-			continue
+		f.sendDue(f.HasUrgentNews())
+	}
+}
+
+// sendDue sends what is due. urgent is true if this VM has urgent news.
+func (f *Fleet) sendDue(urgent bool) {
+	now := clock.Now()
+	f.mu.Lock()
+	first := f.isFirstDelegate()
+	sinceHeartbeat, sinceDigest, sinceView := now.Sub(f.lastHeartbeat), now.Sub(f.lastDigest), now.Sub(f.lastViewSent)
+	digestDue := sinceDigest >= digestInterval || (urgent || f.digestUrgent) && sinceDigest >= minUrgentDigestInterval
+	viewDue := sinceView >= heartbeatInterval || (digestDue || f.viewDue) && sinceView >= minViewInterval ||
+		(urgent || f.viewUrgent) && sinceView >= minUrgentDigestInterval
+	f.mu.Unlock()
+	switch {
+	case first && (digestDue || viewDue):
+		own := f.composeOwn()
+		own.Urgent = urgent
+		if digestDue {
+			f.sendDigests(own)
 		}
-		lastSent = time.Now()
+		if viewDue {
+			f.sendView(own)
+		}
+	case !first && (sinceHeartbeat >= heartbeatInterval || urgent && sinceHeartbeat >= minUrgentInterval):
 		f.sendHeartbeat(urgent)
-		f.sendDigest()
 	}
 }
 
-// Announce sends an urgent heartbeat to all VMs that this one exchanges heartbeats with.
+// noteUrgent makes a first delegate send a view soon. f.mu must be held.
+func (f *Fleet) noteUrgent() {
+	f.viewUrgent = true
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Announce sends an urgent heartbeat to all VMs that get this VM's heartbeats.
 func (f *Fleet) Announce() { f.sendHeartbeat(true) }
 
 func (f *Fleet) sendHeartbeat(urgent bool) {
-	f.mu.Lock()
-	f.init()
-	message := f.ownMessage()
+	message := f.composeOwn()
 	message.Urgent = urgent
+	f.mu.Lock()
+	f.lastHeartbeat = clock.Now()
 	addresses := f.directAddresses()
 	if len(addresses) == 0 {
 		addresses = f.Seeds
 	}
 	f.mu.Unlock()
-	f.FillMessage(&message)
 	f.send(message, addresses)
 }
 
+// composeOwn returns this VM's next heartbeat.
+func (f *Fleet) composeOwn() Message {
+	f.mu.Lock()
+	f.init()
+	f.sequence++
+	message := f.ownMessage()
+	f.mu.Unlock()
+	f.FillMessage(&message)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if message.Sequence != 0 {
+		f.sentDemands[message.Sequence] = message.Demand
+		delete(f.sentDemands, message.Sequence-maxSentDemands)
+	}
+	if sum := message.checksum(); sum != f.ownChecksum {
+		f.ownChecksum, f.ownChangedAt = sum, clock.Now()
+	}
+	return message
+}
+
 // ownMessage returns this VM's heartbeat before FillMessage has added the state. f.mu must be
 // held.
 func (f *Fleet) ownMessage() Message {
-	return Message{VM: f.VM, Incarnation: f.incarnation, Address: f.Conn.LocalAddr().String(), Zone: f.Zone, LinkMbps: f.LinkMbps}
-}
-
-// directAddresses returns the addresses of the VMs that get this VM's heartbeats, including
-// VMs whose zone isn't known yet. f.mu must be held.
-func (f *Fleet) directAddresses() []string {
-	var addresses []string
-	for _, p := range f.peers {
-		if !f.hasDigests() || p.lastSeen == 0 || p.message.Zone == f.Zone {
-			addresses = append(addresses, p.address)
-		}
+	message := Message{VM: f.VM, Incarnation: f.incarnation, Address: f.Conn.LocalAddr().String(), Zone: f.Zone, LinkMbps: f.LinkMbps}
+	if f.hasDigests() {
+		message.Sequence, message.Settling = f.sequence, f.isSettling(clock.Now())
 	}
-	return addresses
+	return message
 }
 
 func (f *Fleet) send(message Message, addresses []string) {
@@ -238,16 +336,20 @@
 		return
 	}
 	for _, a := range addresses {
-		address, err := net.ResolveUDPAddr("udp", a)
-		if err != nil {
-			eventMalformed.Log(f.Logger, "address", a, "err", err)
-			continue
-		}
-		// The next heartbeat makes up for a lost one.
-		_, _ = f.Conn.WriteTo(text, address)
+		f.sendText(text, a)
 	}
 }
 
+func (f *Fleet) sendText(text []byte, to string) {
+	address, err := netip.ParseAddrPort(to)
+	if err != nil {
+		eventMalformed.Log(f.Logger, "address", to, "err", err)
+		return
+	}
+	// The next heartbeat makes up for a lost one.
+	_, _ = f.Conn.WriteTo(text, net.UDPAddrFromAddrPort(address))
+}
+
 // expirePeers marks VMs as silent when their liveness timeout has passed since their last
 // heartbeat, and forgets them when silentPeerTTL has passed.
 func (f *Fleet) expirePeers() {
@@ -255,10 +357,8 @@
 	defer f.mu.Unlock()
 	now := clock.Now()
 	for name, p := range f.peers {
-		if p.live && now.Sub(p.lastSeen) > f.peerLivenessTimeout(p) {
-			p.live = false
-			f.membershipGeneration++
-			eventPeerChanged.Log(f.Logger, "peer", name, "silent", now.Sub(p.lastSeen), "outcome", "silent")
+		if p.live && now.Sub(p.lastSeen) > f.peerLivenessTimeout(p, now) {
+			f.markSilent(name, p, now)
 		}
 		if now.Sub(max(p.lastSeen, p.addedAt)) > silentPeerTTL {
 			delete(f.peers, name)
@@ -266,6 +366,22 @@
 	}
 }
 
+// peerLivenessTimeout returns how long after its last heartbeat a VM counts as live. f.mu must be
+// held.
+func (f *Fleet) peerLivenessTimeout(p *peer, now clock.Instant) time.Duration {
+	if p.lastDirect != 0 && now.Sub(p.lastDirect) < directTTL {
+		return livenessTimeout
+	}
+	return digestLivenessTimeout
+}
+
+// markSilent records that a VM is silent. f.mu must be held.
+func (f *Fleet) markSilent(name VMName, p *peer, now clock.Instant) {
+	p.live, p.silentSince = false, now
+	f.membershipGeneration++
+	eventPeerChanged.Log(f.Logger, "peer", name, "silent", now.Sub(p.lastSeen), "outcome", "silent")
+}
+
 func (f *Fleet) receive(ctx context.Context) {
 	buffer := make([]byte, maxDatagramSize)
 	for ctx.Err() == nil {
@@ -284,47 +400,84 @@
 		switch {
 		case message.VM == f.VM:
 		case message.Digest != nil:
-			f.receiveDigest(message)
+			if f.accepts(message) {
+				f.receiveDigest(message)
+			}
+		case message.RequestedZone != "":
+			f.answerRequest(message)
 		case message.ZonePayload != nil:
 			f.OnZonePayload(message.ZonePayload)
 		default:
-			f.recordMessage(message, false)
+			f.recordMessage(message)
+			if message.View != nil && message.Zone == f.Zone && f.accepts(message) {
+				f.receiveView(message)
+			}
 		}
 	}
 }
 
-// recordMessage records a heartbeat of another VM, which arrived directly or in a digest.
-func (f *Fleet) recordMessage(message Message, viaDigest bool) {
+// recordMessage records a heartbeat of another VM.
+func (f *Fleet) recordMessage(message Message) {
 	f.mu.Lock()
 	f.init()
+	now := clock.Now()
 	p := f.peers[message.VM]
 	if p == nil {
-		p = &peer{addedAt: clock.Now()}
+		p = &peer{addedAt: now}
 		f.peers[message.VM] = p
 	}
-	if !p.live || p.message.Leaving != message.Leaving {
-		f.membershipGeneration++
-		eventPeerChanged.Log(f.Logger, "peer", message.VM, "incarnation", message.Incarnation, "leaving", message.Leaving, "outcome", "heard")
+	firstContact := p.message.Incarnation != message.Incarnation
+	p.lastDirect = now
+	f.notePeerSeen(now)
+	if message.Urgent && message.Zone == f.Zone {
+		f.digestUrgent = true
+		f.noteUrgent()
 	}
-	firstContact := p.lastSeen == 0 && !viaDigest
-	p.viaDigest = viaDigest
-	f.hasSeenPeer, f.lastPeerSeen = true, clock.Now()
-	f.digestUrgent = f.digestUrgent || message.Urgent && !viaDigest
-	p.live, p.lastSeen, p.message, p.address = true, clock.Now(), message, message.Address
+	if message.Zone == f.Zone {
+		if message.Leaving {
+			delete(f.demandByVM, message.VM)
+		} else {
+			f.demandByVM[message.VM] = reportedDemand{demand: message.Demand, sequence: message.Sequence, receivedAt: now}
+		}
+	}
+	message.View = nil
+	f.update(p, message, now)
 	f.mu.Unlock()
 	f.OnMessage(message)
 	if firstContact {
-		f.introduceTo(message.Address)
+		f.introduceTo(message)
+	}
+}
+
+// update replaces the state of a VM, as of an instant. f.mu must be held.
+func (f *Fleet) update(p *peer, message Message, at clock.Instant) {
+	before, sum := p.message, message.checksum()
+	if !p.live || before.Leaving != message.Leaving || before.Settling != message.Settling {
+		f.membershipGeneration++
+	}
+	if !p.live || before.Leaving != message.Leaving {
+		eventPeerChanged.Log(f.Logger, "peer", message.VM, "incarnation", message.Incarnation, "leaving", message.Leaving, "outcome", "heard")
+	}
+	if sum != p.checksum || !p.live || !maps.Equal(before.Observations, message.Observations) {
+		p.changedAt = clock.Now()
 	}
+	p.live, p.lastSeen, p.message, p.address, p.checksum = true, at, message, message.Address, sum
 }
 
-// introduceTo sends this VM's heartbeat to a VM seen for the first time.
-func (f *Fleet) introduceTo(address string) {
+// introduceTo sends this VM's heartbeat to a VM that it hears for the first time. If this VM is a
+// delegate, it sends the state of all zones, too.
+func (f *Fleet) introduceTo(m Message) {
+	own := f.composeOwn()
+	f.send(own, []string{m.Address})
 	f.mu.Lock()
-	own := f.ownMessage()
+	var zones []string
+	if f.hasDigests() && m.Zone == f.Zone && f.isDelegate() {
+		zones = slices.AppendSeq([]string{f.Zone}, maps.Keys(f.otherZones()))
+	}
 	f.mu.Unlock()
-	f.FillMessage(&own)
-	f.send(own, []string{address})
+	for _, zone := range zones {
+		f.answerRequest(Message{Address: m.Address, RequestedZone: zone})
+	}
 }
 
 // settleTime is how long a starting VM collects heartbeats before it accepts callers. Each VM
@@ -332,11 +485,12 @@
 const settleTime = 400 * time.Millisecond
 
 // Settled reports whether this VM has read the directory and has had enough time to receive the
-// heartbeats of the others.
+// heartbeats of the others, or a view of the fleet.
 func (f *Fleet) Settled() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.directoryRead && clock.Since(f.startedAt) > settleTime
+	age := clock.Since(f.startedAt)
+	return f.directoryRead && age > settleTime && (!f.hasDigests() || f.lastView != 0 || age > livenessTimeout)
 }
 
 // Leave announces that this VM is leaving and removes it from the directory. It relies on
--- a/internal/heartbeat/heartbeat_test.go
+++ b/internal/heartbeat/heartbeat_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -28,7 +29,9 @@
 	random   *rand.Rand
 	// crossZoneBytes counts the bytes sent between zones; zones has the zone of each address.
 	crossZoneBytes int
-	zones          map[string]string
+	// datagrams counts the datagrams delivered.
+	datagrams int
+	zones     map[string]string
 }
 
 type datagram struct {
@@ -67,6 +70,7 @@
 	if network.zones[to.String()] != network.zones[s.address.String()] {
 		network.crossZoneBytes += len(p)
 	}
+	network.datagrams++
 	select {
 	case inbox <- datagram{s.address, append([]byte(nil), p...)}:
 	default:
@@ -83,34 +87,30 @@
 // memoryDirectory stores the VMs' addresses in memory.
 type memoryDirectory struct {
 	mu          sync.Mutex
-	addresses   map[VMName]string
+	entries     map[VMName]Entry
 	unavailable bool
 }
 
-func (d *memoryDirectory) Register(_ context.Context, vm VMName, address string) error {
+func (d *memoryDirectory) Register(_ context.Context, vm VMName, entry Entry) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.unavailable {
 		return net.ErrClosed
 	}
-	d.addresses[vm] = address
+	d.entries[vm] = entry
 	return nil
 }
 
-func (d *memoryDirectory) List(context.Context) (map[VMName]string, error) {
+func (d *memoryDirectory) List(context.Context) (map[VMName]Entry, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	list := map[VMName]string{}
-	for vm, address := range d.addresses {
-		list[vm] = address
-	}
-	return list, nil
+	return maps.Clone(d.entries), nil
 }
 
 func (d *memoryDirectory) Remove(_ context.Context, vm VMName) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	delete(d.addresses, vm)
+	delete(d.entries, vm)
 	return nil
 }
 
@@ -123,14 +123,24 @@
 	tasks     sync.WaitGroup
 
 	mu sync.Mutex
-	// receivedDemand has the demand that each VM received from the others, by VM or zone.
+	// receivedDemand has the demand that each VM received from the others, by VM.
 	receivedDemand map[VMName]map[string]float64
+	// totals has the last total demand that each VM received.
+	totals map[VMName]total
 	// receivedObservations has the observations that each VM received last, by sender.
 	receivedObservations map[VMName]map[VMName]map[string]PrimaryObservation
 	// ownObservations has the observations of primaries that each VM sends.
 	ownObservations map[VMName]map[string]PrimaryObservation
-	// versions has each VM's configuration version.
-	versions map[VMName]int64
+	// demand is the demand of each VM's callers.
+	demand float64
+	// versions has each VM's configuration version, announced the one in its latest heartbeat.
+	versions, announced map[VMName]int64
+}
+
+// total is the demand of several VMs, and the part of it that a VM reported itself.
+type total struct {
+	demand, own float64
+	vms         int
 }
 
 // runFleet runs a test with a fleet of running VMs, under a simulated clock.
@@ -139,7 +149,7 @@
 		defer clock.Fake(func() clock.Instant { return clock.Instant(time.Now().UnixNano()) })()
 		fleet := &testFleet{
 			network:   &memoryNetwork{inboxes: map[string]chan datagram{}, isolated: map[string]bool{}, zones: map[string]string{}, random: rand.New(rand.NewPCG(1, 1))},
-			directory: &memoryDirectory{addresses: map[VMName]string{}}, receivedDemand: map[VMName]map[string]float64{},
+			directory: &memoryDirectory{entries: map[VMName]Entry{}}, receivedDemand: map[VMName]map[string]float64{}, totals: map[VMName]total{}, demand: 1, versions: map[VMName]int64{}, announced: map[VMName]int64{},
 			receivedObservations: map[VMName]map[VMName]map[string]PrimaryObservation{}, ownObservations: map[VMName]map[string]PrimaryObservation{},
 		}
 		for i := range size {
@@ -158,7 +168,7 @@
 // startVM starts the VM with number i.
 func (fleet *testFleet) startVM(i int) *Fleet {
 	name, zone := VMName(fmt.Sprintf("vm-%02d", i)), fmt.Sprint("zone-", i%3)
-	s := &memoryConn{network: fleet.network, address: &net.UDPAddr{IP: net.IPv4(10, 0, byte(i%3), byte(i+1)), Port: 7560}, closed: make(chan struct{})}
+	s := &memoryConn{network: fleet.network, address: &net.UDPAddr{IP: net.IPv4(10, 0, byte(i/100*3+i%3), byte(i%100+1)), Port: 7560}, closed: make(chan struct{})}
 	fleet.network.mu.Lock()
 	fleet.network.inboxes[s.address.String()] = make(chan datagram, 1000)
 	fleet.network.zones[s.address.String()] = zone
@@ -171,12 +181,13 @@
 		FillMessage: func(message *Message) {
 			fleet.mu.Lock()
 			defer fleet.mu.Unlock()
-			message.Demand, message.Observations, message.ConfigurationVersion = map[string]float64{"w": 1}, fleet.ownObservations[name], fleet.versions[name]
+			message.Demand, message.Observations, message.ConfigurationVersion = map[string]float64{"w": fleet.demand}, fleet.ownObservations[name], fleet.versions[name]
+			fleet.announced[name] = fleet.versions[name]
 		},
 		HasUrgentNews: func() bool {
 			fleet.mu.Lock()
 			defer fleet.mu.Unlock()
-			return len(fleet.ownObservations[name]) > 0
+			return len(fleet.ownObservations[name]) > 0 || fleet.versions[name] > fleet.announced[name]
 		},
 		OnMessage: func(message Message) {
 			fleet.mu.Lock()
@@ -186,10 +197,10 @@
 			}
 			fleet.receivedObservations[name][message.VM] = message.Observations
 		},
-		OnZoneDemand: func(zone string, d map[string]float64, _ int) {
+		OnFleetDemand: func(demand map[string]float64, vms int, own map[string]float64) {
 			fleet.mu.Lock()
 			defer fleet.mu.Unlock()
-			fleet.receivedDemand[name][zone] = d["w"]
+			fleet.totals[name] = total{demand["w"], own["w"], vms}
 		},
 		OnZonePayload: func(json.RawMessage) {},
 	}
--- a/internal/heartbeat/peer.go
+++ b/internal/heartbeat/peer.go
@@ -11,16 +11,25 @@
 // peer is what this VM knows about another one.
 type peer struct {
 	address string
-	// lastSeen is when the last heartbeat arrived, zero for a VM known only from the
-	// directory.
+	// lastSeen is when the last heartbeat arrived, here or at the VM that sent a digest, zero for a
+	// VM known only from the directory.
 	lastSeen clock.Instant
 	// addedAt is when the VM became known, from a heartbeat or from the directory.
 	addedAt clock.Instant
-	// message is the last heartbeat.
+	// message is the last heartbeat. It only has the zone and the link's bandwidth for a VM known
+	// only from the directory.
 	message Message
-	live    bool
-	// viaDigest is true if the last heartbeat arrived in a digest.
-	viaDigest bool
+	// checksum is that of message.
+	checksum uint64
+	live     bool
+	// silentSince is when the VM fell silent. It is meaningless while the VM is live.
+	silentSince clock.Instant
+	// changedAt is when checksum or the observations in message last changed.
+	changedAt clock.Instant
+	// lastDirect is when the last heartbeat arrived from the VM itself, zero if none has.
+	lastDirect clock.Instant
+	// inDigest is true if the VM is in the latest digest of its zone.
+	inDigest bool
 }
 
 // Peer is the last known state of another VM.
--- a/internal/heartbeat/size_test.go
+++ b/internal/heartbeat/size_test.go
@@ -15,7 +15,7 @@
 	f.init()
 	for i := range size {
 		name := VMName(fmt.Sprint("vm-", i))
-		f.peers[name] = &peer{live: true, lastSeen: clock.Now(), message: Message{VM: name, Zone: fmt.Sprint("zone-", i%5)}}
+		f.peers[name] = &peer{address: string(name), live: true, lastSeen: clock.Now(), message: Message{VM: name, Zone: fmt.Sprint("zone-", i%5)}}
 	}
 	return f
 }
--- a/internal/proxy/observation.go
+++ b/internal/proxy/observation.go
@@ -100,17 +100,3 @@
 	}
 	return observations
 }
-
-// HasMissingPrimary reports whether the primary of some group is unknown or has failed since its
-// latest answer as primary.
-func (v *VM) HasMissingPrimary() bool {
-	for _, g := range v.Groups() {
-		g.mu.Lock()
-		missing := g.primary == "" || g.health.failures > 0
-		g.mu.Unlock()
-		if missing {
-			return true
-		}
-	}
-	return false
-}
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -40,6 +40,8 @@
 	// extraBurstFraction is the fraction of the burst that is added to it, divided over
 	// all VMs. It is half of the 10 % by which the agreed limits may be exceeded.
 	extraBurstFraction = 0.05
+	// totalTTL is how long the reported total is preferred to the reports of single VMs.
+	totalTTL = 5 * time.Second
 	// peerDemandTTL is how long the last reported demand of an unreachable VM counts,
 	// since the VM may still serve callers.
 	peerDemandTTL = time.Minute
@@ -62,24 +64,35 @@
 	mu      sync.Mutex
 	buckets map[string]*bucket
 	peers   map[string]peer
+	// total is the last report of the demand of all VMs, nil if there was none.
+	total *totalDemand
 }
 
-// peer is the last report of another VM, or of several under one name.
-type peer struct {
+// totalDemand is a report of the demand of all VMs together.
+type totalDemand struct {
 	demand Demand
-	// vmCount is the number of VMs whose demand this is.
+	// own is the part of demand that this VM reported.
+	own Demand
+	// vmCount is the number of VMs whose demand this is, including this one.
 	vmCount    int
 	receivedAt time.Duration
 }
 
+// peer is the last report of another VM.
+type peer struct {
+	demand     Demand
+	receivedAt time.Duration
+}
+
 // bucket is this VM's token bucket for one workspace, with the demand of its callers.
 type bucket struct {
 	tokens float64
 	// updatedAt is when tokens and demand were last updated.
 	updatedAt time.Duration
 	demand    float64
-	// reportedDemand is the demand last reported to the other VMs.
-	reportedDemand float64
+	// reportedDemand is the demand last reported to the other VMs, sentDemand the demand last
+	// returned by ReportDemand. They differ while it isn't known whether a report has arrived.
+	reportedDemand, sentDemand float64
 }
 
 // Admit admits one operation of a workspace with the given rate (per second) and burst, and
@@ -139,32 +152,60 @@
 // The caller must hold l.mu.
 func (l *Limiter) shareFraction(workspace string, ownDemand, rate float64, now time.Duration) float64 {
 	vmCount := max(l.VMCount(), 1)
-	otherDemand, knownVMs := 0.0, 0
-	for reporter, p := range l.peers {
+	otherDemand, knownVMs := l.otherDemand(workspace, now)
+	evenShare := rate / float64(vmCount)
+	otherDemand += float64(max(vmCount-1-knownVMs, 0)) * max(evenShare, ownDemand)
+	return min((ownDemand+evenFraction*evenShare)/(ownDemand+otherDemand+evenFraction*rate), 1)
+}
+
+// otherDemand returns the other VMs' demand for a workspace, and the number of VMs for which it is
+// known. The caller must hold l.mu.
+func (l *Limiter) otherDemand(workspace string, now time.Duration) (float64, int) {
+	if l.usesTotal(now) {
+		return max(l.total.demand[workspace]-l.total.own[workspace], 0), l.total.vmCount - 1
+	}
+	sum := 0.0
+	for name, p := range l.peers {
 		if now-p.receivedAt > peerDemandTTL {
-			delete(l.peers, reporter)
+			delete(l.peers, name)
 			continue
 		}
-		otherDemand += p.demand[workspace]
-		knownVMs += p.vmCount
+		sum += p.demand[workspace]
 	}
-	evenShare := rate / float64(vmCount)
-	otherDemand += float64(max(vmCount-1-knownVMs, 0)) * max(evenShare, ownDemand)
-	return min((ownDemand+evenFraction*evenShare)/(ownDemand+otherDemand+evenFraction*rate), 1)
+	return sum, len(l.peers)
 }
 
-// ObserveDemand records the demand that another VM has reported.
-func (l *Limiter) ObserveDemand(vm string, d Demand) { l.ObserveGroupDemand(vm, d, 1) }
+// usesTotal reports whether the other VMs' demand follows from the reported total: while that is
+// new, and later if there are no reports of single VMs. The caller must hold l.mu.
+func (l *Limiter) usesTotal(now time.Duration) bool {
+	if l.total == nil {
+		return false
+	}
+	age := now - l.total.receivedAt
+	return age < totalTTL || age < peerDemandTTL && len(l.peers) == 0
+}
 
-// ObserveGroupDemand records the total demand of several VMs, reported under one name, such as
-// that of their availability zone.
-func (l *Limiter) ObserveGroupDemand(reporter string, d Demand, vmCount int) {
+// ObserveDemand records the demand that another VM has reported.
+func (l *Limiter) ObserveDemand(vm string, d Demand) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.peers == nil {
 		l.peers = map[string]peer{}
 	}
-	l.peers[reporter] = peer{demand: d, vmCount: vmCount, receivedAt: l.Now()}
+	l.peers[vm] = peer{demand: d, receivedAt: l.Now()}
+}
+
+// ObserveTotal records the demand of vmCount VMs together. own is the part of it that this VM has
+// reported. From then on own counts in full for this VM's share, and later reports only when they
+// are part of the total: the shares of all VMs that receive the same total never add up to more
+// than the rate.
+func (l *Limiter) ObserveTotal(total Demand, vmCount int, own Demand) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.total = &totalDemand{demand: total, own: own, vmCount: vmCount, receivedAt: l.Now()}
+	for workspace, b := range l.buckets {
+		b.reportedDemand = own[workspace]
+	}
 }
 
 // RemovePeer removes the demand of a VM that has announced its shutdown.
@@ -192,11 +233,14 @@
 	return d
 }
 
-// TotalDemand returns the demand of the callers of all VMs.
+// TotalDemand returns the demand of the callers of all VMs. The result must not be modified.
 func (l *Limiter) TotalDemand() Demand {
 	d := l.Demand()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.usesTotal(l.Now()) {
+		return l.total.demand
+	}
 	for _, p := range l.peers {
 		for workspace, amount := range p.demand {
 			d[workspace] += amount
@@ -206,13 +250,17 @@
 }
 
 // ReportDemand returns Demand for a report to the other VMs. From then on, the reported demand
-// counts in full for this VM's share.
+// counts in full for this VM's share, unless ObserveTotal tells which reports have arrived.
 func (l *Limiter) ReportDemand() Demand {
 	d := l.Demand()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	usesTotal := l.usesTotal(l.Now())
 	for workspace, b := range l.buckets {
-		b.reportedDemand = d[workspace]
+		b.sentDemand = d[workspace]
+		if !usesTotal {
+			b.reportedDemand = d[workspace]
+		}
 	}
 	return d
 }
@@ -223,7 +271,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, b := range l.buckets {
-		if b.demand > max(b.reportedDemand*earlyReportFactor, b.reportedDemand+minEarlyReportGrowth) {
+		if b.demand > max(b.sentDemand*earlyReportFactor, b.sentDemand+minEarlyReportGrowth) {
 			return true
 		}
 	}
