--- a/internal/heartbeat/heartbeat_test.go
+++ b/internal/heartbeat/heartbeat_test.go
@@ -221,9 +221,11 @@
 					for _, f := range fleet.vms {
 						assert.Equal(t, f.Size(), n)
 						sum := 0.0
+						fleet.mu.Lock()
 						for _, d := range fleet.receivedDemand[f.VM] {
 							sum += d
 						}
+						fleet.mu.Unlock()
 						if n <= maxMeshSize {
 							assert.Equal(t, sum, float64(n-1))
 						}
