heartbeat: tell the configuration version with digests

Digests carry the states of VMs without their configuration versions, so a delegate that the store doesn't answer learned of a new one only from its own zone, whose VMs relied on its reads until these were 8 s old; the platform wants it in force after 6 s.

Change: the sender of a digest tells its configuration version, and delegates of other zones fetch it. TestCatchUp asks the other zones, too: vm-01 stayed at version 0 before.

--- a/cmd/savoryramp-vm/fleet.go
+++ b/cmd/savoryramp-vm/fleet.go
@@ -20,11 +20,11 @@
 
 const (
 	// maxDelegateStoreAge is the age of a zone delegate's latest read of the store up to which the
-	// other VMs of the zone don't read it themselves. Delegates get an answer every five seconds
-	// at least.
-	maxDelegateStoreAge = 8 * time.Second
-	// maxDelegateListAge is the same for the list of servers, with an answer every three seconds.
-	maxDelegateListAge = 6 * time.Second
+	// other VMs of the zone don't read it themselves. It is longer than the store holds a request
+	// for changes, and shorter than the time in which a configuration must be in force.
+	maxDelegateStoreAge = 4 * time.Second
+	// maxDelegateListAge is the same for the list of servers.
+	maxDelegateListAge = 5 * time.Second
 )
 
 // verifierFleet adds to the fleet the selection of the VMs that verify a group's primary.
--- a/internal/heartbeat/catchup_test.go
+++ b/internal/heartbeat/catchup_test.go
@@ -48,19 +48,30 @@
 				fleet.versions[fleet.vms[0].VM] = 7
 				fleet.mu.Unlock()
 				fleet.wait(heartbeatInterval + test.timeout)
-				cancel()
-				tasks.Wait()
 				for _, f := range fleet.vms {
 					if f.Zone == fleet.vms[0].Zone {
-						assert.Equal(t, fleet.versions[f.VM], int64(7), "%s", f.VM)
+						assert.Equal(t, fleet.versionOf(f), int64(7), "%s", f.VM)
 					}
 				}
-				assert.Equal(t, fleet.versions[fleet.vms[3].VM], int64(7))
+				// The delegates of the other zones wait for the store, too.
+				fleet.wait(2 * delegateCatchUpDelay)
+				for _, f := range fleet.vms {
+					assert.Equal(t, fleet.versionOf(f), int64(7), "%s", f.VM)
+				}
+				cancel()
+				tasks.Wait()
 			})
 		})
 	}
 }
 
+// versionOf returns a VM's configuration version.
+func (fleet *testFleet) versionOf(f *Fleet) int64 {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	return fleet.versions[f.VM]
+}
+
 // versionAt returns the configuration version of the VM whose control port has an address.
 // fleet.mu must be held.
 func (fleet *testFleet) versionAt(address string) int64 {
--- a/internal/heartbeat/digest.go
+++ b/internal/heartbeat/digest.go
@@ -129,7 +129,13 @@
 		}
 	}
 	f.mu.Unlock()
-	f.send(Message{VM: f.VM, Address: own.Address, Zone: f.Zone, Settling: own.Settling, Digest: &digest}, addresses)
+	f.send(digestMessage(own, digest), addresses)
+}
+
+// digestMessage returns the message with a digest. It tells the sender's configuration version, so
+// that VMs whose zone doesn't get a new one from the store fetch it from the sender.
+func digestMessage(own Message, d Digest) Message {
+	return Message{VM: own.VM, Address: own.Address, Zone: own.Zone, Settling: own.Settling, ConfigurationVersion: own.ConfigurationVersion, Digest: &d}
 }
 
 // anyAddresses returns the addresses of up to n random VMs of a zone. f.mu must be held.
@@ -247,6 +253,11 @@
 		f.mu.Unlock()
 	}
 	f.applyDigest(d, m.VM, m.Address)
+	f.mu.Lock()
+	if p := f.peers[m.VM]; p != nil {
+		p.message.ConfigurationVersion = max(p.message.ConfigurationVersion, m.ConfigurationVersion)
+	}
+	f.mu.Unlock()
 	f.redirect(m)
 }
 
@@ -385,5 +396,5 @@
 	f.mu.Lock()
 	digest := f.digestOf(m.RequestedZone, own, clock.Now(), true)
 	f.mu.Unlock()
-	f.send(Message{VM: f.VM, Address: own.Address, Zone: f.Zone, Settling: own.Settling, Digest: &digest}, []string{m.Address})
+	f.send(digestMessage(own, digest), []string{m.Address})
 }
