--- a/internal/heartbeat/delegate.go
+++ b/internal/heartbeat/delegate.go
@@ -137,13 +137,14 @@
 	f.hasSeenPeer, f.lastPeerSeen = true, now
 }
 
-// trusts reports whether the state of zones that another VM has sent may replace what this VM
-// knows. A settling VM's state may lack VMs, so that it is only used while this VM knows no better
-// source. f.mu must be held.
-func (f *Fleet) trusts(m Message) bool {
+// accepts reports whether the digest or view in a message may replace what this VM knows. A settling
+// VM's state may lack VMs, so that it is only used while this VM knows no better source.
+func (f *Fleet) accepts(m Message) bool {
 	if !m.Settling {
 		return true
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for _, p := range f.peers {
 		if p.live && !p.message.Settling && !p.message.Leaving && p.message.Zone == m.Zone {
 			return false
--- a/internal/heartbeat/digest.go
+++ b/internal/heartbeat/digest.go
@@ -211,13 +211,6 @@
 	return append(strconv.AppendUint(patched, uint64(sequence), 10), '}')
 }
 
-// accepts reports whether this VM uses the digest or view in a message.
-func (f *Fleet) accepts(m Message) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.trusts(m)
-}
-
 // receiveView records the state of the fleet that the zone's delegate has sent.
 func (f *Fleet) receiveView(m Message) {
 	f.mu.Lock()
