platform: log when the store was restored from a copy

Versions that the store gives out again look like those before in every log line, so a restored store can't be told from one with nothing new.

--- a/cmd/savoryramp-vm/daemon.go
+++ b/cmd/savoryramp-vm/daemon.go
@@ -88,6 +88,7 @@
 		return proxy.ErrConnect.Wrap(err, "heartbeats")
 	}
 	d.store = platform.NewStore(string(s.StoreAddress))
+	d.store.Logger = d.logger
 	d.fleet = &heartbeat.Fleet{
 		VM: heartbeat.VMName(s.VM), Zone: string(s.Zone), LinkMbps: s.LinkMbps, Conn: heartbeatConn, Directory: platform.Directory{Store: d.store, Logger: d.logger}, Logger: d.logger,
 		Seeds: d.seedAddresses(), FillMessage: d.fillMessage, OnMessage: d.onMessage, OnFleetDemand: d.onFleetDemand, OnZonePayload: d.onServerList, HasUrgentNews: d.hasUrgentNews,
--- a/internal/heartbeat/message.go
+++ b/internal/heartbeat/message.go
@@ -11,6 +11,10 @@
 // VMName identifies a VM in the fleet.
 type VMName string
 
+// StoreEra counts how often the platform's store came back from a copy that lacks its latest changes.
+// Versions of different eras can't be compared. It is 0 if the store doesn't tell it.
+type StoreEra int64
+
 // Message is a datagram between VMs: a heartbeat with the sender's state, a zone's digest, a
 // request for a digest, or a payload for the VMs of the sender's zone.
 type Message struct {
