heartbeat: register VMs again after the store was restored

A VM writes its entry in the directory once, at its start. If the store comes back from a copy without it, a VM that starts later finds it only when it reads the directory itself, 7 to 22 s later, or 30 to 90 s in a fleet with delegates. Until then the two divide rates and connections as if the other weren't there.

Change: a VM registers again, within 0.5 s, when it learns of a newer era, from its own calls or from another VM's heartbeats, views and digests: most VMs of a large fleet don't call the store. A leaving VM doesn't.

--- a/cmd/savoryramp-vm/daemon.go
+++ b/cmd/savoryramp-vm/daemon.go
@@ -93,6 +93,7 @@
 		VM: heartbeat.VMName(s.VM), Zone: string(s.Zone), LinkMbps: s.LinkMbps, Conn: heartbeatConn, Directory: platform.Directory{Store: d.store, Logger: d.logger}, Logger: d.logger,
 		Seeds: d.seedAddresses(), FillMessage: d.fillMessage, OnMessage: d.onMessage, OnFleetDemand: d.onFleetDemand, OnZonePayload: d.onServerList, HasUrgentNews: d.hasUrgentNews,
 	}
+	d.store.OnEra = d.fleet.NoteStoreEra
 	d.quota = &quota.Limiter{Now: func() time.Duration { return time.Duration(clock.Now()) }, VMCount: d.fleet.Size}
 	d.vm = &proxy.VM{
 		Name: s.VM, Zone: s.Zone, Connect: platform.Connect, Fleet: verifierFleet{d.fleet}, Quota: d.quota, Logger: d.logger,
--- a/internal/heartbeat/heartbeat.go
+++ b/internal/heartbeat/heartbeat.go
@@ -51,13 +51,17 @@
 	// delegate; other VMs read it less often. A starting VM sends heartbeats to the others, so
 	// these reads only make up for lost ones.
 	directoryReadInterval = 15 * time.Second
+	// reregisterSpread is the time over which the VMs register again after the directory has lost
+	// their entries.
+	reregisterSpread = 500 * time.Millisecond
 	// maxDatagramSize is the largest datagram read, in bytes.
 	maxDatagramSize = 64 << 10
 )
 
 // Directory stores the VMs' addresses, so that a starting VM finds the others.
 type Directory interface {
-	Register(ctx context.Context, vm VMName, entry Entry) error
+	// Register returns the era of the store that has the entry.
+	Register(ctx context.Context, vm VMName, entry Entry) (StoreEra, error)
 	List(ctx context.Context) (map[VMName]Entry, error)
 	Remove(ctx context.Context, vm VMName) error
 }
@@ -103,6 +107,12 @@
 	incarnation   uint32
 	startedAt     clock.Instant
 	directoryRead bool
+	// storeEra is the newest known era of the store that has the directory, registeredEra the one in
+	// which this VM registered, if it has.
+	storeEra, registeredEra StoreEra
+	isRegistered, isLeaving bool
+	// entryLost wakes the task that registers this VM.
+	entryLost chan struct{}
 	// lastPeerSeen is when a heartbeat of any other VM last arrived; hasSeenPeer is true once
 	// one has.
 	lastPeerSeen clock.Instant
@@ -173,25 +183,43 @@
 	if f.peers == nil {
 		f.peers, f.incarnation, f.startedAt = map[VMName]*peer{}, rand.Uint32(), clock.Now()
 		// Another incarnation's numbers aren't mistaken for this one's.
-		f.wake = make(chan struct{}, 1)
+		f.wake, f.entryLost = make(chan struct{}, 1), make(chan struct{}, 1)
 		f.sequence, f.sentDemands = rand.Uint32()>>1, map[uint32]map[string]float64{}
 		f.digestsReceived, f.lastRequests = map[string]clock.Instant{}, map[string]clock.Instant{}
 		f.demandByVM, f.demandByZone = map[VMName]reportedDemand{}, map[string]reportedDemand{}
 	}
 }
 
+// NoteStoreEra records an era of the store that has the directory. If it is newer than that of this
+// VM's entry, the entry may be lost and is registered again.
+func (f *Fleet) NoteStoreEra(era StoreEra) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.init()
+	if era <= f.storeEra {
+		return
+	}
+	f.storeEra = era
+	if f.isEntryLost() {
+		select {
+		case f.entryLost <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// isEntryLost reports whether the store was restored after this VM registered. f.mu must be held.
+func (f *Fleet) isEntryLost() bool {
+	return f.isRegistered && !f.isLeaving && f.registeredEra < f.storeEra
+}
+
 // maintainDirectory registers this VM in the directory, and reads the addresses of the others
 // periodically.
 func (f *Fleet) maintainDirectory(ctx context.Context) {
-	registered := false
 	for pause := sendCheckInterval; ctx.Err() == nil; {
-		var err error
-		if !registered {
-			err = f.Directory.Register(ctx, f.VM, Entry{Address: f.Conn.LocalAddr().String(), Zone: f.Zone, LinkMbps: f.LinkMbps})
-			registered = err == nil
-		}
+		err := f.register(ctx)
 		var list map[VMName]Entry
-		if registered {
+		if err == nil {
 			list, err = f.Directory.List(ctx)
 		}
 		if err != nil && ctx.Err() == nil {
@@ -204,8 +232,33 @@
 				pause *= delegatesPerZone * delegatesPerZone
 			}
 		}
-		clock.Sleep(ctx, pause/2+rand.N(pause))
+		timer := time.NewTimer(pause/2 + rand.N(pause))
+		select {
+		case <-timer.C:
+		case <-f.entryLost:
+			clock.Sleep(ctx, rand.N(reregisterSpread))
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+}
+
+// register registers this VM in the directory, unless it is there already or is leaving.
+func (f *Fleet) register(ctx context.Context) error {
+	f.mu.Lock()
+	needed := !f.isLeaving && (!f.isRegistered || f.isEntryLost())
+	f.mu.Unlock()
+	if !needed {
+		return nil
 	}
+	era, err := f.Directory.Register(ctx, f.VM, Entry{Address: f.Conn.LocalAddr().String(), Zone: f.Zone, LinkMbps: f.LinkMbps})
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.isRegistered, f.registeredEra, f.storeEra = true, era, max(f.storeEra, era)
+	return nil
 }
 
 // addListedPeers adds the VMs of the directory, and updates the addresses of those that aren't
@@ -322,7 +375,7 @@
 // ownMessage returns this VM's heartbeat before FillMessage has added the state. f.mu must be
 // held.
 func (f *Fleet) ownMessage() Message {
-	message := Message{VM: f.VM, Incarnation: f.incarnation, Address: f.Conn.LocalAddr().String(), Zone: f.Zone, LinkMbps: f.LinkMbps}
+	message := Message{VM: f.VM, Incarnation: f.incarnation, Address: f.Conn.LocalAddr().String(), Zone: f.Zone, LinkMbps: f.LinkMbps, StoreEra: f.storeEra}
 	if f.hasDigests() {
 		message.Sequence, message.Settling = f.sequence, f.isSettling(clock.Now())
 	}
@@ -397,6 +450,7 @@
 			eventMalformed.Log(f.Logger, "from", from, "bytes", n, "err", err)
 			continue
 		}
+		f.NoteStoreEra(message.StoreEra)
 		switch {
 		case message.VM == f.VM:
 		case message.Digest != nil:
@@ -496,6 +550,9 @@
 // Leave announces that this VM is leaving and removes it from the directory. It relies on
 // FillMessage to set the message's Leaving field.
 func (f *Fleet) Leave(ctx context.Context) {
+	f.mu.Lock()
+	f.isLeaving = true
+	f.mu.Unlock()
 	f.Announce()
 	if err := f.Directory.Remove(ctx, f.VM); err != nil {
 		eventDirectoryUnavailable.Log(f.Logger, "err", err)
--- a/internal/heartbeat/heartbeat_test.go
+++ b/internal/heartbeat/heartbeat_test.go
@@ -89,16 +89,18 @@
 	mu          sync.Mutex
 	entries     map[VMName]Entry
 	unavailable bool
+	// era is the era of the store that has the directory.
+	era StoreEra
 }
 
-func (d *memoryDirectory) Register(_ context.Context, vm VMName, entry Entry) error {
+func (d *memoryDirectory) Register(_ context.Context, vm VMName, entry Entry) (StoreEra, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.unavailable {
-		return net.ErrClosed
+		return 0, net.ErrClosed
 	}
 	d.entries[vm] = entry
-	return nil
+	return d.era, nil
 }
 
 func (d *memoryDirectory) List(context.Context) (map[VMName]Entry, error) {
@@ -149,7 +151,7 @@
 		defer clock.Fake(func() clock.Instant { return clock.Instant(time.Now().UnixNano()) })()
 		fleet := &testFleet{
 			network:   &memoryNetwork{inboxes: map[string]chan datagram{}, isolated: map[string]bool{}, zones: map[string]string{}, random: rand.New(rand.NewPCG(1, 1))},
-			directory: &memoryDirectory{entries: map[VMName]Entry{}}, receivedDemand: map[VMName]map[string]float64{}, totals: map[VMName]total{}, demand: 1, versions: map[VMName]int64{}, announced: map[VMName]int64{},
+			directory: &memoryDirectory{entries: map[VMName]Entry{}, era: 1}, receivedDemand: map[VMName]map[string]float64{}, totals: map[VMName]total{}, demand: 1, versions: map[VMName]int64{}, announced: map[VMName]int64{},
 			receivedObservations: map[VMName]map[VMName]map[string]PrimaryObservation{}, ownObservations: map[VMName]map[string]PrimaryObservation{},
 		}
 		for i := range size {
--- a/internal/heartbeat/message.go
+++ b/internal/heartbeat/message.go
@@ -35,6 +35,8 @@
 	LinkMbps float64 `json:"link,omitempty"`
 	// ConfigurationVersion is the version of the configuration in force.
 	ConfigurationVersion int64 `json:"configuration,omitempty"`
+	// StoreEra is the newest era of the platform's store that the sender knows.
+	StoreEra StoreEra `json:"store-era,omitempty"`
 	// StoreAgeMs is the time in milliseconds since the platform's store last answered the
 	// sender.
 	StoreAgeMs int64 `json:"store-age-ms,omitempty"`
