heartbeat: tell starting VMs which others are live

A VM that starts while the directory lacks entries counts itself as alone, is ready after 0.4 s, and takes the whole of each workspace's rate, until the others have found it.

Cause: the directory was the only source of the others' names. After a restore it lacks those that haven't registered again yet.

Change: a VM that hears another for the first time tells it the live VMs, or in a fleet with delegates those of its zone, which tell it the rest.

Before: TestVMStartsAfterRestore fails, the VM counts 2 of 10 and of 61 when it is settled. After: it passes.

--- a/internal/heartbeat/heartbeat.go
+++ b/internal/heartbeat/heartbeat.go
@@ -261,12 +261,17 @@
 	return nil
 }
 
-// addListedPeers adds the VMs of the directory, and updates the addresses of those that aren't
-// live.
+// addListedPeers adds the VMs of the directory.
 func (f *Fleet) addListedPeers(list map[VMName]Entry) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.directoryRead = true
+	f.addPeers(list)
+}
+
+// addPeers adds VMs, and updates the addresses of those that aren't live. It returns the addresses of
+// the added ones. f.mu must be held.
+func (f *Fleet) addPeers(list map[VMName]Entry) (added []string) {
 	for name, entry := range list {
 		if name == f.VM {
 			continue
@@ -275,6 +280,7 @@
 		if p == nil {
 			p = &peer{addedAt: clock.Now()}
 			f.peers[name] = p
+			added = append(added, entry.Address)
 		}
 		if p.lastSeen == 0 {
 			p.message.Zone, p.message.LinkMbps = entry.Zone, entry.LinkMbps
@@ -283,6 +289,7 @@
 			p.address = entry.Address
 		}
 	}
+	return added
 }
 
 // sendPeriodically sends heartbeats, digests and views when they are due, and marks VMs as silent.
@@ -494,10 +501,15 @@
 			f.demandByVM[message.VM] = reportedDemand{demand: message.Demand, sequence: message.Sequence, receivedAt: now}
 		}
 	}
-	message.View = nil
+	known := message.Known
+	message.View, message.Known = nil, nil
 	f.update(p, message, now)
+	added := f.addPeers(known)
 	f.mu.Unlock()
 	f.OnMessage(message)
+	if len(added) > 0 {
+		f.send(f.composeOwn(), added)
+	}
 	if firstContact {
 		f.introduceTo(message)
 	}
@@ -518,10 +530,13 @@
 	p.live, p.lastSeen, p.message, p.address, p.checksum = true, at, message, message.Address, sum
 }
 
-// introduceTo sends this VM's heartbeat to a VM that it hears for the first time. If this VM is a
-// delegate, it sends the state of all zones, too.
+// introduceTo sends this VM's heartbeat, with the VMs that it knows, to a VM that it hears for the
+// first time. If this VM is a delegate, it sends the state of all zones, too.
 func (f *Fleet) introduceTo(m Message) {
 	own := f.composeOwn()
+	f.mu.Lock()
+	own.Known = f.knownTo(m.Zone)
+	f.mu.Unlock()
 	f.send(own, []string{m.Address})
 	f.mu.Lock()
 	var zones []string
@@ -534,17 +549,35 @@
 	}
 }
 
+// knownTo returns the entries of the live VMs from which a VM of a zone learns of all others: of the
+// zone's delegates if there are any, else of all. f.mu must be held.
+func (f *Fleet) knownTo(zone string) map[VMName]Entry {
+	known := map[VMName]Entry{}
+	var delegates []string
+	if f.hasDigests() {
+		delegates = f.delegates(zone)
+	}
+	for name, p := range f.peers {
+		if p.live && !p.message.Leaving && (!f.hasDigests() || slices.Contains(delegates, p.address)) {
+			known[name] = Entry{Address: p.address, Zone: p.message.Zone, LinkMbps: p.message.LinkMbps}
+		}
+	}
+	return known
+}
+
 // settleTime is how long a starting VM collects heartbeats before it accepts callers. Each VM
 // that receives its first heartbeat answers with its own at once.
 const settleTime = 400 * time.Millisecond
 
 // Settled reports whether this VM has read the directory and has had enough time to receive the
-// heartbeats of the others, or a view of the fleet.
+// heartbeats of the others, or a view of the fleet. If it knows no other VM, the directory may have
+// lost their entries, and they have as long as it takes them to register again.
 func (f *Fleet) Settled() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	age := clock.Since(f.startedAt)
-	return f.directoryRead && age > settleTime && (!f.hasDigests() || f.lastView != 0 || age > livenessTimeout)
+	isAlone := len(f.peers) == 0
+	return f.directoryRead && age > settleTime && (!f.hasDigests() && !isAlone || f.lastView != 0 || age > livenessTimeout)
 }
 
 // Leave announces that this VM is leaving and removes it from the directory. It relies on
--- a/internal/heartbeat/heartbeat_test.go
+++ b/internal/heartbeat/heartbeat_test.go
@@ -120,9 +120,11 @@
 type testFleet struct {
 	network   *memoryNetwork
 	directory *memoryDirectory
-	vms       []*Fleet
-	cancel    []context.CancelFunc
-	tasks     sync.WaitGroup
+	// seeds are the seeds of VMs that start from now on.
+	seeds  []string
+	vms    []*Fleet
+	cancel []context.CancelFunc
+	tasks  sync.WaitGroup
 
 	mu sync.Mutex
 	// receivedDemand has the demand that each VM received from the others, by VM.
@@ -179,7 +181,7 @@
 	fleet.receivedDemand[name], fleet.receivedObservations[name] = map[string]float64{}, map[VMName]map[string]PrimaryObservation{}
 	fleet.mu.Unlock()
 	f := &Fleet{
-		VM: name, Zone: zone, Conn: s, Directory: fleet.directory, Logger: log.NewNopLogger(),
+		VM: name, Zone: zone, Conn: s, Directory: fleet.directory, Seeds: fleet.seeds, Logger: log.NewNopLogger(),
 		FillMessage: func(message *Message) {
 			fleet.mu.Lock()
 			defer fleet.mu.Unlock()
--- a/internal/heartbeat/message.go
+++ b/internal/heartbeat/message.go
@@ -55,6 +55,9 @@
 	// Observations has the sender's view of primaries by group, only of groups that it verifies
 	// and whose primary fails or was replaced recently.
 	Observations map[string]PrimaryObservation `json:"leads,omitempty"`
+	// Known has VMs that the receiver may not know, apart from the sender. It is set in the first
+	// heartbeat to a VM.
+	Known map[VMName]Entry `json:"known,omitempty"`
 	// View is set in the heartbeats of a zone's first delegate to the VMs of the zone.
 	View *View `json:"view,omitempty"`
 	// Included is the sequence number of the receiver's latest heartbeat whose demand is included
--- a/internal/heartbeat/restore_test.go
+++ b/internal/heartbeat/restore_test.go
@@ -40,3 +40,23 @@
 		})
 	}
 }
+
+// TestVMStartsAfterRestore guards against a starting VM that takes itself for the only one, and the
+// whole of each rate for its own: the directory came back from a copy without the others' entries,
+// and they don't know it yet.
+func TestVMStartsAfterRestore(t *testing.T) {
+	for name, size := range map[string]int{"mesh": 9, "digests": 60} {
+		t.Run(name, func(t *testing.T) {
+			runFleet(t, size, func(fleet *testFleet) {
+				fleet.wait(5 * time.Second)
+				fleet.directory.restore()
+				fleet.seeds = []string{fleet.vms[4].Conn.LocalAddr().String()}
+				f := fleet.startVM(size)
+				for !f.Settled() {
+					fleet.wait(10 * time.Millisecond)
+				}
+				assert.Check(t, f.Size() > size*9/10, "the VM counts %d of %d VMs", f.Size(), size+1)
+			})
+		})
+	}
+}
