platform: keep servers when reading their list after a delegate

In a fleet with zone delegates, a VM that takes over reading the list of servers believed the first table it read: servers that hadn't written their rows again since the store's return were dropped, with the connections to them. If it had read the list itself before, it could also bring back servers of that time.

--- a/cmd/savoryramp-vm/daemon.go
+++ b/cmd/savoryramp-vm/daemon.go
@@ -112,7 +112,7 @@
 	d.addTask(d.vm.Run)
 	d.addTask(d.fleet.Run)
 	d.addTask(d.configurationWatcher.Run)
-	d.addTask((&platform.ServerListWatcher{Store: d.store, OnServers: d.onServers, ReadByDelegate: d.listReadByDelegate, LacksList: d.lacksServerList, FetchFromPeer: d.fetchServersFromPeer, Logger: d.logger}).Run)
+	d.addTask((&platform.ServerListWatcher{Store: d.store, OnServers: d.onServers, ReadByDelegate: d.listReadByDelegate, Known: d.knownServers, LacksList: d.lacksServerList, FetchFromPeer: d.fetchServersFromPeer, Logger: d.logger}).Run)
 	failover := &proxy.Failover{VM: d.vm, Fleet: d.fleet, Promoter: d.promoter, PromotionFences: s.FencingEnforced, Logger: d.logger}
 	if !s.FencingEnforced {
 		d.vm.HasQuorum = failover.HasQuorum
--- a/cmd/savoryramp-vm/fleet.go
+++ b/cmd/savoryramp-vm/fleet.go
@@ -137,6 +137,13 @@
 	return d.list.lackedFrom != ""
 }
 
+// knownServers returns the servers that this VM uses.
+func (d *daemon) knownServers() []proxy.Server {
+	d.listMu.Lock()
+	defer d.listMu.Unlock()
+	return d.list.servers
+}
+
 // serveServerList serves the last recorded list of servers and its age to other VMs.
 func (d *daemon) serveServerList(w http.ResponseWriter, _ *http.Request) {
 	d.listMu.Lock()
