heartbeat: fetch newer configurations at once after a start or a restore

A VM that starts while the store has older rows reads an older configuration, which the others have left behind, and serves callers by it for some 0.3 s.

Cause: a VM that reads the store by itself waits 0.7 s for the store to deliver what another VM has; a starting VM is ready after 0.4 s. A restored store delivers it only when the operator writes it again.

Class: an older row taken for the newest.

Found by reading. Before: TestStartingVMCatchesUp and TestCatchesUpAfterRestore fail.

--- a/internal/heartbeat/catchup.go
+++ b/internal/heartbeat/catchup.go
@@ -16,7 +16,7 @@
 	// fetches that VM's newer configuration. The store usually delivers it sooner.
 	delegateCatchUpDelay = 700 * time.Millisecond
 	// nonDelegateCatchUpDelay is the same for a VM that relies on zone delegates to read the
-	// store.
+	// store, and while the store may be behind other VMs.
 	nonDelegateCatchUpDelay = 50 * time.Millisecond
 	// catchUpCheckInterval is how often the versions of the other VMs are checked.
 	catchUpCheckInterval = 100 * time.Millisecond
@@ -71,7 +71,7 @@
 
 // catchUpDelay returns how long this VM waits for the store to deliver a newer configuration.
 func (c *ConfigurationCatchUp) catchUpDelay() time.Duration {
-	if c.Fleet.IsZoneDelegate() {
+	if c.Fleet.IsZoneDelegate() && !c.Fleet.storeMayBeBehind() {
 		return delegateCatchUpDelay
 	}
 	return nonDelegateCatchUpDelay
--- a/internal/heartbeat/heartbeat.go
+++ b/internal/heartbeat/heartbeat.go
@@ -54,6 +54,8 @@
 	// reregisterSpread is the time over which the VMs register again after the directory has lost
 	// their entries.
 	reregisterSpread = 500 * time.Millisecond
+	// rewriteTime is how long after a restore the store may lack what its writers have written before.
+	rewriteTime = 2500 * time.Millisecond
 	// maxDatagramSize is the largest datagram read, in bytes.
 	maxDatagramSize = 64 << 10
 )
@@ -111,6 +113,8 @@
 	// which this VM registered, if it has.
 	storeEra, registeredEra StoreEra
 	isRegistered, isLeaving bool
+	// restoredAt is when this VM learned that the store was restored, zero if it wasn't.
+	restoredAt clock.Instant
 	// entryLost wakes the task that registers this VM.
 	entryLost chan struct{}
 	// lastPeerSeen is when a heartbeat of any other VM last arrived; hasSeenPeer is true once
@@ -199,6 +203,9 @@
 	if era <= f.storeEra {
 		return
 	}
+	if f.storeEra != 0 {
+		f.restoredAt = clock.Now()
+	}
 	f.storeEra = era
 	if f.isEntryLost() {
 		select {
@@ -208,6 +215,14 @@
 	}
 }
 
+// storeMayBeBehind reports whether the store may deliver less than other VMs know: to a starting VM,
+// which doesn't know whether the store was restored, and soon after a restore.
+func (f *Fleet) storeMayBeBehind() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.isStarting() || f.restoredAt != 0 && clock.Since(f.restoredAt) < rewriteTime
+}
+
 // isEntryLost reports whether the store was restored after this VM registered. f.mu must be held.
 func (f *Fleet) isEntryLost() bool {
 	return f.isRegistered && !f.isLeaving && f.registeredEra < f.storeEra
