soak: restore the store and silence connections for good

The soak knew neither: its stores lost their history only, and its silent connections came back, or new ones were silent, too.

After a run every route of the newest configuration must be served by every VM, and no fencing token may have had two holders.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -77,7 +77,7 @@
 	if ran := s.ledger.WorkspaceOf(id); ran != "" && ran != workspace {
 		s.broken("a request runs for its key's workspace", "%s of %s ran for %s", id, workspace, ran)
 	}
-	if s.Faults != AllFaults && a.Outcome == standin.Disconnected && s.ledger.WorkspaceOf(id) != "" {
+	if s.Faults != AllFaults && s.Faults != RestoreFaults && a.Outcome == standin.Disconnected && s.ledger.WorkspaceOf(id) != "" {
 		s.broken("planned work cuts no request", "%s %s at %s: %s", id, text, p.name, a.Text)
 	}
 }
@@ -152,6 +152,9 @@
 			s.broken("an acknowledged write stays", "%s of %s, term %d", id, w.item, w.term)
 		}
 	}
+	for _, token := range s.store.SharedTokens() {
+		s.broken("a fencing token has one holder", "%s", token)
+	}
 	allowed := int((hotRate*window.Seconds()+hotBurst)*(1+overshoot) + tolerance)
 	first := 0
 	for i, at := range s.check.hots {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -14,7 +14,9 @@
 	name string
 	// planned faults may not cut a request.
 	planned bool
-	do      func(s *Soak, r *rand.Rand, lasts time.Duration) string
+	// restores is true for faults that are drawn beside restores of the store.
+	restores bool
+	do       func(s *Soak, r *rand.Rand, lasts time.Duration) string
 }
 
 // faults are those that a run draws from.
@@ -30,7 +32,7 @@
 		s.restart(p)
 		return p.name
 	}},
-	{name: "stop and start a VM", planned: true, do: func(s *Soak, r *rand.Rand, _ time.Duration) string {
+	{name: "stop and start a VM", planned: true, restores: true, do: func(s *Soak, r *rand.Rand, _ time.Duration) string {
 		p := s.take(r)
 		if p == nil {
 			return "none left"
@@ -44,7 +46,7 @@
 		s.restart(p)
 		return p.name
 	}},
-	{name: "pause a VM", do: func(s *Soak, r *rand.Rand, lasts time.Duration) string {
+	{name: "pause a VM", restores: true, do: func(s *Soak, r *rand.Rand, lasts time.Duration) string {
 		p := s.take(r)
 		if p == nil {
 			return "none left"
@@ -75,6 +77,22 @@
 		s.store.DropHistory()
 		return ""
 	}},
+	{name: "store is restored from a copy", restores: true, do: func(s *Soak, r *rand.Rand, lasts time.Duration) string {
+		if !s.restoring.TryLock() {
+			return "another restore is on"
+		}
+		defer s.restoring.Unlock()
+		c := s.store.Copy()
+		s.pause(copyAge * lasts)
+		s.store.SetFault(standin.Busy)
+		s.pause(time.Duration(r.IntN(500)) * time.Millisecond)
+		s.store.Restore(c)
+		s.store.SetFault(standin.NoFault)
+		// The operator notices later and writes again, as the servers do.
+		s.pause(time.Duration(r.IntN(1500)) * time.Millisecond)
+		s.rewrite()
+		return ""
+	}},
 	{name: "harm a VM's way to the store", do: func(s *Soak, r *rand.Rand, lasts time.Duration) string {
 		p := s.vms[r.IntN(len(s.vms))]
 		return s.harm(p.store, r, lasts) + " for " + p.name
@@ -83,7 +101,7 @@
 		id := s.ids[r.IntN(len(s.ids))]
 		return s.harm(s.servers[id], r, lasts) + " to " + id
 	}},
-	{name: "crash a server", do: func(s *Soak, r *rand.Rand, lasts time.Duration) string {
+	{name: "crash a server", restores: true, do: func(s *Soak, r *rand.Rand, lasts time.Duration) string {
 		id := s.ids[r.IntN(len(s.ids))]
 		if r.IntN(2) == 0 {
 			id = s.ledger.PrimaryID()
@@ -112,7 +130,7 @@
 		s.ledger.DropAnswers(id, nil)
 		return id
 	}},
-	{name: "the primary is to leave", planned: true, do: func(s *Soak, _ *rand.Rand, _ time.Duration) string {
+	{name: "the primary is to leave", planned: true, restores: true, do: func(s *Soak, _ *rand.Rand, _ time.Duration) string {
 		id := s.ledger.PrimaryID()
 		s.ledger.SetDraining(id, true)
 		s.pause(drainFor)
@@ -122,7 +140,7 @@
 	{name: "withdraw a key", planned: true, do: func(s *Soak, _ *rand.Rand, _ time.Duration) string {
 		return s.withdraw()
 	}},
-	{name: "change the configuration", planned: true, do: func(s *Soak, r *rand.Rand, _ time.Duration) string {
+	{name: "change the configuration", planned: true, restores: true, do: func(s *Soak, r *rand.Rand, _ time.Duration) string {
 		s.change(func(d *standin.Document) {
 			d.Routes[0].TimeoutMs = 700 + r.IntN(3)*100
 			d.Routes = append(d.Routes[:3:3], standin.Route{Database: fmt.Sprint("extra", r.IntN(100)), Service: serviceName, Kind: "primary", TimeoutMs: 800})
@@ -136,11 +154,13 @@
 	stopWithin = 6 * time.Second
 	// drainFor is how long a server that leaves still serves.
 	drainFor = 4 * time.Second
+	// copyAge times the length of a fault is how old the copy is that a store is restored from.
+	copyAge = 2
 )
 
 // harm does something to a way and undoes it.
 func (s *Soak) harm(p *proxy, r *rand.Rand, lasts time.Duration) string {
-	m := []mode{delayed, silenced, halfSilenced, refusing}[r.IntN(4)]
+	m := []mode{delayed, silenced, halfSilenced, refusing, stale}[r.IntN(5)]
 	every := 1 + r.IntN(3)
 	p.set(m, every)
 	s.pause(lasts)
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -21,6 +21,8 @@
 	halfSilenced mode = "half-silenced"
 	// refusing resets connections that stand and closes new ones.
 	refusing mode = "refusing"
+	// stale silences the connections that stand for good; new ones pass.
+	stale mode = "stale"
 )
 
 // proxy stands before one address on loopback and harms the connections through it.
@@ -30,10 +32,12 @@
 
 	mu sync.Mutex
 	// mode is that of the connections whose number is a multiple of every.
-	mode    mode
-	every   int
-	number  int
-	open    map[net.Conn]int
+	mode   mode
+	every  int
+	number int
+	open   map[net.Conn]int
+	// stale has the numbers of the connections that are silent for good.
+	stale   map[int]bool
 	changed chan struct{}
 	tasks   sync.WaitGroup
 }
@@ -46,7 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{target: target, listener: listener, mode: passing, every: 1, open: map[net.Conn]int{}, changed: make(chan struct{})}
+	p := &proxy{target: target, listener: listener, mode: passing, every: 1, open: map[net.Conn]int{}, stale: map[int]bool{}, changed: make(chan struct{})}
 	p.tasks.Go(p.accept)
 	return p, nil
 }
@@ -60,12 +64,13 @@
 	p.mode, p.every = m, every
 	close(p.changed)
 	p.changed = make(chan struct{})
-	if m != refusing {
-		return
-	}
 	for c, n := range p.open {
-		if n%every == 0 {
+		switch {
+		case n%every != 0:
+		case m == refusing:
 			reset(c)
+		case m == stale:
+			p.stale[n] = true
 		}
 	}
 }
@@ -81,7 +86,13 @@
 func (p *proxy) of(n int) (mode, <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if n%p.every != 0 {
+	harmed := n%p.every == 0
+	switch {
+	case harmed && p.mode == refusing:
+		return refusing, p.changed
+	case p.stale[n]:
+		return silenced, p.changed
+	case !harmed || p.mode == stale:
 		return passing, p.changed
 	}
 	return p.mode, p.changed
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -50,6 +50,8 @@
 	stop    chan struct{}
 	tasks   sync.WaitGroup
 	check   checks
+	// restoring is held while the store is restored.
+	restoring sync.Mutex
 
 	mu       sync.Mutex
 	free     []*process
@@ -60,10 +62,12 @@
 // Faults says which faults a run draws.
 type Faults string
 
-// The kinds of faults; planned ones may cut no request.
+// The kinds of faults; planned ones may cut no request, the others are drawn from all or from those
+// that a restore of the store may make worse.
 const (
 	AllFaults     Faults = "all"
 	PlannedFaults Faults = "planned"
+	RestoreFaults Faults = "restores"
 	NoFaults      Faults = "none"
 )
 
@@ -233,7 +237,7 @@
 	}
 	for time.Since(began) < s.Lasts {
 		f := faults[r.IntN(len(faults))]
-		for s.Faults == PlannedFaults && !f.planned {
+		for s.Faults == PlannedFaults && !f.planned || s.Faults == RestoreFaults && !f.restores {
 			f = faults[r.IntN(len(faults))]
 		}
 		lasts := time.Duration(300+r.IntN(3000)) * time.Millisecond
@@ -284,7 +288,7 @@
 		s.broken("all VMs are ready again", "%d of %d after %s", len(s.balanced()), len(s.vms), recoverWithin)
 	}
 	for _, p := range s.vms {
-		for _, r := range s.document.Routes[:3] {
+		for _, r := range s.document.Routes {
 			text := ""
 			if !s.until(recoverWithin, func() bool { ok, why := s.try(p, r.Database); text = why; return ok }) {
 				s.broken("every VM serves again", "%s, %s: %s", p.name, r.Database, text)
@@ -317,6 +321,13 @@
 	s.store.Put("op", "config", s.document.JSON())
 }
 
+// rewrite writes the configuration in force again, which a restored store lacks.
+func (s *Soak) rewrite() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.store.Put("op", "config", s.document.JSON())
+}
+
 func (s *Soak) broken(promise, format string, arguments ...any) {
 	s.check.fail(promise, fmt.Sprintf(format, arguments...))
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -52,13 +52,17 @@
 	runs.Wait()
 }
 
-// soakOnce plays a seed; every fourth draws planned faults only.
+// soakOnce plays a seed; every fourth draws planned faults only, another fourth restores of the store
+// and what they may make worse.
 func soakOnce(t *testing.T, binary string, seed uint64, network int) {
 	folder, err := os.MkdirTemp(*keep, fmt.Sprintf("soak-%d-", seed))
 	assert.Check(t, err)
 	s := &Soak{Binary: binary, Folder: folder, Seed: seed, VMs: *vms, Lasts: *lasts, Faults: AllFaults, Network: network % 10000}
-	if seed%4 == 0 {
+	switch seed % 4 {
+	case 0:
 		s.Faults = PlannedFaults
+	case 2:
+		s.Faults = RestoreFaults
 	}
 	report, err := s.Run()
 	assert.Check(t, err)
