internal/platform: close idle connections after a request without a response

Before: TestSilentIdleConnections fails, the second request times out as well. After: the second request succeeds on a new connection.

--- a/internal/platform/endpoint.go
+++ b/internal/platform/endpoint.go
@@ -43,14 +43,27 @@
 	dialer := net.Dialer{Timeout: connectTimeout}
 	return &http.Client{
 		Timeout: attemptTimeout,
-		Transport: &http.Transport{
+		Transport: &transport{&http.Transport{
 			DialContext:         dialer.DialContext,
 			MaxIdleConnsPerHost: maxIdleConnections,
 			IdleConnTimeout:     idleTimeout,
-		},
+		}},
 	}
 }
 
+// transport closes its idle connections after a request without a response, since whatever silenced
+// one may have silenced all.
+type transport struct{ *http.Transport }
+
+// RoundTrip sends a request.
+func (t *transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	response, err := t.Transport.RoundTrip(r)
+	if err != nil {
+		t.CloseIdleConnections()
+	}
+	return response, err
+}
+
 // unwrapper is an error that wraps another.
 type unwrapper interface{ Unwrap() error }
 
