--- a/internal/platform/endpoint_test.go
+++ b/internal/platform/endpoint_test.go
@@ -10,45 +10,16 @@
 	"time"
 
 	"gotest.tools/v3/assert"
-)
-
-// heldConn is a connection whose answers are held back once silence is closed.
-type heldConn struct {
-	net.Conn
-	silence <-chan struct{}
-}
-
-func (c heldConn) Write(b []byte) (int, error) {
-	select {
-	case <-c.silence:
-		return len(b), nil
-	default:
-		return c.Conn.Write(b)
-	}
-}
 
-type heldListener struct {
-	net.Listener
-	mu      sync.Mutex
-	silence chan struct{}
-}
-
-func (l *heldListener) Accept() (net.Conn, error) {
-	nc, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return heldConn{nc, l.silence}, nil
-}
+	"github.com/savoryramp/savoryramp/internal/fakenet"
+)
 
 // TestSilentIdleConnections guards against a VM that is without the platform for many time-outs: all
 // its idle connections had gone silent without a reset, and it tried one after the other.
 func TestSilentIdleConnections(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	listener := &heldListener{Listener: l, silence: make(chan struct{})}
+	listener := &fakenet.SilenceableListener{Listener: l}
 	var arrived sync.WaitGroup
 	arrived.Add(maxIdleConnections)
 	server := &httptest.Server{Listener: listener, Config: &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
@@ -74,10 +45,7 @@
 		calls.Go(func() { assert.Check(t, get("/together")) })
 	}
 	calls.Wait()
-	listener.mu.Lock()
-	close(listener.silence)
-	listener.silence = make(chan struct{})
-	listener.mu.Unlock()
+	listener.SilenceAll()
 
 	began := time.Now()
 	assert.Assert(t, get("/") != nil)
