internal/platform: don't trust a document whose successor is about to be read

Cause, one of two: after 10 s without confirmation a VM stops, unless it has read the table lately, which is taken to mean that the text of the newer document can't be had anywhere. After a pause the VM reads the table first and asks for the text afterwards; in between it counted as trusted.

Change: that exception holds only once the VM has asked for the text in vain. Ruled out by reading: ages of peers' reports and of table reads, which count from their sending.

Before: TestPausedVMDoesNotTrustBeforeItHasRead fails. After: it passes.

--- a/internal/platform/configuration.go
+++ b/internal/platform/configuration.go
@@ -141,6 +141,14 @@
 	return c.confirmedAsOf
 }
 
+// isTextUnread reports whether a newer document is known whose text hasn't been asked for
+// yet.
+func (c *Configuration) isTextUnread() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.newestKnown.version > c.current.Version && c.reportedMissing != c.newestKnown.version
+}
+
 // Wait waits until a document newer than the given version is in force and returns it.
 // It returns ErrStopped if ctx ends first.
 func (c *Configuration) Wait(ctx context.Context, after DocumentVersion) (Snapshot, error) {
--- a/internal/platform/trust.go
+++ b/internal/platform/trust.go
@@ -24,7 +24,8 @@
 //     this VM can't read: the VM stops.
 //   - It was confirmed longer ago, but the VM read the table within the last 10 s: the
 //     table names a newer document whose text no VM has. The VM continues, and the
-//     missing text is logged.
+//     missing text is logged. Until it has asked for that text it stops: after a pause,
+//     the text may be there.
 //   - It was confirmed longer ago, and within the last 3 s the VM received reports from
 //     at least one peer and, counting itself, more than half of the fleet: the VM
 //     continues. These peers can't read the table either, since their reports would
@@ -99,7 +100,7 @@
 	version := t.Configuration.Current().Version
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	recentPeers, tableReadable := 0, time.Since(t.Configuration.TableReadAt()) <= maxConfirmationAge
+	recentPeers, tableReadable := 0, time.Since(t.Configuration.TableReadAt()) <= maxConfirmationAge && !t.Configuration.isTextUnread()
 	for _, p := range t.peerReports {
 		if time.Since(p.receivedAt) > peerReportTTL {
 			continue
--- /dev/null
+++ b/internal/platform/trust_test.go
@@ -0,0 +1,33 @@
+package platform
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	"gotest.tools/v3/assert"
+)
+
+// TestPausedVMDoesNotTrustBeforeItHasRead guards against writes with a withdrawn key right after a VM
+// resumes: it had read in the table that there is a newer document, whose text it was still about to
+// read, and took that for a text that no VM has.
+func TestPausedVMDoesNotTrustBeforeItHasRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &Configuration{Logger: log.NewNopLogger(), current: Snapshot{Version: 1}}
+		c.init()
+		trust := &Trust{Configuration: c, FleetSize: func() int { return 3 }}
+		c.recordTableRead(context.Background(), time.Now(), acceptedChange{Version: 1}, nil)
+		c.recordConfirmation(time.Now(), 1)
+		assert.Check(t, trust.CanServe())
+		time.Sleep(17 * time.Second)
+		assert.Check(t, !trust.CanServe(), "nothing was read for 17 s")
+		c.recordTableRead(context.Background(), time.Now(), acceptedChange{Version: 2}, nil)
+		assert.Check(t, !trust.CanServe(), "the text of version 2 wasn't asked for yet")
+		c.reportMissing(c.newestKnown, ErrUnavailable.New("lost"))
+		assert.Check(t, trust.CanServe(), "the text of version 2 can't be had")
+		c.recordTableRead(context.Background(), time.Now(), acceptedChange{Version: 3}, nil)
+		assert.Check(t, !trust.CanServe(), "the text of version 3 wasn't asked for yet")
+	})
+}
