caller: check the key again before a request is sent

A request that waited for a connection, or that a paused VM read right after the document came into force, was sent first.

Change: right before the sending, where the VM checks that it may trust its document, it checks the session's key against that document. What was sent already may still run for 2 s.

Before: TestWaitingRequestOfWithdrawnKey fails, the write runs. After: it is refused unsent.

--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -115,6 +115,11 @@
 		s.endWithTimeout(reasonUntrusted)
 		return ErrNotReady.New("VM %s can't check for withdrawn keys", s.server.VM)
 	}
+	// The key may have been withdrawn while the request waited for a connection.
+	if s := x.session; !s.isAllowed(s.server.Documents.Current().Document) {
+		s.endWithTimeout(reasonWithdrawn)
+		return ErrAuthentication.New("key %s was withdrawn", s.key)
+	}
 	x.send()
 	x.sent = true
 	if err := x.conn.Flush(); err != nil {
--- a/internal/caller/withdraw_test.go
+++ b/internal/caller/withdraw_test.go
@@ -146,6 +146,36 @@
 	}
 }
 
+// TestWaitingRequestOfWithdrawnKey guards against a write with a withdrawn key: its session is ended
+// after the current answer, and the request that waited for a connection ran first.
+func TestWaitingRequestOfWithdrawnKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newCluster(t, 1)
+		v := f.vms[0]
+		c, other := f.connectAsOne(v), f.connect(v, "other-key", otherSecret, "till")
+		f.exec(c, "select 1")
+		f.connectionShare.Store(1)
+		f.exec(other, "begin")
+		f.exec(other, "create table two (n int)")
+		result := make(chan error, 1)
+		go func() {
+			_, err := c.Exec(f.ctx, "create table three (n int)")
+			result <- err
+		}()
+		time.Sleep(500 * time.Millisecond)
+		f.withdrawKey("one-key")
+		newest, err := platform.ReadNewest(f.ctx, f.fakePlatform.Table(), f.fakePlatform.Store())
+		assert.NilError(t, err)
+		v.OfferVersion(newest.Version, newest.Hash)
+		time.Sleep(700 * time.Millisecond)
+		assert.Equal(t, v.Current().Version, newest.Version)
+		f.exec(other, "commit")
+		before := len(f.group.Recorder.Runs())
+		assert.ErrorContains(t, <-result, "was withdrawn")
+		assert.Equal(t, len(f.group.Recorder.Runs()), before, "the request ran")
+	})
+}
+
 func TestVMsServeDuringPlatformOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newCluster(t, 3)
