internal/platform, peer: count peers' reports from when they were made

A report counted for 3 s from its arrival, up to a heartbeat's time-out after it was made, so that a VM could take itself for part of a majority without a table for that much too long. (Its age was counted from its making before.)

Found while looking for the cause of writes with a withdrawn key after a pause; answers that are later than the time-out were dropped before, so that this alone isn't that cause.

Before: TestPausedVMDoesNotTrustOldReports fails. After: it passes.

--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -120,7 +120,7 @@
 	if w == nil || f.OnDocumentReport == nil {
 		return
 	}
-	f.OnDocumentReport(from, platform.DocumentReport{Version: platform.DocumentVersion(w.GetVersion()), Known: w.GetKnown(), Age: reportAge(w.GetAgeMs()) + roundTrip})
+	f.OnDocumentReport(from, platform.DocumentReport{Version: platform.DocumentVersion(w.GetVersion()), Known: w.GetKnown(), Age: reportAge(w.GetAgeMs()) + roundTrip, Delay: roundTrip})
 }
 
 // maxReportAge replaces reported ages that are negative or greater.
--- a/internal/platform/trust.go
+++ b/internal/platform/trust.go
@@ -9,7 +9,7 @@
 	// maxConfirmationAge is the time for which a VM relies on its document after it was
 	// last confirmed as the newest.
 	maxConfirmationAge = 10 * time.Second
-	// peerReportTTL is the time for which a peer's report counts.
+	// peerReportTTL is the time for which a peer's report counts after it was made.
 	peerReportTTL = 3 * time.Second
 )
 
@@ -56,12 +56,16 @@
 	Known bool
 	// Age is the time since the document was last confirmed as the newest.
 	Age time.Duration
+	// Delay is the longest time that may have passed since the peer made the report. The receiver
+	// sets it.
+	Delay time.Duration
 }
 
 // peerReport is a peer's latest report, with times on this VM's clock.
 type peerReport struct {
-	version    DocumentVersion
-	receivedAt time.Time
+	version DocumentVersion
+	// madeAt is no later than when the peer made the report.
+	madeAt time.Time
 	// confirmedAt is when the peer's document was last confirmed as the newest, zero for
 	// never.
 	confirmedAt time.Time
@@ -85,7 +89,7 @@
 		t.peerReports = map[VMName]peerReport{}
 	}
 	now := time.Now()
-	p := peerReport{version: w.Version, receivedAt: now}
+	p := peerReport{version: w.Version, madeAt: now.Add(-max(w.Delay, 0))}
 	if w.Known {
 		p.confirmedAt = now.Add(-max(w.Age, 0))
 	}
@@ -102,7 +106,7 @@
 	defer t.mu.Unlock()
 	recentPeers, tableReadable := 0, time.Since(t.Configuration.TableReadAt()) <= maxConfirmationAge && !t.Configuration.isTextUnread()
 	for _, p := range t.peerReports {
-		if time.Since(p.receivedAt) > peerReportTTL {
+		if time.Since(p.madeAt) > peerReportTTL {
 			continue
 		}
 		if p.version > version {
--- a/internal/platform/trust_test.go
+++ b/internal/platform/trust_test.go
@@ -31,3 +31,24 @@
 		assert.Check(t, !trust.CanServe(), "the text of version 3 wasn't asked for yet")
 	})
 }
+
+// TestPausedVMDoesNotTrustOldReports guards against writes with a withdrawn key right after a VM
+// resumes: the peers' answers to the heartbeats that it had sent before the pause counted as new, so
+// that it took itself for part of a majority without a table.
+func TestPausedVMDoesNotTrustOldReports(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &Configuration{Logger: log.NewNopLogger(), current: Snapshot{Version: 1}}
+		c.init()
+		trust := &Trust{Configuration: c, FleetSize: func() int { return 3 }}
+		c.recordTableRead(context.Background(), time.Now(), acceptedChange{Version: 1}, nil)
+		c.recordConfirmation(time.Now(), 1)
+		time.Sleep(17 * time.Second)
+		report := DocumentReport{Version: 1, Known: true, Age: 17 * time.Second, Delay: 17 * time.Second}
+		trust.RecordPeerReport("vm-2", report)
+		trust.RecordPeerReport("vm-3", report)
+		assert.Check(t, !trust.CanServe(), "the reports are 17 s old")
+		report.Delay = 10 * time.Millisecond
+		trust.RecordPeerReport("vm-2", report)
+		assert.Check(t, trust.CanServe(), "a majority can't read the table")
+	})
+}
