proxy: verify a failed primary again on VMs that aren't verifiers

Cause: two failures of a VM's own connections over 0.5 s make it regard the primary as failed, and it refuses requests at once. Only a success over an own connection ends that, and of the VMs that regard the primary as failed only verifiers, nine of a fleet, send it anything.

Evidence: vm-28-1 logs proxy-server-failed 19 times for i-1 until 18:36:54.8, then only refusals; no VM ordered a promotion.

Change: such a VM verifies a failed primary each 0.5 s over a connection of its own. Class: a belief that only the traffic which it stops could correct.

Before: TestFailedPrimaryIsTriedAgain fails, refused to the end. After: it passes.

--- a/internal/proxy/maintenance.go
+++ b/internal/proxy/maintenance.go
@@ -47,8 +47,9 @@
 	}
 }
 
-// refreshPrimary searches for the primary if it is unknown. If this VM is a verifier, it verifies
-// a known primary again when that is due.
+// refreshPrimary searches for the primary if it is unknown. A verifier verifies a known primary again
+// when that is due, any other VM only one that has failed: it sends it no requests until it has
+// answered again.
 func (g *Group) refreshPrimary(ctx context.Context) {
 	if g.VM.Configuration() == nil {
 		return
@@ -60,13 +61,17 @@
 		}
 		return
 	}
+	g.mu.Lock()
+	failing, lastOKSentAt := g.health.failures > 0, g.health.lastOKSentAt
+	retryDue := g.health.hasFailed() && clock.Since(g.health.lastFailureAt) >= verifyInterval
+	g.mu.Unlock()
 	if !g.VM.Fleet.IsVerifier(g.Name) {
+		if retryDue {
+			g.verifyServer(ctx, m)
+		}
 		return
 	}
 	sent, _, found := g.Samples.Newest()
-	g.mu.Lock()
-	failing, lastOKSentAt := g.health.failures > 0, g.health.lastOKSentAt
-	g.mu.Unlock()
 	if found && !failing && clock.Now().Sub(max(lastOKSentAt, clock.Instant(sent)-clock.Instant(verifyInterval))) < verifyInterval {
 		return
 	}
@@ -87,8 +92,9 @@
 	return list
 }
 
-// verifyServer has a server show that it is the primary. A verifier VM uses a connection of its
-// own, any other VM one of the VM that owns the pooled connections.
+// verifyServer has a server show that it is the primary. A verifier uses a connection of its own, and
+// so does a VM whose own connections have failed, since only these tell whether they work again. Any
+// other VM uses one of the VM that owns the pooled connections.
 func (g *Group) verifyServer(ctx context.Context, m *member) {
 	until := time.Now().Add(verifyTimeout)
 	co, err := g.checkOutToVerify(ctx, m, until)
@@ -113,7 +119,10 @@
 }
 
 func (g *Group) checkOutToVerify(ctx context.Context, m *member, until time.Time) (*checkout, error) {
-	if !g.VM.Fleet.IsVerifier(g.Name) {
+	g.mu.Lock()
+	hasFailed := g.health.hasFailed()
+	g.mu.Unlock()
+	if !g.VM.Fleet.IsVerifier(g.Name) && !hasFailed {
 		return g.checkOut(ctx, m, anonymousWorkspace, until)
 	}
 	c, err := m.pool.AcquireAny(ctx, until)
--- a/internal/proxy/outage_test.go
+++ b/internal/proxy/outage_test.go
@@ -93,3 +93,24 @@
 		})
 	}
 }
+
+// TestFailedPrimaryIsTriedAgain guards against a VM that refuses all requests for a primary that
+// works: its own connections to the primary had failed, and only verifiers, of which it is none, tried
+// the primary again.
+func TestFailedPrimaryIsTriedAgain(t *testing.T) {
+	runTestWith(t, func(vm *VM) { vm.Fleet = nonVerifierFleet{40, true} }, func(tb *testbed) {
+		clock.Sleep(tb.ctx, time.Second)
+		c := tb.openSession(testDatabase)
+		defer c.Close()
+		assert.Check(t, c.exec(write("1")).Succeeded())
+		g := tb.vm.group(testService)
+		g.recordFailure("a", ErrTimeout.New("no answer"), true)
+		clock.Sleep(tb.ctx, minFailureDuration+100*time.Millisecond)
+		g.recordFailure("a", ErrTimeout.New("no answer"), true)
+		a := c.exec(write("2"))
+		for began := time.Now(); !a.Succeeded() && time.Since(began) < 2*verifyInterval; a = c.exec(write("3")) {
+			clock.Sleep(tb.ctx, 100*time.Millisecond)
+		}
+		assert.Check(t, a.Succeeded(), "%s %s", a.Failure, a.Detail)
+	})
+}
