--- a/internal/caller/withdraw_test.go
+++ b/internal/caller/withdraw_test.go
@@ -82,6 +82,14 @@
 	})
 }
 
+// offerNewest offers the newest document's version to a VM, and returns it.
+func (f *cluster) offerNewest(v *vm) platform.DocumentVersion {
+	newest, err := platform.ReadNewest(f.ctx, f.fakePlatform.Table(), f.fakePlatform.Store())
+	assert.NilError(f, err)
+	v.OfferVersion(newest.Version, newest.Hash)
+	return newest.Version
+}
+
 func TestPipelinedRequestsStopWhenKeyIsWithdrawn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newCluster(t, 1)
@@ -96,11 +104,9 @@
 		assert.NilError(t, hijacked.Frontend.Flush())
 		time.Sleep(time.Second)
 		f.withdrawKey("one-key")
-		newest, err := platform.ReadNewest(f.ctx, f.fakePlatform.Table(), f.fakePlatform.Store())
-		assert.NilError(t, err)
-		f.vms[0].OfferVersion(newest.Version, newest.Hash)
+		newest := f.offerNewest(f.vms[0])
 		time.Sleep(700 * time.Millisecond)
-		assert.Equal(t, f.vms[0].Current().Version, newest.Version)
+		assert.Equal(t, f.vms[0].Current().Version, newest)
 		before := len(f.group.Recorder.Runs())
 		assert.Assert(t, before > 0)
 		time.Sleep(20 * time.Second)
@@ -164,11 +170,9 @@
 		}()
 		time.Sleep(500 * time.Millisecond)
 		f.withdrawKey("one-key")
-		newest, err := platform.ReadNewest(f.ctx, f.fakePlatform.Table(), f.fakePlatform.Store())
-		assert.NilError(t, err)
-		v.OfferVersion(newest.Version, newest.Hash)
+		newest := f.offerNewest(v)
 		time.Sleep(700 * time.Millisecond)
-		assert.Equal(t, v.Current().Version, newest.Version)
+		assert.Equal(t, v.Current().Version, newest)
 		f.exec(other, "commit")
 		before := len(f.group.Recorder.Runs())
 		assert.ErrorContains(t, <-result, "was withdrawn")
