--- a/cmd/savoryramp-vm/daemon.go
+++ b/cmd/savoryramp-vm/daemon.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -34,6 +35,7 @@
 	eventReloaded            = event.Define(7003, "vm-reloaded", event.Info, "The settings were reloaded after SIGHUP.")
 	eventSettingsRefused     = event.Define(7004, "vm-settings-refused", event.Error, "Reloading the settings failed; the previous settings stay in force.")
 	eventMalformedServerList = event.Define(7006, "vm-note-malformed", event.Warn, "A list of servers couldn't be encoded or decoded.")
+	eventOutOfStep           = event.Define(7007, "vm-out-of-step", event.Info, "Other VMs and this one don't exchange reports of demand, or do so again; until then both sides keep their parts of the rates.")
 	eventNoMetrics           = event.Define(7005, "vm-no-metrics", event.Warn, "Listening on the metrics address failed; the VM runs without metrics.")
 )
 
@@ -61,6 +63,8 @@
 	tasks                run.Group
 	// announcedVersion is the configuration version in the last heartbeat sent.
 	announcedVersion atomic.Int64
+	// outOfStep has the names of the VMs that were out of step at the last heartbeat.
+	outOfStep atomic.Value
 
 	listMu sync.Mutex
 	list   serverList
@@ -94,7 +98,7 @@
 		Seeds: d.seedAddresses(), FillMessage: d.fillMessage, OnMessage: d.onMessage, OnFleetDemand: d.onFleetDemand, OnZonePayload: d.onServerList, HasUrgentNews: d.hasUrgentNews,
 	}
 	d.store.OnEra = d.fleet.NoteStoreEra
-	d.quota = &quota.Limiter{Now: func() time.Duration { return time.Duration(clock.Now()) }, VMCount: d.fleet.Size}
+	d.quota = &quota.Limiter{Now: func() time.Duration { return time.Duration(clock.Now()) }, VMCount: d.fleet.RateSize}
 	d.vm = &proxy.VM{
 		Name: s.VM, Zone: s.Zone, Connect: platform.Connect, Fleet: verifierFleet{d.fleet}, Quota: d.quota, Logger: d.logger,
 		IsolatedFor: func() time.Duration { return min(d.store.TimeSinceReply(), d.fleet.TimeSincePeerSeen()) },
@@ -232,6 +236,7 @@
 	message.Leaving, message.Demand, message.Observations, message.ConfigurationVersion = d.vm.IsDraining(), d.quota.ReportDemand(), d.vm.PrimaryObservations(), d.configurationVersion()
 	message.Capacity, message.RelayVersion = d.Settings.CPUCores, relay.Version
 	d.announcedVersion.Store(message.ConfigurationVersion)
+	d.logOutOfStep()
 	if !d.fleet.UsesDigests() || !d.fleet.IsZoneDelegate() {
 		return
 	}
@@ -243,6 +248,14 @@
 	}
 }
 
+// logOutOfStep logs a change of the VMs with which this one doesn't exchange reports of demand.
+func (d *daemon) logOutOfStep() {
+	names := strings.Join(d.quota.OutOfStep(), ",")
+	if before, _ := d.outOfStep.Swap(names).(string); before != names {
+		eventOutOfStep.Log(d.logger, "peers", names, "peers-before", before)
+	}
+}
+
 // hasUrgentNews reports whether a heartbeat should be sent before the next one is due.
 func (d *daemon) hasUrgentNews() bool {
 	return len(d.vm.PrimaryObservations()) > 0 || d.quota.NeedsEarlyReport() || d.configurationVersion() > d.announcedVersion.Load()
@@ -254,7 +267,9 @@
 	case message.Leaving:
 		d.quota.RemovePeer(string(message.VM))
 	case !message.Digested:
-		d.quota.ObserveDemand(string(message.VM), message.Demand)
+		report := quota.Report{Demand: message.Demand}
+		report.Counted, report.CountedAge, _ = d.fleet.SentDemand(message.Included)
+		d.quota.ObserveDemand(string(message.VM), report)
 	}
 	d.vm.ObserveHeartbeat(message)
 	d.compareServerList(message)
--- a/internal/heartbeat/digest.go
+++ b/internal/heartbeat/digest.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/savoryramp/savoryramp/internal/clock"
+	"github.com/savoryramp/savoryramp/pkg/quota"
 )
 
 const (
@@ -30,6 +31,12 @@
 	changeRepeatTime = 1200 * time.Millisecond
 	// requestInterval is the shortest time between two requests for a zone's full digest.
 	requestInterval = 300 * time.Millisecond
+	// vmOutOfStepTime is how long after the last heartbeat of a VM that hears this one its demand counts
+	// as it is; after that the VM keeps its part of the rates, since it may not receive views either.
+	// zoneOutOfStepTime is the same for the digests of a zone. Each is a bit more than an interval: while
+	// demand doesn't change, a lost datagram makes no difference.
+	vmOutOfStepTime   = 900 * time.Millisecond
+	zoneOutOfStepTime = 700 * time.Millisecond
 	// demandTTL is how long the last reported demand of a VM or a zone counts, since VMs that
 	// can't be heard may still serve callers.
 	demandTTL = time.Minute
@@ -45,8 +52,22 @@
 	sequence   uint32
 	vms        int
 	receivedAt clock.Instant
+	// inStepAt is when the report arrived that has the demand, and total the demand of all VMs at that
+	// time. Later reports of a VM that doesn't hear this one only change receivedAt.
+	inStepAt clock.Instant
+	total    map[string]float64
 }
 
+// isInStep reports whether the VM or zone has reported lately.
+func (r reportedDemand) isInStep(now clock.Instant) bool {
+	if r.vms > 0 {
+		return now.Sub(r.inStepAt) <= zoneOutOfStepTime
+	}
+	return now.Sub(r.inStepAt) <= vmOutOfStepTime
+}
+
+func (r reportedDemand) source() quota.Source { return quota.Source{Demand: r.demand, Total: r.total} }
+
 // publishedDemand is this zone's demand as of the latest digest to the other zones. Views have
 // this demand rather than a newer one, so that all zones compute with the same.
 type publishedDemand struct {
@@ -94,15 +115,52 @@
 func (f *Fleet) publishDemand(own Message, now clock.Instant) {
 	published := publishedDemand{total: map[string]float64{}, included: map[VMName]uint32{f.VM: own.Sequence}}
 	maps.Copy(published.total, own.Demand)
+	var silent []quota.Source
 	for name, reported := range f.demandByVM {
 		if now.Sub(reported.receivedAt) > demandTTL {
 			delete(f.demandByVM, name)
 			continue
 		}
 		published.included[name] = reported.sequence
-		addDemand(published.total, reported.demand)
+		if reported.isInStep(now) {
+			addDemand(published.total, reported.demand)
+		} else {
+			silent = append(silent, reported.source())
+		}
+	}
+	if len(silent) > 0 {
+		others := maps.Clone(published.total)
+		for _, reported := range f.demandByZone {
+			addDemand(others, reported.demand)
+		}
+		addDemand(published.total, quota.SilentDemand(others, silent))
 	}
 	f.published = published
+	f.updateTotal()
+}
+
+// updateTotal adds up the demand of all zones. f.mu must be held.
+func (f *Fleet) updateTotal() {
+	f.total = maps.Clone(f.published.total)
+	for _, reported := range f.demandByZone {
+		if f.total != nil {
+			addDemand(f.total, reported.demand)
+		}
+	}
+}
+
+// recordDemand records the demand in a heartbeat of a VM of this zone. f.mu must be held.
+func (f *Fleet) recordDemand(m Message, now clock.Instant) {
+	if m.Leaving {
+		delete(f.demandByVM, m.VM)
+		return
+	}
+	reported := f.demandByVM[m.VM]
+	reported.receivedAt = now
+	if counted, found := f.sentDemands[m.Included]; m.Included == 0 || found && now.Sub(counted.at) <= quota.OutOfStepTime {
+		reported.demand, reported.sequence, reported.inStepAt, reported.total = m.Demand, m.Sequence, now, f.total
+	}
+	f.demandByVM[m.VM] = reported
 }
 
 func addDemand(total, demand map[string]float64) {
@@ -169,18 +227,29 @@
 	now := clock.Now()
 	f.lastViewSent, f.viewDue, f.viewUrgent = now, false, false
 	view := View{Demand: maps.Clone(f.published.total), VMs: len(f.published.included)}
-	for zone, live := range f.otherZones() {
+	var silent []quota.Source
+	if f.isCutOff(now) {
+		view.Demand = nil
+	}
+	for zone := range f.otherZones() {
 		view.Zones = append(view.Zones, f.digestOf(zone, own, now, false))
 		reported, found := f.demandByZone[zone]
-		found = found && now.Sub(reported.receivedAt) <= demandTTL
-		if !found && live {
+		if !found || now.Sub(reported.receivedAt) > demandTTL {
 			view.Demand = nil
 		}
-		if found && view.Demand != nil {
+		if view.Demand == nil {
+			continue
+		}
+		view.VMs += reported.vms
+		if reported.isInStep(now) {
 			addDemand(view.Demand, reported.demand)
-			view.VMs += reported.vms
+		} else {
+			silent = append(silent, reported.source())
 		}
 	}
+	if view.Demand != nil {
+		addDemand(view.Demand, quota.SilentDemand(view.Demand, silent))
+	}
 	view.Zones = append(view.Zones, f.digestOf(f.Zone, own, now, false))
 	included := f.published.included
 	recipients := map[string]VMName{}
@@ -216,6 +285,9 @@
 func (f *Fleet) receiveView(m Message) {
 	f.mu.Lock()
 	f.lastView = clock.Now()
+	if m.View.Demand != nil {
+		f.total = m.View.Demand
+	}
 	f.mu.Unlock()
 	for _, d := range m.View.Zones {
 		f.applyDigest(d, m.VM, m.Address)
@@ -233,7 +305,7 @@
 	own, found := f.sentDemands[included]
 	f.mu.Unlock()
 	if found {
-		f.OnFleetDemand(m.View.Demand, m.View.VMs, own)
+		f.OnFleetDemand(m.View.Demand, m.View.VMs, own.demand)
 	}
 }
 
@@ -242,7 +314,12 @@
 	d := *m.Digest
 	if d.Demand != nil && d.Zone != f.Zone {
 		f.mu.Lock()
-		f.demandByZone[d.Zone] = reportedDemand{demand: d.Demand, vms: d.VMs, receivedAt: clock.Now()}
+		now := clock.Now()
+		f.demandByZone[d.Zone] = reportedDemand{demand: d.Demand, vms: d.VMs, receivedAt: now, inStepAt: now}
+		f.updateTotal()
+		reported := f.demandByZone[d.Zone]
+		reported.total = f.total
+		f.demandByZone[d.Zone] = reported
 		f.viewDue = true
 		f.mu.Unlock()
 	}
--- a/internal/heartbeat/directory.go
+++ b/internal/heartbeat/directory.go
@@ -118,6 +118,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.directoryRead = true
+	delete(list, f.VM)
+	f.listedPeers = len(list)
 	f.addPeers(list)
 }
 
--- a/internal/heartbeat/heartbeat.go
+++ b/internal/heartbeat/heartbeat.go
@@ -92,6 +92,8 @@
 	incarnation   uint32
 	startedAt     clock.Instant
 	directoryRead bool
+	// listedPeers is the number of other VMs in the directory when it was last read.
+	listedPeers int
 	// storeEra is the newest known era of the store that has the directory, registeredEra the one in
 	// which this VM registered, if it has.
 	storeEra, registeredEra StoreEra
@@ -109,7 +111,7 @@
 	// sequence is the number of this VM's latest heartbeat. sentDemands has the demand in the
 	// latest ones by number.
 	sequence    uint32
-	sentDemands map[uint32]map[string]float64
+	sentDemands map[uint32]sentDemand
 	// ownChecksum is the checksum of this VM's latest heartbeat, which last changed at
 	// ownChangedAt.
 	ownChecksum  uint64
@@ -135,6 +137,9 @@
 	demandByVM   map[VMName]reportedDemand
 	demandByZone map[string]reportedDemand
 	published    publishedDemand
+	// total is the demand of all VMs as of the latest change of published or demandByZone, or as of the
+	// latest view. Each change makes a new map. It is nil until there was one.
+	total map[string]float64
 	// delegatesByZone caches the choices of delegates.
 	delegatesByZone map[string]cachedDelegates
 	// selections caches the results of SelectVMs by purpose.
@@ -171,7 +176,7 @@
 		f.peers, f.incarnation, f.startedAt = map[VMName]*peer{}, rand.Uint32(), clock.Now()
 		// Another incarnation's numbers aren't mistaken for this one's.
 		f.wake, f.entryLost = make(chan struct{}, 1), make(chan struct{}, 1)
-		f.sequence, f.sentDemands = rand.Uint32()>>1, map[uint32]map[string]float64{}
+		f.sequence, f.sentDemands = rand.Uint32()>>1, map[uint32]sentDemand{}
 		f.digestsReceived, f.lastRequests = map[string]clock.Instant{}, map[string]clock.Instant{}
 		f.demandByVM, f.demandByZone = map[VMName]reportedDemand{}, map[string]reportedDemand{}
 	}
@@ -240,8 +245,42 @@
 	if len(addresses) == 0 {
 		addresses = f.Seeds
 	}
+	received := f.receivedSequences()
 	f.mu.Unlock()
-	f.send(message, addresses)
+	text, err := json.Marshal(message)
+	if err != nil {
+		eventMalformed.Log(f.Logger, "err", err)
+		return
+	}
+	for _, address := range addresses {
+		f.sendText(withIncluded(text, received[address]), address)
+	}
+}
+
+// receivedSequences returns the number of the latest heartbeat of each VM that sends them to this one,
+// by address. f.mu must be held.
+func (f *Fleet) receivedSequences() map[string]uint32 {
+	received := map[string]uint32{}
+	for _, p := range f.peers {
+		if p.lastDirect != 0 {
+			received[p.address] = p.lastSequence
+		}
+	}
+	return received
+}
+
+// sentDemand is the demand in a heartbeat of this VM, and when it was sent.
+type sentDemand struct {
+	demand map[string]float64
+	at     clock.Instant
+}
+
+// SentDemand returns the demand in one of this VM's latest heartbeats, and how long ago that was sent.
+func (f *Fleet) SentDemand(sequence uint32) (demand map[string]float64, age time.Duration, found bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	sent, found := f.sentDemands[sequence]
+	return sent.demand, clock.Since(sent.at), found
 }
 
 // composeOwn returns this VM's next heartbeat.
@@ -254,10 +293,8 @@
 	f.FillMessage(&message)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if message.Sequence != 0 {
-		f.sentDemands[message.Sequence] = message.Demand
-		delete(f.sentDemands, message.Sequence-maxSentDemands)
-	}
+	f.sentDemands[message.Sequence] = sentDemand{message.Demand, clock.Now()}
+	delete(f.sentDemands, message.Sequence-maxSentDemands)
 	if sum := message.checksum(); sum != f.ownChecksum {
 		f.ownChecksum, f.ownChangedAt = sum, clock.Now()
 	}
@@ -267,9 +304,9 @@
 // ownMessage returns this VM's heartbeat before FillMessage has added the state. f.mu must be
 // held.
 func (f *Fleet) ownMessage() Message {
-	message := Message{VM: f.VM, Incarnation: f.incarnation, Address: f.Conn.LocalAddr().String(), Zone: f.Zone, LinkMbps: f.LinkMbps, StoreEra: f.storeEra}
+	message := Message{VM: f.VM, Incarnation: f.incarnation, Address: f.Conn.LocalAddr().String(), Zone: f.Zone, LinkMbps: f.LinkMbps, StoreEra: f.storeEra, Sequence: f.sequence}
 	if f.hasDigests() {
-		message.Sequence, message.Settling = f.sequence, f.isSettling(clock.Now())
+		message.Settling = f.isSettling(clock.Now())
 	}
 	return message
 }
@@ -373,18 +410,14 @@
 		f.peers[message.VM] = p
 	}
 	firstContact := p.message.Incarnation != message.Incarnation
-	p.lastDirect = now
+	p.lastDirect, p.lastSequence = now, message.Sequence
 	f.notePeerSeen(now)
 	if message.Urgent && message.Zone == f.Zone {
 		f.digestUrgent = true
 		f.noteUrgent()
 	}
 	if message.Zone == f.Zone {
-		if message.Leaving {
-			delete(f.demandByVM, message.VM)
-		} else {
-			f.demandByVM[message.VM] = reportedDemand{demand: message.Demand, sequence: message.Sequence, receivedAt: now}
-		}
+		f.recordDemand(message, now)
 	}
 	known := message.Known
 	message.View, message.Known = nil, nil
@@ -420,7 +453,7 @@
 func (f *Fleet) introduceTo(m Message) {
 	own := f.composeOwn()
 	f.mu.Lock()
-	own.Known = f.knownTo(m.Zone)
+	own.Known, own.Included = f.knownTo(m.Zone), m.Sequence
 	f.mu.Unlock()
 	f.send(own, []string{m.Address})
 	f.mu.Lock()
--- a/internal/heartbeat/heartbeat_test.go
+++ b/internal/heartbeat/heartbeat_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/savoryramp/savoryramp/internal/clock"
+	"github.com/savoryramp/savoryramp/pkg/quota"
 )
 
 // memoryNetwork delivers datagrams between VMs in memory.
@@ -26,7 +27,9 @@
 	// nor receive.
 	lossRate float64
 	isolated map[string]bool
-	random   *rand.Rand
+	// reaches, if set, reports whether datagrams of one address reach another one.
+	reaches func(from, to string) bool
+	random  *rand.Rand
 	// crossZoneBytes counts the bytes sent between zones; zones has the zone of each address.
 	crossZoneBytes int
 	// datagrams counts the datagrams delivered.
@@ -67,6 +70,9 @@
 	if inbox == nil || network.isolated[to.String()] || network.isolated[s.address.String()] || network.random.Float64() < network.lossRate {
 		return len(p), nil
 	}
+	if network.reaches != nil && !network.reaches(s.address.String(), to.String()) {
+		return len(p), nil
+	}
 	if network.zones[to.String()] != network.zones[s.address.String()] {
 		network.crossZoneBytes += len(p)
 	}
@@ -140,6 +146,8 @@
 	ownObservations map[VMName]map[string]PrimaryObservation
 	// demand is the demand of each VM's callers.
 	demand float64
+	// limiters has the limiters of VMs whose demand is that of their callers.
+	limiters map[VMName]*quota.Limiter
 	// versions has each VM's configuration version, announced the one in its latest heartbeat.
 	versions, announced map[VMName]int64
 }
@@ -156,7 +164,7 @@
 		defer clock.Fake(func() clock.Instant { return clock.Instant(time.Now().UnixNano()) })()
 		fleet := &testFleet{
 			network:   &memoryNetwork{inboxes: map[string]chan datagram{}, isolated: map[string]bool{}, zones: map[string]string{}, random: rand.New(rand.NewPCG(1, 1))},
-			directory: &memoryDirectory{entries: map[VMName]Entry{}, era: 1}, receivedDemand: map[VMName]map[string]float64{}, totals: map[VMName]total{}, demand: 1, versions: map[VMName]int64{}, announced: map[VMName]int64{},
+			directory: &memoryDirectory{entries: map[VMName]Entry{}, era: 1}, receivedDemand: map[VMName]map[string]float64{}, totals: map[VMName]total{}, demand: 1, limiters: map[VMName]*quota.Limiter{}, versions: map[VMName]int64{}, announced: map[VMName]int64{},
 			receivedObservations: map[VMName]map[VMName]map[string]PrimaryObservation{}, ownObservations: map[VMName]map[string]PrimaryObservation{},
 		}
 		for i := range size {
@@ -183,18 +191,22 @@
 	fleet.mu.Lock()
 	fleet.receivedDemand[name], fleet.receivedObservations[name] = map[string]float64{}, map[VMName]map[string]PrimaryObservation{}
 	fleet.mu.Unlock()
+	limiter := &quota.Limiter{Now: func() time.Duration { return time.Duration(clock.Now()) }}
 	f := &Fleet{
 		VM: name, Zone: zone, Conn: s, Directory: fleet.directory, Seeds: fleet.seeds, Logger: log.NewNopLogger(),
 		FillMessage: func(message *Message) {
 			fleet.mu.Lock()
 			defer fleet.mu.Unlock()
 			message.Demand, message.Observations, message.ConfigurationVersion = map[string]float64{"w": fleet.demand}, fleet.ownObservations[name], fleet.versions[name]
+			if fleet.demand == 0 {
+				message.Demand = limiter.ReportDemand()
+			}
 			fleet.announced[name] = fleet.versions[name]
 		},
 		HasUrgentNews: func() bool {
 			fleet.mu.Lock()
 			defer fleet.mu.Unlock()
-			return len(fleet.ownObservations[name]) > 0 || fleet.versions[name] > fleet.announced[name]
+			return limiter.NeedsEarlyReport() || len(fleet.ownObservations[name]) > 0 || fleet.versions[name] > fleet.announced[name]
 		},
 		OnMessage: func(message Message) {
 			fleet.mu.Lock()
@@ -208,9 +220,21 @@
 			fleet.mu.Lock()
 			defer fleet.mu.Unlock()
 			fleet.totals[name] = total{demand["w"], own["w"], vms}
+			limiter.ObserveTotal(demand, vms, own)
 		},
 		OnZonePayload: func(json.RawMessage) {},
 	}
+	limiter.VMCount = f.RateSize
+	onMessage := f.OnMessage
+	f.OnMessage = func(message Message) {
+		onMessage(message)
+		if !message.Digested {
+			report := quota.Report{Demand: message.Demand}
+			report.Counted, report.CountedAge, _ = f.SentDemand(message.Included)
+			limiter.ObserveDemand(string(message.VM), report)
+		}
+	}
+	fleet.limiters[name] = limiter
 	ctx, cancel := context.WithCancel(context.Background())
 	fleet.vms, fleet.cancel = append(fleet.vms, f), append(fleet.cancel, cancel)
 	fleet.tasks.Go(func() { _ = f.Run(ctx) })
--- a/internal/heartbeat/message.go
+++ b/internal/heartbeat/message.go
@@ -23,8 +23,7 @@
 	Incarnation uint32 `json:"incarnation,omitempty"`
 	Address     string `json:"address,omitempty"`
 	Zone        string `json:"zone,omitempty"`
-	// Sequence increases with each heartbeat of an incarnation. It is zero in fleets without
-	// digests.
+	// Sequence increases with each heartbeat of an incarnation.
 	Sequence uint32 `json:"sequence,omitempty"`
 	// Capacity is the VM's CPU allowance in cores. Work is distributed in proportion to it.
 	Capacity float64 `json:"capacity,omitempty"`
@@ -60,8 +59,8 @@
 	Known map[VMName]Entry `json:"known,omitempty"`
 	// View is set in the heartbeats of a zone's first delegate to the VMs of the zone.
 	View *View `json:"view,omitempty"`
-	// Included is the sequence number of the receiver's latest heartbeat whose demand is included
-	// in the view.
+	// Included is the sequence number of the receiver's latest heartbeat that the sender has received.
+	// With a view, it is that of the latest one whose demand is included in the view.
 	Included uint32 `json:"included,omitempty"`
 	// Digest is set in a message from a delegate with the state of one zone.
 	Digest *Digest `json:"digest,omitempty"`
@@ -79,7 +78,7 @@
 	// Zones has the digest of each zone, without its demand.
 	Zones []Digest `json:"zones"`
 	// Demand is the total of all VMs, by workspace. It is nil while the demand of some zone isn't
-	// known.
+	// known, and while the sender hears no other VM.
 	Demand map[string]float64 `json:"demand,omitempty"`
 	// VMs is the number of VMs whose demand is included.
 	VMs int `json:"vms,omitempty"`
--- a/internal/heartbeat/peer.go
+++ b/internal/heartbeat/peer.go
@@ -26,8 +26,10 @@
 	silentSince clock.Instant
 	// changedAt is when checksum or the observations in message last changed.
 	changedAt clock.Instant
-	// lastDirect is when the last heartbeat arrived from the VM itself, zero if none has.
-	lastDirect clock.Instant
+	// lastDirect is when the last heartbeat arrived from the VM itself, zero if none has, and
+	// lastSequence its number.
+	lastDirect   clock.Instant
+	lastSequence uint32
 	// inDigest is true if the VM is in the latest digest of its zone.
 	inDigest bool
 }
@@ -106,6 +108,22 @@
 	return n
 }
 
+// unheardTTL is how long after its start a VM that hears no other one assumes that those listed in the
+// directory serve callers.
+const unheardTTL = time.Minute
+
+// RateSize returns the number of VMs among which rates are divided, including this one: Size, or all VMs
+// of the directory while this VM has only just started and hasn't heard any of them.
+func (f *Fleet) RateSize() int {
+	size := f.Size()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.hasSeenPeer && clock.Since(f.startedAt) < unheardTTL {
+		return max(size, f.listedPeers+1)
+	}
+	return size
+}
+
 // isStarting reports whether this VM has started too recently to have heard from all live VMs.
 func (f *Fleet) isStarting() bool { return clock.Since(f.startedAt) < livenessTimeout }
 
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -27,6 +28,15 @@
 	limiters []*Limiter
 	// isolated holds the VMs that neither send nor receive reports.
 	isolated map[int]bool
+	// sent has the last report of each VM, heard by receiver and sender the last that arrived.
+	sent  []sentReport
+	heard [][]sentReport
+}
+
+// sentReport is a report and when it was sent.
+type sentReport struct {
+	demand Demand
+	at     time.Duration
 }
 
 func newFleet(n int) *fleet {
@@ -34,21 +44,39 @@
 	for range n {
 		f.limiters = append(f.limiters, &Limiter{Now: func() time.Duration { return f.now }, VMCount: func() int { return n }})
 	}
+	f.sent, f.heard = make([]sentReport, n), make([][]sentReport, n)
+	for i := range n {
+		f.heard[i] = make([]sentReport, n)
+	}
+	// VMs answer the first report of another one at once.
+	f.exchangeDemand()
 	f.exchangeDemand()
 	return f
 }
 
 func (f *fleet) exchangeDemand() {
-	for i, from := range f.limiters {
-		d := from.ReportDemand()
-		for j, to := range f.limiters {
-			if i != j && !f.isolated[i] && !f.isolated[j] {
-				to.ObserveDemand(fmt.Sprint(i), d)
+	for i := range f.limiters {
+		f.report(i)
+		for j := range f.limiters {
+			if !f.isolated[i] && !f.isolated[j] {
+				f.deliver(i, j, f.sent[i], f.heard[i][j])
 			}
 		}
 	}
 }
 
+// report makes a VM's next report.
+func (f *fleet) report(i int) { f.sent[i] = sentReport{f.limiters[i].ReportDemand(), f.now} }
+
+// deliver delivers a report of VM i to VM j. counted is the report of VM j that VM i had last received.
+func (f *fleet) deliver(i, j int, sent, counted sentReport) {
+	if i == j {
+		return
+	}
+	f.limiters[j].ObserveDemand(fmt.Sprint(i), Report{Demand: sent.demand, Counted: counted.demand, CountedAge: f.now - counted.at})
+	f.heard[j][i] = sent
+}
+
 // load returns the demand of one VM's callers at the given time, in operations per second.
 type load func(vm int, at time.Duration) float64
 
@@ -89,30 +117,32 @@
 // when demand has grown much.
 func (f *fleet) runZones(l load, length time.Duration, r *rand.Rand) (admitted []time.Duration, refused int) {
 	const heartbeatInterval, checkInterval, latency = 600 * time.Millisecond, 100 * time.Millisecond, 300 * time.Millisecond
-	type report struct {
-		at     time.Duration
-		from   int
-		demand Demand
+	type inTransitReport struct {
+		at   time.Duration
+		from int
+		sent sentReport
+		// counted has the last reports that the sender had received.
+		counted []sentReport
 	}
-	var inTransit []report
+	var inTransit []inTransitReport
 	startedAt := f.now
 	for at := time.Duration(0); at < length; at += tickInterval {
 		f.now = startedAt + at
 		for i, from := range f.limiters {
 			if at%heartbeatInterval == 0 || at%checkInterval == 0 && from.NeedsEarlyReport() {
-				d := from.ReportDemand()
-				for j, to := range f.limiters {
-					if i != j && i%3 == j%3 {
-						to.ObserveDemand(fmt.Sprint(i), d)
+				f.report(i)
+				for j := range f.limiters {
+					if i%3 == j%3 {
+						f.deliver(i, j, f.sent[i], f.heard[i][j])
 					}
 				}
-				inTransit = append(inTransit, report{at + latency, i, d})
+				inTransit = append(inTransit, inTransitReport{at + latency, i, f.sent[i], slices.Clone(f.heard[i])})
 			}
 		}
 		for len(inTransit) > 0 && inTransit[0].at <= at {
-			for j, to := range f.limiters {
-				if j%3 != inTransit[0].from%3 {
-					to.ObserveDemand(fmt.Sprint(inTransit[0].from), inTransit[0].demand)
+			for j := range f.limiters {
+				if from := inTransit[0].from; j%3 != from%3 {
+					f.deliver(from, j, inTransit[0].sent, inTransit[0].counted[j])
 				}
 			}
 			inTransit = inTransit[1:]
