--- a/internal/peer/fleet.go
+++ b/internal/peer/fleet.go
@@ -205,13 +205,23 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, m := range f.members {
-		m.listedState = ""
+	malformed := map[Name]bool{}
+	for _, vm := range vms {
+		malformed[vm.Name] = vm.IsMalformed()
+	}
+	for name, m := range f.members {
+		if !malformed[name] {
+			m.listedState = ""
+		}
 	}
 	for _, vm := range vms {
 		if vm.Name == f.Self {
 			continue
 		}
+		if vm.IsMalformed() {
+			eventListEntryMalformed.Log(f.Logger, "peer", vm.Name)
+			continue
+		}
 		m := f.member(vm.Name)
 		m.listedState = vm.State
 		m.wasListed = true
--- a/internal/platform/dynamo.go
+++ b/internal/platform/dynamo.go
@@ -176,7 +176,7 @@
 	return false
 }
 
-// List reads all rows whose key begins with a prefix such as "group/".
+// List reads all rows whose key begins with a prefix such as "group/". A malformed row has only its key.
 func (d *Dynamo) List(ctx context.Context, prefix RowKey) ([]Row, error) {
 	kind, _, found := strings.Cut(string(prefix), "/")
 	if !found {
@@ -210,6 +210,9 @@
 		}
 		for _, item := range page.Items {
 			row, err := decodeRow(item)
+			if key, found := item[AttributeKey].(*types.AttributeValueMemberS); err != nil && found {
+				row, err = Row{Key: RowKey(key.Value)}, nil
+			}
 			if err != nil {
 				return nil, err
 			}
--- a/internal/platform/table.go
+++ b/internal/platform/table.go
@@ -46,8 +46,9 @@
 	// written.
 	Put(ctx context.Context, row Row) (Row, error)
 	// List reads all rows whose key begins with prefix, sorted by key. The prefix
-	// contains the kind of row and its slash, such as "group/". It returns ErrUnavailable
-	// if the service failed and ErrRow if the prefix or a row is malformed.
+	// contains the kind of row and its slash, such as "group/". A malformed row has only
+	// its key. It returns ErrUnavailable if the service failed and ErrRow if the prefix is
+	// malformed.
 	List(ctx context.Context, prefix RowKey) ([]Row, error)
 }
 
--- a/internal/platform/vm.go
+++ b/internal/platform/vm.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
+	"strconv"
 	"strings"
 
 	"github.com/google/uuid"
@@ -18,7 +20,8 @@
 	VMLeaving VMState = "leaving"
 )
 
-// VM is an entry of the platform's list of VMs that run savoryramp.
+// VM is an entry of the platform's list of VMs that run savoryramp. A malformed entry has only
+// its name, so that the VM doesn't count as missing from the list.
 type VM struct {
 	Name VMName `json:"-"`
 	// Address is the address at which other VMs connect to it.
@@ -29,8 +32,7 @@
 
 // VMList is the platform's list of live and leaving VMs. It may be out of date.
 type VMList interface {
-	// List reads the VMs sorted by name. It returns ErrUnavailable if the service fails
-	// and ErrRow if an entry is malformed.
+	// List reads the VMs sorted by name. It returns ErrUnavailable if the service fails.
 	List(ctx context.Context) ([]VM, error)
 }
 
@@ -49,15 +51,27 @@
 	}
 	list := make([]VM, 0, len(rows))
 	for _, r := range rows {
-		m := VM{Name: VMName(strings.TrimPrefix(string(r.Key), vmPrefix))}
-		if err := json.Unmarshal(r.Body, &m); err != nil {
-			return nil, ErrRow.Wrap(err, "row %s", r.Key)
-		}
-		list = append(list, m)
+		list = append(list, decodeVM(VMName(strings.TrimPrefix(string(r.Key), vmPrefix)), r.Body))
 	}
 	return list, nil
 }
 
+// decodeVM decodes the entry of a VM.
+func decodeVM(name VMName, body []byte) VM {
+	m := VM{Name: name}
+	if err := json.Unmarshal(body, &m); err != nil || m.State != VMLive && m.State != VMLeaving {
+		return VM{Name: name}
+	}
+	_, port, err := net.SplitHostPort(string(m.Address))
+	if _, errPort := strconv.ParseUint(port, 10, 16); err != nil || errPort != nil {
+		return VM{Name: name}
+	}
+	return m
+}
+
+// IsMalformed reports whether the VM's entry is malformed.
+func (m VM) IsMalformed() bool { return m.State == "" }
+
 // Announce writes a VM's entry and replaces an earlier one. It returns the errors of Table.
 func (v VMRows) Announce(ctx context.Context, m VM) error {
 	key := RowKey(vmPrefix + string(m.Name))
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -116,6 +117,20 @@
 	return Report{Faults: names, Outcomes: s.check.outcomes, Broken: s.check.broken}, nil
 }
 
+// oddServers returns rows that another writer has left among those of the servers.
+func oddServers() map[string]string {
+	const row = `{"service":%q,"address":%q,"zone":"a","version":"v1","capacity":%s,"state":"ready","sequence":9,"databaseRole":"primary","extra":%s}`
+	nested := strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)
+	return map[string]string{
+		"odd-nested":   fmt.Sprintf(row, serviceName, "127.0.0.1:9", "2", nested),
+		"odd-number":   fmt.Sprintf(row, serviceName, "127.0.0.1:9", "1e999", "0"),
+		"odd-port":     fmt.Sprintf(row, serviceName, "127.0.0.1:99999", "2", "0"),
+		"odd-host":     fmt.Sprintf(row, serviceName, "nowhere", "2", "0"),
+		"odd-bytes":    "\xff\x00{",
+		"odd-language": "null",
+	}
+}
+
 // stand starts the stand-ins and the proxies before them.
 func (s *Soak) stand() error {
 	s.ids = []string{"i-1", "i-2", "i-3"}
@@ -146,6 +161,9 @@
 	}
 	s.http = &http.Server{Handler: s.store, ReadHeaderTimeout: time.Second}
 	s.tasks.Go(func() { _ = s.http.Serve(listener) })
+	for id, row := range oddServers() {
+		s.store.Put("servers", id, row)
+	}
 	s.document = firstDocument()
 	s.store.Put("op", "config", s.document.JSON())
 	s.tasks.Go(s.beat)
