--- a/internal/heartbeat/digest.go
+++ b/internal/heartbeat/digest.go
@@ -209,13 +209,13 @@
 	return addresses[:min(n, len(addresses))]
 }
 
-// otherZones returns the zones of the other VMs, apart from this one's, with true for those that
-// have live VMs. f.mu must be held.
+// otherZones returns the zones of the other VMs, apart from this one's, with true for those of which
+// this VM knows more than the directory has. f.mu must be held.
 func (f *Fleet) otherZones() map[string]bool {
 	zones := map[string]bool{}
 	for _, p := range f.peers {
 		if zone := p.message.Zone; zone != f.Zone && zone != "" {
-			zones[zone] = zones[zone] || p.live
+			zones[zone] = zones[zone] || p.lastSeen != 0
 		}
 	}
 	return zones
@@ -231,13 +231,14 @@
 	if f.isCutOff(now) {
 		view.Demand = nil
 	}
-	for zone := range f.otherZones() {
+	for zone, heard := range f.otherZones() {
 		view.Zones = append(view.Zones, f.digestOf(zone, own, now, false))
 		reported, found := f.demandByZone[zone]
-		if !found || now.Sub(reported.receivedAt) > demandTTL {
+		found = found && now.Sub(reported.receivedAt) <= demandTTL
+		if !found && heard {
 			view.Demand = nil
 		}
-		if view.Demand == nil {
+		if !found || view.Demand == nil {
 			continue
 		}
 		view.VMs += reported.vms
--- a/internal/heartbeat/directory.go
+++ b/internal/heartbeat/directory.go
@@ -118,8 +118,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.directoryRead = true
-	delete(list, f.VM)
 	f.listedPeers = len(list)
+	if _, listed := list[f.VM]; listed {
+		f.listedPeers--
+	}
 	f.addPeers(list)
 }
 
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -119,7 +119,7 @@
 	demand, counted Demand
 	receivedAt      time.Duration
 	// agreed is the last report in step, which arrived at inStepAt while the reports of all VMs added
-	// up to agreedTotal.
+	// up to agreedTotal. That is nil if the rates were divided by a total then.
 	agreed      Report
 	agreedTotal Demand
 	inStepAt    time.Duration
@@ -196,8 +196,13 @@
 	vmCount := l.vmCount()
 	evenShare := rate / float64(vmCount)
 	if l.usesTotal(now) {
-		if now-l.total.receivedAt > freshTotalTime {
+		switch {
+		case now-l.total.receivedAt > freshTotalTime:
 			ownDemand = min(ownDemand, l.total.own[workspace]*(1-silentMargin))
+		case l.total.demand[workspace] >= rate:
+			// All VMs refuse operations, so that what one's demand has grown since isn't made up for by
+			// another's slack.
+			ownDemand = l.total.own[workspace]
 		}
 		others := max(l.total.demand[workspace]-l.total.own[workspace], 0) + float64(max(vmCount-l.total.vmCount, 0))*max(evenShare, ownDemand)
 		return min((ownDemand+evenFraction*evenShare)/(ownDemand+others+evenFraction*rate), 1)
@@ -309,7 +314,10 @@
 	now := l.Now()
 	p.demand, p.counted, p.receivedAt = r.Demand, r.Counted, now
 	if r.Counted == nil || r.CountedAge <= OutOfStepTime {
-		p.agreed, p.agreedTotal, p.inStepAt = r, maps.Clone(l.reported), now
+		p.agreed, p.agreedTotal, p.inStepAt = r, nil, now
+		if !l.usesTotal(now) {
+			p.agreedTotal = maps.Clone(l.reported)
+		}
 	}
 }
 
@@ -351,11 +359,15 @@
 	}
 }
 
-// OutOfStep returns the names of the VMs that are out of step with this one, sorted.
+// OutOfStep returns the names of the VMs that are out of step with this one, sorted, while rates are
+// divided by the reports of single VMs.
 func (l *Limiter) OutOfStep() []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.Now()
+	if l.usesTotal(now) {
+		return nil
+	}
 	var names []string
 	for name, p := range l.peers {
 		if !p.isInStep(now) {
