--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -198,7 +198,7 @@
 	if l.usesTotal(now) {
 		switch {
 		case now-l.total.receivedAt > freshTotalTime:
-			ownDemand = min(ownDemand, l.total.own[workspace]*(1-silentMargin))
+			ownDemand = min(ownDemand, l.total.own[workspace])
 		case l.total.demand[workspace] >= rate:
 			// All VMs refuse operations, so that what one's demand has grown since isn't made up for by
 			// another's slack.
--- a/pkg/quota/total.go
+++ b/pkg/quota/total.go
@@ -12,9 +12,9 @@
 // of the VM that adds up than of them.
 const maxSilentPart = 0.9
 
-// silentMargin is the fraction of the total that is added for silent sources, since the part that they
-// have is an estimate. It also makes up for what was admitted until their silence was noticed.
-const silentMargin = 0.08
+// silentMargin is the fraction by which the part of silent sources counts as larger, since it is an
+// estimate. It also makes up for what was admitted until their silence was noticed.
+const silentMargin = 0.3
 
 // SilentDemand returns the demand to count for sources that have fallen silent, given the demand of all
 // other VMs. The silent ones may not hear the others either and then keep their shares, so that they count
@@ -34,7 +34,7 @@
 	for workspace, amount := range sum {
 		if total[workspace] > amount && others[workspace] > 0 {
 			part := min(amount/total[workspace], maxSilentPart)
-			sum[workspace] = others[workspace] * (part/(1-part) + silentMargin)
+			sum[workspace] = others[workspace] * (part/(1-part) + silentMargin*part)
 		}
 	}
 	return sum
