--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -196,13 +196,8 @@
 	vmCount := l.vmCount()
 	evenShare := rate / float64(vmCount)
 	if l.usesTotal(now) {
-		switch {
-		case now-l.total.receivedAt > freshTotalTime:
+		if now-l.total.receivedAt > freshTotalTime {
 			ownDemand = min(ownDemand, l.total.own[workspace])
-		case l.total.demand[workspace] >= rate:
-			// All VMs refuse operations, so that what one's demand has grown since isn't made up for by
-			// another's slack.
-			ownDemand = l.total.own[workspace]
 		}
 		others := max(l.total.demand[workspace]-l.total.own[workspace], 0) + float64(max(vmCount-l.total.vmCount, 0))*max(evenShare, ownDemand)
 		return min((ownDemand+evenFraction*evenShare)/(ownDemand+others+evenFraction*rate), 1)
--- a/pkg/quota/total.go
+++ b/pkg/quota/total.go
@@ -14,7 +14,7 @@
 
 // silentMargin is the fraction by which the part of silent sources counts as larger, since it is an
 // estimate. It also makes up for what was admitted until their silence was noticed.
-const silentMargin = 0.3
+const silentMargin = 0.4
 
 // SilentDemand returns the demand to count for sources that have fallen silent, given the demand of all
 // other VMs. The silent ones may not hear the others either and then keep their shares, so that they count
