proxy: roll back an idle transaction on its server when it ends

What others saw: a transaction that was ended for its idle time kept its locks and its connection on the server until its caller's next request, which may never come. Cause: handleNoRequest failed the transaction and left the rollback to the end of the next request. Change: handleNoRequest rolls back what it failed. Result: TestIdleTransactionIsRolledBackOnServer failed before (one transaction open on the server, wanted none).

--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -166,14 +166,16 @@
 }
 
 // handleNoRequest handles a Receive that returned without a request. It fails the open
-// transaction if that was idle for too long or a drain has stopped waiting for transactions. It
-// always returns true; serveNext then checks whether the session has to close.
+// transaction if that was idle for too long or a drain has stopped waiting for transactions, and
+// rolls it back on its server, where it may hold locks. It always returns true; serveNext then
+// checks whether the session has to close.
 func (s *Session) handleNoRequest(deadline time.Time) bool {
 	if s.tx == nil || time.Now().Before(deadline) && !s.vm.cancelTransactions.Load() {
 		return true
 	}
 	eventTransactionIdle.Log(s.vm.Logger, "database", s.database, "idle", s.tx.idleTimeout, "draining", s.vm.IsDraining(), "outcome", "rolled back")
 	s.failTransaction()
+	s.rollBackPending()
 	return true
 }
 
--- a/internal/proxy/session_test.go
+++ b/internal/proxy/session_test.go
@@ -330,6 +330,31 @@
 	}
 }
 
+// TestIdleTransactionIsRolledBackOnServer guards against a transaction that was ended for its idle time
+// and holds its locks and its connection until its caller's next request.
+func TestIdleTransactionIsRolledBackOnServer(t *testing.T) {
+	runTest(t, func(tb *testbed) {
+		awaitVerifiedPrimary()
+		open := 0
+		tb.onServer("a", func(s *memServer) {
+			s.fault = func(c Command) fault {
+				switch c.(type) {
+				case BeginAt:
+					open++
+				case Abandon:
+					open--
+				}
+				return faultNone
+			}
+		})
+		c := tb.openSession(testDatabase)
+		c.exec(Begin{})
+		assert.Equal(t, c.exec(write("1")).Failure, NoFailure)
+		clock.Sleep(context.Background(), testConfiguration(1).TransactionIdleTimeout+500*time.Millisecond)
+		tb.onServer("a", func(*memServer) { assert.Equal(t, open, 0) })
+	})
+}
+
 // A transaction that is idle for too long is rolled back, and its caller gets a failure for its
 // next statement.
 func TestIdleTransactionIsRolledBack(t *testing.T) {
