savoryramp-vm: receive signals before the settings are read

Cause: SIGHUP ended a process that had not installed its handler yet, which it did after it had opened its listeners. Change: the signals are received first in main; one of each kind waits until the daemon handles it. Ruled out: losing one of many; a reload reads the settings as they are then, and a second SIGTERM changes nothing. Result: TestReloadSignalWhileStarting, a real process that waits for its settings, ended by 'signal: hangup' before.

--- a/cmd/savoryramp-vm/daemon.go
+++ b/cmd/savoryramp-vm/daemon.go
@@ -8,12 +8,10 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/go-kit/log"
@@ -52,6 +50,7 @@
 	Options   options
 	Settings  platform.Settings
 	LogOutput io.Writer
+	Signals   signals
 
 	logger               log.Logger
 	vm                   *proxy.VM
@@ -282,22 +281,20 @@
 
 // handleSignals drains on SIGTERM and SIGINT and reloads the settings on SIGHUP.
 func (d *daemon) handleSignals() {
-	received := make(chan os.Signal, 4)
-	signal.Notify(received, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	stop := make(chan struct{})
 	d.tasks.Add(func() error {
-		for s := range received {
-			if s == syscall.SIGHUP {
+		for {
+			select {
+			case <-d.Signals.reload:
 				d.reload()
-				continue
+			case <-d.Signals.terminate:
+				d.drain()
+				return nil
+			case <-stop:
+				return nil
 			}
-			d.drain()
-			return nil
 		}
-		return nil
-	}, func(error) {
-		signal.Stop(received)
-		close(received)
-	})
+	}, func(error) { close(stop) })
 }
 
 // drain announces that this VM is leaving and ends its sessions within the grace period.
--- a/cmd/savoryramp-vm/main.go
+++ b/cmd/savoryramp-vm/main.go
@@ -10,11 +10,14 @@
 	"github.com/savoryramp/savoryramp/platform"
 )
 
-func main() { os.Exit(runCommand(os.Args[1:], os.Stdout, os.Stderr)) }
+func main() {
+	received := receiveSignals()
+	os.Exit(runCommand(os.Args[1:], received, os.Stdout, os.Stderr))
+}
 
 // runCommand returns the exit code: 0 for success, 1 if a component failed, 2 if the command
 // line or the settings are invalid.
-func runCommand(arguments []string, out, errOut io.Writer) int {
+func runCommand(arguments []string, received signals, out, errOut io.Writer) int {
 	o, err := parse(arguments)
 	if err != nil {
 		fmt.Fprintf(errOut, "savoryramp-vm: %s\n", err)
@@ -35,7 +38,7 @@
 	}
 	lines := &event.BoundedWriter{Out: out, LinesPerSecond: o.LogLinesPerSecond}
 	defer lines.Close()
-	d := &daemon{Options: o, Settings: settings, LogOutput: lines}
+	d := &daemon{Options: o, Settings: settings, LogOutput: lines, Signals: received}
 	if err := d.Run(); err != nil {
 		fmt.Fprintf(errOut, "savoryramp-vm: %s\n", err)
 		return 1
