--- a/internal/proxy/remote.go
+++ b/internal/proxy/remote.go
@@ -22,6 +22,9 @@
 	Open bool
 	// Within is how long the sender waits for the answers.
 	Within time.Duration
+	// LinkAgeMs is for how long the link that carries the batch had been open when it was sent, in
+	// milliseconds. It is set by the link.
+	LinkAgeMs int64
 }
 
 // Relay reaches servers over the connections of other VMs.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -22,6 +22,7 @@
 	"github.com/go-kit/log"
 	"github.com/joomcode/errorx"
 
+	"github.com/savoryramp/savoryramp/internal/clock"
 	"github.com/savoryramp/savoryramp/internal/event"
 	"github.com/savoryramp/savoryramp/internal/heartbeat"
 	"github.com/savoryramp/savoryramp/internal/proxy"
@@ -86,6 +87,8 @@
 var (
 	eventPeerFailed = event.Define(5201, "relay-peer-failed", event.Warn,
 		"Another VM couldn't be reached or didn't answer; it gets no statements for a while.")
+	eventLateBatch = event.Define(5203, "relay-late-batch", event.Warn,
+		"Statements of another VM arrived after that VM had stopped waiting for them, and weren't run.")
 	eventAcceptFailed = event.Define(5202, "relay-accept", event.Warn, "Accepting a connection from another VM failed.")
 )
 
@@ -284,7 +287,7 @@
 	}
 	out := bufio.NewWriterSize(nc, bufferSize)
 	return &link{
-		relay: r, address: address, net: nc, out: out,
+		relay: r, address: address, net: nc, out: out, openedAt: clock.Now(),
 		encoder: gob.NewEncoder(out), decoder: gob.NewDecoder(bufio.NewReaderSize(nc, bufferSize)),
 	}, nil
 }
@@ -326,20 +329,23 @@
 
 // link is a connection to another VM. It implements proxy.PeerLink.
 type link struct {
-	relay     *Relay
-	address   proxy.Address
-	net       net.Conn
-	out       *bufio.Writer
-	encoder   *gob.Encoder
-	decoder   *gob.Decoder
+	relay   *Relay
+	address proxy.Address
+	net     net.Conn
+	out     *bufio.Writer
+	encoder *gob.Encoder
+	decoder *gob.Decoder
+	// openedAt is when the link was opened, idleSince when it last became idle.
+	openedAt  clock.Instant
 	idleSince time.Time
-	// answered isn't used.
-	answered bool
+	// failed is true after a batch whose answer didn't arrive.
+	failed bool
 }
 
 // Exec runs a batch on the other VM. It returns ErrPeerOutcomeUnknown if no response arrived.
 func (l *link) Exec(batch proxy.Batch, deadline time.Time) ([]proxy.Answer, error) {
 	_ = l.net.SetDeadline(deadline.Add(deadlineSlack))
+	batch.LinkAgeMs = clock.Since(l.openedAt).Milliseconds()
 	err := l.encoder.Encode(batch)
 	if err == nil {
 		err = l.out.Flush()
@@ -349,6 +355,7 @@
 		err = l.decoder.Decode(&response)
 	}
 	if err != nil {
+		l.failed = true
 		l.relay.recordFailure(l.address, err)
 		return nil, proxy.ErrPeerOutcomeUnknown.Wrap(err, "VM at %s", l.address)
 	}
@@ -369,6 +376,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p := r.stateOf(l.address)
+	if l.failed {
+		_ = socket.CloseDiscarding(l.net)
+		return
+	}
 	if !keep || len(p.idleLinks) >= maxIdleLinks {
 		l.net.Close()
 		return
@@ -403,11 +414,19 @@
 // closed here while it may be reused there.
 const servedLinkIdleTimeout = 2 * maxLinkIdleTime
 
+// arrivalDelay returns how much later than sent a batch arrived, over a link that was accepted at an
+// instant. The link's age at both ends tells it, whatever the clocks of the two VMs are. It is short of the
+// truth by the time that the link itself waited to be accepted.
+func arrivalDelay(b proxy.Batch, acceptedAt clock.Instant) time.Duration {
+	return max(clock.Since(acceptedAt)-time.Duration(b.LinkAgeMs)*time.Millisecond, 0)
+}
+
 // serveLink runs the batches that arrive over one link.
 func (r *Relay) serveLink(ctx context.Context, nc net.Conn) {
 	defer nc.Close()
 	stop := context.AfterFunc(ctx, func() { nc.Close() })
 	defer stop()
+	acceptedAt := clock.Now()
 	session := proxy.RemoteSession{VM: r.VM}
 	defer session.Close()
 	out := bufio.NewWriterSize(nc, bufferSize)
@@ -419,6 +438,12 @@
 		if err := decoder.Decode(&batch); err != nil {
 			return
 		}
+		batch.Within -= arrivalDelay(batch, acceptedAt)
+		if batch.Within <= 0 || !socket.IsAlive(nc) {
+			// Its sender has given up, perhaps long ago, and has told its caller so.
+			eventLateBatch.Log(r.Logger, "peer", nc.RemoteAddr(), "server", batch.Server, "workspace", batch.Workspace, "late", -batch.Within, "outcome", "not run")
+			return
+		}
 		answers, err := session.Exec(ctx, batch)
 		response := reply{Answers: answers}
 		if err != nil {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -5,9 +5,12 @@
 	"bytes"
 	"context"
 	"encoding/gob"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"strconv"
+	"syscall"
 	"testing"
 	"time"
 
@@ -259,3 +262,73 @@
 	r.Owner(server, "tenant-1", 8)
 	assert.Equal(t, len(r.owners["i-1"].candidates), 8/minConnectionsPerOwner)
 }
+
+// A batch that arrives after its sender has given up isn't run: its caller was told that the outcome is
+// unknown, and may have sent the same work again. Partitions hold up batches, and pauses of this VM.
+func TestLateBatchIsNotRun(t *testing.T) {
+	for name, test := range map[string]struct {
+		linkAge time.Duration
+		want    bool
+	}{
+		"in time":                     {0, true},
+		"delayed, with time left":     {-500 * time.Millisecond, true},
+		"delayed beyond its deadline": {-2 * time.Second, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := startRelay(t, nil)
+			nc, err := net.Dial("tcp", r.Listener.Addr().String())
+			assert.NilError(t, err)
+			defer nc.Close()
+			batch := newBatch(proxy.Forward{ID: "1", Statement: proxy.Write{Text: "WRITE 1 x"}})
+			batch.LinkAgeMs = test.linkAge.Milliseconds()
+			assert.NilError(t, gob.NewEncoder(nc).Encode(batch))
+			var response reply
+			err = gob.NewDecoder(nc).Decode(&response)
+			assert.Equal(t, err == nil && len(response.Answers) == 1, test.want, "%v %v", err, response)
+		})
+	}
+}
+
+// A batch whose sender has closed the link by the time that it is read isn't run. A VM that was paused
+// reads both when it wakes.
+func TestBatchOfClosedLinkIsNotRun(t *testing.T) {
+	connected := make(chan struct{}, 1)
+	vm := &proxy.VM{Name: "home", Fleet: singleVMFleet{}, Logger: log.NewNopLogger()}
+	vm.Connect = func(context.Context, proxy.Server, proxy.WorkspaceName) (proxy.ServerLink, position.Position, error) {
+		connected <- struct{}{}
+		return &echo{}, position.Position{}, nil
+	}
+	vm.SetServers([]proxy.Server{{ID: "i-1", Service: "s", Address: "127.0.0.1:1"}})
+	vm.Configure(&proxy.Configuration{Version: 1, Services: map[proxy.ServiceName]*proxy.Service{"s": {Name: "s", Connections: 9}}}, "test")
+	r := &Relay{VM: vm, Fleet: &heartbeat.Fleet{}, Logger: log.NewNopLogger()}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	sender, err := net.Dial("tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	nc, err := listener.Accept()
+	assert.NilError(t, err)
+	assert.NilError(t, gob.NewEncoder(sender).Encode(newBatch(proxy.Forward{ID: "1", Statement: proxy.Write{Text: "WRITE 1 x"}})))
+	assert.NilError(t, sender.Close())
+	r.serveLink(context.Background(), nc)
+	assert.Equal(t, len(connected), 0)
+}
+
+// A link whose batch wasn't answered is reset. Closing it would deliver the batch once a partition has
+// healed.
+func TestFailedLinkIsReset(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	r := &Relay{Logger: log.NewNopLogger()}
+	link, err := r.Open(context.Background(), proxy.Address(listener.Addr().String()))
+	assert.NilError(t, err)
+	far, err := listener.Accept()
+	assert.NilError(t, err)
+	defer far.Close()
+	_, err = link.Exec(newBatch(proxy.Reset{}), time.Now().Add(-deadlineSlack+10*time.Millisecond))
+	assert.Assert(t, errorx.IsOfType(err, proxy.ErrPeerOutcomeUnknown), "%v", err)
+	link.Release(false)
+	_, err = io.Copy(io.Discard, far)
+	assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "%v", err)
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -9,6 +9,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/savoryramp/savoryramp/internal/platform"
+	"github.com/savoryramp/savoryramp/internal/socket"
 	"github.com/savoryramp/savoryramp/pkg/position"
 )
 
@@ -214,7 +215,14 @@
 	_ = c.netConn.SetDeadline(time.Unix(1, 0))
 }
 
-func (c *Conn) close() { _ = c.netConn.Close() }
+func (c *Conn) close() {
+	if c.timedOut {
+		// Statements that weren't delivered yet must not run once a partition has healed.
+		_ = socket.CloseDiscarding(c.netConn)
+		return
+	}
+	_ = c.netConn.Close()
+}
 
 // switchWorkspace prepares a reused connection for a workspace: prepared statements,
 // settings and other session state of another workspace are discarded. It returns false
