proxy: repeat an order to promote a server that wasn't answered

The primary was leaving and had stopped; the order to promote its successor was neither answered nor carried out (applied_late), and the VM waited 1.5 s for the answer and 2 s for the server. The next VM in rank couldn't reach the store for a token. Cause: an order was sent once for each attempt. Change: an order times out after 0.5 s and is repeated each further 0.5 s with the same token, until the server acts as primary or the attempt ends. The same order again changes nothing. Before an order for another server, while an earlier one may still be carried out, a new token is acquired, which fences that off. Where the platform checks no tokens, one order is sent as before. Result: TestLostOrderIsRepeated and TestOutstandingOrderIsFenced (no primary after 4 s before; the second token wasn't acquired).

--- a/internal/proxy/failover.go
+++ b/internal/proxy/failover.go
@@ -46,6 +46,8 @@
 	catchUpTimeout = 800 * time.Millisecond
 	// promotionTimeout limits the wait until a promoted server acts as primary.
 	promotionTimeout = 2 * time.Second
+	// orderRepeatInterval is the pause before an order without an answer is repeated.
+	orderRepeatInterval = 500 * time.Millisecond
 	// statusPollInterval is the pause between two queries while waiting for a server to change
 	// its state.
 	statusPollInterval = 20 * time.Millisecond
@@ -68,8 +70,10 @@
 
 	mu sync.Mutex
 	// pending has the latest decision on each group.
-	pending  map[ServiceName]pendingDecision
-	attempts sync.WaitGroup
+	pending map[ServiceName]pendingDecision
+	// unanswered has the server of the latest order in a group if that had no answer.
+	unanswered map[ServiceName]ServerID
+	attempts   sync.WaitGroup
 
 	quorumMu     sync.Mutex
 	quorumChecks map[ServiceName]quorumCheck
@@ -180,12 +184,60 @@
 			return err
 		}
 	}
+	if f.outstandingOrder(g.Name, ServerID(chosen.Server)) {
+		f.Promoter.DiscardToken(g.Name)
+		if token, err = f.Promoter.AcquireToken(ctx, g.Name); err != nil {
+			return err
+		}
+	}
 	eventPromote.Log(g.Logger, "server", chosen.Server, "token", token, "received", chosen.Received, "heard", len(statuses))
-	err = f.promote(ctx, g, ServerID(chosen.Server), token)
-	if err != nil && !isType(err, ErrOutcomeUnknown) {
-		return err
+	return f.promoteAndAwait(ctx, g, ServerID(chosen.Server), token)
+}
+
+// promoteAndAwait promotes a server and waits until it acts as primary. An order without an answer may
+// have been lost, or be carried out seconds later, while the group has no primary: it is repeated. The
+// same order with the same token has no further effect, but where the platform doesn't check tokens each
+// order could be carried out after another VM's, so there only one is sent.
+func (f *Failover) promoteAndAwait(ctx context.Context, g *Group, id ServerID, token Token) error {
+	for {
+		err := f.promote(ctx, g, id, token)
+		f.recordOrder(g.Name, id, err)
+		if err == nil || isType(err, ErrOutcomeUnknown) && !f.PromotionFences {
+			return g.awaitPromoted(ctx, id, promotionTimeout)
+		}
+		if !isType(err, ErrOutcomeUnknown) {
+			return err
+		}
+		if g.awaitPromoted(ctx, id, orderRepeatInterval) == nil {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return err
+		}
 	}
-	return g.awaitPromoted(ctx, ServerID(chosen.Server))
+}
+
+// recordOrder records whether an order was answered.
+func (f *Failover) recordOrder(service ServiceName, id ServerID, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !isType(err, ErrOutcomeUnknown) {
+		delete(f.unanswered, service)
+		return
+	}
+	if f.unanswered == nil {
+		f.unanswered = map[ServiceName]ServerID{}
+	}
+	f.unanswered[service] = id
+}
+
+// outstandingOrder reports whether an order to promote another server may still be carried out. Only a
+// higher token keeps it from replacing this one.
+func (f *Failover) outstandingOrder(service ServiceName, id ServerID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	before, found := f.unanswered[service]
+	return found && before != id
 }
 
 // promote orders a promotion. It gives up the token if that is outdated.
@@ -350,10 +402,10 @@
 	return ErrTimeout.New("server %s hasn't received position %s", m.pool.Server.ID, p)
 }
 
-// awaitPromoted waits until a server passes verification as primary. It gives up after
-// promotionTimeout, or if the server is no longer listed.
-func (g *Group) awaitPromoted(ctx context.Context, id ServerID) error {
-	deadline := time.Now().Add(promotionTimeout)
+// awaitPromoted waits until a server passes verification as primary. It gives up after the time limit,
+// or if the server is no longer listed.
+func (g *Group) awaitPromoted(ctx context.Context, id ServerID, limit time.Duration) error {
+	deadline := time.Now().Add(limit)
 	for time.Now().Before(deadline) && ctx.Err() == nil {
 		g.mu.Lock()
 		m := g.members[id]
--- a/internal/proxy/failover_test.go
+++ b/internal/proxy/failover_test.go
@@ -21,8 +21,10 @@
 	fencedOff bool
 	// answerLost carries promotions out but returns ErrOutcomeUnknown.
 	answerLost bool
-	promoted   []ServerID
-	discarded  int
+	// lost is how many of the first orders are neither carried out nor answered.
+	lost      int
+	promoted  []ServerID
+	discarded int
 }
 
 func (p *fakePromoter) AcquireToken(context.Context, ServiceName) (Token, error) { return 1, nil }
@@ -33,6 +35,9 @@
 		return ErrFenced.New("a newer token was seen")
 	}
 	p.promoted = append(p.promoted, id)
+	if len(p.promoted) <= p.lost {
+		return ErrOutcomeUnknown.New("no answer to the promotion")
+	}
 	time.AfterFunc(p.delay, func() { p.testbed.promote(id) })
 	if p.answerLost {
 		return ErrOutcomeUnknown.New("no answer to the promotion")
@@ -115,6 +120,43 @@
 	}
 }
 
+// TestLostOrderIsRepeated guards against a group without a primary for seconds because the platform lost
+// an order to promote a server.
+func TestLostOrderIsRepeated(t *testing.T) {
+	runTest(t, func(tb *testbed) {
+		awaitVerifiedPrimary()
+		tb.onServer("a", func(s *memServer) { s.fault = func(Command) fault { return breakBefore } })
+		promoter := &fakePromoter{testbed: tb, delay: 300 * time.Millisecond, lost: 2}
+		g := tb.vm.group(testService)
+		f := &Failover{VM: tb.vm, Promoter: promoter, PromotionFences: true, Logger: log.NewNopLogger()}
+		assert.NilError(t, f.replacePrimary(tb.ctx, g, failover.Replace, g.members["a"]))
+		assert.DeepEqual(t, promoter.promoted, []ServerID{"b", "b", "b"})
+		assert.Equal(t, promoter.discarded, 0)
+		m, _ := g.currentPrimary()
+		assert.Equal(t, m.pool.Server.ID, ServerID("b"))
+	})
+}
+
+// TestOutstandingOrderIsFenced guards against an order that is carried out late and undoes the promotion of
+// another server with the same token.
+func TestOutstandingOrderIsFenced(t *testing.T) {
+	runTest(t, func(tb *testbed) {
+		awaitVerifiedPrimary()
+		tb.onServer("a", func(s *memServer) { s.fault = func(Command) fault { return breakBefore } })
+		promoter := &fakePromoter{testbed: tb, delay: 300 * time.Millisecond, lost: 1000}
+		g := tb.vm.group(testService)
+		f := &Failover{VM: tb.vm, Promoter: promoter, PromotionFences: true, Logger: log.NewNopLogger()}
+		ctx, cancel := context.WithTimeout(tb.ctx, failoverTimeout)
+		defer cancel()
+		assert.Assert(t, isType(f.replacePrimary(ctx, g, failover.Replace, g.members["a"]), ErrOutcomeUnknown))
+		promoter.lost = 0
+		tb.onServer("b", func(s *memServer) { s.fault = func(Command) fault { return breakBefore } })
+		assert.NilError(t, f.replacePrimary(tb.ctx, g, failover.Replace, g.members["a"]))
+		assert.Equal(t, promoter.promoted[len(promoter.promoted)-1], ServerID("c"))
+		assert.Equal(t, promoter.discarded, 1)
+	})
+}
+
 // A VM adopts a new primary from another VM's heartbeat, unless that reports it as failing.
 func TestObserveHeartbeat(t *testing.T) {
 	tests := map[string]struct {
