proxy, relay: run statements in order of urgency where the settings ask for it

Statements ran on a connection as soon as their workspace had one, so that no decision read a priority.

With the contract "pressure", each pool has a schedule.Queue. A request gets its place in service first and its connection then, so that nothing waits for a connection which a less urgent request holds while it waits; the opening of a connection is in that place. While open transactions hold all connections, requests wait without a place, since the transactions need places to end. Urgency travels in the batches (version 3), the server's load and the time to return in the replies. A session that was refused and returns in time has its place.

Strict reads verify the primary over any idle connection. A commit that got no turn is answered with ABORTED, since it wasn't sent.

Ruled out: waiting for a place with the connection in hand, where an urgent statement waits behind the less urgent ones that hold its workspace's connections.

Without the contract pools have no queue; only the version of the messages changes.

--- a/cmd/savoryramp-vm/daemon.go
+++ b/cmd/savoryramp-vm/daemon.go
@@ -43,6 +43,8 @@
 	// killMargin is how long before the platform kills the process a drain ends at the latest, so
 	// that the remaining connections can be closed in order.
 	killMargin = 400 * time.Millisecond
+	// priorityContract is the contract that asks for statements in order of priority.
+	priorityContract = "pressure"
 	// headerTimeout bounds reading the header of a request to the VM's own HTTP pages.
 	headerTimeout = 5 * time.Second
 )
@@ -101,7 +103,8 @@
 	d.quota = &quota.Limiter{Now: func() time.Duration { return time.Duration(clock.Now()) }, VMCount: d.fleet.RateSize}
 	d.vm = &proxy.VM{
 		Name: s.VM, Zone: s.Zone, Connect: platform.Connect, Fleet: verifierFleet{d.fleet}, Quota: d.quota, Logger: d.logger,
-		IsolatedFor: func() time.Duration { return min(d.store.TimeSinceReply(), d.fleet.TimeSincePeerSeen()) },
+		PriorityScheduling: s.HasContract(priorityContract),
+		IsolatedFor:        func() time.Duration { return min(d.store.TimeSinceReply(), d.fleet.TimeSincePeerSeen()) },
 	}
 	relayListener, err := net.Listen("tcp", net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)))
 	if err != nil {
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -1,6 +1,10 @@
 package proxy
 
-import "github.com/savoryramp/savoryramp/pkg/position"
+import (
+	"time"
+
+	"github.com/savoryramp/savoryramp/pkg/position"
+)
 
 // Phase is the transaction state of a session or of a server connection.
 type Phase string
@@ -66,6 +70,9 @@
 	Phase Phase
 	// Position is the end of the server's log, or zero if the answer doesn't contain it.
 	Position position.Position
+	// RetryAfter is set in the VM's answer to a request that a server's queue refused: the time
+	// after which the request has its place there.
+	RetryAfter time.Duration
 }
 
 // Succeeded reports whether the request has a result.
--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -67,10 +67,10 @@
 	return best, found
 }
 
-// readCandidates lists the servers for a read of a workspace that isn't linearizable, except
+// readCandidates lists the servers for a read that isn't linearizable, except
 // those in exclude and those that are leaving. Some may lack the read's floor. The map has the
 // same servers by ID.
-func (g *Group) readCandidates(w WorkspaceName, exclude map[ServerID]bool) ([]Candidate, map[ServerID]*member) {
+func (g *Group) readCandidates(d demand, exclude map[ServerID]bool) ([]Candidate, map[ServerID]*member) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
@@ -84,7 +84,7 @@
 		list = append(list, Candidate{
 			ID: id, SameZone: m.server.Zone == g.VM.Zone, IsPrimary: id == g.primary,
 			RecentlyFailed: now.Before(m.avoidUntil), RecentlyLagged: now.Before(m.lagAvoidUntil),
-			LatencyFactor: m.decayedLatencyFactor(now), Availability: m.pool.availability(w),
+			LatencyFactor: m.decayedLatencyFactor(now), Availability: g.availability(m, d, now),
 		})
 	}
 	return list, members
--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -104,6 +104,10 @@
 	// currently has on the server.
 	values map[string]string
 	plans  map[Plan]StatementName
+	// place is the connection's place in the pool's queue while a statement is about to run on it
+	// or runs, nil otherwise. demand is that of the latest checkout.
+	place  *place
+	demand demand
 	// idleSince is when the connection last became idle in the pool.
 	idleSince time.Time
 }
--- a/internal/proxy/errors.go
+++ b/internal/proxy/errors.go
@@ -1,6 +1,10 @@
 package proxy
 
-import "github.com/joomcode/errorx"
+import (
+	"time"
+
+	"github.com/joomcode/errorx"
+)
 
 var (
 	errs = errorx.NewNamespace("proxy")
@@ -56,3 +60,31 @@
 
 // IsTimeout reports whether a deadline passed before the awaited message or state.
 func IsTimeout(err error) bool { return isType(err, ErrTimeout) }
+
+// retryAfterProperty has the time after which a refused request should be sent again.
+var retryAfterProperty = errorx.RegisterProperty("retry-after")
+
+// busyUntil returns an ErrBusy that tells when to send the request again.
+func busyUntil(wait time.Duration, format string, args ...any) error {
+	return WithRetryAfter(ErrBusy.New(retryAfterText(wait)+" "+format, args...), wait)
+}
+
+// WithRetryAfter adds to an error when to send the request again, unless that is zero.
+func WithRetryAfter(err *errorx.Error, wait time.Duration) error {
+	if wait <= 0 {
+		return err
+	}
+	return err.WithProperty(retryAfterProperty, wait)
+}
+
+// RetryAfter returns the time that WithRetryAfter added to an error, or zero.
+func RetryAfter(err error) time.Duration {
+	value, _ := errorx.ExtractProperty(err, retryAfterProperty)
+	wait, _ := value.(time.Duration)
+	return wait
+}
+
+// busyAnswer returns the answer to a request that was refused with an error.
+func busyAnswer(err error) Answer {
+	return Answer{Failure: Busy, Detail: err.Error(), RetryAfter: RetryAfter(err)}
+}
--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -53,6 +53,8 @@
 	// lagAvoidUntil is until when reads prefer other servers, after this one lacked a requested
 	// position.
 	lagAvoidUntil time.Time
+	// loads has the server's load by route priority, as other VMs have told.
+	loads reportedLoads
 }
 
 const (
@@ -97,6 +99,9 @@
 		if s.Leaving && !m.server.Leaving {
 			eventServer.Log(g.Logger, "server", s.ID, "outcome", "leaving")
 		}
+		if m.pool.Queue != nil && s.Slots != m.server.Slots {
+			m.pool.Queue.setSlots(s.Slots)
+		}
 		m.server = s
 	}
 	for id, m := range g.members {
@@ -114,9 +119,10 @@
 }
 
 func (g *Group) newPool(s Server) *Pool {
-	return &Pool{
+	p := &Pool{
 		Server: s, Connect: g.VM.Connect,
-		Share: func() Share { return g.VM.share(g.Name, s) },
+		Share:    func() Share { return g.VM.share(g.Name, s) },
+		OnOpened: func() { g.VM.metrics.recordConnection(g.Name) },
 		TransactionIdleTimeout: func() time.Duration {
 			if c := g.VM.Configuration(); c != nil {
 				return c.TransactionIdleTimeout
@@ -124,6 +130,10 @@
 			return 0
 		},
 	}
+	if g.VM.PriorityScheduling {
+		p.Queue = newServerQueue(g.VM, s)
+	}
+	return p
 }
 
 // setPrimaryFromList sets the primary to a listed server that claims to be it, unless a primary
--- a/internal/proxy/line.go
+++ b/internal/proxy/line.go
@@ -16,6 +16,9 @@
 	averageHold time.Duration
 	// lastUsed is when a connection was last requested or released.
 	lastUsed time.Time
+	// places are those of requests that gave up while a connection was opened for them. The next
+	// attempt that ends gives them up.
+	places []*place
 }
 
 // waiter is a request that waits for a connection.
@@ -23,6 +26,8 @@
 	// result receives the connection, or the reason why there is none.
 	result     chan acquireResult
 	enqueuedAt time.Time
+	// rank orders the waiters, the lowest first, if the pool has a Queue.
+	rank int
 }
 
 type acquireResult struct {
@@ -37,6 +42,8 @@
 	// wait is the estimated time until a connection is available, including the time to open
 	// one if needed.
 	wait time.Duration
+	// moreUrgentWaiting counts the waiting statements that are more urgent.
+	moreUrgentWaiting int
 }
 
 // availability estimates how soon a workspace gets a connection.
@@ -85,8 +92,8 @@
 	return wp
 }
 
-// longestWaiting returns the workspace whose first request has waited longest, among those that
-// need another connection, or nil if none needs one; p.mu is held.
+// longestWaiting returns the workspace whose first request is the most urgent one or, if there are
+// several, has waited longest, among those that need another connection, or nil if none needs one; p.mu is held.
 func (p *Pool) longestWaiting() *workspacePool {
 	var longest *workspacePool
 	for _, wp := range p.workspacePools {
@@ -96,7 +103,7 @@
 		if p.freesBeforeDial(wp) {
 			continue
 		}
-		if longest == nil || wp.waiters[0].enqueuedAt.Before(longest.waiters[0].enqueuedAt) {
+		if longest == nil || wp.waiters[0].before(longest.waiters[0]) {
 			longest = wp
 		}
 	}
@@ -118,7 +125,7 @@
 func (p *Pool) workspaceWithLongestIdle(exclude WorkspaceName) *workspacePool {
 	var longest *workspacePool
 	for name, wp := range p.workspacePools {
-		if name == exclude || len(wp.idle) == 0 || time.Since(wp.idle[0].idleSince) < minReassignIdle {
+		if name == exclude || len(wp.idle) == 0 || time.Since(wp.idle[0].idleSince) < p.minReassignIdle() {
 			continue
 		}
 		if longest == nil || wp.idle[0].idleSince.Before(longest.idle[0].idleSince) {
@@ -132,12 +139,12 @@
 // no further one, another workspace without any has waited longer than opening one takes, and
 // one may be opened now; p.mu is held.
 func (p *Pool) hasStarvingWorkspace(wp *workspacePool) bool {
-	if p.hasCapacity() {
+	if p.waiting == 0 || p.hasCapacity() {
 		return false
 	}
 	for _, other := range p.workspacePools {
 		if other != wp && other.open == 0 && len(other.waiters) > 0 && time.Since(other.waiters[0].enqueuedAt) > p.estimateHandshake() {
-			return p.opening < maxOpening
+			return p.opening < p.maxOpening()
 		}
 	}
 	return false
--- a/internal/proxy/local.go
+++ b/internal/proxy/local.go
@@ -5,7 +5,10 @@
 // localExecutor runs commands on a connection of this VM's pool.
 type localExecutor struct{ conn *Conn }
 
-func (e localExecutor) release(keep bool, d time.Duration) { e.conn.pool.Release(e.conn, keep, d) }
+func (e localExecutor) release(keep bool, d time.Duration) {
+	e.conn.leave()
+	e.conn.pool.Release(e.conn, keep, d)
+}
 
 // maxPreparedPlans limits the statements kept prepared on one connection.
 const maxPreparedPlans = 128
@@ -24,11 +27,15 @@
 	if c.inTransaction {
 		c.pool.markActive(c)
 	}
+	if err := c.enterService(commands, until); err != nil {
+		return nil, err
+	}
 	answers, err := c.exec(p, commands, until)
 	c.inTransaction = len(answers) > 0 && answers[len(answers)-1].Phase == InTransaction
 	if c.inTransaction {
 		c.pool.markIdle(c)
 	}
+	c.leaveService(commands, answers, err)
 	return answers, err
 }
 
--- a/internal/proxy/maintenance.go
+++ b/internal/proxy/maintenance.go
@@ -123,7 +123,7 @@
 	hasFailed := g.health.hasFailed()
 	g.mu.Unlock()
 	if !g.VM.Fleet.IsVerifier(g.Name) && !hasFailed {
-		return g.checkOut(ctx, m, anonymousWorkspace, until)
+		return g.checkOut(ctx, m, demand{workspace: anonymousWorkspace, verification: true, Urgency: Urgency{Deadline: until}}, until)
 	}
 	c, err := m.pool.AcquireAny(ctx, until)
 	if err != nil {
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -6,18 +6,29 @@
 
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
+
+	"github.com/savoryramp/savoryramp/pkg/schedule"
 )
 
 // instruments measure the answers to callers; the zero value records nothing.
 type instruments struct {
 	answers metric.Int64Counter
 	latency metric.Float64Histogram
+	// refusals, waits and forecastErrors are those of servers' queues, by class. Only statements
+	// that waited are recorded in the last two.
+	refusals              metric.Int64Counter
+	waits, forecastErrors metric.Float64Histogram
+	// connections counts those that were opened to servers.
+	connections metric.Int64Counter
 }
 
 // latencyBounds, in seconds, are densest around the latency objectives and timeouts of the
 // routes.
 var latencyBounds = []float64{.002, .005, .01, .02, .05, .1, .15, .25, .5, 1, 2, 5}
 
+// forecastErrorBounds, in seconds, are symmetric: a negative error means that the wait was shorter.
+var forecastErrorBounds = []float64{-.5, -.2, -.1, -.05, -.02, -.01, 0, .01, .02, .05, .1, .2, .5}
+
 // RegisterMetrics registers the VM's instruments. It returns ErrMalformed if the meter rejects
 // one.
 func (v *VM) RegisterMetrics(m metric.Meter) error {
@@ -30,10 +41,58 @@
 	if err != nil {
 		return ErrMalformed.Wrap(err, "instrument")
 	}
-	v.metrics = instruments{answers, latency}
+	refusals, err := m.Int64Counter("savoryramp.vm.queue.refusals", metric.WithDescription("Requests that a server's queue refused because of its forecast, by class."))
+	if err != nil {
+		return ErrMalformed.Wrap(err, "instrument")
+	}
+	waits, err := m.Float64Histogram("savoryramp.vm.queue.wait", metric.WithUnit("s"),
+		metric.WithDescription("Time that statements waited for their turn at a server, of those that waited, by class."), metric.WithExplicitBucketBoundaries(latencyBounds...))
+	if err != nil {
+		return ErrMalformed.Wrap(err, "instrument")
+	}
+	forecastErrors, err := m.Float64Histogram("savoryramp.vm.queue.forecast-error", metric.WithUnit("s"),
+		metric.WithDescription("Actual wait less the forecast, of statements that waited, by class."), metric.WithExplicitBucketBoundaries(forecastErrorBounds...))
+	if err != nil {
+		return ErrMalformed.Wrap(err, "instrument")
+	}
+	connections, err := m.Int64Counter("savoryramp.vm.connections.opened", metric.WithDescription("Connections opened to servers, by service."))
+	if err != nil {
+		return ErrMalformed.Wrap(err, "instrument")
+	}
+	v.metrics = instruments{answers, latency, refusals, waits, forecastErrors, connections}
 	return nil
 }
 
+// recordRefusal counts a refusal by a server's queue.
+func (i instruments) recordRefusal(u Urgency) {
+	if i.refusals != nil {
+		i.refusals.Add(context.Background(), 1, metric.WithAttributeSet(classAttributes(u)))
+	}
+}
+
+// recordConnection counts a connection that was opened to a server of a service.
+func (i instruments) recordConnection(service ServiceName) {
+	if i.connections != nil {
+		i.connections.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", string(service))))
+	}
+}
+
+// recordWait records how long a statement that begins has waited for its turn, if it has, and the
+// difference from what was forecast.
+func (i instruments) recordWait(u Urgency, item *schedule.Item) {
+	actual, forecast := item.Wait()
+	if i.waits == nil || actual == 0 {
+		return
+	}
+	class := metric.WithAttributeSet(classAttributes(u))
+	i.waits.Record(context.Background(), actual.Seconds(), class)
+	i.forecastErrors.Record(context.Background(), (actual - forecast).Seconds(), class)
+}
+
+func classAttributes(u Urgency) attribute.Set {
+	return attribute.NewSet(attribute.Int("priority", int(u.Priority)), attribute.Int("workspace-priority", int(u.WorkspacePriority)))
+}
+
 func (i instruments) recordAnswer(r *Route, a Answer, took time.Duration) {
 	if i.answers == nil {
 		return
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -39,11 +39,16 @@
 type Pool struct {
 	Server  Server
 	Connect Connect
+	// OnOpened is called with p.mu held when a connection has been opened. It may be nil.
+	OnOpened func()
 	// Share returns this VM's current limits for connections to the server.
 	Share func() Share
 	// TransactionIdleTimeout returns how long a transaction may be idle. It only serves to
 	// compute the retry time in refusals, and may be nil.
 	TransactionIdleTimeout func() time.Duration
+	// Queue orders the statements on the pool's connections by urgency. It is nil if they run as
+	// they come.
+	Queue *serverQueue
 
 	mu               sync.Mutex
 	workspacePools   map[WorkspaceName]*workspacePool
@@ -51,6 +56,8 @@
 	// open counts all connections: idle, in use and being opened. opening counts only the
 	// last.
 	open, opening int
+	// waiting counts the waiters of all workspaces.
+	waiting int
 	// averageHandshake is the average time to open a connection.
 	averageHandshake time.Duration
 	// dialNotBefore is the earliest time for the next attempt to open a connection, after one
@@ -90,6 +97,12 @@
 // released or opened. It returns ErrBusy at once if the estimated wait is longer. No command has
 // been sent to the server after ErrBusy, ErrConnect, ErrRefused, ErrWrongServer or ErrNoServer.
 func (p *Pool) Acquire(ctx context.Context, w *Workspace, deadline time.Time) (*Conn, error) {
+	return p.acquire(ctx, w, 0, deadline)
+}
+
+// acquire is Acquire for a request of a rank (see Urgency.rank), which goes before those of a higher
+// rank.
+func (p *Pool) acquire(ctx context.Context, w *Workspace, rank int, deadline time.Time) (*Conn, error) {
 	p.mu.Lock()
 	if p.closed {
 		p.mu.Unlock()
@@ -107,8 +120,8 @@
 		p.mu.Unlock()
 		return nil, ErrBusy.New("%s server %s: %d requests wait already, a connection takes about %s", retryAfterText(wait), p.Server.ID, waiting, wait)
 	}
-	wt := &waiter{result: make(chan acquireResult, 1), enqueuedAt: time.Now()}
-	wp.waiters = append(wp.waiters, wt)
+	wt := &waiter{result: make(chan acquireResult, 1), enqueuedAt: time.Now(), rank: rank}
+	p.addWaiter(wp, wt)
 	p.openForWaiters()
 	if wp.opening == 0 {
 		time.AfterFunc(p.estimateHandshake(), p.recheckWaiters)
@@ -136,6 +149,7 @@
 	for i, other := range wp.waiters {
 		if other == wt {
 			wp.waiters = append(wp.waiters[:i:i], wp.waiters[i+1:]...)
+			p.waiting--
 			return nil, ErrBusy.New("no connection to server %s became available in time", p.Server.ID)
 		}
 	}
@@ -169,13 +183,22 @@
 		w = lastUsed.workspace
 	}
 	p.mu.Unlock()
-	return p.Acquire(ctx, w, deadline)
+	if p.Queue == nil {
+		return p.Acquire(ctx, w, deadline)
+	}
+	place, err := p.Queue.enter(ctx, demand{workspace: w}, true, deadline)
+	if err != nil {
+		return nil, err
+	}
+	c, err := p.Acquire(ctx, w, deadline)
+	p.leaveAfterOpening(w, place, err)
+	return c, err
 }
 
 // openForWaiters starts opening a connection for the workspace that has waited longest for one,
 // unless maxOpening, a recent failure or the share prevents it; p.mu is held.
 func (p *Pool) openForWaiters() {
-	if p.closed || p.opening >= maxOpening || time.Now().Before(p.dialNotBefore) {
+	if p.waiting == 0 || p.closed || p.opening >= p.maxOpening() || time.Now().Before(p.dialNotBefore) {
 		return
 	}
 	wp := p.longestWaiting()
@@ -231,10 +254,14 @@
 	defer p.mu.Unlock()
 	p.opening--
 	wp.opening--
+	p.leavePlaces(wp)
 	if err != nil {
 		p.handleDialError(wp, err)
 		return
 	}
+	if p.OnOpened != nil {
+		p.OnOpened()
+	}
 	p.averageHandshake = movingAverage(p.averageHandshake, time.Since(began))
 	c := &Conn{Link: link, Server: p.Server.ID, Workspace: w, pool: p, values: map[string]string{}, plans: map[Plan]StatementName{}}
 	p.assignOrKeep(wp, c)
@@ -254,6 +281,7 @@
 		for _, wt := range wp.waiters {
 			wt.result <- acquireResult{err: err}
 		}
+		p.waiting -= len(wp.waiters)
 		wp.waiters = nil
 	}
 	time.AfterFunc(pause, p.recheckWaiters)
@@ -265,6 +293,7 @@
 	if len(wp.waiters) > 0 {
 		wt := wp.waiters[0]
 		wp.waiters = wp.waiters[1:]
+		p.waiting--
 		wt.result <- acquireResult{conn: c}
 		return
 	}
@@ -309,6 +338,9 @@
 			delete(p.workspacePools, name)
 		}
 	}
+	if p.Queue != nil {
+		p.Queue.trim()
+	}
 	p.openForWaiters()
 }
 
@@ -343,6 +375,7 @@
 		for _, wt := range wp.waiters {
 			wt.result <- acquireResult{err: ErrNoServer.New("server %s was removed", p.Server.ID)}
 		}
+		p.waiting -= len(wp.waiters)
 		wp.waiters = nil
 	}
 }
--- a/internal/proxy/remote.go
+++ b/internal/proxy/remote.go
@@ -22,6 +22,27 @@
 	Open bool
 	// Within is how long the sender waits for the answers.
 	Within time.Duration
+	// Priority and WorkspacePriority order the batch among those that wait for the server.
+	// ObjectiveMs and DeadlineMs are the times left to the objective, zero if there is none, and
+	// to the deadline, in milliseconds. FirstDeadlineMs is that of a refused attempt whose caller
+	// has returned in time, zero if there is none.
+	Priority, WorkspacePriority              Priority
+	ObjectiveMs, DeadlineMs, FirstDeadlineMs int32
+	// Verification is true if the commands verify the primary, for which the connection of any
+	// workspace will do.
+	Verification bool
+}
+
+// ServerLoad is a server's load, as the VM that holds its connections sees it, for the class of the
+// request that the message answers. The zero value tells nothing.
+type ServerLoad struct {
+	// InService, Waiting and Limit count statements. Limit is zero if the load isn't known.
+	InService, Waiting, Limit int
+	// MoreUrgentWaiting counts the waiting statements that are more urgent than the request.
+	MoreUrgentWaiting int
+	// ExpectedWaitMs is the wait that a further request of the class has to expect, in
+	// milliseconds.
+	ExpectedWaitMs int64
 }
 
 // Relay reaches servers over the connections of other VMs.
@@ -43,6 +64,8 @@
 	// ErrPeerOutcomeUnknown if it isn't known whether the batch ran, or ErrPeerUnreachable if
 	// the batch wasn't sent.
 	Exec(b Batch, until time.Time) ([]Answer, error)
+	// Load returns the server's load that came with the last response to Exec.
+	Load() ServerLoad
 	// Release keeps the connection for reuse, or closes it, which also ends the transaction
 	// open on it.
 	Release(keep bool)
@@ -50,10 +73,10 @@
 
 // remoteExecutor runs commands over another VM's connection to the server.
 type remoteExecutor struct {
-	link      PeerLink
-	service   ServiceName
-	server    ServerID
-	workspace WorkspaceName
+	link   PeerLink
+	group  *Group
+	server ServerID
+	demand demand
 	// inTx is true if the latest answer left a transaction open or failed.
 	inTx bool
 }
@@ -61,11 +84,17 @@
 func (e *remoteExecutor) release(keep bool, _ time.Duration) { e.link.Release(keep && !e.inTx) }
 
 func (e *remoteExecutor) exec(p *profile, commands []Command, until time.Time) ([]Answer, error) {
-	b := Batch{Service: e.service, Server: e.server, Workspace: e.workspace, Commands: commands, Open: e.inTx, Within: time.Until(until)}
+	b := Batch{Service: e.group.Name, Server: e.server, Workspace: e.demand.workspace.Name, Commands: commands, Open: e.inTx, Within: time.Until(until)}
+	if e.group.VM.PriorityScheduling {
+		e.demand.describe(&b)
+	}
 	if p != nil {
 		b.Profiled, b.Values, b.Plans = true, p.values, p.neededPlans(commands)
 	}
 	answers, err := e.link.Exec(b, until)
+	if l := e.link.Load(); l.Limit > 0 {
+		e.group.observeLoad(e.server, e.demand.Priority, l)
+	}
 	if err == nil && len(answers) != len(commands) {
 		err = ErrPeerOutcomeUnknown.New("received %d answers to %d commands", len(answers), len(commands))
 	}
@@ -76,6 +105,43 @@
 	return answers, nil
 }
 
+// describe adds the demand to a batch.
+func (d demand) describe(b *Batch) {
+	b.Priority, b.WorkspacePriority, b.Verification = d.Priority, d.WorkspacePriority, d.verification
+	now := time.Now()
+	b.ObjectiveMs, b.DeadlineMs, b.FirstDeadlineMs = millisecondsUntil(now, d.Objective), millisecondsUntil(now, d.Deadline), millisecondsUntil(now, d.FirstDeadline)
+}
+
+// millisecondsUntil returns the milliseconds from now until t, but zero only if t is zero.
+func millisecondsUntil(now, t time.Time) int32 {
+	if t.IsZero() {
+		return 0
+	}
+	if ms := int32(t.Sub(now).Milliseconds()); ms != 0 {
+		return ms
+	}
+	return 1
+}
+
+// demand returns what the batch asks of its server. The batch must end by until.
+func (b *Batch) demand(until time.Time) demand {
+	d := demand{
+		workspace: &Workspace{Name: b.Workspace, Priority: b.WorkspacePriority}, verification: b.Verification,
+		Urgency: Urgency{Priority: b.Priority, WorkspacePriority: b.WorkspacePriority, Deadline: until},
+	}
+	now := time.Now()
+	if b.ObjectiveMs != 0 {
+		d.Objective = now.Add(time.Duration(b.ObjectiveMs) * time.Millisecond)
+	}
+	if b.DeadlineMs != 0 {
+		d.Deadline = now.Add(time.Duration(b.DeadlineMs) * time.Millisecond)
+	}
+	if b.FirstDeadlineMs != 0 {
+		d.FirstDeadline = now.Add(time.Duration(b.FirstDeadlineMs) * time.Millisecond)
+	}
+	return d
+}
+
 // neededPlans returns the plan of the prepared statement that the commands execute, if any. At
 // most one of the commands is an Execute.
 func (p *profile) neededPlans(commands []Command) map[StatementName]Plan {
@@ -130,6 +196,18 @@
 	return answers, err
 }
 
+// Load returns the load of a batch's server, zero if this VM doesn't order the statements there.
+func (rs *RemoteSession) Load(b Batch) ServerLoad {
+	if !rs.VM.PriorityScheduling {
+		return ServerLoad{}
+	}
+	m := rs.VM.member(b.Service, b.Server)
+	if m == nil || m.pool.Queue == nil {
+		return ServerLoad{}
+	}
+	return m.pool.Queue.load(Urgency{Priority: b.Priority, WorkspacePriority: b.WorkspacePriority})
+}
+
 // release returns the connection to its pool, or closes it if keep is false.
 func (rs *RemoteSession) release(keep bool) {
 	rs.checkout.release(keep)
@@ -147,6 +225,17 @@
 	rs.release(err == nil && a.Phase == Idle)
 }
 
+// member returns a server of a service, or nil if this VM doesn't know it.
+func (v *VM) member(service ServiceName, id ServerID) *member {
+	g := v.group(service)
+	if g == nil {
+		return nil
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.members[id]
+}
+
 // checkOutForPeer checks out one of this VM's own connections for another VM's batch.
 func (v *VM) checkOutForPeer(ctx context.Context, b Batch, until time.Time) (*checkout, error) {
 	g := v.group(b.Service)
@@ -159,35 +248,36 @@
 	if m == nil {
 		return nil, ErrNoServer.New("server %s is unknown to this VM", b.Server)
 	}
-	return g.checkOutLocal(ctx, m, &Workspace{Name: b.Workspace}, until)
+	return g.checkOutLocal(ctx, m, b.demand(until), until)
 }
 
-// checkOut checks out a connection to a server for a workspace, from the VM that owns the
+// checkOut checks out a connection to a server for a demand, from the VM that owns the
 // workspace's connections to it. If that VM can't be reached, it uses a connection of this VM.
-func (g *Group) checkOut(ctx context.Context, m *member, w *Workspace, until time.Time) (*checkout, error) {
+func (g *Group) checkOut(ctx context.Context, m *member, d demand, until time.Time) (*checkout, error) {
 	if g.VM.Relay != nil {
-		if address, local := g.VM.Relay.Owner(m.pool.Server, w.Name, g.VM.ownerConnectionLimit(g.Name)); !local {
+		if address, local := g.VM.Relay.Owner(m.pool.Server, d.workspace.Name, g.VM.ownerConnectionLimit(g.Name)); !local {
 			link, err := g.VM.Relay.Open(ctx, address)
 			if err == nil {
-				return g.newCheckout(&remoteExecutor{link: link, service: g.Name, server: m.pool.Server.ID, workspace: w.Name}, m.pool.Server.ID, false), nil
+				return g.newCheckout(&remoteExecutor{link: link, group: g, server: m.pool.Server.ID, demand: d}, m.pool.Server.ID, false), nil
 			}
 			eventRelayFailed.Log(g.Logger, "server", m.pool.Server.ID, "peer", address, "err", err, "outcome", "own connection")
 		}
 	}
-	return g.checkOutLocal(ctx, m, w, until)
+	return g.checkOutLocal(ctx, m, d, until)
 }
 
 // checkOutLocal checks out one of this VM's own connections. If the server has closed the
 // acquired one, all idle ones are closed and another is acquired.
-func (g *Group) checkOutLocal(ctx context.Context, m *member, w *Workspace, until time.Time) (*checkout, error) {
+func (g *Group) checkOutLocal(ctx context.Context, m *member, d demand, until time.Time) (*checkout, error) {
 	for {
-		c, err := m.pool.Acquire(ctx, w, until)
+		c, err := m.pool.checkOut(ctx, d, until)
 		if err != nil {
 			return nil, err
 		}
 		if c.Link.IsAlive() {
 			return g.newCheckout(localExecutor{c}, c.Server, true), nil
 		}
+		c.leave()
 		m.pool.Release(c, false, 0)
 		m.pool.CloseIdle()
 	}
--- a/internal/proxy/remote_test.go
+++ b/internal/proxy/remote_test.go
@@ -48,9 +48,12 @@
 	relay   *fakeRelay
 	ctx     context.Context
 	session RemoteSession
+	// last is the last batch.
+	last Batch
 }
 
 func (link *fakePeerLink) Exec(b Batch, _ time.Time) ([]Answer, error) {
+	link.last = b
 	answers, err := link.session.Exec(link.ctx, b)
 	link.relay.mu.Lock()
 	defer link.relay.mu.Unlock()
@@ -60,6 +63,8 @@
 	return answers, err
 }
 
+func (link *fakePeerLink) Load() ServerLoad { return link.session.Load(link.last) }
+
 func (link *fakePeerLink) Release(keep bool) {
 	if !keep {
 		link.session.Close()
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -52,6 +52,8 @@
 	// pendingRollbacks are checkouts whose abandoned transaction still has to be rolled back on
 	// the server.
 	pendingRollbacks []*checkout
+	// refused is the session's last request if a server's queue refused it.
+	refused refusedRequest
 	// busy is true from the end of a Receive until the session is about to wait for the next
 	// request.
 	busy atomic.Bool
@@ -70,6 +72,9 @@
 	// deadline is the time limit of the statement.
 	deadline time.Time
 	request  Request
+	// firstDeadline is the deadline of an earlier request of the session that was refused, if the
+	// caller returned when it was told to.
+	firstDeadline time.Time
 	// maybeSent is true once a server may have received the caller's statement.
 	maybeSent bool
 }
@@ -199,11 +204,13 @@
 	}
 	op.deadline = began.Add(op.route.StatementTimeout)
 	op.group = s.vm.group(op.route.Service)
+	op.firstDeadline = s.refused.take(began)
 	answer := s.execute(ctx, &op)
 	if answer.Phase == "" {
 		answer.Phase = s.phase()
 	}
 	s.vm.metrics.recordAnswer(op.route, answer, time.Since(began))
+	s.refused.note(answer, op.deadline)
 	if !answer.Succeeded() {
 		eventRequestFailed.Log(s.vm.Logger, "request", r.ID, "database", s.database, "workspace", op.workspace.Name,
 			"took", time.Since(began), "outcome", answer.Failure, "detail", answer.Detail)
--- a/internal/proxy/statement.go
+++ b/internal/proxy/statement.go
@@ -20,15 +20,24 @@
 	return until
 }
 
+// attemptDeadlineAt is attemptDeadline for an attempt that has to wait for its turn at a server.
+func (s *Session) attemptDeadlineAt(op *operation, id ServerID) time.Time {
+	until := s.attemptDeadline(op).Add(op.group.expectedWait(id, op.demand()))
+	if op.deadline.Before(until) {
+		return op.deadline
+	}
+	return until
+}
+
 // checkOutPrimary checks out a connection to the primary, waiting for a primary if necessary.
 // If the checkout is nil, the answer has the failure, and no statement was sent.
-func (s *Session) checkOutPrimary(ctx context.Context, op *operation) (*checkout, Answer) {
+func (s *Session) checkOutPrimary(ctx context.Context, op *operation, d demand) (*checkout, Answer) {
 	for {
 		m, err := op.group.awaitPrimary(ctx, op.deadline)
 		if err != nil {
 			return nil, Answer{Failure: Busy, Detail: err.Error()}
 		}
-		co, err := op.group.checkOut(ctx, m, op.workspace, op.deadline)
+		co, err := op.group.checkOut(ctx, m, d, op.deadline)
 		if err == nil && op.group.hasQuorum() {
 			return co, okAnswer
 		}
@@ -38,7 +47,7 @@
 		}
 		eventRetry.Log(s.vm.Logger, "request", op.request.ID, "server", m.pool.Server.ID, "err", err)
 		if isType(err, ErrBusy) {
-			return nil, Answer{Failure: Busy, Detail: err.Error()}
+			return nil, busyAnswer(err)
 		}
 		if !isType(err, ErrRefused) && !isType(err, ErrNoServer) {
 			op.group.recordFailure(m.pool.Server.ID, err, true)
@@ -54,7 +63,7 @@
 // the error guarantees that it hasn't run.
 func (s *Session) write(ctx context.Context, op *operation) Answer {
 	for {
-		co, refusal := s.checkOutPrimary(ctx, op)
+		co, refusal := s.checkOutPrimary(ctx, op, op.demand())
 		if co == nil {
 			return refusal
 		}
@@ -117,7 +126,7 @@
 // position as floor. A failure in the server's answer is final after maxAttempts attempts.
 func (s *Session) readLinearizable(ctx context.Context, op *operation) Answer {
 	for attempt := 1; ; attempt++ {
-		co, refusal := s.checkOutPrimary(ctx, op)
+		co, refusal := s.checkOutPrimary(ctx, op, op.verification())
 		if co == nil {
 			return refusal
 		}
@@ -128,6 +137,13 @@
 		case !op.group.hasQuorum():
 			// The position may lack commits of another primary that was promoted meanwhile.
 			a = Answer{Failure: Busy, Detail: "no majority of the verifier VMs can use the primary", Phase: Idle}
+		case s.vm.PriorityScheduling:
+			// The verification may have used the connection of another workspace.
+			co.release(a.Phase == Idle)
+			if co, refusal = s.checkOutPrimary(ctx, op, op.demand()); co == nil {
+				return refusal
+			}
+			a, err = co.forward(s, op, floor, s.attemptDeadlineAt(op, co.server))
 		default:
 			a, err = co.forward(s, op, floor, until)
 		}
@@ -156,7 +172,7 @@
 	tried := map[ServerID]bool{}
 	last := Answer{Failure: Busy, Detail: "no server of service " + string(op.group.Name) + " is known"}
 	for attempt := 0; attempt < maxAttempts && time.Now().Before(op.deadline); attempt++ {
-		list, members := op.group.readCandidates(op.workspace.Name, tried)
+		list, members := op.group.readCandidates(op.demand(), tried)
 		best, found := ChooseServer(list, s.vm.typicalLatency(op.route))
 		if !found {
 			if len(tried) == 0 {
@@ -167,21 +183,21 @@
 			continue
 		}
 		tried[best.ID] = true
-		co, err := op.group.checkOut(ctx, members[best.ID], op.workspace, s.attemptDeadline(op))
+		co, err := op.group.checkOut(ctx, members[best.ID], op.demand(), s.attemptDeadlineAt(op, best.ID))
 		if err != nil {
 			eventRetry.Log(s.vm.Logger, "request", op.request.ID, "server", best.ID, "attempt", attempt, "err", err)
 			if !isType(err, ErrBusy) && !isType(err, ErrRefused) {
 				op.group.recordFailure(best.ID, err, true)
 			}
-			last = Answer{Failure: Busy, Detail: err.Error()}
+			last = busyAnswer(err)
 			continue
 		}
-		a, err := try(co, floor, s.attemptDeadline(op))
+		a, err := try(co, floor, s.attemptDeadlineAt(op, best.ID))
 		switch {
 		case err != nil:
 			co.release(notSent(err))
 			co.recordFailure(err)
-			a = Answer{Failure: Busy, Detail: "server " + string(best.ID) + ": " + err.Error()}
+			a = Answer{Failure: Busy, Detail: "server " + string(best.ID) + ": " + err.Error(), RetryAfter: RetryAfter(err)}
 		case a.Succeeded():
 			return co, a
 		default:
@@ -207,7 +223,7 @@
 		if f, found := op.group.Samples.Floor(sinceClockStart(op.arrivedAt), bound); found {
 			return position.Max(own, f), nil
 		}
-		co, refusal := s.checkOutPrimary(ctx, op)
+		co, refusal := s.checkOutPrimary(ctx, op, op.verification())
 		if co == nil {
 			return position.Position{}, ErrNoServer.New("%s", refusal.Detail)
 		}
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -126,11 +126,11 @@
 // before the commit covers transactions that wrote.
 func (s *Session) beginOnPrimary(ctx context.Context, op *operation) (*checkout, Answer) {
 	for {
-		co, refusal := s.checkOutPrimary(ctx, op)
+		co, refusal := s.checkOutPrimary(ctx, op, op.demand())
 		if co == nil {
 			return nil, refusal
 		}
-		a, err := co.beginAt(s, BeginAt{}, s.attemptDeadline(op))
+		a, err := co.beginAt(s, BeginAt{}, s.attemptDeadlineAt(op, co.server))
 		if err == nil && a.Succeeded() {
 			return co, a
 		}
@@ -155,7 +155,7 @@
 	if isType(err, ErrBusy) {
 		// No connection is expected in the time left, or too many transactions are idle, so the
 		// caller should retry later.
-		return Answer{Failure: Busy, Detail: err.Error()}
+		return busyAnswer(err)
 	}
 	pause := retryDelay
 	if time.Until(op.deadline) < 2*pause {
@@ -193,7 +193,8 @@
 		case err != nil:
 			co.release(false)
 			co.recordFailure(err)
-			if !tx.wrote {
+			if !tx.wrote || isType(err, ErrBusy) {
+				// A commit that waited in vain for its turn wasn't sent.
 				return Answer{Failure: Aborted, Detail: err.Error()}
 			}
 			return Answer{Failure: InDoubt, Detail: "server " + string(co.server) + ": " + err.Error()}
--- a/internal/proxy/vm.go
+++ b/internal/proxy/vm.go
@@ -44,6 +44,9 @@
 	// HasQuorum reports whether a group's primary may be used. It is nil on a platform where a
 	// promotion deposes the old primary.
 	HasQuorum func(ServiceName) bool
+	// PriorityScheduling makes the VM order the statements for each server by urgency, and refuse
+	// those that can't be served in time. All VMs have the same setting.
+	PriorityScheduling bool
 
 	configuration atomic.Pointer[Configuration]
 	draining      atomic.Bool
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -31,7 +31,7 @@
 // Version is the version of the messages between VMs. It must be raised with each change of
 // them, so that VMs of different builds don't send each other statements during a rolling
 // upgrade.
-const Version = 2
+const Version = 3
 
 // gobNames are the names under which gob encodes the commands and statements. They are sent
 // with each value and have one or two letters, since traffic between zones is paid for by the
@@ -95,6 +95,10 @@
 	// Kind is the error's name in errorKinds, Text its message. They are empty if there is no
 	// error.
 	Kind, Text string
+	// RetryAfterMs is the time to return after a refusal by the server's queue, in milliseconds,
+	// and Load the server's load. Both are zero if there is no queue.
+	RetryAfterMs int64
+	Load         proxy.ServerLoad
 }
 
 // errorKinds are the errors whose type is preserved in the response to a batch.
@@ -335,10 +339,16 @@
 	idleSince time.Time
 	// answered isn't used.
 	answered bool
+	// load is the server's load in the last response.
+	load proxy.ServerLoad
 }
 
+// Load returns the server's load in the last response.
+func (l *link) Load() proxy.ServerLoad { return l.load }
+
 // Exec runs a batch on the other VM. It returns ErrPeerOutcomeUnknown if no response arrived.
 func (l *link) Exec(batch proxy.Batch, deadline time.Time) ([]proxy.Answer, error) {
+	l.load = proxy.ServerLoad{}
 	_ = l.net.SetDeadline(deadline.Add(deadlineSlack))
 	err := l.encoder.Encode(batch)
 	if err == nil {
@@ -352,12 +362,14 @@
 		l.relay.recordFailure(l.address, err)
 		return nil, proxy.ErrPeerOutcomeUnknown.Wrap(err, "VM at %s", l.address)
 	}
+	l.load = response.Load
 	if response.Kind != "" {
 		errorType := errorKinds[response.Kind]
 		if errorType == nil {
 			errorType = proxy.ErrBroken
 		}
-		return nil, errorType.New("VM at %s failed: %s", l.address, response.Text)
+		failure := errorType.New("VM at %s failed: %s", l.address, response.Text)
+		return nil, proxy.WithRetryAfter(failure, time.Duration(response.RetryAfterMs)*time.Millisecond)
 	}
 	return response.Answers, nil
 }
@@ -422,8 +434,9 @@
 		answers, err := session.Exec(ctx, batch)
 		response := reply{Answers: answers}
 		if err != nil {
-			response = reply{Kind: errorKind(err), Text: err.Error()}
+			response = reply{Kind: errorKind(err), Text: err.Error(), RetryAfterMs: proxy.RetryAfter(err).Milliseconds()}
 		}
+		response.Load = session.Load(batch)
 		if encoder.Encode(response) != nil || out.Flush() != nil {
 			return
 		}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -51,7 +51,10 @@
 
 // startRelay starts a VM that accepts batches for server "i-1". If err is set, its connection
 // attempts to the server fail with err.
-func startRelay(t *testing.T, err error) *Relay {
+func startRelay(t *testing.T, err error) *Relay { return startRelayWith(t, err, func(*proxy.VM) {}) }
+
+// startRelayWith is startRelay with a change to the VM before it knows its servers.
+func startRelayWith(t *testing.T, err error, change func(*proxy.VM)) *Relay {
 	t.Helper()
 	listener, failed := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, failed)
@@ -62,6 +65,7 @@
 		}
 		return &echo{}, position.Position{}, nil
 	}
+	change(vm)
 	vm.SetServers([]proxy.Server{{ID: "i-1", Service: "s", Address: "127.0.0.1:1"}})
 	vm.Configure(&proxy.Configuration{Version: 1, Services: map[proxy.ServiceName]*proxy.Service{"s": {Name: "s", Connections: 9}}}, "test")
 	r := &Relay{VM: vm, Fleet: &heartbeat.Fleet{}, Listener: listener, Logger: log.NewNopLogger()}
@@ -193,6 +197,43 @@
 	}
 }
 
+// The load of a server with a queue, and the time to return of a request that the queue refuses,
+// come with the response. Without a queue there is neither.
+func TestLoadTravels(t *testing.T) {
+	for name, test := range map[string]struct {
+		scheduled bool
+		tries     int
+	}{"with a queue": {true, 20}, "without": {false, 3}} {
+		t.Run(name, func(t *testing.T) {
+			r := startRelayWith(t, nil, func(v *proxy.VM) { v.PriorityScheduling = test.scheduled })
+			open := func() proxy.PeerLink {
+				link, err := r.Open(context.Background(), proxy.Address(r.Listener.Addr().String()))
+				assert.NilError(t, err)
+				t.Cleanup(func() { link.Release(false) })
+				return link
+			}
+			// A transaction that has begun keeps its place for a moment. On a slow machine that may
+			// be over when the next one begins, so several are tried.
+			last := open()
+			refused := false
+			for range test.tries {
+				batch := newBatch(proxy.BeginAt{})
+				batch.Workspace, batch.DeadlineMs = proxy.WorkspaceName("w"), 1
+				_, err := last.Exec(batch, time.Now().Add(time.Second))
+				if err != nil {
+					assert.Assert(t, errorx.IsOfType(err, proxy.ErrBusy), "%v", err)
+					assert.Assert(t, proxy.RetryAfter(err) > 0)
+					refused = true
+					break
+				}
+				assert.Equal(t, last.Load().Limit > 0, test.scheduled)
+				last = open()
+			}
+			assert.Equal(t, refused, test.scheduled)
+		})
+	}
+}
+
 // A batch that crosses zones is little longer than the text of its statement.
 func TestBatchIsSmall(t *testing.T) {
 	const text = "READ 1a4"
@@ -209,6 +250,11 @@
 		assert.NilError(t, encoder.Encode(batch))
 	}
 	assert.Assert(t, out.Len() <= 100, "%d bytes for a statement of %d", out.Len(), len(text))
+	without := out.Len()
+	batch.Priority, batch.WorkspacePriority, batch.ObjectiveMs, batch.DeadlineMs = 2, 1, 600, 1500
+	out.Reset()
+	assert.NilError(t, encoder.Encode(batch))
+	assert.Assert(t, out.Len() <= without+15, "%d bytes for urgency", out.Len()-without)
 }
 
 // During a rolling upgrade, statements are sent only to VMs of the same protocol version.
--- a/pkg/schedule/item.go
+++ b/pkg/schedule/item.go
@@ -15,6 +15,8 @@
 // zero value is a statement that isn't in a queue.
 type Item struct {
 	Request
+	// Owner is for the queue's user, who finds the larger struct by it.
+	Owner any
 
 	state  state
 	class  *class
@@ -29,6 +31,9 @@
 	previous, next *Item
 }
 
+// IsWaiting reports whether the statement waits.
+func (i *Item) IsWaiting() bool { return i.state == waiting }
+
 // IsInService reports whether the statement holds a place in service.
 func (i *Item) IsInService() bool { return i.state == inService }
 
--- a/pkg/schedule/load_test.go
+++ b/pkg/schedule/load_test.go
@@ -35,6 +35,15 @@
 	return kind{class: Class{Route: 2}, workspaces: names("w", 20), perSecond: 60, work: 15 * time.Millisecond, objective: 600 * time.Millisecond, deadline: 1500 * time.Millisecond, until: day}
 }
 
+type namedKind struct {
+	name string
+	kind
+}
+
+func threeKinds() []namedKind {
+	return []namedKind{{"urgent", urgentKind()}, {"middle", middleKind()}, {"least", leastKind()}}
+}
+
 func forSeeds(t *testing.T, test func(t *testing.T, seed uint64)) {
 	t.Helper()
 	for seed := range uint64(5) {
@@ -64,9 +73,9 @@
 func TestClassesAtTwiceTheLoad(t *testing.T) {
 	forSeeds(t, func(t *testing.T, seed uint64) {
 		s := newSimulation(seed, slots)
-		for name, k := range map[string]kind{"urgent": urgentKind(), "middle": middleKind(), "least": leastKind()} {
+		for _, k := range threeKinds() {
 			k.perSecond *= 3
-			s.add(name, k)
+			s.add(k.name, k.kind)
 		}
 		s.run()
 		inTime := func(name string) float64 {
@@ -144,13 +153,13 @@
 	forSeeds(t, func(t *testing.T, seed uint64) {
 		s := newSimulation(seed, slots)
 		s.opening = 12 * time.Millisecond
-		for name, k := range map[string]kind{"urgent": urgentKind(), "middle": middleKind(), "least": leastKind()} {
+		for _, k := range threeKinds() {
 			k.until, k.returns = 3*time.Second, true
 			// What arrived in the second before comes at once, and goes on.
 			for range int(k.perSecond) {
-				s.arriveAt(0, name, k)
+				s.arriveAt(0, k.name, k.kind)
 			}
-			s.add(name, k)
+			s.add(k.name, k.kind)
 		}
 		s.run()
 		for name, deadline := range map[string]time.Duration{"urgent": time.Second, "middle": 2 * time.Second, "least": 2 * time.Second} {
--- a/pkg/schedule/queue.go
+++ b/pkg/schedule/queue.go
@@ -100,7 +100,7 @@
 func (q *Queue) Enqueue(now time.Duration, i *Item, r Request) (Refusal, bool) {
 	c := q.class(r.Class)
 	t := c.tenant(r.Workspace)
-	*i = Item{Request: r, class: c, tenant: t, order: r.Deadline, enqueuedAt: now, state: waiting}
+	*i = Item{Request: r, Owner: i.Owner, class: c, tenant: t, order: r.Deadline, enqueuedAt: now, state: waiting}
 	if r.OpenTransaction {
 		q.openTransactions.insert(i)
 		q.openWaiting++
@@ -217,6 +217,13 @@
 	i.state = ended
 }
 
+// Abandon removes a statement that has waited until its deadline, and returns when to send it
+// again.
+func (q *Queue) Abandon(now time.Duration, i *Item) Refusal {
+	q.Cancel(i)
+	return q.refuse(now, i)
+}
+
 // removed counts a statement of a class that has left the queue.
 func (q *Queue) removed(c *class) {
 	c.waiting--
--- a/pkg/schedule/tenant.go
+++ b/pkg/schedule/tenant.go
@@ -23,7 +23,7 @@
 	debt time.Duration
 	// lateInterval is the average time between two late statements that were served. lateSince is
 	// when the last one was served or, after a time without late ones, when the first one came.
-	// lateUntil is when a statement last became late.
+	// lateUntil is when a statement last became late, zero if none has.
 	lateInterval, lateSince, lateUntil time.Duration
 
 	takesTurns             bool
@@ -56,7 +56,7 @@
 	}
 	i = t.late.first
 	t.late.remove(i)
-	if now+service > i.Deadline {
+	if now+service > i.Deadline && i.enqueuedAt < now {
 		return i, true
 	}
 	t.lateInterval += time.Duration(lateWeight * float64(now-t.lateSince-t.lateInterval))
@@ -80,7 +80,7 @@
 }
 
 func (t *tenant) addLate(now time.Duration, i *Item) {
-	if t.late.first == nil && now-t.lateUntil > lateTTL {
+	if t.late.first == nil && (t.lateUntil == 0 || now-t.lateUntil > lateTTL) {
 		t.lateSince, t.lateInterval = now, 0
 	}
 	t.late.insert(i)
@@ -90,7 +90,7 @@
 // expectedLateInterval returns the expected time between two late statements that are served. While
 // none is, it grows with the time since the last one.
 func (t *tenant) expectedLateInterval(now time.Duration) time.Duration {
-	if t.late.first == nil && now-t.lateUntil > lateTTL {
+	if t.late.first == nil && (t.lateUntil == 0 || now-t.lateUntil > lateTTL) {
 		return 0
 	}
 	return max(t.lateInterval, now-t.lateSince)
