relay, proxy: let one VM own all connections to a server, with a successor

With the contract "pressure" the first VM in rank owns all connections to a server. One that can't be reached is passed over at once for the next in rank, before a VM uses a connection of its own. The successor has its share as soon as other VMs send it batches, since it may learn of the owner's end two seconds later than they do. Not measured yet.

--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -132,6 +132,7 @@
 	}
 	if g.VM.PriorityScheduling {
 		p.Queue = newServerQueue(g.VM, s)
+		p.Share = func() Share { return g.VM.scheduledShare(g.Name, p) }
 	}
 	return p
 }
--- /dev/null
+++ b/internal/proxy/owner.go
@@ -0,0 +1,79 @@
+package proxy
+
+import (
+	"time"
+
+	"github.com/savoryramp/savoryramp/internal/clock"
+)
+
+const (
+	// serverKeepTime is how long a server keeps the connections of a VM that lost power.
+	serverKeepTime = 3 * time.Second
+	// actingOwnerTime is how long after the last batch of another VM this one counts as the owner
+	// of a server's connections. The others notice at once that the owner can't be reached; this
+	// VM may learn of it only by silence, after two seconds.
+	actingOwnerTime = 2 * time.Second
+	// newOwnerFraction of the connections that owners may have is for a VM that has just become
+	// one, the rest for one that has been it for serverKeepTime. Together they are the whole, so
+	// that the new owner's fit in beside those that the server still keeps for the old one.
+	newOwnerFraction = 0.25
+	// maxReservedFraction is how much of a server's limit is set aside for verifiers at most.
+	maxReservedFraction = 0.5
+)
+
+// scheduledShare returns this VM's share of the connections to a server when one VM owns all of
+// them, computed at most shareTTL ago.
+func (v *VM) scheduledShare(service ServiceName, p *Pool) Share {
+	acting := clock.Since(clock.Instant(p.relayedAt.Load())) < actingOwnerTime
+	id, now := p.Server.ID, time.Now()
+	v.shareMu.Lock()
+	defer v.shareMu.Unlock()
+	if s, found := v.shareCache[id]; found && now.Sub(s.computedAt) < shareTTL && s.acting == acting {
+		return s.share
+	}
+	if v.shareCache == nil {
+		v.shareCache = map[ServerID]cachedShare{}
+	}
+	s := v.computeScheduledShare(service, p.Server, acting, now)
+	v.shareCache[id] = cachedShare{share: s, computedAt: now, acting: acting}
+	return s
+}
+
+// computeScheduledShare computes this VM's share at a time. acting is true if other VMs use this VM
+// as the owner. Without a relay, it is an even share. v.shareMu is held.
+func (v *VM) computeScheduledShare(service ServiceName, server Server, acting bool, now time.Time) Share {
+	c := v.Configuration()
+	if v.Relay == nil || c == nil || c.Services[service] == nil {
+		return v.computeShare(service, server)
+	}
+	limit := c.Services[service].Connections
+	if !acting && !(v.Fleet.Settled() && v.Relay.OwnsAny(server, v.ownerConnectionLimit(service))) {
+		delete(v.ownedSince, server.ID)
+		if v.Fleet.IsVerifier(service) {
+			return Share{minConnections, minConnections}
+		}
+		return Share{MaxOpen: minConnections}
+	}
+	if v.ownedSince == nil {
+		v.ownedSince = map[ServerID]time.Time{}
+	}
+	since, owned := v.ownedSince[server.ID]
+	if !owned {
+		since, v.ownedSince[server.ID] = now, now
+	}
+	n := ownerShare(limit, v.Fleet.Size(), server.Slots, now.Sub(since) >= serverKeepTime)
+	return Share{n, n}
+}
+
+// ownerShare returns how many connections to a server the owner of all of them may have. Of the
+// server's limit, two for each verifier are set aside: one of its own and one that the server may
+// still keep from before a restart.
+func ownerShare(limit, vms, slots int, established bool) int {
+	reserved := min(2*min(vms, MaxVerifiers), int(maxReservedFraction*float64(limit)))
+	total := limit - reserved
+	fresh := max(int(newOwnerFraction*float64(total)), min(slots, total/2), minConnections)
+	if !established {
+		return fresh
+	}
+	return max(total-fresh, minConnections)
+}
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -50,6 +51,9 @@
 	// they come.
 	Queue *serverQueue
 
+	// relayedAt is when another VM last sent a batch for the server, on clock.Now.
+	relayedAt atomic.Int64
+
 	mu               sync.Mutex
 	workspacePools   map[WorkspaceName]*workspacePool
 	idleTransactions idleTransactions
--- a/internal/proxy/remote.go
+++ b/internal/proxy/remote.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/savoryramp/savoryramp/internal/clock"
 )
 
 // Batch is a sequence of commands for a server, sent to the VM that owns pooled connections to
@@ -248,24 +250,36 @@
 	if m == nil {
 		return nil, ErrNoServer.New("server %s is unknown to this VM", b.Server)
 	}
+	m.pool.relayedAt.Store(int64(clock.Now()))
 	return g.checkOutLocal(ctx, m, b.demand(until), until)
 }
 
 // checkOut checks out a connection to a server for a demand, from the VM that owns the
 // workspace's connections to it. If that VM can't be reached, it uses a connection of this VM.
 func (g *Group) checkOut(ctx context.Context, m *member, d demand, until time.Time) (*checkout, error) {
-	if g.VM.Relay != nil {
-		if address, local := g.VM.Relay.Owner(m.pool.Server, d.workspace.Name, g.VM.ownerConnectionLimit(g.Name)); !local {
-			link, err := g.VM.Relay.Open(ctx, address)
-			if err == nil {
-				return g.newCheckout(&remoteExecutor{link: link, group: g, server: m.pool.Server.ID, demand: d}, m.pool.Server.ID, false), nil
-			}
-			eventRelayFailed.Log(g.Logger, "server", m.pool.Server.ID, "peer", address, "err", err, "outcome", "own connection")
+	for attempt := 1; g.VM.Relay != nil; attempt++ {
+		address, local := g.VM.Relay.Owner(m.pool.Server, d.workspace.Name, g.VM.ownerConnectionLimit(g.Name))
+		if local {
+			break
+		}
+		link, err := g.VM.Relay.Open(ctx, address)
+		if err == nil {
+			return g.newCheckout(&remoteExecutor{link: link, group: g, server: m.pool.Server.ID, demand: d}, m.pool.Server.ID, false), nil
 		}
+		if g.VM.PriorityScheduling && attempt < maxOwnerAttempts {
+			eventRelayFailed.Log(g.Logger, "server", m.pool.Server.ID, "peer", address, "err", err, "outcome", "next in rank")
+			continue
+		}
+		eventRelayFailed.Log(g.Logger, "server", m.pool.Server.ID, "peer", address, "err", err, "outcome", "own connection")
+		break
 	}
 	return g.checkOutLocal(ctx, m, d, until)
 }
 
+// maxOwnerAttempts is how many VMs are tried as the owner of a server's connections before this VM
+// uses its own, if one VM owns all of them. A VM that can't be reached is no longer chosen.
+const maxOwnerAttempts = 3
+
 // checkOutLocal checks out one of this VM's own connections. If the server has closed the
 // acquired one, all idle ones are closed and another is acquired.
 func (g *Group) checkOutLocal(ctx context.Context, m *member, d demand, until time.Time) (*checkout, error) {
--- a/internal/proxy/share.go
+++ b/internal/proxy/share.go
@@ -37,6 +37,8 @@
 type cachedShare struct {
 	share      Share
 	computedAt time.Time
+	// acting is true if it was computed for a VM that other VMs use as the owner.
+	acting bool
 }
 
 // share returns this VM's share of the connections to a server, computed at most shareTTL ago.
@@ -51,7 +53,7 @@
 		v.shareCache = map[ServerID]cachedShare{}
 	}
 	s := v.computeShare(service, server)
-	v.shareCache[server.ID] = cachedShare{s, now}
+	v.shareCache[server.ID] = cachedShare{share: s, computedAt: now}
 	return s
 }
 
--- a/internal/proxy/vm.go
+++ b/internal/proxy/vm.go
@@ -60,6 +60,8 @@
 
 	shareMu    sync.Mutex
 	shareCache map[ServerID]cachedShare
+	// ownedSince has the time since when this VM has owned all connections to a server.
+	ownedSince map[ServerID]time.Time
 
 	mu       sync.Mutex
 	sessions map[*Session]bool
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -183,6 +183,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	owners := r.ownersOf(s, connections)
+	if len(owners.candidates) == 1 {
+		address := owners.candidates[0].address
+		return address, address == ""
+	}
 	address, cached := owners.byWorkspace[w]
 	if !cached {
 		address = owners.choose(s.ID, w)
@@ -236,7 +240,13 @@
 		list[i].score = score(string(s.ID), list[i].name, list[i].capacity)
 	}
 	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(b.score, a.score) })
-	list = list[:min(len(list), max(connections/minConnectionsPerOwner, 1))]
+	owners := max(connections/minConnectionsPerOwner, 1)
+	if r.VM.PriorityScheduling {
+		// The order among all statements for a server is kept by one VM. While it is avoided, the
+		// next in rank takes its place.
+		owners = 1
+	}
+	list = list[:min(len(list), owners)]
 	return &serverOwners{
 		connections: connections, candidates: list, byWorkspace: map[proxy.WorkspaceName]proxy.Address{},
 		local: len(list) == 0 || slices.ContainsFunc(list, func(c candidate) bool { return c.address == "" }),
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -305,3 +305,35 @@
 	r.Owner(server, "tenant-1", 8)
 	assert.Equal(t, len(r.owners["i-1"].candidates), 8/minConnectionsPerOwner)
 }
+
+// One VM keeps the order of all statements for a server. While it is avoided the next in rank
+// takes its place, the same on all VMs, and afterwards it does again.
+func TestOneOwnerWithSuccessor(t *testing.T) {
+	fleet := &heartbeat.Fleet{}
+	r := &Relay{VM: &proxy.VM{Name: "own", Zone: "other", PriorityScheduling: true}, Capacity: 1, Fleet: fleet, Logger: log.NewNopLogger()}
+	server := proxy.Server{ID: "i-1", Zone: "z"}
+	r.OwnsAny(server, 56)
+	for i := range 28 {
+		name := heartbeat.VMName("vm-" + strconv.Itoa(i))
+		r.peersByZone["z"] = append(r.peersByZone["z"], heartbeat.Peer{Message: heartbeat.Message{VM: name, Address: string(name) + ":1", Capacity: 1, RelayVersion: Version}})
+	}
+	ownerOfAll := func() proxy.Address {
+		r.owners = map[proxy.ServerID]*serverOwners{}
+		owner, local := r.Owner(server, "tenant", 56)
+		assert.Assert(t, !local)
+		for i := range 84 {
+			address, _ := r.Owner(server, proxy.WorkspaceName("tenant-"+strconv.Itoa(i)), 56)
+			assert.Equal(t, address, owner)
+		}
+		return owner
+	}
+	first := ownerOfAll()
+	r.stateOf(first).avoidUntil = time.Now().Add(time.Hour)
+	second := ownerOfAll()
+	assert.Assert(t, second != first)
+	r.stateOf(second).avoidUntil = time.Now().Add(time.Hour)
+	third := ownerOfAll()
+	assert.Assert(t, third != first && third != second)
+	r.stateOf(first).avoidUntil = time.Time{}
+	assert.Equal(t, ownerOfAll(), first)
+}
