soak: play runs with the contract pressure

The soak's VMs ran without contracts only. Each seed is now played with the contract too, and routes have priorities.

--- a/cmd/savoryramp-soak/main.go
+++ b/cmd/savoryramp-soak/main.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"slices"
+	"strings"
 
 	"github.com/savoryramp/savoryramp/internal/soak"
 )
@@ -28,7 +29,7 @@
 	}
 	fmt.Fprintf(out, "%d VMs before three servers for %s, faults: %s, seed %d\n", o.VMs, o.Lasts, o.Faults, o.Seed)
 	s := &soak.Soak{
-		Binary: o.Binary, Folder: folder, Seed: o.Seed, VMs: o.VMs, Lasts: o.Lasts, Faults: o.Faults,
+		Binary: o.Binary, Folder: folder, Seed: o.Seed, VMs: o.VMs, Lasts: o.Lasts, Faults: o.Faults, Contracts: strings.FieldsFunc(o.Contracts, func(r rune) bool { return r == ',' }),
 		Network: os.Getpid() % networks,
 	}
 	report, err := s.Run()
--- a/cmd/savoryramp-soak/options.go
+++ b/cmd/savoryramp-soak/options.go
@@ -33,6 +33,8 @@
 	// Lasts is how long callers work.
 	Lasts  time.Duration
 	Faults soak.Faults
+	// Contracts are those in the VMs' settings, separated by commas.
+	Contracts string
 	// Keep is the folder for settings and logs; empty for one that is removed.
 	Keep string
 }
@@ -47,6 +49,7 @@
 	app.Flag("vms", "How many VMs run.").Default("4").IntVar(&o.VMs)
 	app.Flag("lasts", "How long callers work.").Default("10s").DurationVar(&o.Lasts)
 	app.Flag("faults", "Which faults come: none, planned, restores or all.").Default(string(soak.NoFaults)).EnumVar(&faults, string(soak.NoFaults), string(soak.PlannedFaults), string(soak.RestoreFaults), string(soak.AllFaults))
+	app.Flag("contracts", "The contracts in the VMs' settings, separated by commas.").StringVar(&o.Contracts)
 	app.Flag("keep", "Folder in which the VMs' settings and logs are kept.").StringVar(&o.Keep)
 	if _, err := app.Parse(arguments); err != nil {
 		return options{}, errMalformed.Wrap(err, "command line")
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -26,8 +26,8 @@
 		Version: 1, Connections: 24, TransactionIdleMs: 3000,
 		Routes: []standin.Route{
 			{Database: "strict", Service: serviceName, Kind: "primary", TimeoutMs: 800},
-			{Database: "bounded", Service: serviceName, Kind: "bounded_staleness", TimeoutMs: 800, MaxStalenessMs: staleMs},
-			{Database: "own", Service: serviceName, Kind: "read_your_writes", TimeoutMs: 800, MaxStalenessMs: 2500},
+			{Database: "bounded", Service: serviceName, Kind: "bounded_staleness", TimeoutMs: 800, MaxStalenessMs: staleMs, Priority: 2},
+			{Database: "own", Service: serviceName, Kind: "read_your_writes", TimeoutMs: 800, MaxStalenessMs: 2500, Priority: 1},
 		},
 		Tenants: []standin.Tenant{
 			{Name: "main", Keys: []string{mainKey}, Rate: 5000, Burst: 5000},
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -23,6 +23,8 @@
 	command *exec.Cmd
 	done    chan struct{}
 	log     *os.File
+	// contracts are those in the settings.
+	contracts []string
 	// unexpected ends were not ordered by the soak.
 	unexpected int
 	ordered    bool
@@ -35,7 +37,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	settings := filepath.Join(p.folder, p.name+".json")
-	if err := os.WriteFile(settings, standin.SettingsFile(p.name, "zone-"+p.name[len(p.name)-1:], p.ip, p.store.address(), p.store.address()), 0o600); err != nil {
+	if err := os.WriteFile(settings, standin.SettingsFile(p.name, "zone-"+p.name[len(p.name)-1:], p.ip, p.store.address(), p.store.address(), p.contracts...), 0o600); err != nil {
 		return err
 	}
 	if p.log == nil {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -38,6 +38,8 @@
 	Lasts time.Duration
 	// Faults that are drawn.
 	Faults Faults
+	// Contracts are those in the VMs' settings.
+	Contracts []string
 	// Network is the third byte of the VMs' loopback addresses, so that runs may overlap.
 	Network int
 	Log     io.Writer
@@ -174,7 +176,7 @@
 		}
 		s.vms = append(s.vms, &process{
 			name: fmt.Sprintf("vm-%d-%d", i+1, i%3+1), ip: fmt.Sprintf("127.%d.%d.%d", 1+s.Network/200, 1+s.Network%200, i+1),
-			binary: s.Binary, folder: s.Folder, store: p,
+			binary: s.Binary, folder: s.Folder, store: p, contracts: s.Contracts,
 		})
 	}
 	return nil
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -46,18 +46,25 @@
 		runs.Go(func() {
 			turns <- struct{}{}
 			defer func() { <-turns }()
-			soakOnce(t, binary, seed, own)
+			soakOnce(t, binary, seed, own, nil)
+		})
+		network++
+		scheduled := network
+		runs.Go(func() {
+			turns <- struct{}{}
+			defer func() { <-turns }()
+			soakOnce(t, binary, seed, scheduled, []string{"pressure"})
 		})
 	}
 	runs.Wait()
 }
 
-// soakOnce plays a seed; every fourth draws planned faults only, another fourth restores of the store
+// soakOnce plays a seed with the contracts; every fourth draws planned faults only, another fourth restores of the store
 // and what they may make worse.
-func soakOnce(t *testing.T, binary string, seed uint64, network int) {
+func soakOnce(t *testing.T, binary string, seed uint64, network int, contracts []string) {
 	folder, err := os.MkdirTemp(*keep, fmt.Sprintf("soak-%d-", seed))
 	assert.Check(t, err)
-	s := &Soak{Binary: binary, Folder: folder, Seed: seed, VMs: *vms, Lasts: *lasts, Faults: AllFaults, Network: network % 10000}
+	s := &Soak{Binary: binary, Folder: folder, Seed: seed, VMs: *vms, Lasts: *lasts, Faults: AllFaults, Network: network % 10000, Contracts: contracts}
 	switch seed % 4 {
 	case 0:
 		s.Faults = PlannedFaults
@@ -66,12 +73,12 @@
 	}
 	report, err := s.Run()
 	assert.Check(t, err)
-	t.Logf("seed %d: %v", seed, report.Outcomes)
+	t.Logf("seed %d, contracts %v: %v", seed, contracts, report.Outcomes)
 	if len(report.Broken) == 0 && err == nil {
 		os.RemoveAll(folder)
 		return
 	}
-	t.Errorf("seed %d, logs in %s", seed, folder)
+	t.Errorf("seed %d, contracts %v, logs in %s", seed, contracts, folder)
 	for _, f := range report.Faults {
 		t.Logf("seed %d: %s", seed, f)
 	}
