proxy: refuse by the servers' forecasts, leave the primary to urgent work, start in order

With the contract "pressure": - a request is refused at once when every server that could serve it is expected to do so after its deadline, by the loads told in the last second (less the time since); a caller that returns in time is sent on; - less urgent reads leave the primary while more urgent statements wait there, for a replica that takes up to 100 ms longer; - a VM that doesn't know the others yet opens no connections for callers: the most urgent requests wait up to 0.5 s for it, others are refused, to return in the order of their classes over a second; - verifiers open their connections spread over 0.3 s after the start.

--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -30,6 +30,9 @@
 	primaryCostFraction = 0.5
 	// lagCost is added for a replica that recently lacked a requested position.
 	lagCost = 100 * time.Millisecond
+	// urgentAtPrimaryCost is added for the primary while more urgent statements wait there. It is
+	// the objective of the most urgent callers: a replica may take that much longer.
+	urgentAtPrimaryCost = 100 * time.Millisecond
 	// failedCost ranks servers that failed recently after all others.
 	failedCost = 10 * time.Second
 )
@@ -44,6 +47,9 @@
 	if c.IsPrimary {
 		t += time.Duration(primaryCostFraction * float64(typical))
 	}
+	if c.IsPrimary && c.Availability.moreUrgentWaiting > 0 {
+		t += urgentAtPrimaryCost
+	}
 	if c.RecentlyLagged {
 		t += lagCost
 	}
--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -35,6 +35,12 @@
 		"A leaving primary was demoted and takes no more writes; the event shows the end of its log.")
 	eventRelayFailed = event.Define(6017, "proxy-relay", event.Warn,
 		"The VM that owns the pooled connections to a server can't be reached; this VM uses its own connection.")
+	eventNotSettled = event.Define(6020, "proxy-not-settled", event.Info,
+		"A request was refused because this VM has just started and doesn't know the other VMs yet.")
+	eventForecastRefused = event.Define(6021, "proxy-forecast-refused", event.Info,
+		"A request was refused because every server that could serve it is expected to do so only after its deadline, by the loads that other VMs told in the last second or by this VM's queues.")
+	eventQueueRefused = event.Define(6022, "proxy-queue-refused", event.Info,
+		"The queue of a server refused a statement because its forecast is past the deadline; the event shows the queue, and how many refusals of the class there were since the last such event.")
 	eventQuorum = event.Define(6018, "proxy-endorsed", event.Warn,
 		"Whether a majority of the verifier VMs can use the primary changed, as observed by this VM; without that majority this VM doesn't use the primary.")
 )
--- a/internal/proxy/load.go
+++ b/internal/proxy/load.go
@@ -33,7 +33,8 @@
 }
 
 // loadOf returns the load of a server as a request sees it: from this VM's queue if this VM holds
-// the server's connections, or else as last told, if that was within loadTTL. g.mu is held.
+// the server's connections, or else as last told, if that was within loadTTL. g.mu is held; the relay
+// doesn't call back.
 func (g *Group) loadOf(m *member, w WorkspaceName, u Urgency, now time.Time) ServerLoad {
 	local := g.VM.Relay == nil
 	if !local {
@@ -42,10 +43,14 @@
 	if local {
 		return m.pool.Queue.load(u)
 	}
-	if l := m.loads[loadIndex(u.Priority)]; now.Sub(l.at) < loadTTL {
-		return l.ServerLoad
+	l := m.loads[loadIndex(u.Priority)]
+	age := now.Sub(l.at)
+	if age >= loadTTL {
+		return ServerLoad{}
 	}
-	return ServerLoad{}
+	// What waited then has been served since; newer work isn't known of here.
+	l.ExpectedWaitMs = max(l.ExpectedWaitMs-age.Milliseconds(), 0)
+	return l.ServerLoad
 }
 
 // availability returns how soon a request gets a connection to a server. g.mu is held.
--- a/internal/proxy/maintenance.go
+++ b/internal/proxy/maintenance.go
@@ -125,6 +125,9 @@
 	if !g.VM.Fleet.IsVerifier(g.Name) && !hasFailed {
 		return g.checkOut(ctx, m, demand{workspace: anonymousWorkspace, verification: true, Urgency: Urgency{Deadline: until}}, until)
 	}
+	if open, _, _, _ := m.pool.counts(); open == 0 && !g.VM.mayOpenToVerify(m.pool.Server.ID) {
+		return nil, ErrBusy.New("server %s: the VMs' connections are opened one after the other", m.pool.Server.ID)
+	}
 	c, err := m.pool.AcquireAny(ctx, until)
 	if err != nil {
 		return nil, err
--- a/internal/proxy/places.go
+++ b/internal/proxy/places.go
@@ -15,6 +15,8 @@
 	// placeHoldTime is how long a transaction that has begun keeps its place until its first
 	// statement arrives. It is several round trips between zones; the sender may have failed.
 	placeHoldTime = 25 * time.Millisecond
+	// refusalLogInterval bounds the rate of log lines on refusals. Callers are told of each.
+	refusalLogInterval = time.Second
 )
 
 // Urgency is what decides the order of a request among those that wait for a server.
@@ -72,6 +74,11 @@
 
 	mu    sync.Mutex
 	queue schedule.Queue
+
+	logMu sync.Mutex
+	// unlogged counts the refusals of each route priority since loggedAt, when one was logged.
+	unlogged map[Priority]int
+	loggedAt map[Priority]time.Time
 }
 
 // place is a statement's place in a serverQueue. From its begin to its end it holds one of the
@@ -172,9 +179,25 @@
 // refuse returns the error of a refusal, and counts it.
 func (q *serverQueue) refuse(d demand, r schedule.Refusal) error {
 	q.vm.metrics.recordRefusal(d.Urgency)
+	q.logRefusal(d, r)
 	return busyUntil(r.RetryAfter, "server %s: %d statements wait, this one would for %s", q.server, r.Waiting, r.ExpectedWait.Round(time.Millisecond))
 }
 
+// logRefusal logs a refusal, at most one of each route priority in refusalLogInterval.
+func (q *serverQueue) logRefusal(d demand, r schedule.Refusal) {
+	q.logMu.Lock()
+	defer q.logMu.Unlock()
+	if q.unlogged == nil {
+		q.unlogged, q.loggedAt = map[Priority]int{}, map[Priority]time.Time{}
+	}
+	q.unlogged[d.Priority]++
+	if now := time.Now(); now.Sub(q.loggedAt[d.Priority]) >= refusalLogInterval {
+		eventQueueRefused.Log(q.vm.Logger, "server", q.server, "priority", d.Priority, "workspace-priority", d.WorkspacePriority,
+			"waiting", r.Waiting, "forecast", r.ExpectedWait, "retry-after", r.RetryAfter, "refusals", q.unlogged[d.Priority])
+		q.unlogged[d.Priority], q.loggedAt[d.Priority] = 0, now
+	}
+}
+
 // dispatch tells the statements that may begin, and those that are refused; q.mu is held.
 func (q *serverQueue) dispatch(now time.Duration) {
 	for {
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -249,7 +249,7 @@
 		delete(s.profile.plans, statement.Name)
 		return okAnswer
 	case Begin:
-		return s.begin(op, statement)
+		return s.begin(ctx, op, statement)
 	case Commit:
 		return s.commit(ctx, op)
 	case Rollback:
@@ -287,6 +287,9 @@
 	if s.tx != nil {
 		return s.runInTransaction(ctx, op, writes)
 	}
+	if a := s.vm.awaitStart(ctx, op); !a.Succeeded() {
+		return a
+	}
 	if wait, refused := s.vm.admit(op.workspace); refused {
 		return overRateAnswer(op.workspace, wait)
 	}
--- a/internal/proxy/statement.go
+++ b/internal/proxy/statement.go
@@ -37,6 +37,9 @@
 		if err != nil {
 			return nil, Answer{Failure: Busy, Detail: err.Error()}
 		}
+		if refusal, refused := s.vm.refuseAtPrimary(op, m, d); refused {
+			return nil, refusal
+		}
 		co, err := op.group.checkOut(ctx, m, d, op.deadline)
 		if err == nil && op.group.hasQuorum() {
 			return co, okAnswer
@@ -125,6 +128,11 @@
 // primary, which yields a log position from after the read's arrival, and then reads with that
 // position as floor. A failure in the server's answer is final after maxAttempts attempts.
 func (s *Session) readLinearizable(ctx context.Context, op *operation) Answer {
+	if m, _ := op.group.currentPrimary(); m != nil {
+		if refusal, refused := s.vm.refuseAtPrimary(op, m, op.demand()); refused {
+			return refusal
+		}
+	}
 	for attempt := 1; ; attempt++ {
 		co, refusal := s.checkOutPrimary(ctx, op, op.verification())
 		if co == nil {
@@ -170,14 +178,20 @@
 		return nil, Answer{Failure: Busy, Detail: err.Error()}
 	}
 	tried := map[ServerID]bool{}
+	// refusals counts the servers among tried whose queue refused the request.
+	refusals := 0
 	last := Answer{Failure: Busy, Detail: "no server of service " + string(op.group.Name) + " is known"}
 	for attempt := 0; attempt < maxAttempts && time.Now().Before(op.deadline); attempt++ {
 		list, members := op.group.readCandidates(op.demand(), tried)
+		if refusal, refused := s.vm.refuseByForecast(op, list); refused && refusals == len(tried) {
+			return nil, refusal
+		}
 		best, found := ChooseServer(list, s.vm.typicalLatency(op.route))
 		if !found {
-			if len(tried) == 0 {
+			if len(tried) == 0 || refusals == len(tried) {
 				return nil, last
 			}
+			refusals = 0
 			tried = map[ServerID]bool{}
 			clock.Sleep(ctx, retryDelay)
 			continue
@@ -189,7 +203,7 @@
 			if !isType(err, ErrBusy) && !isType(err, ErrRefused) {
 				op.group.recordFailure(best.ID, err, true)
 			}
-			last = busyAnswer(err)
+			last, refusals = soonerRefusal(last, busyAnswer(err), refusals)
 			continue
 		}
 		a, err := try(co, floor, s.attemptDeadlineAt(op, best.ID))
@@ -198,6 +212,11 @@
 			co.release(notSent(err))
 			co.recordFailure(err)
 			a = Answer{Failure: Busy, Detail: "server " + string(best.ID) + ": " + err.Error(), RetryAfter: RetryAfter(err)}
+			last, refusals = soonerRefusal(last, a, refusals)
+			if a.RetryAfter > 0 {
+				eventRetry.Log(s.vm.Logger, "request", op.request.ID, "server", best.ID, "attempt", attempt, "detail", a.Detail)
+				continue
+			}
 		case a.Succeeded():
 			return co, a
 		default:
@@ -213,6 +232,18 @@
 	return nil, last
 }
 
+// soonerRefusal returns the answer after a failed attempt and the number of refusals by servers'
+// queues. Of two such refusals, the one with the earlier time to return is kept.
+func soonerRefusal(last, a Answer, refusals int) (Answer, int) {
+	if a.RetryAfter == 0 {
+		return a, refusals
+	}
+	if refusals > 0 && last.RetryAfter > 0 && last.RetryAfter < a.RetryAfter {
+		a = last
+	}
+	return a, refusals + 1
+}
+
 // readFloor returns the position that a read must cover: the session's own commits, and all
 // commits older than the route's staleness bound. If no sample is recent enough, it verifies the
 // primary first.
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -27,10 +27,13 @@
 // times the round trip to the farthest zone.
 const rollbackTimeout = 300 * time.Millisecond
 
-func (s *Session) begin(op *operation, b Begin) Answer {
+func (s *Session) begin(ctx context.Context, op *operation, b Begin) Answer {
 	if s.tx != nil {
 		return s.failStatement(BadStatement, "a transaction is already open")
 	}
+	if a := s.vm.awaitStart(ctx, op); !a.Succeeded() {
+		return a
+	}
 	if wait, refused := s.vm.admit(op.workspace); refused {
 		return overRateAnswer(op.workspace, wait)
 	}
--- a/internal/proxy/vm.go
+++ b/internal/proxy/vm.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log"
 	"github.com/joomcode/errorx"
 
+	"github.com/savoryramp/savoryramp/internal/clock"
 	"github.com/savoryramp/savoryramp/pkg/position"
 	"github.com/savoryramp/savoryramp/pkg/quota"
 )
@@ -50,6 +51,8 @@
 
 	configuration atomic.Pointer[Configuration]
 	draining      atomic.Bool
+	// startedAt is when Run began, on clock.Now.
+	startedAt atomic.Int64
 	// cancelTransactions is true once a drain also ends open transactions.
 	cancelTransactions atomic.Bool
 	// remoteSessions counts the connections of this VM that other VMs have checked out.
@@ -77,6 +80,7 @@
 
 // Run maintains the groups until ctx ends, and then closes all sessions.
 func (v *VM) Run(ctx context.Context) error {
+	v.startedAt.Store(int64(clock.Now()))
 	v.mu.Lock()
 	v.init()
 	v.ctx = ctx
