--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -30,6 +30,9 @@
 	primaryCostFraction = 0.5
 	// lagCost is added for a replica that recently lacked a requested position.
 	lagCost = 100 * time.Millisecond
+	// urgentAtPrimaryCost is added for the primary while more urgent statements wait there. It is
+	// the objective of the most urgent callers: a replica may take that much longer.
+	urgentAtPrimaryCost = 100 * time.Millisecond
 	// failedCost ranks servers that failed recently after all others.
 	failedCost = 10 * time.Second
 )
@@ -44,6 +47,9 @@
 	if c.IsPrimary {
 		t += time.Duration(primaryCostFraction * float64(typical))
 	}
+	if c.IsPrimary && c.Availability.moreUrgentWaiting > 0 {
+		t += urgentAtPrimaryCost
+	}
 	if c.RecentlyLagged {
 		t += lagCost
 	}
@@ -67,10 +73,10 @@
 	return best, found
 }
 
-// readCandidates lists the servers for a read of a workspace that isn't linearizable, except
+// readCandidates lists the servers for a read that isn't linearizable, except
 // those in exclude and those that are leaving. Some may lack the read's floor. The map has the
 // same servers by ID.
-func (g *Group) readCandidates(w WorkspaceName, exclude map[ServerID]bool) ([]Candidate, map[ServerID]*member) {
+func (g *Group) readCandidates(d demand, exclude map[ServerID]bool) ([]Candidate, map[ServerID]*member) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
@@ -84,7 +90,7 @@
 		list = append(list, Candidate{
 			ID: id, SameZone: m.server.Zone == g.VM.Zone, IsPrimary: id == g.primary,
 			RecentlyFailed: now.Before(m.avoidUntil), RecentlyLagged: now.Before(m.lagAvoidUntil),
-			LatencyFactor: m.decayedLatencyFactor(now), Availability: m.pool.availability(w),
+			LatencyFactor: m.decayedLatencyFactor(now), Availability: g.availability(m, d, now),
 		})
 	}
 	return list, members
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -32,7 +32,7 @@
 // Version is the version of the messages between VMs. It must be raised with each change of
 // them, so that VMs of different builds don't send each other statements during a rolling
 // upgrade.
-const Version = 2
+const Version = 3
 
 // gobNames are the names under which gob encodes the commands and statements. They are sent
 // with each value and have one or two letters, since traffic between zones is paid for by the
@@ -98,6 +98,10 @@
 	// Kind is the error's name in errorKinds, Text its message. They are empty if there is no
 	// error.
 	Kind, Text string
+	// RetryAfterMs is the time to return after a refusal by the server's queue, in milliseconds,
+	// and Load the server's load. Both are zero if there is no queue.
+	RetryAfterMs int64
+	Load         proxy.ServerLoad
 }
 
 // errorKinds are the errors whose type is preserved in the response to a batch.
@@ -182,6 +186,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	owners := r.ownersOf(s, connections)
+	if len(owners.candidates) == 1 {
+		address := owners.candidates[0].address
+		return address, address == ""
+	}
 	address, cached := owners.byWorkspace[w]
 	if !cached {
 		address = owners.choose(s.ID, w)
@@ -235,7 +243,13 @@
 		list[i].score = score(string(s.ID), list[i].name, list[i].capacity)
 	}
 	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(b.score, a.score) })
-	list = list[:min(len(list), max(connections/minConnectionsPerOwner, 1))]
+	owners := max(connections/minConnectionsPerOwner, 1)
+	if r.VM.PriorityScheduling {
+		// The order among all statements for a server is kept by one VM. While it is avoided, the
+		// next in rank takes its place.
+		owners = 1
+	}
+	list = list[:min(len(list), owners)]
 	return &serverOwners{
 		connections: connections, candidates: list, byWorkspace: map[proxy.WorkspaceName]proxy.Address{},
 		local: len(list) == 0 || slices.ContainsFunc(list, func(c candidate) bool { return c.address == "" }),
@@ -340,10 +354,16 @@
 	idleSince time.Time
 	// failed is true after a batch whose answer didn't arrive.
 	failed bool
+	// load is the server's load in the last response.
+	load proxy.ServerLoad
 }
 
+// Load returns the server's load in the last response.
+func (l *link) Load() proxy.ServerLoad { return l.load }
+
 // Exec runs a batch on the other VM. It returns ErrPeerOutcomeUnknown if no response arrived.
 func (l *link) Exec(batch proxy.Batch, deadline time.Time) ([]proxy.Answer, error) {
+	l.load = proxy.ServerLoad{}
 	_ = l.net.SetDeadline(deadline.Add(deadlineSlack))
 	batch.LinkAgeMs = clock.Since(l.openedAt).Milliseconds()
 	err := l.encoder.Encode(batch)
@@ -359,12 +379,14 @@
 		l.relay.recordFailure(l.address, err)
 		return nil, proxy.ErrPeerOutcomeUnknown.Wrap(err, "VM at %s", l.address)
 	}
+	l.load = response.Load
 	if response.Kind != "" {
 		errorType := errorKinds[response.Kind]
 		if errorType == nil {
 			errorType = proxy.ErrBroken
 		}
-		return nil, errorType.New("VM at %s failed: %s", l.address, response.Text)
+		failure := errorType.New("VM at %s failed: %s", l.address, response.Text)
+		return nil, proxy.WithRetryAfter(failure, time.Duration(response.RetryAfterMs)*time.Millisecond)
 	}
 	return response.Answers, nil
 }
@@ -438,7 +460,7 @@
 		if err := decoder.Decode(&batch); err != nil {
 			return
 		}
-		batch.Within -= arrivalDelay(batch, acceptedAt)
+		batch.Shorten(arrivalDelay(batch, acceptedAt))
 		if batch.Within <= 0 || !socket.IsAlive(nc) {
 			// Its sender has given up, perhaps long ago, and has told its caller so.
 			eventLateBatch.Log(r.Logger, "peer", nc.RemoteAddr(), "server", batch.Server, "workspace", batch.Workspace, "late", -batch.Within, "outcome", "not run")
@@ -447,8 +469,9 @@
 		answers, err := session.Exec(ctx, batch)
 		response := reply{Answers: answers}
 		if err != nil {
-			response = reply{Kind: errorKind(err), Text: err.Error()}
+			response = reply{Kind: errorKind(err), Text: err.Error(), RetryAfterMs: proxy.RetryAfter(err).Milliseconds()}
 		}
+		response.Load = session.Load(batch)
 		if encoder.Encode(response) != nil || out.Flush() != nil {
 			return
 		}
