proxy: show the queues of servers in metrics, state and logs

Queue length, wait, forecast error and refusals by class and server, connections opened by service; the state dump has each queue by class with service times and expected waits, and the loads told by other VMs. The attributes of a class are kept, since each statement that waits needs them.

--- a/internal/proxy/load.go
+++ b/internal/proxy/load.go
@@ -20,6 +20,17 @@
 	at time.Time
 }
 
+// recent returns the loads that are in use at a time.
+func (l *reportedLoads) recent(now time.Time) map[Priority]ServerLoad {
+	list := map[Priority]ServerLoad{}
+	for i, told := range l {
+		if now.Sub(told.at) < loadTTL {
+			list[Priority(i)] = told.ServerLoad
+		}
+	}
+	return list
+}
+
 func loadIndex(p Priority) int { return min(max(int(p), 0), loadPriorities-1) }
 
 // observeLoad records the load of a server that came with another VM's reply to a request of a
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -6,8 +6,6 @@
 
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
-
-	"github.com/savoryramp/savoryramp/pkg/schedule"
 )
 
 // instruments measure the answers to callers; the zero value records nothing.
@@ -41,17 +39,17 @@
 	if err != nil {
 		return ErrMalformed.Wrap(err, "instrument")
 	}
-	refusals, err := m.Int64Counter("savoryramp.vm.queue.refusals", metric.WithDescription("Requests that a server's queue refused because of its forecast, by class."))
+	refusals, err := m.Int64Counter("savoryramp.vm.queue.refusals", metric.WithDescription("Requests refused because of a server's forecast, by class and server, and those refused by forecasts of all servers or while the VM starts, without a server."))
 	if err != nil {
 		return ErrMalformed.Wrap(err, "instrument")
 	}
 	waits, err := m.Float64Histogram("savoryramp.vm.queue.wait", metric.WithUnit("s"),
-		metric.WithDescription("Time that statements waited for their turn at a server, of those that waited, by class."), metric.WithExplicitBucketBoundaries(latencyBounds...))
+		metric.WithDescription("Time that statements waited for their turn at a server, of those that waited, by class and server."), metric.WithExplicitBucketBoundaries(latencyBounds...))
 	if err != nil {
 		return ErrMalformed.Wrap(err, "instrument")
 	}
 	forecastErrors, err := m.Float64Histogram("savoryramp.vm.queue.forecast-error", metric.WithUnit("s"),
-		metric.WithDescription("Actual wait less the forecast, of statements that waited, by class."), metric.WithExplicitBucketBoundaries(forecastErrorBounds...))
+		metric.WithDescription("Actual wait less the forecast, of statements that waited, by class and server."), metric.WithExplicitBucketBoundaries(forecastErrorBounds...))
 	if err != nil {
 		return ErrMalformed.Wrap(err, "instrument")
 	}
@@ -59,17 +57,13 @@
 	if err != nil {
 		return ErrMalformed.Wrap(err, "instrument")
 	}
+	if err := v.registerQueueLength(m); err != nil {
+		return err
+	}
 	v.metrics = instruments{answers, latency, refusals, waits, forecastErrors, connections}
 	return nil
 }
 
-// recordRefusal counts a refusal by a server's queue.
-func (i instruments) recordRefusal(u Urgency) {
-	if i.refusals != nil {
-		i.refusals.Add(context.Background(), 1, metric.WithAttributeSet(classAttributes(u)))
-	}
-}
-
 // recordConnection counts a connection that was opened to a server of a service.
 func (i instruments) recordConnection(service ServiceName) {
 	if i.connections != nil {
@@ -77,22 +71,6 @@
 	}
 }
 
-// recordWait records how long a statement that begins has waited for its turn, if it has, and the
-// difference from what was forecast.
-func (i instruments) recordWait(u Urgency, item *schedule.Item) {
-	actual, forecast := item.Wait()
-	if i.waits == nil || actual == 0 {
-		return
-	}
-	class := metric.WithAttributeSet(classAttributes(u))
-	i.waits.Record(context.Background(), actual.Seconds(), class)
-	i.forecastErrors.Record(context.Background(), (actual - forecast).Seconds(), class)
-}
-
-func classAttributes(u Urgency) attribute.Set {
-	return attribute.NewSet(attribute.Int("priority", int(u.Priority)), attribute.Int("workspace-priority", int(u.WorkspacePriority)))
-}
-
 func (i instruments) recordAnswer(r *Route, a Answer, took time.Duration) {
 	if i.answers == nil {
 		return
--- a/internal/proxy/places.go
+++ b/internal/proxy/places.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"go.opentelemetry.io/otel/metric"
+
 	"github.com/savoryramp/savoryramp/internal/clock"
 	"github.com/savoryramp/savoryramp/pkg/schedule"
 )
@@ -75,6 +77,11 @@
 	mu    sync.Mutex
 	queue schedule.Queue
 
+	// metricsMu guards options, the attributes of each class in metrics. It may be locked while mu
+	// is held.
+	metricsMu sync.Mutex
+	options   map[schedule.Class]metric.MeasurementOption
+
 	logMu sync.Mutex
 	// unlogged counts the refusals of each route priority since loggedAt, when one was logged.
 	unlogged map[Priority]int
@@ -178,7 +185,7 @@
 
 // refuse returns the error of a refusal, and counts it.
 func (q *serverQueue) refuse(d demand, r schedule.Refusal) error {
-	q.vm.metrics.recordRefusal(d.Urgency)
+	q.recordRefusal(d.class())
 	q.logRefusal(d, r)
 	return busyUntil(r.RetryAfter, "server %s: %d statements wait, this one would for %s", q.server, r.Waiting, r.ExpectedWait.Round(time.Millisecond))
 }
@@ -211,7 +218,7 @@
 		if refused {
 			err = q.refuse(demand{Urgency: urgency}, refusal)
 		} else {
-			q.vm.metrics.recordWait(urgency, i)
+			q.recordWait(i)
 		}
 		if p.begun == nil {
 			p.refusal = err
@@ -270,6 +277,26 @@
 	}
 }
 
+// state returns the queue's state, for diagnosis.
+func (q *serverQueue) state() *QueueState {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.now()
+	l := q.queue.Load(now, schedule.Class{})
+	s := &QueueState{InService: l.InService, Waiting: l.Waiting, Limit: l.Limit}
+	for _, c := range q.queue.Classes(now) {
+		s.Classes = append(s.Classes, ClassState{
+			Priority: Priority(c.Class.Route), WorkspacePriority: Priority(c.Class.Workspace), Waiting: c.Waiting,
+			ServiceMs: milliseconds(c.Service), ExpectedWaitMs: milliseconds(c.ExpectedWait),
+		})
+	}
+	return s
+}
+
+func milliseconds(d time.Duration) float64 {
+	return float64(d.Round(10*time.Microsecond)) / float64(time.Millisecond)
+}
+
 func (q *serverQueue) trim() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/internal/proxy/remote.go
+++ b/internal/proxy/remote.go
@@ -39,12 +39,14 @@
 // request that the message answers. The zero value tells nothing.
 type ServerLoad struct {
 	// InService, Waiting and Limit count statements. Limit is zero if the load isn't known.
-	InService, Waiting, Limit int
+	InService int `json:"in-service"`
+	Waiting   int `json:"waiting"`
+	Limit     int `json:"limit"`
 	// MoreUrgentWaiting counts the waiting statements that are more urgent than the request.
-	MoreUrgentWaiting int
+	MoreUrgentWaiting int `json:"more-urgent-waiting"`
 	// ExpectedWaitMs is the wait that a further request of the class has to expect, in
 	// milliseconds.
-	ExpectedWaitMs int64
+	ExpectedWaitMs int64 `json:"expected-wait-ms"`
 }
 
 // Relay reaches servers over the connections of other VMs.
--- a/internal/proxy/state.go
+++ b/internal/proxy/state.go
@@ -47,6 +47,28 @@
 	Share           int `json:"share"`
 	WaitingRequests int `json:"waiting"`
 	Failures        int `json:"failures"`
+	// Queue is the queue of statements on this VM's connections, absent if they have no order.
+	Queue *QueueState `json:"queue,omitempty"`
+	// Told has the loads that other VMs told in the last second, by the priority of the route.
+	Told map[Priority]ServerLoad `json:"told-load,omitempty"`
+}
+
+// QueueState is the state of a server's queue. The numbers count statements.
+type QueueState struct {
+	InService int          `json:"in-service"`
+	Waiting   int          `json:"waiting"`
+	Limit     int          `json:"limit"`
+	Classes   []ClassState `json:"classes"`
+}
+
+// ClassState is the state of one class of statements in a queue.
+type ClassState struct {
+	Priority          Priority `json:"priority"`
+	WorkspacePriority Priority `json:"workspace-priority"`
+	Waiting           int      `json:"waiting"`
+	// ServiceMs is the average service time, ExpectedWaitMs the wait of a further statement.
+	ServiceMs      float64 `json:"service-ms"`
+	ExpectedWaitMs float64 `json:"expected-wait-ms"`
 }
 
 // State returns a snapshot of the VM's state.
@@ -87,6 +109,9 @@
 			Avoided: time.Now().Before(m.avoidUntil), Failures: m.failures,
 		}
 		server.Open, server.Opening, server.Share, server.WaitingRequests = m.pool.counts()
+		if m.pool.Queue != nil {
+			server.Queue, server.Told = m.pool.Queue.state(), m.loads.recent(time.Now())
+		}
 		s.Servers = append(s.Servers, server)
 	}
 	return s
--- a/pkg/schedule/queue.go
+++ b/pkg/schedule/queue.go
@@ -320,6 +320,27 @@
 	return l
 }
 
+// ClassState is the state of one class, for diagnosis.
+type ClassState struct {
+	Class   Class
+	Waiting int
+	// Service is the average service time, zero until one has been measured. ExpectedWait is as
+	// in Load.
+	Service, ExpectedWait time.Duration
+}
+
+// Classes returns the state of the classes used so far, the most urgent first.
+func (q *Queue) Classes(now time.Duration) []ClassState {
+	var list []ClassState
+	for i, c := range q.classes {
+		if c != nil {
+			key := Class{Route: i / priorities, Workspace: i % priorities}
+			list = append(list, ClassState{Class: key, Waiting: c.waiting, Service: c.service, ExpectedWait: q.Load(now, key).ExpectedWait})
+		}
+	}
+	return list
+}
+
 func average(mean, sample time.Duration) time.Duration {
 	if mean == 0 {
 		return sample
