proxy: keep a workspace's reads at one replica, and the time as owner

An owner's first 3 s began with its first request, not with its ownership, and reads of each workspace went to all servers; - the deadline in the queue was the attempt's (150 ms), so that less urgent statements were refused at all three servers while these had room; - a server's cost had the measured latency in it, which includes the wait.

News of waiting urgent work count for 250 ms.

--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -40,7 +40,12 @@
 // cost estimates how long a read would take at the server. It includes penalties for the load
 // that the read puts on the primary and on links between zones, and for recent failures and lag.
 func (c Candidate) cost(typical time.Duration) time.Duration {
-	t := c.Availability.wait + time.Duration(c.LatencyFactor*float64(typical))
+	work := time.Duration(c.LatencyFactor * float64(typical))
+	if c.Availability.service > 0 {
+		// The latencies that this VM measured have the wait in them.
+		work, typical = c.Availability.service, c.Availability.service
+	}
+	t := c.Availability.wait + c.Availability.otherServerCost + work
 	if !c.SameZone {
 		t += crossZoneCost
 	}
--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 
 	"github.com/savoryramp/savoryramp/internal/clock"
@@ -55,6 +56,8 @@
 	lagAvoidUntil time.Time
 	// loads has the server's load by route priority, as other VMs have told.
 	loads reportedLoads
+	// hash is that of the server's ID.
+	hash uint64
 }
 
 const (
@@ -92,7 +95,7 @@
 			m = nil
 		}
 		if m == nil {
-			m = &member{latencyFactor: 1, pool: g.newPool(s)}
+			m = &member{latencyFactor: 1, pool: g.newPool(s), hash: xxhash.Sum64String(string(s.ID))}
 			g.members[s.ID] = m
 			eventServer.Log(g.Logger, "server", s.ID, "address", s.Address, "zone", s.Zone, "outcome", "added")
 		}
--- a/internal/proxy/line.go
+++ b/internal/proxy/line.go
@@ -42,6 +42,11 @@
 	// wait is the estimated time until a connection is available, including the time to open
 	// one if needed.
 	wait time.Duration
+	// service is the usual service time of the request's class at the server, zero if the server
+	// has no queue.
+	service time.Duration
+	// otherServerCost is what the server costs more than the one that the workspace prefers.
+	otherServerCost time.Duration
 	// moreUrgentWaiting counts the waiting statements that are more urgent.
 	moreUrgentWaiting int
 }
--- a/internal/proxy/load.go
+++ b/internal/proxy/load.go
@@ -1,14 +1,26 @@
 package proxy
 
-import "time"
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 const (
 	// loadTTL is how long a server's load that another VM has told is used. Without news the
 	// server counts as having no queue, so that it is tried again.
 	loadTTL = time.Second
+	// urgentTTL is how long after another VM told that more urgent statements wait this counts.
+	urgentTTL = 250 * time.Millisecond
+	// initialService is the assumed service time at a server that hasn't told one.
+	initialService = 10 * time.Millisecond
 	// loadPriorities is how many priorities of routes are told apart, the last one with all lower
 	// ones.
 	loadPriorities = 8
+	// otherServerCost is added for servers other than the one that a workspace's reads prefer. It is
+	// what opening a connection takes, since the workspace may have none there, and more than
+	// crossZoneCost.
+	otherServerCost = 12 * time.Millisecond
 )
 
 // reportedLoads has a server's load by route priority.
@@ -57,10 +69,13 @@
 	l := m.loads[loadIndex(u.Priority)]
 	age := now.Sub(l.at)
 	if age >= loadTTL {
-		return ServerLoad{}
+		return ServerLoad{ServiceMs: l.ServiceMs}
+	}
+	// The news say less the older they are.
+	l.ExpectedWaitMs -= int64(float64(l.ExpectedWaitMs) * float64(age) / float64(loadTTL))
+	if age >= urgentTTL {
+		l.MoreUrgentWaiting = 0
 	}
-	// What waited then has been served since; newer work isn't known of here.
-	l.ExpectedWaitMs = max(l.ExpectedWaitMs-age.Milliseconds(), 0)
 	return l.ServerLoad
 }
 
@@ -70,7 +85,35 @@
 		return m.pool.availability(d.workspace.Name)
 	}
 	l := g.loadOf(m, d.workspace.Name, d.Urgency, now)
-	return availability{wait: l.expectedWait(), moreUrgentWaiting: l.MoreUrgentWaiting}
+	a := availability{wait: l.expectedWait(), moreUrgentWaiting: l.MoreUrgentWaiting, service: time.Duration(l.ServiceMs) * time.Millisecond}
+	if a.service == 0 {
+		a.service = initialService
+	}
+	if !g.isPreferred(m, d.workspace.Name) {
+		a.otherServerCost = otherServerCost
+	}
+	return a
+}
+
+// isPreferred reports whether a server is the one that a workspace's reads prefer: the first by
+// rendezvous hash among those that aren't the primary. All VMs prefer the same, so that the
+// workspace has its connections there rather than a few at each server. g.mu is held.
+func (g *Group) isPreferred(m *member, w WorkspaceName) bool {
+	hash := xxhash.Sum64String(string(w))
+	own := mixHashes(m.hash, hash)
+	for id, other := range g.members {
+		if other != m && id != g.primary && !other.server.Leaving && mixHashes(other.hash, hash) > own {
+			return false
+		}
+	}
+	return m.server.ID != g.primary || len(g.members) == 1
+}
+
+// mixHashes returns a hash of two hashes.
+func mixHashes(a, b uint64) uint64 {
+	h := (a ^ b) * 0x9e3779b97f4a7c15
+	h = (h ^ h>>32) * 0xd6e8feb86659fd93
+	return h ^ h>>32
 }
 
 func (l ServerLoad) expectedWait() time.Duration {
--- a/internal/proxy/overload_test.go
+++ b/internal/proxy/overload_test.go
@@ -156,3 +156,26 @@
 		})
 	}
 }
+
+// The reads of a workspace prefer one replica, the same on all VMs, so that few connections are
+// opened. The workspaces are divided evenly, and the primary is left to writes.
+func TestReadsPreferOneReplica(t *testing.T) {
+	runScheduled(t, func(tb *testbed) {
+		g := tb.vm.group(testService)
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		counts := map[ServerID]int{}
+		const workspaces = 1000
+		for i := range workspaces {
+			n := 0
+			for id, m := range g.members {
+				if g.isPreferred(m, WorkspaceName(fmt.Sprint("w", i))) {
+					counts[id]++
+					n++
+				}
+			}
+			assert.Equal(t, n, 1)
+		}
+		assert.Assert(t, counts["a"] == 0 && counts["b"] > 400 && counts["c"] > 400, "%v", counts)
+	})
+}
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -13,10 +13,14 @@
 	// of a server's connections. The others notice at once that the owner can't be reached; this
 	// VM may learn of it only by silence, after two seconds.
 	actingOwnerTime = 2 * time.Second
-	// newOwnerFraction of the connections that owners may have is for a VM that has just become
-	// one, the rest for one that has been it for serverKeepTime. Together they are the whole, so
-	// that the new owner's fit in beside those that the server still keeps for the old one.
-	newOwnerFraction = 0.25
+	// newOwnerSpare is how many connections beyond the server's slots the owner has that has just
+	// become it, for transactions that wait for their callers. An owner of more than
+	// serverKeepTime has the rest of what owners may have, so that the new owner's connections fit
+	// in beside those that the server still keeps for the old one.
+	newOwnerSpare = 3
+	// keptVerifierFraction of the verifiers' connections are expected to be kept by the server when
+	// all VMs restart. Verifiers that are refused then try again; their number isn't critical.
+	keptVerifierFraction = 0.5
 	// maxReservedFraction is how much of a server's limit is set aside for verifiers at most.
 	maxReservedFraction = 0.5
 )
@@ -66,12 +70,13 @@
 }
 
 // ownerShare returns how many connections to a server the owner of all of them may have. Of the
-// server's limit, two for each verifier are set aside: one of its own and one that the server may
-// still keep from before a restart.
+// server's limit, one for each verifier is set aside, and some that the server may still keep for
+// verifiers from before a restart.
 func ownerShare(limit, vms, slots int, established bool) int {
-	reserved := min(2*min(vms, MaxVerifiers), int(maxReservedFraction*float64(limit)))
+	verifiers := min(vms, MaxVerifiers)
+	reserved := min(verifiers+int(keptVerifierFraction*float64(verifiers)), int(maxReservedFraction*float64(limit)))
 	total := limit - reserved
-	fresh := max(int(newOwnerFraction*float64(total)), min(slots, total/2), minConnections)
+	fresh := max(min(slots+newOwnerSpare, total/2), minConnections)
 	if !established {
 		return fresh
 	}
--- a/internal/proxy/places.go
+++ b/internal/proxy/places.go
@@ -273,7 +273,7 @@
 	l := q.queue.Load(q.now(), u.class())
 	return ServerLoad{
 		InService: l.InService, Waiting: l.Waiting, Limit: l.Limit, MoreUrgentWaiting: l.MoreUrgentWaiting,
-		ExpectedWaitMs: (l.ExpectedWait + time.Millisecond - 1).Milliseconds(),
+		ExpectedWaitMs: (l.ExpectedWait + time.Millisecond - 1).Milliseconds(), ServiceMs: (l.Service + time.Millisecond - 1).Milliseconds(),
 	}
 }
 
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -344,6 +344,8 @@
 	}
 	if p.Queue != nil {
 		p.Queue.trim()
+		// The time as owner of the connections counts from the first call.
+		_ = p.Share()
 	}
 	p.openForWaiters()
 }
--- a/internal/proxy/remote.go
+++ b/internal/proxy/remote.go
@@ -47,6 +47,8 @@
 	// ExpectedWaitMs is the wait that a further request of the class has to expect, in
 	// milliseconds.
 	ExpectedWaitMs int64 `json:"expected-wait-ms"`
+	// ServiceMs is the average service time of the class, in milliseconds.
+	ServiceMs int64 `json:"service-ms"`
 }
 
 // Relay reaches servers over the connections of other VMs.
--- a/internal/proxy/statement.go
+++ b/internal/proxy/statement.go
@@ -20,9 +20,15 @@
 	return until
 }
 
-// attemptDeadlineAt is attemptDeadline for an attempt that has to wait for its turn at a server.
+// attemptDeadlineAt is attemptDeadline for an attempt that has to wait for its turn at a server. The
+// queue refuses what isn't served in time, so that only a VM or server that has failed is bypassed by
+// the attempt's end.
 func (s *Session) attemptDeadlineAt(op *operation, id ServerID) time.Time {
-	until := s.attemptDeadline(op).Add(op.group.expectedWait(id, op.demand()))
+	if !s.vm.PriorityScheduling {
+		return s.attemptDeadline(op)
+	}
+	longest := time.Duration(maxAttemptTimeoutFraction * float64(op.route.StatementTimeout))
+	until := time.Now().Add(longest + op.group.expectedWait(id, op.demand()))
 	if op.deadline.Before(until) {
 		return op.deadline
 	}
--- a/pkg/schedule/queue.go
+++ b/pkg/schedule/queue.go
@@ -309,11 +309,14 @@
 	// ExpectedWait is the forecast for a further statement of the class, of a workspace that has
 	// none waiting.
 	ExpectedWait time.Duration
+	// Service is the average service time of the class, or the assumed one.
+	Service time.Duration
 }
 
 // Load returns the load as a class sees it.
 func (q *Queue) Load(now time.Duration, key Class) Load {
-	l := Load{InService: q.inService, Waiting: q.waitingCount, Limit: max(q.Limit, 1), ExpectedWait: q.forecast(now, q.class(key), &tenant{}, false)}
+	c := q.class(key)
+	l := Load{InService: q.inService, Waiting: q.waitingCount, Limit: max(q.Limit, 1), ExpectedWait: q.forecast(now, c, &tenant{}, false), Service: c.expectedService()}
 	for rest := q.waiting & (1<<key.index() - 1); rest != 0; rest &= rest - 1 {
 		l.MoreUrgentWaiting += q.classes[bits.TrailingZeros64(rest)].waiting
 	}
