--- a/pkg/schedule/queue.go
+++ b/pkg/schedule/queue.go
@@ -309,17 +309,41 @@
 	// ExpectedWait is the forecast for a further statement of the class, of a workspace that has
 	// none waiting.
 	ExpectedWait time.Duration
+	// Service is the average service time of the class, or the assumed one.
+	Service time.Duration
 }
 
 // Load returns the load as a class sees it.
 func (q *Queue) Load(now time.Duration, key Class) Load {
-	l := Load{InService: q.inService, Waiting: q.waitingCount, Limit: max(q.Limit, 1), ExpectedWait: q.forecast(now, q.class(key), &tenant{}, false)}
+	c := q.class(key)
+	l := Load{InService: q.inService, Waiting: q.waitingCount, Limit: max(q.Limit, 1), ExpectedWait: q.forecast(now, c, &tenant{}, false), Service: c.expectedService()}
 	for rest := q.waiting & (1<<key.index() - 1); rest != 0; rest &= rest - 1 {
 		l.MoreUrgentWaiting += q.classes[bits.TrailingZeros64(rest)].waiting
 	}
 	return l
 }
 
+// ClassState is the state of one class, for diagnosis.
+type ClassState struct {
+	Class   Class
+	Waiting int
+	// Service is the average service time, zero until one has been measured. ExpectedWait is as
+	// in Load.
+	Service, ExpectedWait time.Duration
+}
+
+// Classes returns the state of the classes used so far, the most urgent first.
+func (q *Queue) Classes(now time.Duration) []ClassState {
+	var list []ClassState
+	for i, c := range q.classes {
+		if c != nil {
+			key := Class{Route: i / priorities, Workspace: i % priorities}
+			list = append(list, ClassState{Class: key, Waiting: c.waiting, Service: c.service, ExpectedWait: q.Load(now, key).ExpectedWait})
+		}
+	}
+	return list
+}
+
 func average(mean, sample time.Duration) time.Duration {
 	if mean == 0 {
 		return sample
