--- a/internal/proxy/contention_test.go
+++ b/internal/proxy/contention_test.go
@@ -251,7 +251,7 @@
 // playContention plays a load, a multiple of the requirements' one, for a time.
 func playContention(t *testing.T, seed uint64, scheduled bool, factor float64, lasts time.Duration) (c *contention) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
+	synctest.Test(t, func(_ *testing.T) {
 		defer clock.Fake(func() clock.Instant { return clock.Instant(time.Now().UnixNano()) })()
 		c = &contention{workspaces: newUnequalWorkspaces(), servers: map[ServerID]*slotServer{}, random: rand.New(rand.NewPCG(seed, 2)), outcomes: map[DatabaseName]*classOutcome{}}
 		ctx, cancel := context.WithCancel(context.Background())
