--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 
 	"github.com/savoryramp/savoryramp/internal/clock"
@@ -53,6 +54,10 @@
 	// lagAvoidUntil is until when reads prefer other servers, after this one lacked a requested
 	// position.
 	lagAvoidUntil time.Time
+	// loads has the server's load by route priority, as other VMs have told.
+	loads reportedLoads
+	// hash is that of the server's ID.
+	hash uint64
 }
 
 const (
@@ -90,13 +95,16 @@
 			m = nil
 		}
 		if m == nil {
-			m = &member{latencyFactor: 1, pool: g.newPool(s)}
+			m = &member{latencyFactor: 1, pool: g.newPool(s), hash: xxhash.Sum64String(string(s.ID))}
 			g.members[s.ID] = m
 			eventServer.Log(g.Logger, "server", s.ID, "address", s.Address, "zone", s.Zone, "outcome", "added")
 		}
 		if s.Leaving && !m.server.Leaving {
 			eventServer.Log(g.Logger, "server", s.ID, "outcome", "leaving")
 		}
+		if m.pool.Queue != nil && s.Slots != m.server.Slots {
+			m.pool.Queue.setSlots(s.Slots)
+		}
 		m.server = s
 	}
 	for id, m := range g.members {
@@ -114,9 +122,10 @@
 }
 
 func (g *Group) newPool(s Server) *Pool {
-	return &Pool{
+	p := &Pool{
 		Server: s, Connect: g.VM.Connect,
-		Share: func() Share { return g.VM.share(g.Name, s) },
+		Share:    func() Share { return g.VM.share(g.Name, s) },
+		OnOpened: func() { g.VM.metrics.recordConnection(g.Name) },
 		TransactionIdleTimeout: func() time.Duration {
 			if c := g.VM.Configuration(); c != nil {
 				return c.TransactionIdleTimeout
@@ -124,6 +133,11 @@
 			return 0
 		},
 	}
+	if g.VM.PriorityScheduling {
+		p.Queue = newServerQueue(g.VM, s)
+		p.Share = func() Share { return g.VM.scheduledShare(g.Name, p) }
+	}
+	return p
 }
 
 // setPrimaryFromList sets the primary to a listed server that claims to be it, unless a primary
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -52,6 +52,8 @@
 	// pendingRollbacks are checkouts whose abandoned transaction still has to be rolled back on
 	// the server.
 	pendingRollbacks []*checkout
+	// refused is the session's last request if a server's queue refused it.
+	refused refusedRequest
 	// busy is true from the end of a Receive until the session is about to wait for the next
 	// request.
 	busy atomic.Bool
@@ -70,6 +72,9 @@
 	// deadline is the time limit of the statement.
 	deadline time.Time
 	request  Request
+	// firstDeadline is the deadline of an earlier request of the session that was refused, if the
+	// caller returned when it was told to.
+	firstDeadline time.Time
 	// maybeSent is true once a server may have received the caller's statement.
 	maybeSent bool
 }
@@ -201,11 +206,13 @@
 	}
 	op.deadline = began.Add(op.route.StatementTimeout)
 	op.group = s.vm.group(op.route.Service)
+	op.firstDeadline = s.refused.take(began)
 	answer := s.execute(ctx, &op)
 	if answer.Phase == "" {
 		answer.Phase = s.phase()
 	}
 	s.vm.metrics.recordAnswer(op.route, answer, time.Since(began))
+	s.refused.note(answer, op.deadline)
 	if !answer.Succeeded() {
 		eventRequestFailed.Log(s.vm.Logger, "request", r.ID, "database", s.database, "workspace", op.workspace.Name,
 			"took", time.Since(began), "outcome", answer.Failure, "detail", answer.Detail)
@@ -244,7 +251,7 @@
 		delete(s.profile.plans, statement.Name)
 		return okAnswer
 	case Begin:
-		return s.begin(op, statement)
+		return s.begin(ctx, op, statement)
 	case Commit:
 		return s.commit(ctx, op)
 	case Rollback:
@@ -282,6 +289,9 @@
 	if s.tx != nil {
 		return s.runInTransaction(ctx, op, writes)
 	}
+	if a := s.vm.awaitStart(ctx, op); !a.Succeeded() {
+		return a
+	}
 	if wait, refused := s.vm.admit(op.workspace); refused {
 		return overRateAnswer(op.workspace, wait)
 	}
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -27,10 +27,13 @@
 // times the round trip to the farthest zone.
 const rollbackTimeout = 300 * time.Millisecond
 
-func (s *Session) begin(op *operation, b Begin) Answer {
+func (s *Session) begin(ctx context.Context, op *operation, b Begin) Answer {
 	if s.tx != nil {
 		return s.failStatement(BadStatement, "a transaction is already open")
 	}
+	if a := s.vm.awaitStart(ctx, op); !a.Succeeded() {
+		return a
+	}
 	if wait, refused := s.vm.admit(op.workspace); refused {
 		return overRateAnswer(op.workspace, wait)
 	}
@@ -126,11 +129,11 @@
 // before the commit covers transactions that wrote.
 func (s *Session) beginOnPrimary(ctx context.Context, op *operation) (*checkout, Answer) {
 	for {
-		co, refusal := s.checkOutPrimary(ctx, op)
+		co, refusal := s.checkOutPrimary(ctx, op, op.demand())
 		if co == nil {
 			return nil, refusal
 		}
-		a, err := co.beginAt(s, BeginAt{}, s.attemptDeadline(op))
+		a, err := co.beginAt(s, BeginAt{}, s.attemptDeadlineAt(op, co.server))
 		if err == nil && a.Succeeded() {
 			return co, a
 		}
@@ -155,7 +158,7 @@
 	if isType(err, ErrBusy) {
 		// No connection is expected in the time left, or too many transactions are idle, so the
 		// caller should retry later.
-		return Answer{Failure: Busy, Detail: err.Error()}
+		return busyAnswer(err)
 	}
 	pause := retryDelay
 	if time.Until(op.deadline) < 2*pause {
@@ -193,7 +196,8 @@
 		case err != nil:
 			co.release(false)
 			co.recordFailure(err)
-			if !tx.wrote {
+			if !tx.wrote || isType(err, ErrBusy) {
+				// A commit that waited in vain for its turn wasn't sent.
 				return Answer{Failure: Aborted, Detail: err.Error()}
 			}
 			return Answer{Failure: InDoubt, Detail: "server " + string(co.server) + ": " + err.Error()}
--- a/internal/proxy/vm.go
+++ b/internal/proxy/vm.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log"
 	"github.com/joomcode/errorx"
 
+	"github.com/savoryramp/savoryramp/internal/clock"
 	"github.com/savoryramp/savoryramp/pkg/position"
 	"github.com/savoryramp/savoryramp/pkg/quota"
 )
@@ -44,9 +45,14 @@
 	// HasQuorum reports whether a group's primary may be used. It is nil on a platform where a
 	// promotion deposes the old primary.
 	HasQuorum func(ServiceName) bool
+	// PriorityScheduling makes the VM order the statements for each server by urgency, and refuse
+	// those that can't be served in time. All VMs have the same setting.
+	PriorityScheduling bool
 
 	configuration atomic.Pointer[Configuration]
 	draining      atomic.Bool
+	// startedAt is when Run began, on clock.Now.
+	startedAt atomic.Int64
 	// cancelTransactions is true once a drain also ends open transactions.
 	cancelTransactions atomic.Bool
 	// remoteSessions counts the connections of this VM that other VMs have checked out.
@@ -57,6 +63,8 @@
 
 	shareMu    sync.Mutex
 	shareCache map[ServerID]cachedShare
+	// ownedSince has the time since when this VM has owned all connections to a server.
+	ownedSince map[ServerID]time.Time
 
 	mu       sync.Mutex
 	sessions map[*Session]bool
@@ -72,6 +80,7 @@
 
 // Run maintains the groups until ctx ends, and then closes all sessions.
 func (v *VM) Run(ctx context.Context) error {
+	v.startedAt.Store(int64(clock.Now()))
 	v.mu.Lock()
 	v.init()
 	v.ctx = ctx
