heartbeat: let all VMs settle within a second when all start at once

Cause: a VM settles once it has received a view. A first delegate gets none, and is the largest VM of its zone. Others ignored its view, as that of a settling VM, because a neighbor had answered them before it had read the directory: it took the fleet for a small one and left out that it is settling itself. Change: a delegate that has sent a view is settled; a VM that hasn't read the directory tells that it is settling. Ruled out: the time that the store takes (30 ms), lost datagrams.

--- a/internal/heartbeat/heartbeat.go
+++ b/internal/heartbeat/heartbeat.go
@@ -305,7 +305,8 @@
 // held.
 func (f *Fleet) ownMessage() Message {
 	message := Message{VM: f.VM, Incarnation: f.incarnation, Address: f.Conn.LocalAddr().String(), Zone: f.Zone, LinkMbps: f.LinkMbps, StoreEra: f.storeEra, Sequence: f.sequence}
-	if f.hasDigests() {
+	// Before it has read the directory, a VM doesn't know whether the fleet is so large that it matters.
+	if f.hasDigests() || !f.directoryRead {
 		message.Settling = f.isSettling(clock.Now())
 	}
 	return message
@@ -488,14 +489,14 @@
 const settleTime = 400 * time.Millisecond
 
 // Settled reports whether this VM has read the directory and has had enough time to receive the
-// heartbeats of the others, or a view of the fleet. If it knows no other VM, the directory may have
+// heartbeats of the others, or has received or sent a view of the fleet. If it knows no other VM, the directory may have
 // lost their entries, and they have as long as it takes them to register again.
 func (f *Fleet) Settled() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	age := clock.Since(f.startedAt)
 	isAlone := len(f.peers) == 0
-	return f.directoryRead && age > settleTime && (!f.hasDigests() && !isAlone || f.lastView != 0 || age > livenessTimeout)
+	return f.directoryRead && age > settleTime && (!f.hasDigests() && !isAlone || f.lastView != 0 || f.lastViewSent != 0 || age > livenessTimeout)
 }
 
 // Leave announces that this VM is leaving and removes it from the directory. It relies on
--- a/internal/heartbeat/heartbeat_test.go
+++ b/internal/heartbeat/heartbeat_test.go
@@ -97,8 +97,9 @@
 	unavailable bool
 	// era is the era of the store that has the directory.
 	era StoreEra
-	// lists counts the calls of List.
-	lists int
+	// lists counts the calls of List, each of which takes listTime.
+	lists    int
+	listTime time.Duration
 }
 
 func (d *memoryDirectory) Register(_ context.Context, vm VMName, entry Entry) (StoreEra, error) {
@@ -111,7 +112,8 @@
 	return d.era, nil
 }
 
-func (d *memoryDirectory) List(context.Context) (map[VMName]Entry, error) {
+func (d *memoryDirectory) List(ctx context.Context) (map[VMName]Entry, error) {
+	clock.Sleep(ctx, d.listTime)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.lists++
