heartbeat: spread the set of zones that are being evacuated

Cause: the operator's row evacuate/ZONE has to be known on every VM within 1 s, also in fleets whose VMs rely on delegates to read the store, and when delegates end in that moment.

Heartbeats, digests and views carry the set with the store's version and era. VMs that read a change from the store tell their zone and some VMs of each other zone at once; a VM that hears of it from another zone tells its own one unless that knows already. Ruled out: heartbeats, digests and views alone, which take over 2 s when a zone's first delegate ends. After a pause a VM asks first.

--- a/internal/heartbeat/digest.go
+++ b/internal/heartbeat/digest.go
@@ -194,7 +194,7 @@
 // that VMs whose zone doesn't get a new one from the store fetch it from the sender, and the era of
 // the store.
 func digestMessage(own Message, d Digest) Message {
-	return Message{VM: own.VM, Address: own.Address, Zone: own.Zone, Settling: own.Settling, ConfigurationVersion: own.ConfigurationVersion, StoreEra: own.StoreEra, Digest: &d}
+	return Message{VM: own.VM, Address: own.Address, Zone: own.Zone, Settling: own.Settling, ConfigurationVersion: own.ConfigurationVersion, StoreEra: own.StoreEra, Evacuation: own.Evacuation, Digest: &d}
 }
 
 // anyAddresses returns the addresses of up to n random VMs of a zone. f.mu must be held.
--- a/internal/heartbeat/heartbeat.go
+++ b/internal/heartbeat/heartbeat.go
@@ -85,7 +85,11 @@
 	OnFleetDemand func(total map[string]float64, vms int, own map[string]float64)
 	// OnZonePayload is called with each payload sent to the VMs of this zone.
 	OnZonePayload func(json.RawMessage)
-	Logger        log.Logger
+	// SpreadsEvacuation is true if this VM learns of zones that are being evacuated and tells others.
+	// OnEvacuation, which may be nil, is called after each change of EvacuatedZones.
+	SpreadsEvacuation bool
+	OnEvacuation      func()
+	Logger            log.Logger
 
 	mu            sync.Mutex
 	peers         map[VMName]*peer
@@ -144,6 +148,7 @@
 	delegatesByZone map[string]cachedDelegates
 	// selections caches the results of SelectVMs by purpose.
 	selections map[string]selection
+	evacuation evacuationState
 }
 
 var (
@@ -193,9 +198,11 @@
 		case <-ticker.C:
 		case <-f.wake:
 		}
-		f.detectPause(clock.Now())
+		now := clock.Now()
+		f.checkEvacuation(now)
+		f.detectPause(now)
 		f.expirePeers()
-		f.sendDue(f.HasUrgentNews())
+		f.sendDue(f.HasUrgentNews() || f.hasEvacuationNews(now))
 	}
 }
 
@@ -304,7 +311,7 @@
 // ownMessage returns this VM's heartbeat before FillMessage has added the state. f.mu must be
 // held.
 func (f *Fleet) ownMessage() Message {
-	message := Message{VM: f.VM, Incarnation: f.incarnation, Address: f.Conn.LocalAddr().String(), Zone: f.Zone, LinkMbps: f.LinkMbps, StoreEra: f.storeEra, Sequence: f.sequence}
+	message := Message{VM: f.VM, Incarnation: f.incarnation, Address: f.Conn.LocalAddr().String(), Zone: f.Zone, LinkMbps: f.LinkMbps, StoreEra: f.storeEra, Sequence: f.sequence, Evacuation: f.ownEvacuation()}
 	if f.hasDigests() {
 		message.Settling = f.isSettling(clock.Now())
 	}
@@ -375,13 +382,14 @@
 			continue
 		}
 		var message Message
-		if err := json.Unmarshal(buffer[:n], &message); err != nil || message.VM == "" {
+		if err := json.Unmarshal(buffer[:n], &message); err != nil || message.VM == "" && message.EvacuationNotice == nil {
 			eventMalformed.Log(f.Logger, "from", from, "bytes", n, "err", err)
 			continue
 		}
 		f.NoteStoreEra(message.StoreEra)
+		f.receiveEvacuation(message)
 		switch {
-		case message.VM == f.VM:
+		case message.VM == f.VM || message.EvacuationNotice != nil:
 		case message.Digest != nil:
 			if f.accepts(message) {
 				f.receiveDigest(message)
@@ -420,7 +428,7 @@
 		f.recordDemand(message, now)
 	}
 	known := message.Known
-	message.View, message.Known = nil, nil
+	message.View, message.Known, message.Evacuation = nil, nil, nil
 	f.update(p, message, now)
 	added := f.addPeers(known)
 	f.mu.Unlock()
--- a/internal/heartbeat/heartbeat_test.go
+++ b/internal/heartbeat/heartbeat_test.go
@@ -222,7 +222,7 @@
 			fleet.totals[name] = total{demand["w"], own["w"], vms}
 			limiter.ObserveTotal(demand, vms, own)
 		},
-		OnZonePayload: func(json.RawMessage) {},
+		OnZonePayload: func(json.RawMessage) {}, SpreadsEvacuation: true,
 	}
 	limiter.VMCount = f.RateSize
 	onMessage := f.OnMessage
--- a/internal/heartbeat/message.go
+++ b/internal/heartbeat/message.go
@@ -69,6 +69,12 @@
 	// ZonePayload is set, with VM as the only other field, in a message with arbitrary content to
 	// the VMs of the sender's zone.
 	ZonePayload json.RawMessage `json:"note,omitempty"`
+	// Evacuation is the set of zones that the sender knows are being evacuated, nil if it doesn't know
+	// it or doesn't spread it.
+	Evacuation *Evacuation `json:"evacuation,omitempty"`
+	// EvacuationNotice is set, with Address, Zone and Evacuation as the only other fields, in a message
+	// that isn't a heartbeat. Without VM, builds that don't know notices skip them.
+	EvacuationNotice *EvacuationNotice `json:"evacuation-notice,omitempty"`
 	// Digested is true for a VM's state that was received in a digest, which has no demand.
 	Digested bool `json:"-"`
 }
