proxy, platform: evacuate zones

Reads leave out servers of such zones at once; their pools open nothing any more, are closed when the grace ends (bound less 2 s), with the connections of idle transactions, and are replaced when the zone is in use again. Primaries are handed over as if they left, with 0.4 of the delay between VMs so that three attempts fit; servers of such zones are neither asked nor promoted. Each batch is checked at the pool, so owners check what arrives over the relay too. A VM isn't ready before it knows the zones, and one that was paused waits for an answer before it sends. Metric, state dump, events 6040 to 6043.

Taken out, each rule makes a test fail (go test ./internal/proxy -run 'Evac|Owner|Paused', ./platform -run EvacuationRows): candidates of reads, refusals, hand-over, promotion, replicas that needn't answer, search for the primary elsewhere, no new connections, check before commands, idle transactions, waiting requests, ABORTED for a commit, readiness, pools replaced, deletions, whole reads. Two are doubled by the pools' state and show no failure when taken out alone: the check in verifyServer and that in queryStatuses.

go test -race -count 10 ./internal/proxy, go test -race ./platform ./cmd/savoryramp-vm: passed.

--- a/cmd/savoryramp-vm/daemon.go
+++ b/cmd/savoryramp-vm/daemon.go
@@ -66,6 +66,8 @@
 	// outOfStep has the names of the VMs that were out of step at the last heartbeat.
 	outOfStep atomic.Value
 
+	evacuationMu sync.Mutex
+
 	listMu sync.Mutex
 	list   serverList
 }
@@ -111,6 +113,7 @@
 	d.vm.Relay = r
 	d.addTask(r.Run)
 	d.configurationWatcher = &platform.ConfigurationWatcher{Store: d.store, Configure: d.vm.Configure, ReadByDelegate: d.readByDelegate, Logger: d.logger}
+	d.enableEvacuation()
 	d.promoter = &platform.Promoter{VM: s.VM, Incarnation: rand.Int64(), Store: d.store, Client: platform.NewHTTPClient(), TokensChecked: s.FencingEnforced, Logger: d.logger}
 	d.promoter.SetAddress(string(s.CloudAPIAddress))
 	d.addTask(d.vm.Run)
--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -68,7 +68,7 @@
 }
 
 // readCandidates lists the servers for a read of a workspace that isn't linearizable, except
-// those in exclude and those that are leaving. Some may lack the read's floor. The map has the
+// those in exclude, those that are leaving and those in zones that are being evacuated. Some may lack the read's floor. The map has the
 // same servers by ID.
 func (g *Group) readCandidates(w WorkspaceName, exclude map[ServerID]bool) ([]Candidate, map[ServerID]*member) {
 	g.mu.Lock()
@@ -77,7 +77,7 @@
 	var list []Candidate
 	members := map[ServerID]*member{}
 	for id, m := range g.members {
-		if exclude[id] || m.server.Leaving {
+		if exclude[id] || m.server.Leaving || g.isEvacuated(m) {
 			continue
 		}
 		members[id] = m
--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -100,6 +100,9 @@
 	pool *Pool
 	// inTransaction is true if the latest answer on the connection left a transaction open.
 	inTransaction bool
+	// dropped is true if the pool has closed the connection while its transaction was idle. The pool's
+	// mutex guards it.
+	dropped bool
 	// values and plans are the session values and prepared statements that the connection
 	// currently has on the server.
 	values map[string]string
--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -35,6 +35,14 @@
 		"A leaving primary was demoted and takes no more writes; the event shows the end of its log.")
 	eventRelayFailed = event.Define(6017, "proxy-relay", event.Warn,
 		"The VM that owns the pooled connections to a server can't be reached; this VM uses its own connection.")
+	eventEvacuationBegun = event.Define(6040, "proxy-evacuation", event.Warn,
+		"A zone is being evacuated: its servers get no new work, and after the grace nothing at all.")
+	eventEvacuationEmpty = event.Define(6041, "proxy-evacuation-empty", event.Info,
+		"This VM has no connection left to the servers of a zone that is being evacuated.")
+	eventEvacuationCancelled = event.Define(6042, "proxy-evacuation-cancelled", event.Info,
+		"A zone is no longer being evacuated; its servers are used again.")
+	eventEvacuationUnknown = event.Define(6043, "proxy-evacuation-unknown", event.Warn,
+		"No server is listed in the zone that is to be evacuated; it has no effect here.")
 	eventQuorum = event.Define(6018, "proxy-endorsed", event.Warn,
 		"Whether a majority of the verifier VMs can use the primary changed, as observed by this VM; without that majority this VM doesn't use the primary.")
 )
--- a/internal/proxy/failover.go
+++ b/internal/proxy/failover.go
@@ -11,6 +11,7 @@
 	"github.com/savoryramp/savoryramp/internal/clock"
 	"github.com/savoryramp/savoryramp/internal/heartbeat"
 	"github.com/savoryramp/savoryramp/pkg/failover"
+	"github.com/savoryramp/savoryramp/pkg/placement"
 	"github.com/savoryramp/savoryramp/pkg/position"
 )
 
@@ -116,7 +117,8 @@
 	}
 	view := g.failoverView(f.Fleet.PeersNamed(verifiers), isVerifier)
 	view.FenceDelay = f.fenceDelay()
-	decision, wait := view.Decide(), view.ActionDelay()
+	decision := view.Decide()
+	wait := g.handOverWait(decision, view.ActionDelay())
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	pending := f.pending[g.Name]
@@ -168,10 +170,13 @@
 	if g.adoptNewerPrimary(statuses) {
 		return nil
 	}
-	chosen, found := failover.PickReplica(failoverReplicas(statuses), g.countReplicas(oldPrimary), g.syncReplicas())
+	chosen, found := failover.PickReplica(failoverReplicas(statuses), g.countReplicas(oldPrimary)-g.unaskedReplicas(decision), g.syncReplicas())
 	if !found {
 		return ErrNoServer.New("service %s: %d replicas answered, too few to promote one", g.Name, len(statuses))
 	}
+	if !g.allowsPromotion(ServerID(chosen.Server)) {
+		return ErrNoServer.New("service %s: server %s is in a zone that is being evacuated", g.Name, chosen.Server)
+	}
 	if decision == failover.HandOver {
 		if chosen.Leaving {
 			return ErrNoServer.New("service %s: every replica is leaving", g.Name)
@@ -224,7 +229,7 @@
 	var statuses []replicaStatus
 	var tasks sync.WaitGroup
 	for _, m := range g.sortedMembers() {
-		if m == exclude {
+		if m == exclude || !g.allows(m, placement.Control) {
 			continue
 		}
 		tasks.Go(func() {
--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -35,6 +35,8 @@
 	// primaryChangedAt is when primary last changed, or when the group was created.
 	primaryChangedAt clock.Instant
 	failureReports   failureReports
+	// lastSearch is when searchElsewhere last looked for the primary.
+	lastSearch clock.Instant
 }
 
 // member is a server of the group and this VM's connections to it.
@@ -108,14 +110,20 @@
 	}
 	g.setPrimaryFromList(servers)
 	g.mu.Unlock()
+	g.applyEvacuation()
 	for _, p := range removed {
 		p.Close()
 	}
 }
 
 func (g *Group) newPool(s Server) *Pool {
+	var awaitCurrent func(time.Time) bool
+	if g.VM.Placement != nil {
+		awaitCurrent = g.VM.Placement.AwaitCurrent
+	}
 	return &Pool{
-		Server: s, Connect: g.VM.Connect,
+		AwaitCurrent: awaitCurrent,
+		Server:       s, Connect: g.VM.Connect,
 		Share: func() Share { return g.VM.share(g.Name, s) },
 		TransactionIdleTimeout: func() time.Duration {
 			if c := g.VM.Configuration(); c != nil {
@@ -280,7 +288,7 @@
 	}
 	g.mu.Lock()
 	m := g.members[id]
-	if m == nil {
+	if m == nil || g.isOutOfUse(id, err) {
 		g.mu.Unlock()
 		return
 	}
--- a/internal/proxy/local.go
+++ b/internal/proxy/local.go
@@ -21,8 +21,8 @@
 			}
 		}
 	}
-	if c.inTransaction {
-		c.pool.markActive(c)
+	if err := c.pool.beginCommands(c, until); err != nil {
+		return nil, err
 	}
 	answers, err := c.exec(p, commands, until)
 	c.inTransaction = len(answers) > 0 && answers[len(answers)-1].Phase == InTransaction
--- a/internal/proxy/maintenance.go
+++ b/internal/proxy/maintenance.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/savoryramp/savoryramp/internal/clock"
+	"github.com/savoryramp/savoryramp/pkg/placement"
 )
 
 const (
@@ -28,7 +29,9 @@
 	defer tick.Stop()
 	var lastTrim time.Time
 	for {
+		g.applyEvacuation()
 		g.refreshPrimary(ctx)
+		g.VM.logEmptyZones()
 		if time.Since(lastTrim) > trimInterval {
 			lastTrim = time.Now()
 			for _, m := range g.sortedMembers() {
@@ -61,6 +64,10 @@
 		}
 		return
 	}
+	if !g.allows(m, placement.Verify) {
+		g.searchElsewhere(ctx)
+		return
+	}
 	g.mu.Lock()
 	failing, lastOKSentAt := g.health.failures > 0, g.health.lastOKSentAt
 	retryDue := g.health.hasFailed() && clock.Since(g.health.lastFailureAt) >= verifyInterval
@@ -96,6 +103,9 @@
 // so does a VM whose own connections have failed, since only these tell whether they work again. Any
 // other VM uses one of the VM that owns the pooled connections.
 func (g *Group) verifyServer(ctx context.Context, m *member) {
+	if !g.allows(m, placement.Verify) {
+		return
+	}
 	until := time.Now().Add(verifyTimeout)
 	co, err := g.checkOutToVerify(ctx, m, until)
 	if isType(err, ErrBusy) || isType(err, ErrRefused) {
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -31,6 +31,27 @@
 		return ErrMalformed.Wrap(err, "instrument")
 	}
 	v.metrics = instruments{answers, latency}
+	return v.registerEvacuationMetrics(m)
+}
+
+// registerEvacuationMetrics registers the gauges of what is left at servers of evacuated zones.
+func (v *VM) registerEvacuationMetrics(m metric.Meter) error {
+	gauge, err := m.Int64ObservableGauge("savoryramp.vm.evacuation.left",
+		metric.WithDescription("This VM's connections to servers of a zone that is being evacuated, and the statements that use or await one."))
+	if err != nil {
+		return ErrMalformed.Wrap(err, "instrument")
+	}
+	_, err = m.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		for _, e := range v.evacuations() {
+			zone := attribute.String("zone", string(e.Zone))
+			o.ObserveInt64(gauge, int64(e.Connections), metric.WithAttributes(zone, attribute.String("kind", "connections")))
+			o.ObserveInt64(gauge, int64(e.Statements), metric.WithAttributes(zone, attribute.String("kind", "statements")))
+		}
+		return nil
+	}, gauge)
+	if err != nil {
+		return ErrMalformed.Wrap(err, "instrument")
+	}
 	return nil
 }
 
--- a/internal/proxy/observation.go
+++ b/internal/proxy/observation.go
@@ -24,7 +24,7 @@
 	}
 	g.mu.Lock()
 	if m := g.members[g.primary]; m != nil {
-		v.PrimaryLeaving = m.server.Leaving
+		v.PrimaryLeaving = m.server.Leaving || g.handsOver()
 	}
 	g.mu.Unlock()
 	for _, p := range verifiers {
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -44,6 +44,12 @@
 	// TransactionIdleTimeout returns how long a transaction may be idle. It only serves to
 	// compute the retry time in refusals, and may be nil.
 	TransactionIdleTimeout func() time.Duration
+	// AwaitCurrent is that of Placement, nil if zones aren't evacuated.
+	AwaitCurrent func(until time.Time) bool
+
+	// state is poolOpen if it is empty. retryAfter is told in refusals because of it. mu guards both.
+	state      poolState
+	retryAfter time.Duration
 
 	mu               sync.Mutex
 	workspacePools   map[WorkspaceName]*workspacePool
@@ -102,6 +108,10 @@
 		p.mu.Unlock()
 		return c, nil
 	}
+	if err := p.admitWaiter(wp); err != nil {
+		p.mu.Unlock()
+		return nil, err
+	}
 	if wait := p.estimateWait(wp); wait > time.Until(deadline) {
 		waiting := len(wp.waiters)
 		p.mu.Unlock()
@@ -160,7 +170,7 @@
 			lastUsed = wp
 		}
 	}
-	if !p.hasCapacity() {
+	if !p.hasCapacity() || p.currentState() != poolOpen {
 		p.mu.Unlock()
 		return nil, ErrBusy.New("server %s: all connections are in use", p.Server.ID)
 	}
@@ -175,7 +185,7 @@
 // openForWaiters starts opening a connection for the workspace that has waited longest for one,
 // unless maxOpening, a recent failure or the share prevents it; p.mu is held.
 func (p *Pool) openForWaiters() {
-	if p.closed || p.opening >= maxOpening || time.Now().Before(p.dialNotBefore) {
+	if p.closed || p.currentState() != poolOpen || p.opening >= maxOpening || time.Now().Before(p.dialNotBefore) {
 		return
 	}
 	wp := p.longestWaiting()
@@ -225,6 +235,9 @@
 func (p *Pool) dial(wp *workspacePool, w WorkspaceName) {
 	ctx, cancel := context.WithTimeout(p.dialCtx, connectTimeout)
 	defer cancel()
+	if p.AwaitCurrent != nil {
+		p.AwaitCurrent(time.Now().Add(connectTimeout))
+	}
 	began := time.Now()
 	link, _, err := p.Connect(ctx, p.Server, w)
 	p.mu.Lock()
@@ -268,7 +281,7 @@
 		wt.result <- acquireResult{conn: c}
 		return
 	}
-	if p.closed || p.isOverCapacity() {
+	if p.closed || p.currentState() == poolTransactions || p.isOverCapacity() {
 		p.uncount(wp)
 		c.Link.Close()
 		return
@@ -285,9 +298,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.idleTransactions, c)
+	if c.dropped {
+		return
+	}
 	wp := p.workspacePools[c.Workspace]
 	wp.averageHold, wp.lastUsed = movingAverage(wp.averageHold, took), time.Now()
-	if !keep || p.closed || p.hasStarvingWorkspace(wp) {
+	if !keep || p.closed || p.currentState() == poolTransactions || p.hasStarvingWorkspace(wp) {
 		p.uncount(wp)
 		c.Link.Close()
 	} else {
--- a/internal/proxy/remote_test.go
+++ b/internal/proxy/remote_test.go
@@ -69,6 +69,9 @@
 // relayThroughOwner adds a second VM that owns the connections which the testbed's VM uses.
 func (tb *testbed) relayThroughOwner() *fakeRelay {
 	owner := &VM{Name: "home", Zone: "a", Connect: tb.connect, Fleet: settledFleet{1}, Logger: tb.vm.Logger}
+	if tb.vm.Placement != nil {
+		owner.Placement = &Placement{Rule: tb.vm.Placement.Rule}
+	}
 	owner.SetServers(tb.vm.servers)
 	owner.Configure(testConfiguration(1), "test")
 	tb.tasks.Go(func() { _ = owner.Run(tb.ctx) })
--- a/internal/proxy/rest.go
+++ b/internal/proxy/rest.go
@@ -57,8 +57,8 @@
 	return ErrBusy.New("%s server %s: %d transactions are idle, %d of them of workspace %s", retryAfterText(wait), p.Server.ID, all, own, c.Workspace)
 }
 
-// markIdle records that the connection's transaction waits for its caller; markActive records
-// that it no longer does.
+// markIdle records that the connection's transaction waits for its caller; beginCommands records that
+// it no longer does.
 func (p *Pool) markIdle(c *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -66,12 +66,9 @@
 		p.idleTransactions = idleTransactions{}
 	}
 	p.idleTransactions[c] = time.Now()
-}
-
-func (p *Pool) markActive(c *Conn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	delete(p.idleTransactions, c)
+	if p.currentState() == poolShut {
+		p.drop(c)
+	}
 }
 
 // idleAllowance returns by how many the open connections may exceed the share because of idle
--- a/internal/proxy/state.go
+++ b/internal/proxy/state.go
@@ -18,6 +18,10 @@
 	Sessions int64        `json:"sessions"`
 	VMs      int          `json:"vms"`
 	Groups   []GroupState `json:"groups"`
+	// Evacuations has the zones that are being evacuated, EvacuationsKnown is false while this VM
+	// doesn't know them.
+	Evacuations      []EvacuationState `json:"evacuations"`
+	EvacuationsKnown bool              `json:"evacuations-known"`
 }
 
 // GroupState is the state of one group.
@@ -39,6 +43,8 @@
 	Address Address          `json:"address"`
 	Zone    AvailabilityZone `json:"availability-zone"`
 	Leaving bool             `json:"leaving"`
+	// Evacuated is true if the server's zone is being evacuated.
+	Evacuated bool `json:"evacuated"`
 	// Avoided is true while reads prefer other servers because this one failed.
 	Avoided bool `json:"avoided"`
 	// Open (which includes Opening), Opening and Share count connections.
@@ -51,7 +57,7 @@
 
 // State returns a snapshot of the VM's state.
 func (v *VM) State() State {
-	s := State{VM: v.Name, Zone: v.Zone, Ready: v.IsReady(), Draining: v.IsDraining(), Sessions: v.openSessions.Load(), VMs: v.Fleet.Size()}
+	s := State{VM: v.Name, Zone: v.Zone, Ready: v.IsReady(), Draining: v.IsDraining(), Sessions: v.openSessions.Load(), VMs: v.Fleet.Size(), Evacuations: v.evacuations(), EvacuationsKnown: v.Placement.isKnown()}
 	if c := v.Configuration(); c != nil {
 		s.Configuration = c.Version
 	}
@@ -83,7 +89,7 @@
 	s.Primary, s.Term, s.Failing = g.primary, int64(g.term), g.health.hasFailed()
 	for _, m := range members {
 		server := ServerState{
-			Server: m.server.ID, Address: m.server.Address, Zone: m.server.Zone, Leaving: m.server.Leaving,
+			Server: m.server.ID, Address: m.server.Address, Zone: m.server.Zone, Leaving: m.server.Leaving, Evacuated: g.isEvacuated(m),
 			Avoided: time.Now().Before(m.avoidUntil), Failures: m.failures,
 		}
 		server.Open, server.Opening, server.Share, server.WaitingRequests = m.pool.counts()
--- a/internal/proxy/statement.go
+++ b/internal/proxy/statement.go
@@ -24,6 +24,9 @@
 // If the checkout is nil, the answer has the failure, and no statement was sent.
 func (s *Session) checkOutPrimary(ctx context.Context, op *operation) (*checkout, Answer) {
 	for {
+		if refusal, refused := op.group.evacuationRefusal(true); refused {
+			return nil, refusal
+		}
 		m, err := op.group.awaitPrimary(ctx, op.deadline)
 		if err != nil {
 			return nil, Answer{Failure: Busy, Detail: err.Error()}
@@ -149,6 +152,9 @@
 // other servers if that fails, in up to maxAttempts attempts. On success the caller must
 // release the checkout; on failure the checkout is nil.
 func (s *Session) readOnAnyServer(ctx context.Context, op *operation, try func(*checkout, position.Position, time.Time) (Answer, error)) (*checkout, Answer) {
+	if refusal, refused := op.group.evacuationRefusal(false); refused {
+		return nil, refusal
+	}
 	floor, err := s.readFloor(ctx, op)
 	if err != nil {
 		return nil, Answer{Failure: Busy, Detail: err.Error()}
--- a/internal/proxy/testbed_test.go
+++ b/internal/proxy/testbed_test.go
@@ -38,6 +38,8 @@
 	// counts all attempts to open one. handshake is how long an attempt takes.
 	links, openingNow, peakOpening, opened int
 	handshake                              time.Duration
+	// contacted has when each server last got a command or a new connection.
+	contacted map[ServerID]time.Time
 }
 
 // memServer is an in-memory server of the group. Its fields are guarded by the testbed's mutex.
@@ -113,7 +115,7 @@
 func runTestWith(t *testing.T, change func(*VM), test func(tb *testbed)) {
 	synctest.Test(t, func(t *testing.T) {
 		defer clock.Fake(func() clock.Instant { return clock.Instant(time.Now().UnixNano()) })()
-		tb := &testbed{t: t, relay: &fakeRelay{}, servers: map[ServerID]*memServer{}, primary: "a", term: 1, handshake: 10 * time.Millisecond}
+		tb := &testbed{t: t, relay: &fakeRelay{}, servers: map[ServerID]*memServer{}, contacted: map[ServerID]time.Time{}, primary: "a", term: 1, handshake: 10 * time.Millisecond}
 		var listed []Server
 		for _, id := range []ServerID{"a", "b", "c"} {
 			tb.servers[id] = &memServer{id: id, logEnd: position.Position{Term: 1, Offset: 1}, work: 5 * time.Millisecond}
@@ -186,6 +188,7 @@
 	tb.mu.Lock()
 	tb.openingNow++
 	tb.opened++
+	tb.contacted[s.ID] = time.Now()
 	tb.peakOpening = max(tb.peakOpening, tb.openingNow)
 	server := tb.servers[s.ID]
 	full, handshake := server.limit > 0 && server.open >= server.limit, tb.handshake
@@ -231,9 +234,10 @@
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
 	for _, c := range l.commands {
-		if l.broken || l.silent {
+		if l.broken || l.silent || l.closed {
 			break
 		}
+		tb.contacted[l.server.id] = time.Now()
 		f := faultNone
 		if l.server.fault != nil {
 			f = l.server.fault(c)
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -193,7 +193,7 @@
 		case err != nil:
 			co.release(false)
 			co.recordFailure(err)
-			if !tx.wrote {
+			if !tx.wrote || isType(err, ErrNoServer) {
 				return Answer{Failure: Aborted, Detail: err.Error()}
 			}
 			return Answer{Failure: InDoubt, Detail: "server " + string(co.server) + ": " + err.Error()}
--- a/internal/proxy/vm.go
+++ b/internal/proxy/vm.go
@@ -44,6 +44,8 @@
 	// HasQuorum reports whether a group's primary may be used. It is nil on a platform where a
 	// promotion deposes the old primary.
 	HasQuorum func(ServiceName) bool
+	// Placement has the zones that are being evacuated. It is nil if zones can't be evacuated.
+	Placement *Placement
 
 	configuration atomic.Pointer[Configuration]
 	draining      atomic.Bool
@@ -186,7 +188,7 @@
 func (v *VM) IsReady() bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.configuration.Load() != nil && v.serversListed && v.Fleet.Settled() && !v.draining.Load() && !v.isIsolated()
+	return v.configuration.Load() != nil && v.serversListed && v.Fleet.Settled() && !v.draining.Load() && !v.isIsolated() && v.Placement.isKnown()
 }
 
 // maxIsolation is how long a VM keeps serving while it can't learn of withdrawn keys. It equals
