soak: evacuate zones while VMs are killed, paused and cut off

Runs of a new kind, every eighth seed and seed 5 always, draw evacuations, kills, stops, pauses and harmed ways to the store; one VM doesn't run from before the row was written until after the bound. Ways to servers aren't harmed in these runs, since the soak's proxies hold back bytes that were sent in time.

The check that planned work cuts no request names the kinds of runs that it holds for, so that it doesn't apply to a kind whose VMs are killed; it is as strict for the others.

--- a/cmd/savoryramp-soak/options.go
+++ b/cmd/savoryramp-soak/options.go
@@ -46,7 +46,7 @@
 	app.Flag("seed", "What the faults are drawn by.").Default("1").Uint64Var(&o.Seed)
 	app.Flag("vms", "How many VMs run.").Default("4").IntVar(&o.VMs)
 	app.Flag("lasts", "How long callers work.").Default("10s").DurationVar(&o.Lasts)
-	app.Flag("faults", "Which faults come: none, planned, restores or all.").Default(string(soak.NoFaults)).EnumVar(&faults, string(soak.NoFaults), string(soak.PlannedFaults), string(soak.RestoreFaults), string(soak.AllFaults))
+	app.Flag("faults", "Which faults come: none, planned, restores, evacuations or all.").Default(string(soak.NoFaults)).EnumVar(&faults, string(soak.NoFaults), string(soak.PlannedFaults), string(soak.RestoreFaults), string(soak.EvacuationFaults), string(soak.AllFaults))
 	app.Flag("keep", "Folder in which the VMs' settings and logs are kept.").StringVar(&o.Keep)
 	if _, err := app.Parse(arguments); err != nil {
 		return options{}, errMalformed.Wrap(err, "command line")
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -77,7 +77,7 @@
 	if ran := s.ledger.WorkspaceOf(id); ran != "" && ran != workspace {
 		s.broken("a request runs for its key's workspace", "%s of %s ran for %s", id, workspace, ran)
 	}
-	if s.Faults != AllFaults && s.Faults != RestoreFaults && a.Outcome == standin.Disconnected && s.ledger.WorkspaceOf(id) != "" {
+	if (s.Faults == PlannedFaults || s.Faults == NoFaults) && a.Outcome == standin.Disconnected && s.ledger.WorkspaceOf(id) != "" {
 		s.broken("planned work cuts no request", "%s %s at %s: %s", id, text, p.name, a.Text)
 	}
 }
--- /dev/null
+++ b/internal/soak/evacuation.go
@@ -0,0 +1,54 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"syscall"
+	"time"
+)
+
+const (
+	// evacuationBound is the time after which nothing may reach an evacuated zone's servers, in the
+	// VMs' settings.
+	evacuationBound = 5 * time.Second
+	// watchLeast is how long the servers are watched after that.
+	watchLeast = 3 * time.Second
+)
+
+// evacuate evacuates the zone of a server, of the primary in half of the cases, checks from what the
+// stand-in servers got that nothing reaches it after the bound, and takes the evacuation back.
+func (s *Soak) evacuate(r *rand.Rand, lasts time.Duration) string {
+	i := r.IntN(len(s.ids))
+	if r.IntN(2) == 0 {
+		for n, id := range s.ids {
+			if id == s.ledger.PrimaryID() {
+				i = n
+			}
+		}
+	}
+	if !s.evacuating.TryLock() {
+		return "another evacuation is on"
+	}
+	defer s.evacuating.Unlock()
+	id, zone := s.ids[i], fmt.Sprint("zone-", i+1)
+	wasPrimary := s.ledger.PrimaryID() == id
+	// A VM that doesn't run meanwhile has requests of its callers to serve when it resumes.
+	paused := s.take(r)
+	if paused != nil {
+		paused.signal(syscall.SIGSTOP, false)
+	}
+	s.store.Evacuate(zone)
+	since := time.Now()
+	s.pause(evacuationBound + watchLeast/2)
+	if paused != nil {
+		paused.signal(syscall.SIGCONT, false)
+		s.give(paused)
+	}
+	s.pause(watchLeast + lasts)
+	if at, text := s.ledger.LastReceived(id); at.Sub(since) > evacuationBound {
+		s.broken("nothing reaches an evacuated zone", "%s got %q %s after the row was written", id, text, at.Sub(since))
+	}
+	handedOver := s.ledger.PrimaryID() != id
+	s.store.EndEvacuation(zone)
+	return fmt.Sprintf("%s, was primary: %t, handed over: %t", zone, wasPrimary, wasPrimary && handedOver)
+}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -16,12 +16,30 @@
 	planned bool
 	// restores is true for faults that are drawn beside restores of the store.
 	restores bool
-	do       func(s *Soak, r *rand.Rand, lasts time.Duration) string
+	// evacuations is true for faults that are drawn beside evacuations.
+	evacuations bool
+	do          func(s *Soak, r *rand.Rand, lasts time.Duration) string
 }
 
+// isDrawn reports whether a run with some kind of faults draws this one.
+func (f fault) isDrawn(kind Faults) bool {
+	switch kind {
+	case PlannedFaults:
+		return f.planned
+	case RestoreFaults:
+		return f.restores
+	case EvacuationFaults:
+		return f.evacuations
+	}
+	return f.name != evacuateZone
+}
+
+// evacuateZone is the name of the fault that needs settings of its own.
+const evacuateZone = "evacuate a zone"
+
 // faults are those that a run draws from.
 var faults = []fault{
-	{name: "kill a VM", do: func(s *Soak, r *rand.Rand, lasts time.Duration) string {
+	{name: "kill a VM", evacuations: true, do: func(s *Soak, r *rand.Rand, lasts time.Duration) string {
 		p := s.take(r)
 		if p == nil {
 			return "none left"
@@ -32,7 +50,7 @@
 		s.restart(p)
 		return p.name
 	}},
-	{name: "stop and start a VM", planned: true, restores: true, do: func(s *Soak, r *rand.Rand, _ time.Duration) string {
+	{name: "stop and start a VM", planned: true, restores: true, evacuations: true, do: func(s *Soak, r *rand.Rand, _ time.Duration) string {
 		p := s.take(r)
 		if p == nil {
 			return "none left"
@@ -46,7 +64,7 @@
 		s.restart(p)
 		return p.name
 	}},
-	{name: "pause a VM", restores: true, do: func(s *Soak, r *rand.Rand, lasts time.Duration) string {
+	{name: "pause a VM", restores: true, evacuations: true, do: func(s *Soak, r *rand.Rand, lasts time.Duration) string {
 		p := s.take(r)
 		if p == nil {
 			return "none left"
@@ -93,7 +111,7 @@
 		s.rewrite()
 		return ""
 	}},
-	{name: "harm a VM's way to the store", do: func(s *Soak, r *rand.Rand, lasts time.Duration) string {
+	{name: "harm a VM's way to the store", evacuations: true, do: func(s *Soak, r *rand.Rand, lasts time.Duration) string {
 		p := s.vms[r.IntN(len(s.vms))]
 		return s.harm(p.store, r, lasts) + " for " + p.name
 	}},
@@ -137,6 +155,9 @@
 		s.ledger.SetDraining(id, false)
 		return id
 	}},
+	{name: evacuateZone, evacuations: true, do: func(s *Soak, r *rand.Rand, lasts time.Duration) string {
+		return s.evacuate(r, lasts)
+	}},
 	{name: "withdraw a key", planned: true, do: func(s *Soak, _ *rand.Rand, _ time.Duration) string {
 		return s.withdraw()
 	}},
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -18,6 +18,8 @@
 type process struct {
 	name, ip, binary, folder string
 	store                    *proxy
+	// evacuates is true if the settings ask for evacuations.
+	evacuates bool
 
 	mu      sync.Mutex
 	command *exec.Cmd
@@ -35,7 +37,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	settings := filepath.Join(p.folder, p.name+".json")
-	if err := os.WriteFile(settings, standin.SettingsFile(p.name, "zone-"+p.name[len(p.name)-1:], p.ip, p.store.address(), p.store.address()), 0o600); err != nil {
+	text := standin.SettingsFile(p.name, "zone-"+p.name[len(p.name)-1:], p.ip, p.store.address(), p.store.address())
+	if p.evacuates {
+		text = standin.WithEvacuation(text, evacuationBound)
+	}
+	if err := os.WriteFile(settings, text, 0o600); err != nil {
 		return err
 	}
 	if p.log == nil {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -53,6 +53,8 @@
 	check   checks
 	// restoring is held while the store is restored.
 	restoring sync.Mutex
+	// evacuating is held while a zone is evacuated.
+	evacuating sync.Mutex
 
 	mu       sync.Mutex
 	free     []*process
@@ -63,13 +65,15 @@
 // Faults says which faults a run draws.
 type Faults string
 
-// The kinds of faults; planned ones may cut no request, the others are drawn from all or from those
-// that a restore of the store may make worse.
+// The kinds of faults; planned ones may cut no request, the others are drawn from all, from those that a
+// restore of the store may make worse, or from those under which zones are still evacuated in time.
 const (
 	AllFaults     Faults = "all"
 	PlannedFaults Faults = "planned"
 	RestoreFaults Faults = "restores"
-	NoFaults      Faults = "none"
+	// EvacuationFaults are evacuations and what happens to VMs and their ways to the store meanwhile.
+	EvacuationFaults Faults = "evacuations"
+	NoFaults         Faults = "none"
 )
 
 // Report is what a run showed.
@@ -174,7 +178,7 @@
 		}
 		s.vms = append(s.vms, &process{
 			name: fmt.Sprintf("vm-%d-%d", i+1, i%3+1), ip: fmt.Sprintf("127.%d.%d.%d", 1+s.Network/200, 1+s.Network%200, i+1),
-			binary: s.Binary, folder: s.Folder, store: p,
+			binary: s.Binary, folder: s.Folder, store: p, evacuates: s.Faults == EvacuationFaults,
 		})
 	}
 	return nil
@@ -253,9 +257,12 @@
 		s.pause(s.Lasts)
 		return names
 	}
-	for time.Since(began) < s.Lasts {
+	for first := true; time.Since(began) < s.Lasts; first = false {
 		f := faults[r.IntN(len(faults))]
-		for s.Faults == PlannedFaults && !f.planned || s.Faults == RestoreFaults && !f.restores {
+		for first && s.Faults == EvacuationFaults && f.name != evacuateZone {
+			f = faults[r.IntN(len(faults))]
+		}
+		for !f.isDrawn(s.Faults) {
 			f = faults[r.IntN(len(faults))]
 		}
 		lasts := time.Duration(300+r.IntN(3000)) * time.Millisecond
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -37,6 +38,7 @@
 	for i := range *seeds {
 		list[*from+uint64(i)] = true
 	}
+	list[evacuationSeed] = true
 	turns := make(chan struct{}, *parallel)
 	var runs sync.WaitGroup
 	network := os.Getpid() % 10000
@@ -52,8 +54,11 @@
 	runs.Wait()
 }
 
+// evacuationSeed is the least seed that draws evacuations. It is always played.
+const evacuationSeed = 5
+
 // soakOnce plays a seed; every fourth draws planned faults only, another fourth restores of the store
-// and what they may make worse.
+// and what they may make worse, and an eighth evacuations.
 func soakOnce(t *testing.T, binary string, seed uint64, network int) {
 	folder, err := os.MkdirTemp(*keep, fmt.Sprintf("soak-%d-", seed))
 	assert.Check(t, err)
@@ -64,9 +69,17 @@
 	case 2:
 		s.Faults = RestoreFaults
 	}
+	if seed%8 == evacuationSeed {
+		s.Faults = EvacuationFaults
+	}
 	report, err := s.Run()
 	assert.Check(t, err)
 	t.Logf("seed %d: %v", seed, report.Outcomes)
+	for _, f := range report.Faults {
+		if strings.Contains(f, evacuateZone) {
+			t.Logf("seed %d: %s", seed, f)
+		}
+	}
 	if len(report.Broken) == 0 && err == nil {
 		os.RemoveAll(folder)
 		return
