--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -52,6 +52,16 @@
 	return p.known
 }
 
+// isEvacuating reports whether any zone is being evacuated.
+func (p *Placement) isEvacuating() bool {
+	if p == nil {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.since) > 0
+}
+
 // SetEvacuated replaces the zones that are being evacuated, with the time since when. Placement must
 // be set.
 func (v *VM) SetEvacuated(since map[AvailabilityZone]clock.Instant) {
@@ -194,7 +204,7 @@
 // evacuationRefusal returns an answer for a request that can't be served because of an evacuation,
 // and false if it may be served. lead is true for a request that needs the primary.
 func (g *Group) evacuationRefusal(lead bool) (Answer, bool) {
-	if g.VM.Placement == nil {
+	if !g.VM.Placement.isEvacuating() {
 		return okAnswer, false
 	}
 	g.mu.Lock()
