--- a/internal/heartbeat/evacuation_test.go
+++ b/internal/heartbeat/evacuation_test.go
@@ -65,7 +65,8 @@
 	}{
 		"mesh, one reader":      {size: 9, readers: func(fleet *testFleet) []*Fleet { return fleet.vms[:1] }},
 		"digests, all readers":  {size: 45, readers: (*testFleet).readers},
-		"digests, large fleet":  {size: 180, readers: (*testFleet).readers},
+		"digests, 71 VMs":       {size: 71, readers: (*testFleet).readers},
+		"digests, 295 VMs":      {size: 295, readers: (*testFleet).readers},
 		"digests, one delegate": {size: 45, readers: func(fleet *testFleet) []*Fleet { return fleet.readers()[:1] }},
 		"a tenth of the datagrams lost": {
 			size: 45, readers: (*testFleet).readers, lossRate: 0.1,
@@ -97,6 +98,9 @@
 				note(fleet.readers(), 1, 10)
 				fleet.wait(spreadTime)
 				assertEvacuated(t, fleet.vms, "")
+				before := fleet.countDatagrams()
+				fleet.wait(spreadTime)
+				usual := fleet.countDatagrams() - before
 				fleet.network.mu.Lock()
 				fleet.network.lossRate = test.lossRate
 				fleet.network.mu.Unlock()
@@ -109,6 +113,7 @@
 				}
 				note(readers, 1, 20, "zone-2")
 				fleet.wait(spreadTime)
+				t.Logf("%.1f datagrams a VM in the second of the change, %.1f in the one before", float64(fleet.countDatagrams()-before-usual)/float64(test.size), float64(usual)/float64(test.size))
 				assertEvacuated(t, rest, "zone-2")
 				for _, f := range rest {
 					since, _ := f.EvacuatedZones()
