--- a/internal/proxy/places_test.go
+++ b/internal/proxy/places_test.go
@@ -249,12 +249,6 @@
 	})
 }
 
-func (tb *testbed) countOpened() int {
-	tb.mu.Lock()
-	defer tb.mu.Unlock()
-	return tb.opened
-}
-
 // Urgency, refusals and the server's load travel between VMs.
 func TestUrgencyOverRelay(t *testing.T) {
 	runScheduled(t, func(tb *testbed) {
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -196,8 +196,8 @@
 		case err != nil:
 			co.release(false)
 			co.recordFailure(err)
-			if !tx.wrote || isType(err, ErrBusy) {
-				// A commit that waited in vain for its turn wasn't sent.
+			if !tx.wrote || isType(err, ErrBusy) || isType(err, ErrNoServer) {
+				// A commit that waited in vain for its turn, or whose server may not be used, wasn't sent.
 				return Answer{Failure: Aborted, Detail: err.Error()}
 			}
 			return Answer{Failure: InDoubt, Detail: "server " + string(co.server) + ": " + err.Error()}
