--- a/internal/proxy/load.go
+++ b/internal/proxy/load.go
@@ -1,10 +1,6 @@
 package proxy
 
-import (
-	"time"
-
-	"github.com/cespare/xxhash/v2"
-)
+import "time"
 
 const (
 	// loadTTL is how long a server's load that another VM has told is used. Without news the
@@ -17,10 +13,6 @@
 	// loadPriorities is how many priorities of routes are told apart, the last one with all lower
 	// ones.
 	loadPriorities = 8
-	// otherServerCost is added for servers other than the one that a workspace's reads prefer. It is
-	// what opening a connection takes, since the workspace may have none there, and more than
-	// crossZoneCost.
-	otherServerCost = 12 * time.Millisecond
 )
 
 // reportedLoads has a server's load by route priority.
@@ -89,33 +81,12 @@
 	if a.service == 0 {
 		a.service = initialService
 	}
-	if !g.isPreferred(m, d.workspace.Name) {
+	if !g.VM.isLarge(d.workspace.Name) && !g.isPreferred(m, d.workspace.Name) {
 		a.otherServerCost = otherServerCost
 	}
 	return a
 }
 
-// isPreferred reports whether a server is the one that a workspace's reads prefer: the first by
-// rendezvous hash among those that aren't the primary. All VMs prefer the same, so that the
-// workspace has its connections there rather than a few at each server. g.mu is held.
-func (g *Group) isPreferred(m *member, w WorkspaceName) bool {
-	hash := xxhash.Sum64String(string(w))
-	own := mixHashes(m.hash, hash)
-	for id, other := range g.members {
-		if other != m && id != g.primary && !other.server.Leaving && mixHashes(other.hash, hash) > own {
-			return false
-		}
-	}
-	return m.server.ID != g.primary || len(g.members) == 1
-}
-
-// mixHashes returns a hash of two hashes.
-func mixHashes(a, b uint64) uint64 {
-	h := (a ^ b) * 0x9e3779b97f4a7c15
-	h = (h ^ h>>32) * 0xd6e8feb86659fd93
-	return h ^ h>>32
-}
-
 func (l ServerLoad) expectedWait() time.Duration {
 	return time.Duration(l.ExpectedWaitMs) * time.Millisecond
 }
--- a/internal/proxy/maintenance.go
+++ b/internal/proxy/maintenance.go
@@ -31,6 +31,7 @@
 		g.refreshPrimary(ctx)
 		if time.Since(lastTrim) > trimInterval {
 			lastTrim = time.Now()
+			g.VM.updateLargeWorkspaces()
 			for _, m := range g.sortedMembers() {
 				m.pool.Trim()
 			}
--- a/internal/proxy/overload_test.go
+++ b/internal/proxy/overload_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/savoryramp/savoryramp/internal/clock"
+	"github.com/savoryramp/savoryramp/pkg/quota"
 )
 
 // startingFleet is a fleet of 84 VMs that this VM may not know yet.
@@ -179,3 +180,19 @@
 		assert.Assert(t, counts["a"] == 0 && counts["b"] > 400 && counts["c"] > 400, "%v", counts)
 	})
 }
+
+// Workspaces with a large part of the demand prefer no server, since one server would have all their
+// load.
+func TestLargeWorkspacesPreferNoReplica(t *testing.T) {
+	limiter := &quota.Limiter{Now: func() time.Duration { return time.Hour }, VMCount: func() int { return 1 }}
+	for i := range 60 {
+		limiter.Admit(fmt.Sprint("small", i), 1e6, 1e6)
+	}
+	for range 10 {
+		limiter.Admit("large", 1e6, 1e6)
+	}
+	v := &VM{Quota: limiter, PriorityScheduling: true}
+	assert.Assert(t, !v.isLarge("large"))
+	v.updateLargeWorkspaces()
+	assert.Assert(t, v.isLarge("large") && !v.isLarge("small1"))
+}
--- a/internal/proxy/places_test.go
+++ b/internal/proxy/places_test.go
@@ -22,6 +22,7 @@
 	for name, p := range map[DatabaseName]Priority{testDatabase: 0, ownDatabase: 1, boundedDatabase: 2} {
 		c.Routes[name].Priority, c.Routes[name].TargetLatency = p, 100*time.Millisecond
 	}
+	c.Services[testService].Connections = 24
 	hot := &Workspace{Name: "hot"}
 	c.Workspaces[hot.Name], c.Keys[hotKey] = hot, hot
 	return c
@@ -189,6 +190,9 @@
 func TestTransactionsEndWhileAllConnectionsAreHeld(t *testing.T) {
 	// Without a relay the VM may have all six connections.
 	runScheduledWith(t, func(v *VM) { v.Relay = nil }, func(tb *testbed) {
+		c := scheduledConfiguration()
+		c.Version, c.Services[testService].Connections = 3, 6
+		tb.vm.Configure(c, "test")
 		var open []*client
 		for range 6 {
 			c := tb.startClient(ownDatabase, hotKey)
--- a/internal/proxy/vm.go
+++ b/internal/proxy/vm.go
@@ -60,6 +60,8 @@
 	openSessions   atomic.Int64
 	metrics        instruments
 	outages        outageEstimator
+	// largeWorkspaces has the workspaces for which isLarge is true.
+	largeWorkspaces atomic.Pointer[map[WorkspaceName]bool]
 
 	shareMu    sync.Mutex
 	shareCache map[ServerID]cachedShare
