--- a/internal/proxy/maintenance.go
+++ b/internal/proxy/maintenance.go
@@ -34,6 +34,7 @@
 		g.VM.logEmptyZones()
 		if time.Since(lastTrim) > trimInterval {
 			lastTrim = time.Now()
+			g.VM.updateLargeWorkspaces()
 			for _, m := range g.sortedMembers() {
 				m.pool.Trim()
 			}
