--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -41,6 +41,14 @@
 		"A request was refused because every server that could serve it is expected to do so only after its deadline, by the loads that other VMs told in the last second or by this VM's queues.")
 	eventQueueRefused = event.Define(6022, "proxy-queue-refused", event.Info,
 		"The queue of a server refused a statement because its forecast is past the deadline; the event shows the queue, and how many refusals of the class there were since the last such event.")
+	eventEvacuationBegun = event.Define(6040, "proxy-evacuation", event.Warn,
+		"A zone is being evacuated: its servers get no new work, and after the grace nothing at all.")
+	eventEvacuationEmpty = event.Define(6041, "proxy-evacuation-empty", event.Info,
+		"This VM has no connection left to the servers of a zone that is being evacuated.")
+	eventEvacuationCancelled = event.Define(6042, "proxy-evacuation-cancelled", event.Info,
+		"A zone is no longer being evacuated; its servers are used again.")
+	eventEvacuationUnknown = event.Define(6043, "proxy-evacuation-unknown", event.Warn,
+		"No server is listed in the zone that is to be evacuated; it has no effect here.")
 	eventQuorum = event.Define(6018, "proxy-endorsed", event.Warn,
 		"Whether a majority of the verifier VMs can use the primary changed, as observed by this VM; without that majority this VM doesn't use the primary.")
 )
--- a/internal/proxy/local.go
+++ b/internal/proxy/local.go
@@ -24,8 +24,8 @@
 			}
 		}
 	}
-	if c.inTransaction {
-		c.pool.markActive(c)
+	if err := c.pool.beginCommands(c, until); err != nil {
+		return nil, err
 	}
 	if err := c.enterService(commands, until); err != nil {
 		return nil, err
--- a/internal/proxy/vm.go
+++ b/internal/proxy/vm.go
@@ -48,6 +48,8 @@
 	// PriorityScheduling makes the VM order the statements for each server by urgency, and refuse
 	// those that can't be served in time. All VMs have the same setting.
 	PriorityScheduling bool
+	// Placement has the zones that are being evacuated. It is nil if zones can't be evacuated.
+	Placement *Placement
 
 	configuration atomic.Pointer[Configuration]
 	draining      atomic.Bool
@@ -60,6 +62,8 @@
 	openSessions   atomic.Int64
 	metrics        instruments
 	outages        outageEstimator
+	// largeWorkspaces has the workspaces for which isLarge is true.
+	largeWorkspaces atomic.Pointer[map[WorkspaceName]bool]
 
 	shareMu    sync.Mutex
 	shareCache map[ServerID]cachedShare
@@ -195,7 +199,7 @@
 func (v *VM) IsReady() bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.configuration.Load() != nil && v.serversListed && v.Fleet.Settled() && !v.draining.Load() && !v.isIsolated()
+	return v.configuration.Load() != nil && v.serversListed && v.Fleet.Settled() && !v.draining.Load() && !v.isIsolated() && v.Placement.isKnown()
 }
 
 // maxIsolation is how long a VM keeps serving while it can't learn of withdrawn keys. It equals
