failover: decide who counts, and which server may be promoted

A VM that had just started took the VMs heard since for the fleet, and a VM that heard one server promoted it whatever its term was. View.StillStands checks a decision before its order.

--- a/pkg/failover/failover.go
+++ b/pkg/failover/failover.go
@@ -1,10 +1,11 @@
 // Package failover decides when a group's primary is replaced, and which VM acts.
 //
 // Each VM observes the primary and receives the observations of the others. A primary is
-// replaced when more than half of the VMs that were heard from recently can't use it, so
-// that a network failure, a pause or a slowdown of one VM never replaces a primary. A
-// silent VM counts against the replacement. Any number of VMs may act: delays by rank make
-// them act one after another, and fencing tokens make all attempts but the last harmless.
+// replaced when more than half of the VMs can't use it, so that a network failure, a pause or a
+// slowdown of one VM never replaces a primary. A silent VM counts against the replacement (Sighting).
+// Any number of VMs may act: delays by rank make them act one after another, and fencing tokens make
+// all attempts but the last harmless. A server is promoted only if its log ends in the newest known
+// term, as long as one that has that may still answer (Election).
 package failover
 
 import (
@@ -19,8 +20,10 @@
 	VM string
 	// Primary is the server that the VM considers primary, or empty if it knows none.
 	Primary string
-	// Failing is true while the VM can't use the primary or knows none.
+	// Failing is true while the VM can't use the primary, or has known none for some time.
 	Failing bool
+	// NoPrimary is true if the VM reported that it knows no primary, for however short a time.
+	NoPrimary bool
 	// Silent is true if messages of the VM arrived recently but have stopped arriving.
 	Silent bool
 }
@@ -37,6 +40,12 @@
 	PrimaryLeaving, PrimaryUnlisted bool
 	// IsVerifier means that this VM is one of the verifiers, whose observations count.
 	IsVerifier bool
+	// FleetUnknown means that this VM has neither read the directory nor learned of the fleet from
+	// another VM, so that Others may lack any number of VMs.
+	FleetUnknown bool
+	// Unwatched is the time since this VM last evaluated its observations. It is longer than maxUnwatched
+	// only after a pause.
+	Unwatched time.Duration
 	// FenceDelay is how long it takes until all VMs have stopped using a primary that a
 	// majority can't use. It is zero if a promotion itself deposes the previous primary.
 	FenceDelay time.Duration
@@ -57,6 +66,9 @@
 
 // Decide returns the decision that follows from the view.
 func (v View) Decide() Decision {
+	if v.FleetUnknown {
+		return Keep
+	}
 	if v.OwnObservation.Failing && 2*len(v.failingVMs()) > len(v.Others)+1 {
 		return Replace
 	}
@@ -66,11 +78,40 @@
 	return Keep
 }
 
+// maxUnwatched is how long a VM may have been paused and still rely on its observations.
+const maxUnwatched = time.Second
+
+// WasPaused reports whether this VM was paused since it last evaluated its observations. Whatever it had
+// decided is outdated.
+func (v View) WasPaused() bool { return v.Unwatched > maxUnwatched }
+
+// StillStands reports whether this VM may go on to carry out a decision about a primary that it made
+// earlier. That primary may have become unknown meanwhile, since a server that restarts refuses to act as
+// one, but no other may have become known.
+func (v View) StillStands(decision Decision, primary string) bool {
+	if v.WasPaused() || v.OwnObservation.Primary != "" && v.OwnObservation.Primary != primary {
+		return false
+	}
+	if decision == Replace {
+		v.OwnObservation.Failing = v.OwnObservation.Failing || v.OwnObservation.Primary == ""
+		others := make([]Observation, 0, len(v.Others))
+		for _, o := range v.Others {
+			o.Failing = o.Failing || o.NoPrimary
+			others = append(others, o)
+		}
+		v.Others = others
+	}
+	return v.Decide() == decision
+}
+
 // HasQuorum reports whether more than half of the verifier VMs that were heard from
 // recently aren't silent and can use the primary of this VM's observation. This VM counts
 // if it is a verifier. While HasQuorum is true, that primary hasn't been replaced: a
 // majority that can't use it waits for FenceDelay, and any two majorities share a VM.
 func (v View) HasQuorum() bool {
+	if v.FleetUnknown {
+		return false
+	}
 	verifiers, supporting := len(v.Others), 0
 	if v.IsVerifier {
 		verifiers++
@@ -149,6 +190,9 @@
 	Received LogEnd
 	// Leaving means that the replica is shutting down; it is chosen only if it has to be.
 	Leaving bool
+	// OldPrimary means that the server is the primary that is to be replaced: it counts as one that
+	// answered, but isn't chosen.
+	OldPrimary bool
 }
 
 // LogEnd is the position of the last entry in a log.
@@ -164,8 +208,8 @@
 // PickReplica returns the replica whose promotion loses the fewest entries, or false if too
 // few of the total replicas answered. If each commit was confirmed by at least syncReplicas
 // replicas, enough must have answered that every commit is on one of them. If syncReplicas
-// is 0, any replica that isn't leaving goes before one that is, even if more entries are
-// lost.
+// is 0, any replica that isn't leaving goes before one that is whose log ends in the same term, even if more
+// entries are lost.
 func PickReplica(answered []Replica, total, syncReplicas int) (Replica, bool) {
 	if len(answered) == 0 || syncReplicas > 0 && len(answered) < total-syncReplicas+1 {
 		return Replica{}, false
@@ -183,8 +227,11 @@
 // isBetter reports whether r is a better choice than best: its log ends later, by term and
 // then offset. Of two logs that end alike, that of a replica that isn't leaving is better,
 // then that of the server with the lower name. If commits aren't confirmed by replicas, a
-// replica that isn't leaving goes before one that is, whatever their logs.
+// replica that isn't leaving goes before one that is, unless its log ends in an older term.
 func isBetter(r, best Replica, syncReplicas int) bool {
+	if r.Received.Term != best.Received.Term {
+		return r.Received.Term > best.Received.Term
+	}
 	if syncReplicas == 0 && r.Leaving != best.Leaving {
 		return best.Leaving
 	}
--- a/pkg/failover/failover_test.go
+++ b/pkg/failover/failover_test.go
@@ -125,6 +125,53 @@
 	}
 }
 
+// TestUnknownFleet guards against a VM that takes the few others that it has heard since its start for all.
+func TestUnknownFleet(t *testing.T) {
+	v := viewOfNineVMs(true, 8, 0)
+	assert.Equal(t, v.Decide(), Replace)
+	v.FleetUnknown = true
+	assert.Equal(t, v.Decide(), Keep)
+	v = viewOfNineVMs(false, 0, 0)
+	v.PrimaryLeaving = true
+	assert.Assert(t, v.HasQuorum())
+	v.FleetUnknown = true
+	assert.Equal(t, v.Decide(), Keep)
+	assert.Assert(t, !v.HasQuorum())
+}
+
+// TestStillStands guards against a promotion that is ordered after what was decided about the primary has
+// changed, and against one given up because the old primary restarted and refused to act as one.
+func TestStillStands(t *testing.T) {
+	paused, recovered, restarted, another, fewer := viewOfNineVMs(true, 4, 0), viewOfNineVMs(false, 4, 0), viewOfNineVMs(true, 0, 0), viewOfNineVMs(true, 8, 0), viewOfNineVMs(true, 3, 0)
+	paused.Unwatched = 1100 * time.Millisecond
+	restarted.OwnObservation.Primary, restarted.OwnObservation.Failing = "", false
+	for i := range 4 {
+		restarted.Others[i].Primary, restarted.Others[i].NoPrimary = "", true
+	}
+	another.OwnObservation.Primary = "q"
+	leaving := viewOfNineVMs(false, 0, 0)
+	leaving.PrimaryLeaving = true
+	tests := map[string]struct {
+		view     View
+		decision Decision
+		want     bool
+	}{
+		"nothing changed":                     {viewOfNineVMs(true, 4, 0), Replace, true},
+		"this VM was paused":                  {paused, Replace, false},
+		"this VM can use the primary again":   {recovered, Replace, false},
+		"others can use the primary again":    {fewer, Replace, false},
+		"another primary is known":            {another, Replace, false},
+		"the old primary refuses to act":      {restarted, Replace, true},
+		"the primary is still leaving":        {leaving, HandOver, true},
+		"the leaving primary fails":           {viewOfNineVMs(true, 8, 0), HandOver, false},
+		"the primary no longer leaves":        {viewOfNineVMs(false, 0, 0), HandOver, false},
+		"a decision to keep is never carried": {leaving, Replace, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) { assert.Equal(t, test.view.StillStands(test.decision, "p"), test.want) })
+	}
+}
+
 func TestHasQuorum(t *testing.T) {
 	can := Observation{Primary: "a"}
 	cannot := Observation{Primary: "a", Failing: true}
