--- a/internal/heartbeat/delegate.go
+++ b/internal/heartbeat/delegate.go
@@ -37,18 +37,6 @@
 	addresses []string
 }
 
-// hasDigests reports whether the fleet is so large that heartbeats go to the delegates of the
-// zones. f.mu must be held.
-func (f *Fleet) hasDigests() bool { return len(f.peers) >= maxMeshSize }
-
-// UsesDigests reports whether the fleet is so large that the VMs learn of each other from the
-// delegates of their zones.
-func (f *Fleet) UsesDigests() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.hasDigests()
-}
-
 // delegates returns the addresses of a zone's delegates. f.mu must be held.
 func (f *Fleet) delegates(zone string) []string {
 	now := clock.Now()
@@ -231,16 +219,21 @@
 }
 
 // zoneAddresses returns the addresses of the VMs that a heartbeat to the whole zone goes to: those
-// of this VM's zone and those whose zone isn't known, or all VMs in a fleet without digests. f.mu
-// must be held.
+// of this VM's zone and those whose zone isn't known, or all VMs in a fleet without digests, of which
+// unheardAddresses limits those that have never been heard. f.mu must be held.
 func (f *Fleet) zoneAddresses() []string {
-	var addresses []string
+	var addresses, unheard []string
+	hasDigests := f.hasDigests()
 	for _, p := range f.peers {
-		if !f.hasDigests() || p.message.Zone == f.Zone || p.message.Zone == "" {
+		switch {
+		case hasDigests && p.message.Zone != f.Zone && p.message.Zone != "":
+		case !hasDigests && p.lastSeen == 0:
+			unheard = append(unheard, p.address)
+		default:
 			addresses = append(addresses, p.address)
 		}
 	}
-	return addresses
+	return append(addresses, f.unheardAddresses(unheard)...)
 }
 
 // BroadcastToZone sends a payload to the VMs of this zone, if the fleet is so large that only
--- a/internal/heartbeat/heartbeat.go
+++ b/internal/heartbeat/heartbeat.go
@@ -21,6 +21,7 @@
 
 	"github.com/savoryramp/savoryramp/internal/clock"
 	"github.com/savoryramp/savoryramp/internal/event"
+	"github.com/savoryramp/savoryramp/pkg/failover"
 )
 
 const (
@@ -41,9 +42,9 @@
 	// In a larger fleet VMs send them to their zone's delegates, which exchange digests with the
 	// other zones and send views of the fleet to their own.
 	maxMeshSize = 24
-	// silentPeerTTL is how long after its last heartbeat a VM is still counted as a member when
-	// VMs are selected or a majority is computed. After that, it is forgotten.
-	silentPeerTTL = 15 * time.Second
+	// silentPeerTTL is how long after its last heartbeat, or after this VM's start, a VM is still counted as a
+	// member when VMs are selected or a majority is computed. After that, it is forgotten.
+	silentPeerTTL = failover.SilentTime
 	// directTTL is how long after its last heartbeat that arrived directly a VM is expected to send
 	// more of them. It is longer than digestLivenessTimeout.
 	directTTL = 5 * time.Second
@@ -92,6 +93,9 @@
 	incarnation   uint32
 	startedAt     clock.Instant
 	directoryRead bool
+	// toldFleet is true once a VM that knows the fleet has named all VMs that it counts. Only VMs of a fleet
+	// without digests do so.
+	toldFleet bool
 	// listedPeers is the number of other VMs in the directory when it was last read.
 	listedPeers int
 	// storeEra is the newest known era of the store that has the directory, registeredEra the one in
@@ -142,6 +146,8 @@
 	total map[string]float64
 	// delegatesByZone caches the choices of delegates.
 	delegatesByZone map[string]cachedDelegates
+	// largeFleet caches whether the fleet has digests.
+	largeFleet cachedSize
 	// selections caches the results of SelectVMs by purpose.
 	selections map[string]selection
 }
@@ -332,38 +338,6 @@
 	_, _ = f.Conn.WriteTo(text, net.UDPAddrFromAddrPort(address))
 }
 
-// expirePeers marks VMs as silent when their liveness timeout has passed since their last
-// heartbeat, and forgets them when silentPeerTTL has passed.
-func (f *Fleet) expirePeers() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := clock.Now()
-	for name, p := range f.peers {
-		if p.live && now.Sub(p.lastSeen) > f.peerLivenessTimeout(p, now) {
-			f.markSilent(name, p, now)
-		}
-		if now.Sub(max(p.lastSeen, p.addedAt)) > silentPeerTTL {
-			delete(f.peers, name)
-		}
-	}
-}
-
-// peerLivenessTimeout returns how long after its last heartbeat a VM counts as live. f.mu must be
-// held.
-func (f *Fleet) peerLivenessTimeout(p *peer, now clock.Instant) time.Duration {
-	if p.lastDirect != 0 && now.Sub(p.lastDirect) < directTTL {
-		return livenessTimeout
-	}
-	return digestLivenessTimeout
-}
-
-// markSilent records that a VM is silent. f.mu must be held.
-func (f *Fleet) markSilent(name VMName, p *peer, now clock.Instant) {
-	p.live, p.silentSince = false, now
-	f.membershipGeneration++
-	eventPeerChanged.Log(f.Logger, "peer", name, "silent", now.Sub(p.lastSeen), "outcome", "silent")
-}
-
 func (f *Fleet) receive(ctx context.Context) {
 	buffer := make([]byte, maxDatagramSize)
 	for ctx.Err() == nil {
@@ -420,7 +394,8 @@
 		f.recordDemand(message, now)
 	}
 	known := message.Known
-	message.View, message.Known = nil, nil
+	f.toldFleet = f.toldFleet || message.KnowsFleet
+	message.View, message.Known, message.KnowsFleet = nil, nil, false
 	f.update(p, message, now)
 	added := f.addPeers(known)
 	f.mu.Unlock()
@@ -454,6 +429,7 @@
 	own := f.composeOwn()
 	f.mu.Lock()
 	own.Known, own.Included = f.knownTo(m.Zone), m.Sequence
+	own.KnowsFleet = f.knowsFleet() && !f.hasDigests()
 	f.mu.Unlock()
 	f.send(own, []string{m.Address})
 	f.mu.Lock()
@@ -467,16 +443,19 @@
 	}
 }
 
-// knownTo returns the entries of the live VMs from which a VM of a zone learns of all others: of the
-// zone's delegates if there are any, else of all. f.mu must be held.
+// knownTo returns the entries of the VMs from which a VM of a zone learns of all others: of the zone's
+// delegates if there are any, else of all VMs that this one counts, since silent ones may be on the other side
+// of a cut. f.mu must be held.
 func (f *Fleet) knownTo(zone string) map[VMName]Entry {
 	known := map[VMName]Entry{}
 	var delegates []string
-	if f.hasDigests() {
+	hasDigests, now := f.hasDigests(), clock.Now()
+	if hasDigests {
 		delegates = f.delegates(zone)
 	}
+	observing := f.observingTime(now)
 	for name, p := range f.peers {
-		if p.live && !p.message.Leaving && (!f.hasDigests() || slices.Contains(delegates, p.address)) {
+		if !hasDigests && p.sighting(now).Counts(observing) || hasDigests && p.live && !p.message.Leaving && slices.Contains(delegates, p.address) {
 			known[name] = Entry{Address: p.address, Zone: p.message.Zone, LinkMbps: p.message.LinkMbps}
 		}
 	}
--- a/internal/heartbeat/message.go
+++ b/internal/heartbeat/message.go
@@ -57,6 +57,9 @@
 	// Known has VMs that the receiver may not know, apart from the sender. It is set in the first
 	// heartbeat to a VM.
 	Known map[VMName]Entry `json:"known,omitempty"`
+	// KnowsFleet is true if Known has all VMs that the sender counts, and the sender has read the directory or
+	// was told so itself.
+	KnowsFleet bool `json:"knows-fleet,omitempty"`
 	// View is set in the heartbeats of a zone's first delegate to the VMs of the zone.
 	View *View `json:"view,omitempty"`
 	// Included is the sequence number of the receiver's latest heartbeat that the sender has received.
--- a/internal/heartbeat/peer.go
+++ b/internal/heartbeat/peer.go
@@ -52,7 +52,7 @@
 	now := clock.Now()
 	list := make([]Peer, 0, len(f.peers))
 	for name, p := range f.peers {
-		list = append(list, p.export(name, now))
+		list = append(list, f.export(name, p, now))
 	}
 	slices.SortFunc(list, func(a, b Peer) int { return cmp.Compare(a.VM, b.VM) })
 	return list
@@ -67,7 +67,7 @@
 	var list []Peer
 	for name := range names {
 		if p := f.peers[name]; p != nil {
-			list = append(list, p.export(name, now))
+			list = append(list, f.export(name, p, now))
 		}
 	}
 	slices.SortFunc(list, func(a, b Peer) int { return cmp.Compare(a.VM, b.VM) })
@@ -83,16 +83,19 @@
 	now := clock.Now()
 	for name, p := range f.peers {
 		if p.live && p.message.ConfigurationVersion > version {
-			list = append(list, p.export(name, now))
+			list = append(list, f.export(name, p, now))
 		}
 	}
 	return list
 }
 
-func (p *peer) export(name VMName, now clock.Instant) Peer {
+// export returns a peer's state. A VM that was paused may not have marked the others as silent yet. f.mu must
+// be held.
+func (f *Fleet) export(name VMName, p *peer, now clock.Instant) Peer {
 	message := p.message
 	message.VM, message.Address = name, p.address
-	return Peer{Message: message, Silent: !p.live, Age: now.Sub(p.lastSeen)}
+	age := now.Sub(p.lastSeen)
+	return Peer{Message: message, Silent: !p.live || age > f.peerLivenessTimeout(p, now), Age: age}
 }
 
 // Size returns the number of live VMs that aren't leaving, including this one.
--- a/internal/heartbeat/selection.go
+++ b/internal/heartbeat/selection.go
@@ -29,8 +29,9 @@
 	names map[VMName]bool
 }
 
-// SelectVMs selects n VMs for a purpose by rendezvous hashing, among those that are live or
-// recently fell silent. It reports whether this VM is selected and returns the names of all
+// SelectVMs selects n VMs for a purpose by rendezvous hashing, among those that count (failover.Sighting):
+// that are live or recently fell silent, or that are listed and may be running although this VM hasn't heard
+// them yet since its start, its last pause or its last isolation. It reports whether this VM is selected and returns the names of all
 // selected VMs, which must not be modified.
 func (f *Fleet) SelectVMs(purpose string, n int) (bool, map[VMName]bool) {
 	f.mu.Lock()
@@ -67,9 +68,9 @@
 		best = best[:min(len(best), n)]
 	}
 	consider(f.VM)
-	starting := now.Sub(f.startedAt) < livenessTimeout
+	observing := f.observingTime(now)
 	for name, p := range f.peers {
-		if !p.message.Leaving && (p.lastSeen > 0 || starting) && now.Sub(max(p.lastSeen, p.addedAt)) < silentPeerTTL {
+		if p.sighting(now).Counts(observing) {
 			consider(name)
 		}
 	}
--- a/internal/proxy/endorse.go
+++ b/internal/proxy/endorse.go
@@ -62,7 +62,9 @@
 		for i := range peers {
 			peers[i].Silent = peers[i].Silent || peers[i].Age > observationTTL
 		}
-		check.hasQuorum = g.failoverView(peers, isVerifier).HasQuorum()
+		view := g.failoverView(peers, isVerifier)
+		view.FleetUnknown = !f.Fleet.KnowsFleet()
+		check.hasQuorum = view.HasQuorum()
 		if before, found := f.quorumChecks[service]; found && before.hasQuorum != check.hasQuorum {
 			eventQuorum.Log(g.Logger, "endorsed", check.hasQuorum)
 		}
--- a/internal/proxy/errors.go
+++ b/internal/proxy/errors.go
@@ -39,6 +39,10 @@
 	// ErrFenced means that a promotion was rejected, or wasn't ordered, because the fencing token is
 	// outdated or because the promotion can't be carried out.
 	ErrFenced = errs.NewType("fenced")
+	// ErrNotPromotable means that the servers' answers allow no promotion now.
+	ErrNotPromotable = errs.NewType("not-promotable")
+	// ErrAbandoned means that a decision on a primary no longer stands, so that it isn't carried out.
+	ErrAbandoned = errs.NewType("abandoned")
 	// ErrHistoryLost means that the store no longer keeps the requested changes.
 	ErrHistoryLost = errs.NewType("history")
 	// ErrMalformed means that a setting, row or message has an invalid form.
--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -31,6 +31,12 @@
 		"This VM orders the promotion of a server to primary, under the fencing token shown.")
 	eventPromotionEnded = event.Define(6015, "proxy-promotion", event.Warn,
 		"This VM's attempt at a failover has ended.")
+	eventPromotionRefused = event.Define(6040, "proxy-promotion-refused", event.Warn,
+		"This VM decided that a primary has to be replaced, but promotes no server now: too few of the listed ones answered, or their logs lack a newer term that is known.")
+	eventDecisionOutdated = event.Define(6041, "proxy-verdict-outdated", event.Info,
+		"This VM's decision to replace a primary no longer stood when it was to be carried out.")
+	eventFleetUnknown = event.Define(6042, "proxy-fleet-unknown", event.Warn,
+		"Whether this VM knows which VMs there are changed; while it doesn't, it takes no decision on a primary.")
 	eventPrimaryStopped = event.Define(6016, "proxy-primary-stopped", event.Info,
 		"A leaving primary was demoted and takes no more writes; the event shows the end of its log.")
 	eventRelayFailed = event.Define(6017, "proxy-relay", event.Warn,
--- a/internal/proxy/failover.go
+++ b/internal/proxy/failover.go
@@ -21,9 +21,11 @@
 // Promoter promotes servers to primary.
 type Promoter interface {
 	// AcquireToken makes this VM the one that may promote servers of a group, unless it already
-	// is. It may have to wait until another VM's orders can't arrive any more. After an error the VM
-	// must not promote: another VM may hold that right.
-	AcquireToken(ctx context.Context, service ServiceName) (Token, error)
+	// is, and announces the term that it is about to create to those that will be so after it. It returns
+	// its token and the newest term that was announced before, by this or any other VM, or 0 if none was. It
+	// may have to wait until another VM's orders can't arrive any more. After an error the VM must not
+	// promote: another VM may hold that right.
+	AcquireToken(ctx context.Context, service ServiceName, term position.Term) (t Token, announced position.Term, err error)
 	// DiscardToken makes the next AcquireToken request a new token. It is called after
 	// Promote returned ErrFenced.
 	DiscardToken(service ServiceName)
@@ -49,8 +51,10 @@
 	// statusPollInterval is the pause between two queries while waiting for a server to change
 	// its state.
 	statusPollInterval = 20 * time.Millisecond
-	// failoverBackoff is the minimum time between two attempts of this VM in the same group.
+	// failoverBackoff is the minimum time between two attempts of this VM in the same group, and
+	// answersBackoff the same after an attempt in which the servers' answers allowed no promotion.
 	failoverBackoff = 1500 * time.Millisecond
+	answersBackoff  = 500 * time.Millisecond
 	// unknownPrimaryTimeout is how long a VM may know no primary of a group before it reports a
 	// failure. A starting VM needs that long to find the primary.
 	unknownPrimaryTimeout = 1200 * time.Millisecond
@@ -70,6 +74,9 @@
 	// pending has the latest decision on each group.
 	pending  map[ServiceName]pendingDecision
 	attempts sync.WaitGroup
+	// fleetUnknown is true if this VM didn't know which VMs there are when it last evaluated the groups. It is
+	// only used by Run.
+	fleetUnknown bool
 
 	quorumMu     sync.Mutex
 	quorumChecks map[ServiceName]quorumCheck
@@ -83,9 +90,14 @@
 	primary ServerID
 	since   time.Time
 	// running is true while this VM carries out the decision; lastAttempt is when it last
-	// started or finished doing so.
+	// started or finished doing so, and backoff how long it then waits.
 	running     bool
 	lastAttempt time.Time
+	backoff     time.Duration
+	// firstAttempt is when it first did so since the decision last changed, zero if it hasn't.
+	firstAttempt time.Time
+	// evaluatedAt is when the group was last evaluated.
+	evaluatedAt clock.Instant
 }
 
 // Run evaluates all groups periodically until ctx ends.
@@ -100,213 +112,161 @@
 			return nil
 		case <-tick.C:
 		}
+		if unknown := !f.Fleet.KnowsFleet(); unknown != f.fleetUnknown {
+			f.fleetUnknown = unknown
+			eventFleetUnknown.Log(f.Logger, "unknown", unknown, "vms", f.Fleet.Size())
+		}
 		for _, g := range f.VM.Groups() {
 			f.evaluate(ctx, g)
 		}
 	}
 }
 
+// view returns what this VM's decision on a group depends on, and whether this VM is one of its verifiers.
+// evaluatedAt is when the group was last evaluated.
+func (f *Failover) view(g *Group, evaluatedAt clock.Instant) (failover.View, bool) {
+	// All calls and all VMs must use the same string, so that they select the same verifiers.
+	isVerifier, verifiers := f.Fleet.SelectVMs("prove/"+string(g.Name), MaxVerifiers)
+	view := g.failoverView(f.Fleet.PeersNamed(verifiers), isVerifier)
+	view.FenceDelay, view.FleetUnknown = f.fenceDelay(), !f.Fleet.KnowsFleet()
+	if evaluatedAt != 0 {
+		view.Unwatched = clock.Since(evaluatedAt)
+	}
+	return view, isVerifier
+}
+
 // evaluate makes a decision on the group's primary, if this VM is one of its verifiers, and
 // carries the decision out when this VM's turn has come.
 func (f *Failover) evaluate(ctx context.Context, g *Group) {
-	// All calls and all VMs must use the same string, so that they select the same verifiers.
-	isVerifier, verifiers := f.Fleet.SelectVMs("prove/"+string(g.Name), MaxVerifiers)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	pending := f.pending[g.Name]
+	view, isVerifier := f.view(g, pending.evaluatedAt)
 	if !isVerifier {
 		return
 	}
-	view := g.failoverView(f.Fleet.PeersNamed(verifiers), isVerifier)
-	view.FenceDelay = f.fenceDelay()
 	decision, wait := view.Decide(), view.ActionDelay()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	pending := f.pending[g.Name]
-	if pending.decision != decision || pending.primary != ServerID(view.OwnObservation.Primary) {
-		pending = pendingDecision{decision: decision, primary: ServerID(view.OwnObservation.Primary), since: time.Now(), running: pending.running, lastAttempt: pending.lastAttempt}
+	if view.WasPaused() || pending.decision != decision || pending.primary != ServerID(view.OwnObservation.Primary) {
+		pending = pendingDecision{decision: decision, primary: ServerID(view.OwnObservation.Primary), since: time.Now(), running: pending.running, lastAttempt: pending.lastAttempt, backoff: pending.backoff}
 		if decision != failover.Keep {
 			eventDecision.Log(g.Logger, "verdict", decision, "server", pending.primary, "others", len(view.Others), "wait", wait)
 		}
 	}
-	due := decision != failover.Keep && !pending.running && time.Since(pending.since) >= wait && time.Since(pending.lastAttempt) > failoverBackoff && f.Fleet.Settled()
+	pending.evaluatedAt = clock.Now()
+	due := decision != failover.Keep && !pending.running && time.Since(pending.since) >= wait && time.Since(pending.lastAttempt) > pending.backoff && f.Fleet.Settled()
 	if due {
 		pending.running, pending.lastAttempt = true, time.Now()
-		f.attempts.Go(func() { f.runFailover(ctx, g, decision) })
+		if pending.firstAttempt.IsZero() {
+			pending.firstAttempt = time.Now()
+		}
+		a := f.newAttempt(g, decision, pending)
+		f.attempts.Go(func() { f.runFailover(ctx, a) })
 	}
 	f.pending[g.Name] = pending
 }
 
+// newAttempt returns an attempt to carry out a pending decision.
+func (f *Failover) newAttempt(g *Group, decision failover.Decision, pending pendingDecision) attempt {
+	oldPrimary, _ := g.currentPrimary()
+	return attempt{group: g, decision: decision, oldPrimary: oldPrimary, first: pending.firstAttempt, stands: func() bool {
+		f.mu.Lock()
+		evaluatedAt := f.pending[g.Name].evaluatedAt
+		f.mu.Unlock()
+		view, isVerifier := f.view(g, evaluatedAt)
+		return isVerifier && view.StillStands(decision, string(pending.primary))
+	}}
+}
+
 // runFailover carries out a decision and logs the outcome.
-func (f *Failover) runFailover(ctx context.Context, g *Group, decision failover.Decision) {
+func (f *Failover) runFailover(ctx context.Context, a attempt) {
 	ctx, cancel := context.WithTimeout(ctx, failoverTimeout)
 	defer cancel()
 	began := time.Now()
-	oldPrimary, _ := g.currentPrimary()
-	err := f.replacePrimary(ctx, g, decision, oldPrimary)
-	outcome := "done"
+	err := f.replacePrimary(ctx, a)
+	outcome, backoff := "done", failoverBackoff
 	if err != nil {
 		outcome = "failed"
 	}
-	eventPromotionEnded.Log(g.Logger, "verdict", decision, "took", time.Since(began), "outcome", outcome, "err", err)
+	if isType(err, ErrNotPromotable) {
+		backoff = answersBackoff
+	}
+	g := a.group
+	eventPromotionEnded.Log(g.Logger, "verdict", a.decision, "took", time.Since(began), "outcome", outcome, "err", err)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	pending := f.pending[g.Name]
-	pending.running, pending.lastAttempt = false, time.Now()
+	pending.running, pending.lastAttempt, pending.backoff = false, time.Now(), backoff
 	f.pending[g.Name] = pending
 }
 
 // replacePrimary promotes the best replica, unless another VM has already promoted a server. For
-// a hand-over it first stops the old primary. oldPrimary is nil if no primary is known.
-func (f *Failover) replacePrimary(ctx context.Context, g *Group, decision failover.Decision, oldPrimary *member) error {
-	token, err := f.Promoter.AcquireToken(ctx, g.Name)
+// a hand-over it first stops the old primary.
+func (f *Failover) replacePrimary(ctx context.Context, a attempt) error {
+	g := a.group
+	chosen, e, err := f.chooseServer(ctx, a, 0)
+	if err != nil || chosen.Server == "" {
+		return err
+	}
+	askedAt := clock.Now()
+	token, announced, err := f.Promoter.AcquireToken(ctx, g.Name, g.newestTerm()+1)
 	if err != nil {
 		return err
 	}
 	// The token may have been awaited.
-	if primary, _ := g.currentPrimary(); primary != nil && primary != oldPrimary {
+	if a.isSuperseded() {
 		return nil
 	}
-	statuses := g.queryStatuses(ctx, oldPrimary)
-	if g.adoptNewerPrimary(statuses) {
-		return nil
+	if !a.stands() {
+		return a.outdated("after the token was acquired")
 	}
-	chosen, found := failover.PickReplica(failoverReplicas(statuses), g.countReplicas(oldPrimary), g.syncReplicas())
-	if !found {
-		return ErrNoServer.New("service %s: %d replicas answered, too few to promote one", g.Name, len(statuses))
+	if !e.HoldsAfter(clock.Since(askedAt), chosen, int64(max(announced, g.newestTerm()))) {
+		chosen, e, err = f.chooseServer(ctx, a, announced)
+		if err != nil || chosen.Server == "" {
+			return err
+		}
 	}
-	if decision == failover.HandOver {
+	id := ServerID(chosen.Server)
+	if a.decision == failover.HandOver {
 		if chosen.Leaving {
 			return ErrNoServer.New("service %s: every replica is leaving", g.Name)
 		}
-		if err := f.stopPrimary(ctx, g, oldPrimary, ServerID(chosen.Server), token); err != nil {
+		if err := f.stopPrimary(ctx, a, id, token); err != nil {
 			return err
 		}
 	}
-	eventPromote.Log(g.Logger, "server", chosen.Server, "token", token, "received", chosen.Received, "heard", len(statuses))
-	err = f.promote(ctx, g, ServerID(chosen.Server), token)
+	switch {
+	case a.isSuperseded():
+		return nil
+	// A hand-over has stopped the primary itself, so that only another primary can stand against it.
+	case a.decision != failover.HandOver && !a.stands(), g.newestTerm() > position.Term(max(e.NewestTerm, chosen.Received.Term)):
+		return a.outdated("before the order")
+	}
+	eventPromote.Log(g.Logger, "server", id, "token", token, "received", chosen.Received, "heard", len(e.Answered), "listed", e.Listed, "newest-term", e.NewestTerm)
+	err = f.promote(ctx, g, id, token)
 	if err != nil && !isType(err, ErrOutcomeUnknown) {
 		return err
 	}
-	return g.awaitPromoted(ctx, ServerID(chosen.Server))
+	return g.awaitPromoted(ctx, id)
 }
 
-// promote orders a promotion. It gives up the token if that is outdated.
+// promote orders a promotion. It gives up the token if that is outdated. Otherwise the order may have created
+// a term, even if its answer was lost.
 func (f *Failover) promote(ctx context.Context, g *Group, id ServerID, token Token) error {
+	term := g.newestTerm() + 1
 	err := f.Promoter.Promote(ctx, g.Name, id, token)
 	if isType(err, ErrFenced) {
 		f.Promoter.DiscardToken(g.Name)
 	}
-	return err
-}
-
-// replicaStatus is a replica's answer to a status query during a failover.
-type replicaStatus struct {
-	id ServerID
-	// leaving is true if the platform lists the server as shutting down.
-	leaving bool
-	status  ServerStatus
-}
-
-// failoverReplicas converts statuses to the type that failover.PickReplica takes.
-func failoverReplicas(statuses []replicaStatus) []failover.Replica {
-	var list []failover.Replica
-	for _, replica := range statuses {
-		list = append(list, failover.Replica{
-			Server: string(replica.id), Leaving: replica.leaving,
-			Received: failover.LogEnd{Term: int64(replica.status.Received.Term), Offset: int64(replica.status.Received.Offset)},
-		})
-	}
-	return list
-}
-
-// queryStatuses queries the status of all members except one, concurrently, and returns those
-// that answered.
-func (g *Group) queryStatuses(ctx context.Context, exclude *member) []replicaStatus {
-	var mu sync.Mutex
-	var statuses []replicaStatus
-	var tasks sync.WaitGroup
-	for _, m := range g.sortedMembers() {
-		if m == exclude {
-			continue
-		}
-		tasks.Go(func() {
-			s, err := g.runStatusCommand(ctx, m, QueryStatus{})
-			if err != nil {
-				eventRetry.Log(g.Logger, "server", m.pool.Server.ID, "err", err)
-				return
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			statuses = append(statuses, replicaStatus{m.pool.Server.ID, g.isLeaving(m), s})
-		})
-	}
-	tasks.Wait()
-	return statuses
-}
-
-func (g *Group) isLeaving(m *member) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return m.server.Leaving
-}
-
-// runStatusCommand runs a command that is answered with a status. It retries while the server
-// is busy or refuses connections, up to statusTimeout.
-func (g *Group) runStatusCommand(ctx context.Context, m *member, c Command) (ServerStatus, error) {
-	deadline := time.Now().Add(statusTimeout)
-	for {
-		conn, err := m.pool.AcquireAny(ctx, deadline)
-		if err == nil {
-			co := g.newCheckout(localExecutor{conn}, conn.Server, true)
-			a, runErr := co.run(nil, c, deadline)
-			co.release(runErr == nil && a.Phase == Idle)
-			if runErr == nil && a.Succeeded() {
-				return conn.Link.DecodeStatus(a)
-			}
-			err = runErr
-			if err == nil {
-				err = ErrBusy.New("server %s: %s %s", conn.Server, a.Failure, a.Detail)
-			}
-		}
-		if time.Until(deadline) < statusPollInterval || !isType(err, ErrBusy) && !isType(err, ErrRefused) {
-			return ServerStatus{}, err
-		}
-		clock.Sleep(ctx, statusPollInterval)
-	}
-}
-
-// countReplicas returns the number of members other than the primary.
-func (g *Group) countReplicas(primary *member) int {
-	n := len(g.sortedMembers())
-	if primary != nil {
-		n--
+	if err == nil || isType(err, ErrOutcomeUnknown) {
+		g.noteTerm(term)
 	}
-	return n
-}
-
-func (g *Group) syncReplicas() int {
-	if c := g.VM.Configuration(); c != nil && c.Services[g.Name] != nil {
-		return c.Services[g.Name].SyncReplicas
-	}
-	return 0
-}
-
-// adoptNewerPrimary sets the primary to a server that reports a newer term than the known one,
-// and reports whether there was one. In that case another VM has already completed the
-// failover.
-func (g *Group) adoptNewerPrimary(statuses []replicaStatus) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, replica := range statuses {
-		if replica.status.Primary && replica.status.Term > g.term {
-			g.setPrimary(replica.id, replica.status.Term, "reports that it is the primary")
-			return true
-		}
-	}
-	return false
+	return err
 }
 
 // stopPrimary demotes a primary and waits until a replica has received everything that it
 // acknowledged. If the replica doesn't receive it in time, the old primary is promoted again.
-func (f *Failover) stopPrimary(ctx context.Context, g *Group, primary *member, successor ServerID, token Token) error {
+func (f *Failover) stopPrimary(ctx context.Context, a attempt, successor ServerID, token Token) error {
+	g, primary := a.group, a.oldPrimary
 	g.mu.Lock()
 	target := g.members[successor]
 	g.mu.Unlock()
--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -28,6 +28,12 @@
 	primary ServerID
 	// term is the newest term of which this VM knows a primary; it never decreases.
 	term position.Term
+	// reportedTerm is the newest term that a VM or a server has told or that this VM may have created. Unlike
+	// term, it may be one of which no primary is known.
+	reportedTerm position.Term
+	// lastRefusal is why this VM last didn't promote a server although it had decided to, empty if that never
+	// happened.
+	lastRefusal string
 	// primaryChanged is closed and replaced when primary changes.
 	primaryChanged chan struct{}
 	// health is the primary's health as observed by this VM.
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -12,6 +12,8 @@
 type instruments struct {
 	answers metric.Int64Counter
 	latency metric.Float64Histogram
+	// refusals counts attempts at a promotion that were given up.
+	refusals metric.Int64Counter
 }
 
 // latencyBounds, in seconds, are densest around the latency objectives and timeouts of the
@@ -30,10 +32,20 @@
 	if err != nil {
 		return ErrMalformed.Wrap(err, "instrument")
 	}
-	v.metrics = instruments{answers, latency}
+	refusals, err := m.Int64Counter("savoryramp.vm.promotions.refused", metric.WithDescription("Promotions that this VM didn't order although it had decided to replace a primary, by service and reason."))
+	if err != nil {
+		return ErrMalformed.Wrap(err, "instrument")
+	}
+	v.metrics = instruments{answers, latency, refusals}
 	return nil
 }
 
+func (i instruments) recordRefusal(service ServiceName, reason string) {
+	if i.refusals != nil {
+		i.refusals.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", string(service)), attribute.String("reason", reason)))
+	}
+}
+
 func (i instruments) recordAnswer(r *Route, a Answer, took time.Duration) {
 	if i.answers == nil {
 		return
--- a/internal/proxy/observation.go
+++ b/internal/proxy/observation.go
@@ -34,7 +34,7 @@
 		// A verifier that reports nothing about the group regards the same primary as usable.
 		o := failover.Observation{VM: string(p.VM), Silent: p.Silent, Primary: own.Server}
 		if reported, found := p.Observations[string(g.Name)]; found {
-			o.Primary, o.Failing = reported.Server, reported.Failing
+			o.Primary, o.Failing, o.NoPrimary = reported.Server, reported.Failing, reported.Server == ""
 		}
 		v.Others = append(v.Others, o)
 	}
@@ -63,6 +63,7 @@
 		if g == nil {
 			continue
 		}
+		g.noteTerm(position.Term(observation.Term))
 		g.mu.Lock()
 		if observation.Failing || observation.Server == "" {
 			// A VM that has given up the primary without knowing a new one counts as well.
--- a/internal/proxy/state.go
+++ b/internal/proxy/state.go
@@ -25,6 +25,10 @@
 	Service ServiceName `json:"service"`
 	Primary ServerID    `json:"lead"`
 	Term    int64       `json:"term"`
+	// NewestTerm is the newest term that a VM or a server has told. PromotionRefused is why this VM last
+	// didn't promote a server although it had decided to, empty if that never happened.
+	NewestTerm       int64  `json:"newest-term"`
+	PromotionRefused string `json:"promotion-refused,omitempty"`
 	// Failing is true while this VM regards the primary as failed.
 	Failing bool `json:"failing"`
 	// VerifiedMs is how long ago, in milliseconds, the latest command was sent that a server
@@ -81,6 +85,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s.Primary, s.Term, s.Failing = g.primary, int64(g.term), g.health.hasFailed()
+	s.NewestTerm, s.PromotionRefused = int64(max(g.term, g.reportedTerm)), g.lastRefusal
 	for _, m := range members {
 		server := ServerState{
 			Server: m.server.ID, Address: m.server.Address, Zone: m.server.Zone, Leaving: m.server.Leaving,
--- a/pkg/failover/election.go
+++ b/pkg/failover/election.go
@@ -7,6 +7,9 @@
 // that is gone from its list within that time.
 const AnswerTime = 4 * time.Second
 
+// maxAnswerAge is how old the servers' answers may be when a promotion is ordered.
+const maxAnswerAge = 500 * time.Millisecond
+
 // Election is what one VM knows when it chooses the server to promote.
 type Election struct {
 	// Listed is the number of servers that the platform lists, including the old primary. Replicas is the
@@ -72,3 +75,9 @@
 	_, refused := e.Choose()
 	return refused == ""
 }
+
+// HoldsAfter reports whether the choice of a server still holds some time after the servers were asked, when
+// a newest term is known. Otherwise they have to be asked again.
+func (e Election) HoldsAfter(age time.Duration, chosen Replica, newestTerm int64) bool {
+	return age <= maxAnswerAge && (newestTerm <= e.NewestTerm || newestTerm <= chosen.Received.Term)
+}
--- a/pkg/failover/failover.go
+++ b/pkg/failover/failover.go
@@ -66,7 +66,7 @@
 
 // Decide returns the decision that follows from the view.
 func (v View) Decide() Decision {
-	if v.FleetUnknown {
+	if v.FleetUnknown || v.WasPaused() {
 		return Keep
 	}
 	if v.OwnObservation.Failing && 2*len(v.failingVMs()) > len(v.Others)+1 {
@@ -89,7 +89,7 @@
 // earlier. That primary may have become unknown meanwhile, since a server that restarts refuses to act as
 // one, but no other may have become known.
 func (v View) StillStands(decision Decision, primary string) bool {
-	if v.WasPaused() || v.OwnObservation.Primary != "" && v.OwnObservation.Primary != primary {
+	if v.OwnObservation.Primary != "" && v.OwnObservation.Primary != primary {
 		return false
 	}
 	if decision == Replace {
--- a/pkg/failover/model_test.go
+++ b/pkg/failover/model_test.go
@@ -51,7 +51,10 @@
 	// downUntil is when the server runs again, slowUntil when it answers at once again, cutUntil when the
 	// platform and everything else reach it again.
 	downSince, downUntil, slowUntil time.Duration
-	end                             LogEnd
+	// end is the end of the log, in the term of which the server is since termSince.
+	end       LogEnd
+	term      int64
+	termSince time.Duration
 }
 
 // modelVM is a VM of the model. Its times are of the model's clock.
@@ -295,6 +298,7 @@
 
 // replicate lets the primary commit if a VM uses it, and the others receive its log unless it is slow.
 func (m *model) replicate() {
+	defer m.trackTerms()
 	p := m.server(m.primary)
 	if !m.isUp(p) {
 		return
@@ -312,6 +316,15 @@
 	}
 }
 
+// trackTerms records since when the servers' logs end in their terms, for the checks.
+func (m *model) trackTerms() {
+	for _, s := range m.servers {
+		if s.end.Term != s.term {
+			s.term, s.termSince = s.end.Term, m.now
+		}
+	}
+}
+
 // trackReach records which VMs and servers reach each other, for the checks.
 func (m *model) trackReach() {
 	for _, v := range m.vms {
