--- a/internal/heartbeat/membership_test.go
+++ b/internal/heartbeat/membership_test.go
@@ -87,7 +87,9 @@
 			runFleet(t, 8, func(fleet *testFleet) {
 				fleet.wait(4 * time.Second)
 				f := test(t, fleet)
-				for fleet.wait(100 * time.Millisecond); f.Size() < 2; fleet.wait(100 * time.Millisecond) {
+				fleet.wait(100 * time.Millisecond)
+				for f.Size() < 2 {
+					fleet.wait(100 * time.Millisecond)
 				}
 				for began := time.Now(); time.Since(began) < 12*time.Second; fleet.wait(100 * time.Millisecond) {
 					assert.Assert(t, selected(f) >= 8, "%d VMs count after %s", selected(f), time.Since(began))
