--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -18,6 +18,8 @@
 	waits, forecastErrors metric.Float64Histogram
 	// connections counts those that were opened to servers.
 	connections metric.Int64Counter
+	// promotionRefusals counts attempts at a promotion that were given up.
+	promotionRefusals metric.Int64Counter
 }
 
 // latencyBounds, in seconds, are densest around the latency objectives and timeouts of the
@@ -57,10 +59,14 @@
 	if err != nil {
 		return ErrMalformed.Wrap(err, "instrument")
 	}
+	promotionRefusals, err := m.Int64Counter("savoryramp.vm.promotions.refused", metric.WithDescription("Promotions that this VM didn't order although it had decided to replace a primary, by service and reason."))
+	if err != nil {
+		return ErrMalformed.Wrap(err, "instrument")
+	}
 	if err := v.registerQueueLength(m); err != nil {
 		return err
 	}
-	v.metrics = instruments{answers, latency, refusals, waits, forecastErrors, connections}
+	v.metrics = instruments{answers, latency, refusals, waits, forecastErrors, connections, promotionRefusals}
 	return v.registerEvacuationMetrics(m)
 }
 
@@ -92,6 +98,13 @@
 	}
 }
 
+// recordPromotionRefusal counts a promotion that was given up.
+func (i instruments) recordPromotionRefusal(service ServiceName, reason string) {
+	if i.promotionRefusals != nil {
+		i.promotionRefusals.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", string(service)), attribute.String("reason", reason)))
+	}
+}
+
 func (i instruments) recordAnswer(r *Route, a Answer, took time.Duration) {
 	if i.answers == nil {
 		return
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -187,20 +187,6 @@
 	return time.Duration(evacuationStaggerPart * float64(wait))
 }
 
-// unaskedReplicas returns how many replicas needn't answer before a hand-over because their zones are
-// being evacuated: the successor gets the whole log of the old primary before it is promoted.
-func (g *Group) unaskedReplicas(decision failover.Decision) int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	n := 0
-	for id, m := range g.members {
-		if decision == failover.HandOver && id != g.primary && g.isEvacuated(m) {
-			n++
-		}
-	}
-	return n
-}
-
 // evacuationRefusal returns an answer for a request that can't be served because of an evacuation,
 // and false if it may be served. lead is true for a request that needs the primary.
 func (g *Group) evacuationRefusal(lead bool) (Answer, bool) {
