relay: choose one owner in the fleet when a server's zone has no VM

With one owner a server, each VM took itself for it while the zone had no VM that can be used, and all of them together would exceed the server's limit. The first in rank of the fleet owns the connections then. Also makes the test of returning callers fail when they lose their place: it passed without it.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -227,14 +227,15 @@
 func (r *Relay) selectOwners(s proxy.Server, connections int, now time.Time) *serverOwners {
 	var list []candidate
 	if r.VM.Zone == s.Zone {
-		list = append(list, candidate{name: string(r.VM.Name), capacity: r.Capacity})
+		list = append(list, r.ownCandidate())
 	}
-	for _, p := range r.peersByZone[s.Zone] {
-		state := r.peers[proxy.Address(p.Address)]
-		if p.Silent || p.Leaving || p.RelayVersion != Version || state != nil && now.Before(state.avoidUntil) {
-			continue
+	list = r.appendUsable(list, r.peersByZone[s.Zone], now)
+	if len(list) == 0 && r.VM.PriorityScheduling {
+		// All VMs would take themselves for the only owner.
+		list = append(list, r.ownCandidate())
+		for _, peers := range r.peersByZone {
+			list = r.appendUsable(list, peers, now)
 		}
-		list = append(list, candidate{name: string(p.VM), address: proxy.Address(p.Address), capacity: p.Capacity})
 	}
 	for i := range list {
 		list[i].score = score(string(s.ID), list[i].name, list[i].capacity)
@@ -253,6 +254,22 @@
 	}
 }
 
+func (r *Relay) ownCandidate() candidate {
+	return candidate{name: string(r.VM.Name), capacity: r.Capacity}
+}
+
+// appendUsable appends the VMs that may own connections. r.mu must be held.
+func (r *Relay) appendUsable(list []candidate, peers []heartbeat.Peer, now time.Time) []candidate {
+	for _, p := range peers {
+		state := r.peers[proxy.Address(p.Address)]
+		if p.Silent || p.Leaving || p.RelayVersion != Version || state != nil && now.Before(state.avoidUntil) {
+			continue
+		}
+		list = append(list, candidate{name: string(p.VM), address: proxy.Address(p.Address), capacity: p.Capacity})
+	}
+	return list
+}
+
 // choose returns the address of the VM that owns a workspace's connections, empty for this VM.
 func (o *serverOwners) choose(id proxy.ServerID, w proxy.WorkspaceName) proxy.Address {
 	var best proxy.Address
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -337,3 +337,29 @@
 	r.stateOf(first).avoidUntil = time.Time{}
 	assert.Equal(t, ownerOfAll(), first)
 }
+
+// While a server's zone has no VM, one VM of the other zones owns its connections, not each of them,
+// which would exceed the server's limit.
+func TestOneOwnerWithoutVMInZone(t *testing.T) {
+	const vms = 10
+	owners := map[proxy.Address]bool{}
+	for own := range vms {
+		address := func(i int) proxy.Address { return proxy.Address("vm-" + strconv.Itoa(i) + ":1") }
+		r := &Relay{VM: &proxy.VM{Name: proxy.VMName("vm-" + strconv.Itoa(own)), Zone: "other", PriorityScheduling: true}, Capacity: 1, Fleet: &heartbeat.Fleet{}}
+		server := proxy.Server{ID: "i-1", Zone: "z"}
+		r.OwnsAny(server, 56)
+		for i := range vms {
+			if i != own {
+				message := heartbeat.Message{VM: heartbeat.VMName("vm-" + strconv.Itoa(i)), Address: string(address(i)), Capacity: 1, RelayVersion: Version}
+				r.peersByZone["other"] = append(r.peersByZone["other"], heartbeat.Peer{Message: message})
+			}
+		}
+		r.owners = map[proxy.ServerID]*serverOwners{}
+		owner, local := r.Owner(server, "tenant", 56)
+		if local {
+			owner = address(own)
+		}
+		owners[owner] = true
+	}
+	assert.Equal(t, len(owners), 1, "%v", owners)
+}
--- a/pkg/schedule/queue_test.go
+++ b/pkg/schedule/queue_test.go
@@ -108,7 +108,7 @@
 		_, accepted := q.Enqueue(10*time.Millisecond, &newer[n], Request{Workspace: "w", Deadline: time.Second})
 		assert.Assert(t, accepted)
 	}
-	r.Deadline, r.FirstDeadline = 60*time.Millisecond, refused.Deadline
+	r.Deadline, r.FirstDeadline = 2*time.Second, refused.Deadline
 	var returned Item
 	_, accepted := q.Enqueue(10*time.Millisecond, &returned, r)
 	assert.Assert(t, accepted)
