proxy: give the owner its connections after a restart of all VMs

A simulated restart of all VMs (TestRestartOfAllVMs), with the servers still holding the old connections, served urgent callers only after 4.2 s: verifiers took nine of the eleven free connections, and requests that could get no connection held their place, or a connection without one.

Verifiers now use the owner's connections for the first 3 s after their start (a primary that fails together with all VMs is noticed that much later), and two connections are set aside for other VMs: an owner has 38 of 56, 7 in its first 3 s. A request whose turn comes while no connection can be had, because transactions hold all or the server has just refused one, gives its place back and returns to the head of its line when one is released.

--- a/internal/proxy/maintenance.go
+++ b/internal/proxy/maintenance.go
@@ -127,7 +127,10 @@
 		return g.checkOut(ctx, m, demand{workspace: anonymousWorkspace, verification: true, Urgency: Urgency{Deadline: until}}, until)
 	}
 	if open, _, _, _ := m.pool.counts(); open == 0 && !g.VM.mayOpenToVerify(m.pool.Server.ID) {
-		return nil, ErrBusy.New("server %s: the VMs' connections are opened one after the other", m.pool.Server.ID)
+		if !g.VM.Fleet.Settled() {
+			return nil, ErrBusy.New("server %s: the owner of its connections isn't known yet", m.pool.Server.ID)
+		}
+		return g.checkOut(ctx, m, demand{workspace: anonymousWorkspace, verification: true, Urgency: Urgency{Deadline: until}}, until)
 	}
 	c, err := m.pool.AcquireAny(ctx, until)
 	if err != nil {
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -18,9 +18,9 @@
 	// serverKeepTime has the rest of what owners may have, so that the new owner's connections fit
 	// in beside those that the server still keeps for the old one.
 	newOwnerSpare = 3
-	// keptVerifierFraction of the verifiers' connections are expected to be kept by the server when
-	// all VMs restart. Verifiers that are refused then try again; their number isn't critical.
-	keptVerifierFraction = 0.5
+	// spareConnections of a server's limit are set aside for VMs that can't reach the owner, and for
+	// connections that the server hasn't noticed to be closed.
+	spareConnections = 2
 	// maxReservedFraction is how much of a server's limit is set aside for verifiers at most.
 	maxReservedFraction = 0.5
 )
@@ -70,12 +70,10 @@
 }
 
 // ownerShare returns how many connections to a server the owner of all of them may have. Of the
-// server's limit, one for each verifier is set aside, and some that the server may still keep for
-// verifiers from before a restart.
+// server's limit, one for each verifier is set aside: those that the server keeps from before a
+// restart have ended when verifiers open new ones (see mayOpenToVerify).
 func ownerShare(limit, vms, slots int, established bool) int {
-	verifiers := min(vms, MaxVerifiers)
-	reserved := min(verifiers+int(keptVerifierFraction*float64(verifiers)), int(maxReservedFraction*float64(limit)))
-	total := limit - reserved
+	total := limit - min(min(vms, MaxVerifiers)+spareConnections, int(maxReservedFraction*float64(limit)))
 	fresh := max(min(slots+newOwnerSpare, total/2), minConnections)
 	if !established {
 		return fresh
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -60,6 +60,9 @@
 	// open counts all connections: idle, in use and being opened. opening counts only the
 	// last.
 	open, opening int
+	// blocked has the requests that wait until a connection may be had, the most urgent first, if
+	// the pool has a Queue.
+	blocked []*blockedRequest
 	// waiting counts the waiters of all workspaces.
 	waiting int
 	// averageHandshake is the average time to open a connection.
@@ -231,6 +234,7 @@
 func (p *Pool) recheckWaiters() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.unblock()
 	p.openForWaiters()
 }
 
@@ -246,6 +250,7 @@
 func (p *Pool) uncount(wp *workspacePool) {
 	p.open--
 	wp.open--
+	p.unblock()
 }
 
 // dial opens a connection for a workspace, which is already counted as open.
@@ -308,6 +313,7 @@
 	}
 	c.idleSince = time.Now()
 	wp.idle = append(wp.idle, c)
+	p.unblock()
 }
 
 // Release returns a connection to the pool, or closes it if keep is false, if the pool is
@@ -342,6 +348,7 @@
 			delete(p.workspacePools, name)
 		}
 	}
+	p.unblock()
 	if p.Queue != nil {
 		p.Queue.trim()
 		// The time as owner of the connections counts from the first call.
@@ -376,6 +383,10 @@
 	if p.cancelDials != nil {
 		p.cancelDials()
 	}
+	for _, b := range p.blocked {
+		close(b.ready)
+	}
+	p.blocked = nil
 	p.closeIdle()
 	for _, wp := range p.workspacePools {
 		for _, wt := range wp.waiters {
--- a/internal/proxy/scheduled.go
+++ b/internal/proxy/scheduled.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
@@ -23,31 +24,88 @@
 			return c, nil
 		}
 	}
-	place, err := p.Queue.enter(ctx, d, false, until)
-	if err != nil {
-		return nil, err
-	}
-	if !p.canProvide(d.workspace.Name) {
-		// All connections are held by transactions, whose statements need the place.
-		place.leave(false)
-		c, err := p.acquire(ctx, d.workspace, d.rank(), until)
+	for {
+		place, err := p.Queue.enter(ctx, d, false, until)
 		if err != nil {
+			p.wakeBlocked()
 			return nil, err
 		}
-		if place, err = p.Queue.enter(ctx, d, false, until); err != nil {
-			p.Release(c, true, 0)
+		if b := p.blockUnlessProvided(d); b != nil {
+			// All connections are held by transactions, whose statements need the place, or the
+			// server has just refused one. The request comes back to its place in the order.
+			place.leave(false)
+			if err := p.awaitUnblocked(ctx, b, until); err != nil {
+				return nil, err
+			}
+			if d.FirstDeadline.IsZero() {
+				d.FirstDeadline = d.Deadline
+			}
+			continue
+		}
+		c, err := p.acquire(ctx, d.workspace, d.rank(), until)
+		if err != nil {
+			p.leaveAfterOpening(d.workspace, place, err)
 			return nil, err
 		}
 		c.place, c.demand = place, d
 		return c, nil
 	}
-	c, err := p.acquire(ctx, d.workspace, d.rank(), until)
-	if err != nil {
-		p.leaveAfterOpening(d.workspace, place, err)
-		return nil, err
+}
+
+// blockedRequest is a request that had its turn while the pool couldn't provide a connection.
+type blockedRequest struct {
+	rank int
+	// ready is closed when a connection may be had.
+	ready chan struct{}
+}
+
+// blockUnlessProvided returns nil if the pool can provide a connection for a demand. Otherwise it
+// records the request among the blocked ones, the most urgent first.
+func (p *Pool) blockUnlessProvided(d demand) *blockedRequest {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.canProvide(d.workspace.Name) {
+		return nil
+	}
+	b := &blockedRequest{rank: d.rank(), ready: make(chan struct{})}
+	n := len(p.blocked)
+	p.blocked = append(p.blocked, b)
+	for ; n > 0 && p.blocked[n-1].rank > b.rank; n-- {
+		p.blocked[n], p.blocked[n-1] = p.blocked[n-1], b
+	}
+	return b
+}
+
+// awaitUnblocked waits until a blocked request may try again. It returns ErrBusy after until.
+func (p *Pool) awaitUnblocked(ctx context.Context, b *blockedRequest, until time.Time) error {
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	select {
+	case <-b.ready:
+		return nil
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.blocked = slices.DeleteFunc(p.blocked, func(other *blockedRequest) bool { return other == b })
+	return ErrBusy.New("no connection to server %s became available in time", p.Server.ID)
+}
+
+// wakeBlocked lets the most urgent blocked request try again if a connection may be had.
+func (p *Pool) wakeBlocked() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unblock()
+}
+
+// unblock is wakeBlocked with p.mu held.
+func (p *Pool) unblock() {
+	if len(p.blocked) == 0 || time.Now().Before(p.dialNotBefore) {
+		return
 	}
-	c.place, c.demand = place, d
-	return c, nil
+	close(p.blocked[0].ready)
+	p.blocked = p.blocked[1:]
 }
 
 // takeIdle returns the least recently used idle connection of some workspace, or nil if there is
@@ -65,12 +123,13 @@
 	return nil
 }
 
-// canProvide reports whether a workspace has an idle connection or one can be opened for it.
+// canProvide reports whether a workspace has an idle connection or one can be opened for it. It is
+// true for a closed pool, which refuses requests. p.mu is held.
 func (p *Pool) canProvide(w WorkspaceName) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	wp := p.workspacePools[w]
-	return wp != nil && (len(wp.idle) > 0 || wp.opening > 0) || p.hasCapacity() || p.workspaceWithLongestIdle(w) != nil
+	if wp := p.workspacePools[w]; p.closed || wp != nil && (len(wp.idle) > 0 || wp.opening > 0) {
+		return true
+	}
+	return !time.Now().Before(p.dialNotBefore) && (p.hasCapacity() || p.workspaceWithLongestIdle(w) != nil)
 }
 
 // leaveAfterOpening gives up the place of a request without a connection. If a connection that was
--- a/internal/proxy/start.go
+++ b/internal/proxy/start.go
@@ -19,8 +19,9 @@
 	maxSettleWait = 500 * time.Millisecond
 	// settlePollInterval is how often such a request checks that.
 	settlePollInterval = 10 * time.Millisecond
-	// verifierSpread is the time after a VM's start over which the verifiers of a primary open
-	// their connections, so that they leave slots to callers after all VMs were killed.
+	// verifierSpread is the time over which the verifiers of a primary open their connections,
+	// from serverKeepTime after their start on. Before, the server may still have those from
+	// before a restart, and needs its limit and its slots for the owner.
 	verifierSpread = 300 * time.Millisecond
 )
 
@@ -68,11 +69,11 @@
 }
 
 // mayOpenToVerify reports whether this VM may open a connection to a server only to verify it as the
-// primary. At the start, the VMs do so at different times.
+// primary. After a start it may not for a while, and uses the owner's.
 func (v *VM) mayOpenToVerify(id ServerID) bool {
-	if !v.PriorityScheduling {
+	if !v.PriorityScheduling || v.Relay == nil {
 		return true
 	}
-	at := time.Duration(xxhash.Sum64String(string(v.Name)+"/"+string(id)) % uint64(verifierSpread))
+	at := serverKeepTime + time.Duration(xxhash.Sum64String(string(v.Name)+"/"+string(id))%uint64(verifierSpread))
 	return clock.Since(clock.Instant(v.startedAt.Load())) >= at
 }
