heartbeat: tell the set of evacuated zones before the pause's question ends

The answer ended the question before the VM's pools were told the set in it, so that a request that waited for the answer was sent by what was known before the pause. TestAnswerIsReportedFirst fails with the order as it was.

--- a/internal/heartbeat/evacuation.go
+++ b/internal/heartbeat/evacuation.go
@@ -321,19 +321,28 @@
 		}
 		changed = f.mergeEvacuation(*m.Evacuation, source, m.Zone)
 	}
-	now := clock.Now()
 	var answer Message
 	if n := m.EvacuationNotice; n != nil {
-		if s.question != 0 && n.Answer == s.question {
-			s.question = 0
-			s.checkedAt.Store(int64(now))
-		}
 		answer = f.noticeMessage(EvacuationNotice{Answer: n.Question})
 	}
 	f.mu.Unlock()
 	f.reportEvacuation(changed)
-	if m.EvacuationNotice != nil && m.EvacuationNotice.Question != 0 && answer.Evacuation != nil {
-		f.send(answer, []string{m.Address})
+	if n := m.EvacuationNotice; n != nil {
+		f.endQuestion(n.Answer)
+		if n.Question != 0 && answer.Evacuation != nil {
+			f.send(answer, []string{m.Address})
+		}
+	}
+}
+
+// endQuestion records the answer to this VM's question. It is called after OnEvacuation, so that nothing
+// is sent by what was known before the pause.
+func (f *Fleet) endQuestion(answer uint32) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s := &f.evacuation; s.question != 0 && answer == s.question {
+		s.question = 0
+		s.checkedAt.Store(int64(clock.Now()))
 	}
 }
 
--- a/internal/heartbeat/evacuation_test.go
+++ b/internal/heartbeat/evacuation_test.go
@@ -239,3 +239,29 @@
 		})
 	}
 }
+
+// The answer to a question after a pause must have reached the VM's other parts before AwaitEvacuation
+// lets them go on, or they send by what was known before the pause.
+func TestAnswerIsReportedFirst(t *testing.T) {
+	runFleet(t, 9, func(fleet *testFleet) {
+		fleet.wait(4 * time.Second)
+		note(fleet.vms, 1, 10)
+		fleet.wait(spreadTime)
+		f := fleet.vms[0]
+		reported := false
+		f.mu.Lock()
+		f.evacuation.checkedAt.Store(int64(clock.Now().Add(-5 * time.Second)))
+		f.evacuation.question, f.evacuation.askedAt = 7, clock.Now()
+		f.OnEvacuation = func() {
+			reported = true
+			assert.Check(t, !f.AwaitEvacuation(time.Now()), "sends before it is told")
+		}
+		f.mu.Unlock()
+		f.receiveEvacuation(Message{
+			Address: fleet.vms[1].Conn.LocalAddr().String(), Zone: "zone-1", Evacuation: &Evacuation{Era: 1, Version: 20, Zones: map[string]int64{"zone-2": 0}},
+			EvacuationNotice: &EvacuationNotice{From: "vm-01", Answer: 7},
+		})
+		assert.Assert(t, reported)
+		assert.Assert(t, f.AwaitEvacuation(time.Now()))
+	})
+}
