proxy, platform: limit what cold servers get

While a server is cold, one VM of its zone sends to it, the first by rendezvous hash, by the token bucket of pkg/placement; others relay to that one or, for reads, use other servers. Statements of open transactions wait for tokens, other requests are refused with the time of the next one. The time in a server's row counts from when its version was first read.

Statements and begins are counted, verification isn't: it carries no statement and takes no slot.

--- a/cmd/savoryramp-vm/daemon.go
+++ b/cmd/savoryramp-vm/daemon.go
@@ -113,13 +113,13 @@
 	d.vm.Relay = r
 	d.addTask(r.Run)
 	d.configurationWatcher = &platform.ConfigurationWatcher{Store: d.store, Configure: d.vm.Configure, ReadByDelegate: d.readByDelegate, Logger: d.logger}
-	d.enableEvacuation()
+	d.enablePlacement()
 	d.promoter = &platform.Promoter{VM: s.VM, Incarnation: rand.Int64(), Store: d.store, Client: platform.NewHTTPClient(), TokensChecked: s.FencingEnforced, Logger: d.logger}
 	d.promoter.SetAddress(string(s.CloudAPIAddress))
 	d.addTask(d.vm.Run)
 	d.addTask(d.fleet.Run)
 	d.addTask(d.configurationWatcher.Run)
-	d.addTask((&platform.ServerListWatcher{Store: d.store, OnServers: d.onServers, ReadByDelegate: d.listReadByDelegate, Known: d.knownServers, LacksList: d.lacksServerList, FetchFromPeer: d.fetchServersFromPeer, Logger: d.logger}).Run)
+	d.addTask((&platform.ServerListWatcher{Store: d.store, OnServers: d.onServers, ReadByDelegate: d.listReadByDelegate, Known: d.knownServers, LacksList: d.lacksServerList, FetchFromPeer: d.fetchServersFromPeer, LimitsCold: d.vm.Placement != nil, Logger: d.logger}).Run)
 	failover := &proxy.Failover{VM: d.vm, Fleet: d.fleet, Promoter: d.promoter, PromotionFences: s.FencingEnforced, Logger: d.logger}
 	if !s.FencingEnforced {
 		d.vm.HasQuorum = failover.HasQuorum
--- a/cmd/savoryramp-vm/placement.go
+++ b/cmd/savoryramp-vm/placement.go
@@ -2,16 +2,21 @@
 
 import (
 	"github.com/savoryramp/savoryramp/internal/clock"
+	"github.com/savoryramp/savoryramp/internal/heartbeat"
 	"github.com/savoryramp/savoryramp/internal/proxy"
+	"github.com/savoryramp/savoryramp/internal/relay"
 	"github.com/savoryramp/savoryramp/pkg/placement"
 )
 
-// enableEvacuation connects the parts that evacuate zones, if the settings ask for that.
-func (d *daemon) enableEvacuation() {
+// enablePlacement connects the parts that evacuate zones and limit what cold servers get, if the settings ask for that.
+func (d *daemon) enablePlacement() {
 	if d.Settings.EvacuationBound == 0 {
 		return
 	}
-	d.vm.Placement = &proxy.Placement{Rule: placement.Evacuation{Bound: d.Settings.EvacuationBound}, AwaitCurrent: d.fleet.AwaitEvacuation}
+	d.vm.Placement = &proxy.Placement{
+		Rule: placement.Evacuation{Bound: d.Settings.EvacuationBound}, AwaitCurrent: d.fleet.AwaitEvacuation,
+		Warmup: placement.Warmup{Overshoot: d.Settings.WarmupOvershoot, Tolerance: d.Settings.WarmupTolerance}, Sender: d.coldSender,
+	}
 	d.fleet.SpreadsEvacuation, d.fleet.OnEvacuation = true, d.onEvacuation
 	d.configurationWatcher.OnEvacuated = d.fleet.NoteEvacuatedZones
 }
@@ -27,3 +32,13 @@
 	}
 	d.vm.SetEvacuated(since)
 }
+
+// coldSender returns the address of the VM that sends to a cold server, and whether that is this VM.
+// Nobody is while this VM doesn't know the others yet. VMs of all versions must use the same purpose.
+func (d *daemon) coldSender(s proxy.Server) (proxy.Address, bool) {
+	if !d.fleet.Settled() {
+		return "", false
+	}
+	_, address := d.fleet.FirstVM("warm/"+string(s.ID), string(s.Zone), func(m heartbeat.Message) bool { return m.RelayVersion == relay.Version })
+	return proxy.Address(address), address == ""
+}
--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -74,18 +74,26 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	var list []Candidate
+	var list, cold []Candidate
 	members := map[ServerID]*member{}
 	for id, m := range g.members {
 		if exclude[id] || m.server.Leaving || g.isEvacuated(m) {
 			continue
 		}
 		members[id] = m
-		list = append(list, Candidate{
+		c := Candidate{
 			ID: id, SameZone: m.server.Zone == g.VM.Zone, IsPrimary: id == g.primary,
 			RecentlyFailed: now.Before(m.avoidUntil), RecentlyLagged: now.Before(m.lagAvoidUntil),
 			LatencyFactor: m.decayedLatencyFactor(now), Availability: m.pool.availability(w),
-		})
+		}
+		if g.isForOthers(m) {
+			cold = append(cold, c)
+		} else {
+			list = append(list, c)
+		}
+	}
+	if len(list) == 0 {
+		list = cold
 	}
 	return list, members
 }
--- a/internal/proxy/configuration.go
+++ b/internal/proxy/configuration.go
@@ -82,6 +82,8 @@
 	// SyncReplicas is the number of replicas that must have received a commit before it is
 	// acknowledged.
 	SyncReplicas int
+	// WarmupPerSecond is how many requests a second a cold server is meant to get, zero for no limit.
+	WarmupPerSecond float64
 }
 
 // Workspace is a tenant and its rate limit, which covers all VMs together.
@@ -105,4 +107,6 @@
 	Leaving bool `json:"leaving"`
 	// Primary is the server's own claim to be the primary, which may be out of date.
 	Primary bool `json:"primary"`
+	// Cold is true for a while after the server has started.
+	Cold bool `json:"cold,omitempty"`
 }
--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -55,6 +55,7 @@
 	// lagAvoidUntil is until when reads prefer other servers, after this one lacked a requested
 	// position.
 	lagAvoidUntil time.Time
+	cold          coldServer
 }
 
 const (
@@ -118,13 +119,13 @@
 
 func (g *Group) newPool(s Server) *Pool {
 	var awaitCurrent func(time.Time) bool
+	var admitCold func(*Conn, []Command, time.Time) error
 	if g.VM.Placement != nil {
-		awaitCurrent = g.VM.Placement.AwaitCurrent
+		awaitCurrent, admitCold = g.VM.Placement.AwaitCurrent, g.admitCold
 	}
-	return &Pool{
-		AwaitCurrent: awaitCurrent,
-		Server:       s, Connect: g.VM.Connect,
-		Share: func() Share { return g.VM.share(g.Name, s) },
+	p := &Pool{
+		AwaitCurrent: awaitCurrent, AdmitCold: admitCold,
+		Server: s, Connect: g.VM.Connect,
 		TransactionIdleTimeout: func() time.Duration {
 			if c := g.VM.Configuration(); c != nil {
 				return c.TransactionIdleTimeout
@@ -132,6 +133,8 @@
 			return 0
 		},
 	}
+	p.Share = func() Share { return g.shareOf(s, p) }
+	return p
 }
 
 // setPrimaryFromList sets the primary to a listed server that claims to be it, unless a primary
--- a/internal/proxy/local.go
+++ b/internal/proxy/local.go
@@ -21,6 +21,11 @@
 			}
 		}
 	}
+	if c.pool.AdmitCold != nil {
+		if err := c.pool.AdmitCold(c, commands, until); err != nil {
+			return nil, err
+		}
+	}
 	if err := c.pool.beginCommands(c, until); err != nil {
 		return nil, err
 	}
--- a/internal/proxy/maintenance.go
+++ b/internal/proxy/maintenance.go
@@ -30,6 +30,7 @@
 	var lastTrim time.Time
 	for {
 		g.applyEvacuation()
+		g.updateSenders()
 		g.refreshPrimary(ctx)
 		g.VM.logEmptyZones()
 		if time.Since(lastTrim) > trimInterval {
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -18,6 +18,10 @@
 	// AwaitCurrent returns once the zones are known as they are now, and false if that takes longer
 	// than until. It only waits after the VM was paused.
 	AwaitCurrent func(until time.Time) bool
+	// Warmup limits what cold servers get. Sender returns the address of the VM that sends to a cold
+	// server, and whether that is this VM. If Sender is nil, nothing is limited.
+	Warmup placement.Warmup
+	Sender func(Server) (address Address, isSelf bool)
 
 	mu sync.Mutex
 	// known is true once the zones are known; since has when the evacuation of each began.
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -46,7 +47,11 @@
 	TransactionIdleTimeout func() time.Duration
 	// AwaitCurrent is that of Placement, nil if zones aren't evacuated.
 	AwaitCurrent func(until time.Time) bool
+	// AdmitCold waits for, or refuses, commands for a cold server. It is nil if none is limited.
+	AdmitCold func(c *Conn, commands []Command, until time.Time) error
 
+	// sendsCold is true while this VM is the one that sends to the server because that is cold.
+	sendsCold atomic.Bool
 	// state is poolOpen if it is empty. retryAfter is told in refusals because of it. mu guards both.
 	state      poolState
 	retryAfter time.Duration
--- a/internal/proxy/remote.go
+++ b/internal/proxy/remote.go
@@ -165,6 +165,9 @@
 // checkOut checks out a connection to a server for a workspace, from the VM that owns the
 // workspace's connections to it. If that VM can't be reached, it uses a connection of this VM.
 func (g *Group) checkOut(ctx context.Context, m *member, w *Workspace, until time.Time) (*checkout, error) {
+	if address, cold := g.coldSender(m); cold {
+		return g.checkOutCold(ctx, m, address, w, until)
+	}
 	if g.VM.Relay != nil {
 		if address, local := g.VM.Relay.Owner(m.pool.Server, w.Name, g.VM.ownerConnectionLimit(g.Name)); !local {
 			link, err := g.VM.Relay.Open(ctx, address)
--- a/internal/proxy/remote_test.go
+++ b/internal/proxy/remote_test.go
@@ -70,7 +70,7 @@
 func (tb *testbed) relayThroughOwner() *fakeRelay {
 	owner := &VM{Name: "home", Zone: "a", Connect: tb.connect, Fleet: settledFleet{1}, Logger: tb.vm.Logger}
 	if tb.vm.Placement != nil {
-		owner.Placement = &Placement{Rule: tb.vm.Placement.Rule}
+		owner.Placement = &Placement{Rule: tb.vm.Placement.Rule, Warmup: tb.vm.Placement.Warmup, Sender: func(Server) (Address, bool) { return "", true }}
 	}
 	owner.SetServers(tb.vm.servers)
 	owner.Configure(testConfiguration(1), "test")
--- a/internal/soak/evacuation.go
+++ b/internal/soak/evacuation.go
@@ -13,6 +13,12 @@
 	evacuationBound = 5 * time.Second
 	// watchLeast is how long the servers are watched after that.
 	watchLeast = 3 * time.Second
+	// warmupTime is how long a server is cold, and warmupPerS the rate that it is meant to get meanwhile.
+	warmupTime = 5 * time.Second
+	warmupPerS = 10
+	// warmupOvershoot and warmupTolerance are the defaults of the settings' bounds.
+	warmupOvershoot = 1.5
+	warmupTolerance = 5
 )
 
 // evacuate evacuates the zone of a server, of the primary in half of the cases, checks from what the
@@ -52,3 +58,26 @@
 	s.store.EndEvacuation(zone)
 	return fmt.Sprintf("%s, was primary: %t, handed over: %t", zone, wasPrimary, wasPrimary && handedOver)
 }
+
+// restartCold restarts a replica, and checks from what it got that it wasn't given more than its limit
+// while it was cold.
+func (s *Soak) restartCold(r *rand.Rand) string {
+	id := s.ids[r.IntN(len(s.ids))]
+	if id == s.ledger.PrimaryID() || !s.warming.TryLock() {
+		return "none"
+	}
+	defer s.warming.Unlock()
+	if !s.ledger.Crash(id) {
+		return id + " was down"
+	}
+	if err := s.ledger.Restart(id); err != nil {
+		s.broken("the stand-in starts again", "%s: %v", id, err)
+		return id
+	}
+	s.pause(warmupTime)
+	largest, all := s.ledger.LargestColdSecond(id)
+	if allowed := warmupPerS*warmupOvershoot + warmupTolerance; float64(largest) > allowed {
+		s.broken("a cold server gets its rate", "%s got %d requests in a second, %.0f are allowed", id, largest, allowed)
+	}
+	return fmt.Sprintf("%s got %d requests, at most %d in a second", id, all, largest)
+}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -31,11 +31,14 @@
 	case EvacuationFaults:
 		return f.evacuations
 	}
-	return f.name != evacuateZone
+	return f.name != evacuateZone && f.name != restartCold
 }
 
-// evacuateZone is the name of the fault that needs settings of its own.
-const evacuateZone = "evacuate a zone"
+// evacuateZone and restartCold are the names of the faults that need settings of their own.
+const (
+	evacuateZone = "evacuate a zone"
+	restartCold  = "restart a server, which is then cold"
+)
 
 // faults are those that a run draws from.
 var faults = []fault{
@@ -155,6 +158,9 @@
 		s.ledger.SetDraining(id, false)
 		return id
 	}},
+	{name: restartCold, evacuations: true, do: func(s *Soak, r *rand.Rand, _ time.Duration) string {
+		return s.restartCold(r)
+	}},
 	{name: evacuateZone, evacuations: true, do: func(s *Soak, r *rand.Rand, lasts time.Duration) string {
 		return s.evacuate(r, lasts)
 	}},
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -55,6 +55,8 @@
 	restoring sync.Mutex
 	// evacuating is held while a zone is evacuated.
 	evacuating sync.Mutex
+	// warming is held while a server is cold.
+	warming sync.Mutex
 
 	mu       sync.Mutex
 	free     []*process
@@ -169,6 +171,9 @@
 		s.store.Put("servers", id, row)
 	}
 	s.document = firstDocument()
+	if s.Faults == EvacuationFaults {
+		s.document.WarmupS, s.document.WarmupPerS, s.ledger.WarmupTime = int(warmupTime/time.Second), warmupPerS, warmupTime
+	}
 	s.store.Put("op", "config", s.document.JSON())
 	s.tasks.Go(s.beat)
 	for i := range s.VMs {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -76,7 +76,7 @@
 	assert.Check(t, err)
 	t.Logf("seed %d: %v", seed, report.Outcomes)
 	for _, f := range report.Faults {
-		if strings.Contains(f, evacuateZone) {
+		if strings.Contains(f, evacuateZone) || strings.Contains(f, restartCold) {
 			t.Logf("seed %d: %s", seed, f)
 		}
 	}
