proxy: doubt a list of servers from before a pause

A VM that was paused while the server restarted served its callers' requests by its list of before for 0.3 s after it resumed. Until the platform has returned a newer list, for 4 s at most, it now treats every server of a service with a rate for cold servers as cold. The soak restarts servers outside of the evacuated zone, primaries too.

--- a/cmd/savoryramp-vm/placement.go
+++ b/cmd/savoryramp-vm/placement.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"time"
+
 	"github.com/savoryramp/savoryramp/internal/clock"
 	"github.com/savoryramp/savoryramp/internal/heartbeat"
 	"github.com/savoryramp/savoryramp/internal/proxy"
@@ -15,7 +17,7 @@
 	}
 	d.vm.Placement = &proxy.Placement{
 		Rule: placement.Evacuation{Bound: d.Settings.EvacuationBound}, AwaitCurrent: d.fleet.AwaitEvacuation,
-		Warmup: placement.Warmup{Overshoot: d.Settings.WarmupOvershoot, Tolerance: d.Settings.WarmupTolerance}, Sender: d.coldSender,
+		Warmup: placement.Warmup{Overshoot: d.Settings.WarmupOvershoot, Tolerance: d.Settings.WarmupTolerance}, Sender: d.coldSender, DoubtsList: d.doubtsServerList,
 	}
 	d.fleet.SpreadsEvacuation, d.fleet.OnEvacuation = true, d.onEvacuation
 	d.configurationWatcher.OnEvacuated = d.fleet.NoteEvacuatedZones
@@ -42,3 +44,18 @@
 	_, address := d.fleet.FirstVM("warm/"+string(s.ID), string(s.Zone), func(m heartbeat.Message) bool { return m.RelayVersion == relay.Version })
 	return proxy.Address(address), address == ""
 }
+
+// maxListDoubt is how long after a pause the list of servers from before it is doubted. A VM that gets no
+// newer one in that time counts as cut off and goes on with what it knows.
+const maxListDoubt = 4 * time.Second
+
+// doubtsServerList reports whether this VM was paused after the platform returned the list of servers.
+func (d *daemon) doubtsServerList() bool {
+	resumedAt := d.fleet.ResumedAt()
+	if resumedAt == 0 || clock.Since(resumedAt) > maxListDoubt {
+		return false
+	}
+	d.listMu.Lock()
+	defer d.listMu.Unlock()
+	return d.list.listedAt < resumedAt
+}
--- a/internal/heartbeat/first.go
+++ b/internal/heartbeat/first.go
@@ -1,6 +1,10 @@
 package heartbeat
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/savoryramp/savoryramp/internal/clock"
+)
 
 // FirstVM returns the name and address of the first VM for a purpose by rendezvous hashing, among the
 // live VMs of a zone that a function accepts, or of the whole fleet if the zone has none. The address is
@@ -32,3 +36,11 @@
 	}
 	return best.name, best.address
 }
+
+// ResumedAt returns when this VM last resumed after a pause, or after it had heard no other VM, zero if
+// it never has.
+func (f *Fleet) ResumedAt() clock.Instant {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.pausedUntil
+}
--- a/internal/heartbeat/heartbeat.go
+++ b/internal/heartbeat/heartbeat.go
@@ -199,8 +199,8 @@
 		case <-f.wake:
 		}
 		now := clock.Now()
-		f.checkEvacuation(now)
 		f.detectPause(now)
+		f.checkEvacuation(now)
 		f.expirePeers()
 		f.sendDue(f.HasUrgentNews() || f.hasEvacuationNews(now))
 	}
--- a/internal/proxy/local.go
+++ b/internal/proxy/local.go
@@ -21,12 +21,7 @@
 			}
 		}
 	}
-	if c.pool.AdmitCold != nil {
-		if err := c.pool.AdmitCold(c, commands, until); err != nil {
-			return nil, err
-		}
-	}
-	if err := c.pool.beginCommands(c, until); err != nil {
+	if err := c.pool.beginCommands(c, commands, until); err != nil {
 		return nil, err
 	}
 	answers, err := c.exec(p, commands, until)
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -22,6 +22,9 @@
 	// server, and whether that is this VM. If Sender is nil, nothing is limited.
 	Warmup placement.Warmup
 	Sender func(Server) (address Address, isSelf bool)
+	// DoubtsList reports whether the VM was paused after the platform returned the list of servers, so
+	// that any of them may be cold by now. It may be nil.
+	DoubtsList func() bool
 
 	mu sync.Mutex
 	// known is true once the zones are known; since has when the evacuation of each began.
--- a/internal/proxy/poolstate.go
+++ b/internal/proxy/poolstate.go
@@ -87,10 +87,15 @@
 
 // beginCommands takes a connection out of the idle transactions before commands are sent on it. It
 // returns an error if the state doesn't allow them.
-func (p *Pool) beginCommands(c *Conn, until time.Time) error {
+func (p *Pool) beginCommands(c *Conn, commands []Command, until time.Time) error {
 	if p.AwaitCurrent != nil && !p.AwaitCurrent(until) {
 		return ErrNoServer.New("%s the VM was paused and doesn't know yet which zones are being evacuated", retryAfterText(resumeRetry))
 	}
+	if p.AdmitCold != nil {
+		if err := p.AdmitCold(c, commands, until); err != nil {
+			return err
+		}
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	state := p.currentState()
--- a/internal/proxy/warmup.go
+++ b/internal/proxy/warmup.go
@@ -22,14 +22,15 @@
 
 // coldLimit returns what a VM may send to a server, and false if it isn't limited.
 func (g *Group) coldLimit(s Server) (placement.Limit, bool) {
-	if !s.Cold || g.VM.Placement == nil || g.VM.Placement.Sender == nil {
+	p := g.VM.Placement
+	if p == nil || p.Sender == nil || !s.Cold && (p.DoubtsList == nil || !p.DoubtsList()) {
 		return placement.Limit{}, false
 	}
 	c := g.VM.Configuration()
 	if c == nil || c.Services[g.Name] == nil || c.Services[g.Name].WarmupPerSecond <= 0 {
 		return placement.Limit{}, false
 	}
-	return g.VM.Placement.Warmup.Limit(c.Services[g.Name].WarmupPerSecond), true
+	return p.Warmup.Limit(c.Services[g.Name].WarmupPerSecond), true
 }
 
 // updateSender determines which VM sends to a cold server.
--- a/internal/proxy/warmup_test.go
+++ b/internal/proxy/warmup_test.go
@@ -21,6 +21,8 @@
 	mu sync.Mutex
 	// sender is the address of the VM that sends, empty for the testbed's VM.
 	sender Address
+	// doubts is true while the VM was paused after it got its list of servers.
+	doubts bool
 }
 
 // runColdTest runs a test with a cold server.
@@ -32,7 +34,11 @@
 		return ct.sender, ct.sender == ""
 	}
 	runTestWith(t, func(v *VM) {
-		v.Placement = &Placement{Rule: placement.Evacuation{Bound: evacuationBound}, Warmup: placement.Warmup{Overshoot: 1.5, Tolerance: 5}, Sender: senderOf}
+		v.Placement = &Placement{Rule: placement.Evacuation{Bound: evacuationBound}, Warmup: placement.Warmup{Overshoot: 1.5, Tolerance: 5}, Sender: senderOf, DoubtsList: func() bool {
+			ct.mu.Lock()
+			defer ct.mu.Unlock()
+			return ct.doubts
+		}}
 	}, func(tb *testbed) {
 		tb.vm.SetEvacuated(nil)
 		tb.vm.Configure(coldConfiguration(2, coldRate), "test")
@@ -154,6 +160,19 @@
 			assert.Equal(t, c.exec(write("1")).Failure, Busy, "cold again after a restart under its id")
 			c.Close()
 		}},
+		"a list from before a pause": {"b", func(t *testing.T, ct *coldTest) {
+			c := ct.openSession(testDatabase)
+			assert.Equal(t, c.exec(write("1")).Failure, NoFailure)
+			ct.mu.Lock()
+			ct.doubts = true
+			ct.mu.Unlock()
+			assert.Equal(t, c.exec(write("2")).Failure, Busy)
+			ct.mu.Lock()
+			ct.doubts = false
+			ct.mu.Unlock()
+			assert.Equal(t, c.exec(write("3")).Failure, NoFailure)
+			c.Close()
+		}},
 		"no limit without a rate": {"a", func(t *testing.T, ct *coldTest) {
 			ct.vm.Configure(coldConfiguration(3, 0), "test")
 			c := ct.openSession(testDatabase)
--- a/internal/soak/evacuation.go
+++ b/internal/soak/evacuation.go
@@ -36,6 +36,8 @@
 		return "another evacuation is on"
 	}
 	defer s.evacuating.Unlock()
+	s.evacuated.Store(int64(i + 1))
+	defer s.evacuated.Store(0)
 	id, zone := s.ids[i], fmt.Sprint("zone-", i+1)
 	wasPrimary := s.ledger.PrimaryID() == id
 	// A VM that doesn't run meanwhile has requests of its callers to serve when it resumes.
@@ -59,12 +61,16 @@
 	return fmt.Sprintf("%s, was primary: %t, handed over: %t", zone, wasPrimary, wasPrimary && handedOver)
 }
 
-// restartCold restarts a replica, and checks from what it got that it wasn't given more than its limit
+// restartCold restarts a server outside of the evacuated zone, and checks from what it got that it wasn't given more than its limit
 // while it was cold.
 func (s *Soak) restartCold(r *rand.Rand) string {
-	id := s.ids[r.IntN(len(s.ids))]
-	if id == s.ledger.PrimaryID() || !s.warming.TryLock() {
-		return "none"
+	i := r.IntN(len(s.ids))
+	if s.evacuated.Load() == int64(i+1) {
+		i = (i + 1) % len(s.ids)
+	}
+	id := s.ids[i]
+	if !s.warming.TryLock() {
+		return "another server is cold"
 	}
 	defer s.warming.Unlock()
 	if !s.ledger.Crash(id) {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/savoryramp/savoryramp/platform/standin"
@@ -55,6 +56,8 @@
 	restoring sync.Mutex
 	// evacuating is held while a zone is evacuated.
 	evacuating sync.Mutex
+	// evacuated is the number of the server whose zone is evacuated, from 1, or 0.
+	evacuated atomic.Int64
 	// warming is held while a server is cold.
 	warming sync.Mutex
 
