proxy, platform: keep statements in the allowed regions

Routes and workspaces may name the regions (allowedRegions) to whose servers and VMs statements go. Reads leave out other servers, requests that need a primary elsewhere are refused at once. The VM that owns a server's connections is in the server's zone, and the one that sends to a cold server now in its region, so that no VM outside gets a statement. Verification for a read's floor carries none and goes anywhere.

--- a/cmd/savoryramp-vm/placement.go
+++ b/cmd/savoryramp-vm/placement.go
@@ -18,6 +18,7 @@
 	d.vm.Placement = &proxy.Placement{
 		Rule: placement.Evacuation{Bound: d.Settings.EvacuationBound}, AwaitCurrent: d.fleet.AwaitEvacuation,
 		Warmup: placement.Warmup{Overshoot: d.Settings.WarmupOvershoot, Tolerance: d.Settings.WarmupTolerance}, Sender: d.coldSender, DoubtsList: d.doubtsServerList,
+		RegionOf: d.Settings.RegionOf, Regions: d.Settings.KnownRegions(),
 	}
 	d.fleet.SpreadsEvacuation, d.fleet.OnEvacuation = true, d.onEvacuation
 	d.configurationWatcher.OnEvacuated = d.fleet.NoteEvacuatedZones
@@ -36,13 +37,17 @@
 }
 
 // coldSender returns the address of the VM that sends to a cold server, and whether that is this VM.
-// Nobody is while this VM doesn't know the others yet. VMs of all versions must use the same purpose.
+// Nobody is while this VM doesn't know the others yet, or if no VM of the server's region is live, since
+// statements may have to stay in it. VMs of all versions must use the same purpose.
 func (d *daemon) coldSender(s proxy.Server) (proxy.Address, bool) {
 	if !d.fleet.Settled() {
 		return "", false
 	}
-	_, address := d.fleet.FirstVM("warm/"+string(s.ID), string(s.Zone), func(m heartbeat.Message) bool { return m.RelayVersion == relay.Version })
-	return proxy.Address(address), address == ""
+	region := d.Settings.RegionOf(s.Zone)
+	first, address := d.fleet.FirstVM("warm/"+string(s.ID), string(s.Zone), func(m heartbeat.Message) bool {
+		return (m.VM == d.fleet.VM || m.RelayVersion == relay.Version) && d.Settings.RegionOf(proxy.AvailabilityZone(m.Zone)) == region
+	})
+	return proxy.Address(address), first == d.fleet.VM
 }
 
 // maxListDoubt is how long after a pause the list of servers from before it is doubted. A VM that gets no
--- a/internal/heartbeat/first.go
+++ b/internal/heartbeat/first.go
@@ -8,7 +8,8 @@
 
 // FirstVM returns the name and address of the first VM for a purpose by rendezvous hashing, among the
 // live VMs of a zone that a function accepts, or of the whole fleet if the zone has none. The address is
-// empty if that is this VM, which counts as live and accepted unless it is leaving.
+// empty if that is this VM, of which the function gets the name and the zone only. The name is empty if
+// there is no such VM.
 func (f *Fleet) FirstVM(purpose, zone string, accept func(Message) bool) (VMName, string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -26,7 +27,7 @@
 			best = c
 		}
 	}
-	if !f.isLeaving {
+	if !f.isLeaving && accept(Message{VM: f.VM, Zone: f.Zone}) {
 		consider(f.VM, "", f.Zone == zone)
 	}
 	for name, p := range f.peers {
--- a/internal/heartbeat/first_test.go
+++ b/internal/heartbeat/first_test.go
@@ -20,7 +20,8 @@
 		"the first is leaving":         {zone: "zone-1", change: func(f *Fleet) { f.peers["vm-11"].message.Leaving = true }, want: "vm-16"},
 		"the first isn't accepted":     {zone: "zone-1", accept: func(m Message) bool { return m.VM != "vm-11" }, want: "vm-16"},
 		"no VM in the zone":            {zone: "elsewhere", want: "vm-19"},
-		"this VM is the only one left": {zone: "zone-1", accept: func(Message) bool { return false }, want: "own"},
+		"this VM is the only one left": {zone: "zone-1", accept: func(m Message) bool { return m.VM == "own" }, want: "own"},
+		"none":                         {zone: "zone-1", accept: func(Message) bool { return false }, want: ""},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -34,7 +35,7 @@
 			}
 			got, address := f.FirstVM("warm/s", test.zone, accept)
 			assert.Equal(t, got, test.want)
-			assert.Equal(t, address == "", got == f.VM)
+			assert.Equal(t, address == "", got == f.VM || got == "")
 		})
 	}
 }
--- a/internal/proxy/configuration.go
+++ b/internal/proxy/configuration.go
@@ -1,6 +1,10 @@
 package proxy
 
-import "time"
+import (
+	"time"
+
+	"github.com/savoryramp/savoryramp/pkg/placement"
+)
 
 type (
 	// ServiceName names a database group.
@@ -72,6 +76,8 @@
 	Priority      Priority
 	// Public routes don't require a key.
 	Public bool
+	// AllowedRegions has the regions to which statements may go, nil if they may go to all.
+	AllowedRegions map[placement.Region]bool
 }
 
 // Service is a database group.
@@ -92,6 +98,8 @@
 	Rate     OperationsPerSecond
 	Burst    Operations
 	Priority Priority
+	// AllowedRegions has the regions to which statements may go, nil if they may go to all.
+	AllowedRegions map[placement.Region]bool
 }
 
 // Server is a server of a database group, as listed by the platform.
--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -43,6 +43,8 @@
 		"A zone is no longer being evacuated; its servers are used again.")
 	eventEvacuationUnknown = event.Define(6043, "proxy-evacuation-unknown", event.Warn,
 		"No server is listed in the zone that is to be evacuated; it has no effect here.")
+	eventUnknownRegions = event.Define(6044, "proxy-unknown-regions", event.Warn,
+		"The configuration allows regions that no zone in the settings is in; no server is in them.")
 	eventQuorum = event.Define(6018, "proxy-endorsed", event.Warn,
 		"Whether a majority of the verifier VMs can use the primary changed, as observed by this VM; without that majority this VM doesn't use the primary.")
 )
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -25,6 +25,10 @@
 	// DoubtsList reports whether the VM was paused after the platform returned the list of servers, so
 	// that any of them may be cold by now. It may be nil.
 	DoubtsList func() bool
+	// RegionOf returns the region of a zone, empty if it isn't known, and Regions has all that are known.
+	// If RegionOf is nil, allowed regions don't count.
+	RegionOf func(AvailabilityZone) placement.Region
+	Regions  map[placement.Region]bool
 
 	mu sync.Mutex
 	// known is true once the zones are known; since has when the evacuation of each began.
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -72,6 +72,8 @@
 	request  Request
 	// maybeSent is true once a server may have received the caller's statement.
 	maybeSent bool
+	// anyRegion is true for the VM's own commands, which may go to servers in any region.
+	anyRegion bool
 }
 
 func (s *Session) run(ctx context.Context) {
--- a/internal/proxy/statement.go
+++ b/internal/proxy/statement.go
@@ -31,6 +31,9 @@
 		if err != nil {
 			return nil, Answer{Failure: Busy, Detail: err.Error()}
 		}
+		if refusal, refused := op.regionRefusal(m); refused {
+			return nil, refusal
+		}
 		co, err := op.group.checkOut(ctx, m, op.workspace, op.deadline)
 		if err == nil && op.group.hasQuorum() {
 			return co, okAnswer
@@ -155,7 +158,10 @@
 	if refusal, refused := op.group.evacuationRefusal(false); refused {
 		return nil, refusal
 	}
-	floor, err := s.readFloor(ctx, op)
+	if refusal, refused := op.regionRefusal(nil); refused {
+		return nil, refusal
+	}
+	floor, err := s.readFloor(ctx, op.inAnyRegion())
 	if err != nil {
 		return nil, Answer{Failure: Busy, Detail: err.Error()}
 	}
@@ -163,6 +169,7 @@
 	last := Answer{Failure: Busy, Detail: "no server of service " + string(op.group.Name) + " is known"}
 	for attempt := 0; attempt < maxAttempts && time.Now().Before(op.deadline); attempt++ {
 		list, members := op.group.readCandidates(op.workspace.Name, tried)
+		list = op.keepRegions(list, members)
 		best, found := ChooseServer(list, s.vm.typicalLatency(op.route))
 		if !found {
 			if len(tried) == 0 {
--- a/internal/proxy/vm.go
+++ b/internal/proxy/vm.go
@@ -130,6 +130,7 @@
 		}
 	}
 	eventConfiguration.Log(v.Logger, "version", c.Version, "routes", len(c.Routes), "keys", len(c.Keys), "source", source)
+	v.logUnknownRegions(c)
 	v.mu.Lock()
 	v.init()
 	for name := range c.Services {
