--- a/internal/proxy/configuration.go
+++ b/internal/proxy/configuration.go
@@ -1,6 +1,10 @@
 package proxy
 
-import "time"
+import (
+	"time"
+
+	"github.com/savoryramp/savoryramp/pkg/placement"
+)
 
 type (
 	// ServiceName names a database group.
@@ -72,6 +76,8 @@
 	Priority      Priority
 	// Public routes don't require a key.
 	Public bool
+	// AllowedRegions has the regions to which statements may go, nil if they may go to all.
+	AllowedRegions map[placement.Region]bool
 }
 
 // Service is a database group.
@@ -82,6 +88,8 @@
 	// SyncReplicas is the number of replicas that must have received a commit before it is
 	// acknowledged.
 	SyncReplicas int
+	// WarmupPerSecond is how many requests a second a cold server is meant to get, zero for no limit.
+	WarmupPerSecond float64
 }
 
 // Workspace is a tenant and its rate limit, which covers all VMs together.
@@ -90,6 +98,8 @@
 	Rate     OperationsPerSecond
 	Burst    Operations
 	Priority Priority
+	// AllowedRegions has the regions to which statements may go, nil if they may go to all.
+	AllowedRegions map[placement.Region]bool
 }
 
 // Server is a server of a database group, as listed by the platform.
@@ -105,4 +115,6 @@
 	Leaving bool `json:"leaving"`
 	// Primary is the server's own claim to be the primary, which may be out of date.
 	Primary bool `json:"primary"`
+	// Cold is true for a while after the server has started.
+	Cold bool `json:"cold,omitempty"`
 }
--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -66,6 +66,8 @@
 	loads reportedLoads
 	// hash is that of the server's ID.
 	hash uint64
+	// cold is this VM's part in sending to the server while that is cold.
+	cold coldServer
 }
 
 const (
@@ -132,13 +134,13 @@
 
 func (g *Group) newPool(s Server) *Pool {
 	var awaitCurrent func(time.Time) bool
+	var admitCold func(*Conn, []Command, time.Time) error
 	if g.VM.Placement != nil {
-		awaitCurrent = g.VM.Placement.AwaitCurrent
+		awaitCurrent, admitCold = g.VM.Placement.AwaitCurrent, g.admitCold
 	}
 	p := &Pool{
-		AwaitCurrent: awaitCurrent,
-		Server:       s, Connect: g.VM.Connect,
-		Share:    func() Share { return g.VM.share(g.Name, s) },
+		AwaitCurrent: awaitCurrent, AdmitCold: admitCold,
+		Server: s, Connect: g.VM.Connect,
 		OnOpened: func() { g.VM.metrics.recordConnection(g.Name) },
 		TransactionIdleTimeout: func() time.Duration {
 			if c := g.VM.Configuration(); c != nil {
@@ -149,8 +151,8 @@
 	}
 	if g.VM.PriorityScheduling {
 		p.Queue = newServerQueue(g.VM, s)
-		p.Share = func() Share { return g.VM.scheduledShare(g.Name, p) }
 	}
+	p.Share = func() Share { return g.shareOf(s, p) }
 	return p
 }
 
--- a/internal/proxy/local.go
+++ b/internal/proxy/local.go
@@ -24,7 +24,7 @@
 			}
 		}
 	}
-	if err := c.pool.beginCommands(c, until); err != nil {
+	if err := c.pool.beginCommands(c, commands, until); err != nil {
 		return nil, err
 	}
 	if err := c.enterService(commands, until); err != nil {
--- a/internal/proxy/remote.go
+++ b/internal/proxy/remote.go
@@ -274,6 +274,9 @@
 // checkOut checks out a connection to a server for a demand, from the VM that owns the
 // workspace's connections to it. If that VM can't be reached, it uses a connection of this VM.
 func (g *Group) checkOut(ctx context.Context, m *member, d demand, until time.Time) (*checkout, error) {
+	if address, cold := g.coldSender(m); cold {
+		return g.checkOutCold(ctx, m, address, d, until)
+	}
 	for attempt := 1; g.VM.Relay != nil; attempt++ {
 		address, local := g.VM.Relay.Owner(m.pool.Server, d.workspace.Name, g.VM.ownerConnectionLimit(g.Name))
 		if local {
--- a/internal/proxy/statement.go
+++ b/internal/proxy/statement.go
@@ -46,6 +46,9 @@
 		if err != nil {
 			return nil, Answer{Failure: Busy, Detail: err.Error()}
 		}
+		if refusal, refused := op.regionRefusal(m); refused {
+			return nil, refusal
+		}
 		if refusal, refused := s.vm.refuseAtPrimary(op, m, d); refused {
 			return nil, refusal
 		}
@@ -185,7 +188,10 @@
 	if refusal, refused := op.group.evacuationRefusal(false); refused {
 		return nil, refusal
 	}
-	floor, err := s.readFloor(ctx, op)
+	if refusal, refused := op.regionRefusal(nil); refused {
+		return nil, refusal
+	}
+	floor, err := s.readFloor(ctx, op.inAnyRegion())
 	if err != nil {
 		return nil, Answer{Failure: Busy, Detail: err.Error()}
 	}
@@ -195,6 +201,7 @@
 	last := Answer{Failure: Busy, Detail: "no server of service " + string(op.group.Name) + " is known"}
 	for attempt := 0; attempt < maxAttempts && time.Now().Before(op.deadline); attempt++ {
 		list, members := op.group.readCandidates(op.demand(), tried)
+		list = op.keepRegions(list, members)
 		if refusal, refused := s.vm.refuseByForecast(op, list); refused && refusals == len(tried) {
 			return nil, refusal
 		}
