soak: restart servers cold and keep statements in regions

The runs with evacuations also read through a route that is allowed in one of two regions, and check that the stand-in server in the other one got none of these statements.

--- a/internal/proxy/region_test.go
+++ b/internal/proxy/region_test.go
@@ -17,6 +17,11 @@
 	return map[AvailabilityZone]placement.Region{"a": "north", "b": "south"}[zone]
 }
 
+// unverifyingFleet is that of a VM that isn't a verifier.
+type unverifyingFleet struct{ settledFleet }
+
+func (unverifyingFleet) IsVerifier(ServiceName) bool { return false }
+
 // Neither a statement nor its text may reach a server outside of the allowed regions.
 func TestAllowedRegions(t *testing.T) {
 	set := func(names ...placement.Region) map[placement.Region]bool {
@@ -30,12 +35,15 @@
 		route, workspace map[placement.Region]bool
 		// reads and writes are the servers that may get statements, empty if none.
 		reads, writes string
+		// unverified is true for a VM that doesn't verify the primary by itself, so that reads do it.
+		unverified bool
 		// prepare changes the servers.
 		prepare func(tb *testbed)
 	}{
 		"neither is set":                   {reads: "abc", writes: "a"},
 		"the route's, with the primary":    {route: set("north"), reads: "a", writes: "a"},
 		"the route's, without the primary": {route: set("south"), reads: "b"},
+		"reads have to verify the primary": {route: set("south"), reads: "b", unverified: true},
 		"the workspace's":                  {workspace: set("south"), reads: "b"},
 		"both, with one in common":         {route: set("north", "south"), workspace: set("south"), reads: "b"},
 		"both, with none in common":        {route: set("north"), workspace: set("south")},
@@ -49,6 +57,9 @@
 		t.Run(name, func(t *testing.T) {
 			runTestWith(t, func(v *VM) {
 				v.Placement = &Placement{Rule: placement.Evacuation{Bound: evacuationBound}, RegionOf: regionOf, Regions: set("north", "south")}
+				if test.unverified {
+					v.Fleet = unverifyingFleet{}
+				}
 			}, func(tb *testbed) {
 				tb.vm.SetEvacuated(nil)
 				c := testConfiguration(2)
@@ -73,6 +84,7 @@
 								continue
 							}
 							assert.Equal(t, a.Failure, Busy, a.Detail)
+							assert.Assert(t, test.prepare != nil || strings.Contains(a.Detail, "retry-after-ms="), a.Detail)
 							assert.Assert(t, writes && test.writes == "" || database == testDatabase && test.writes == "" || test.reads == "", "%T on %s: %s", s, database, a.Detail)
 						}
 						if test.reads == "" && test.prepare == nil {
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -62,6 +62,9 @@
 	for range 3 {
 		list = append(list, s.hot)
 	}
+	if s.Faults == EvacuationFaults {
+		list = append(list, s.restrictedReader)
+	}
 	return append(list, s.gone)
 }
 
--- a/internal/soak/evacuation.go
+++ b/internal/soak/evacuation.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"syscall"
 	"time"
+
+	"github.com/savoryramp/savoryramp/platform/standin"
 )
 
 const (
@@ -21,6 +23,38 @@
 	warmupTolerance = 5
 )
 
+// zoneRegions has the regions of the servers' zones.
+var zoneRegions = map[string]string{"zone-1": "north", "zone-2": "north", "zone-3": "south"}
+
+// placedDocument adds limits for cold servers and a route that is allowed in one region.
+func placedDocument(d standin.Document) standin.Document {
+	d.WarmupS, d.WarmupPerS = int(warmupTime/time.Second), warmupPerS
+	d.Routes = append(d.Routes, standin.Route{Database: "north", Service: serviceName, Kind: "bounded_staleness", TimeoutMs: 800, MaxStalenessMs: staleMs, AllowedRegions: []string{"north"}})
+	return d
+}
+
+// restrictedReader reads through the route that is allowed in one region, from VMs in all zones.
+func (s *Soak) restrictedReader(halt <-chan struct{}) {
+	c := &session{soak: s, database: "north", key: mainKey, random: rand.New(rand.NewPCG(s.Seed, 500))}
+	defer c.close()
+	for !halted(halt) {
+		s.pause(10 * time.Millisecond)
+		if client := c.open(); client != nil {
+			c.do(client, "main", "READ "+standin.RestrictedItem+"item")
+		}
+	}
+}
+
+// auditRegions checks that restricted statements stayed in their region.
+func (s *Soak) auditRegions() {
+	for i, id := range s.ids {
+		n, region := s.ledger.RestrictedRequests(id), zoneRegions[fmt.Sprint("zone-", i+1)]
+		if n > 0 && region != "north" {
+			s.broken("statements stay in the allowed regions", "%s in the %s got %d", id, region, n)
+		}
+	}
+}
+
 // evacuate evacuates the zone of a server, of the primary in half of the cases, checks from what the
 // stand-in servers got that nothing reaches it after the bound, and takes the evacuation back.
 func (s *Soak) evacuate(r *rand.Rand, lasts time.Duration) string {
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -39,7 +39,7 @@
 	settings := filepath.Join(p.folder, p.name+".json")
 	text := standin.SettingsFile(p.name, "zone-"+p.name[len(p.name)-1:], p.ip, p.store.address(), p.store.address())
 	if p.evacuates {
-		text = standin.WithEvacuation(text, evacuationBound)
+		text = standin.WithPlacement(text, evacuationBound, zoneRegions)
 	}
 	if err := os.WriteFile(settings, text, 0o600); err != nil {
 		return err
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -118,6 +118,7 @@
 	close(halt)
 	callers.Wait()
 	s.audit()
+	s.auditRegions()
 	for _, p := range s.vms {
 		if p.unexpected > 0 {
 			s.broken("no process ends by itself", "%s ended %d times", p.name, p.unexpected)
@@ -175,7 +176,7 @@
 	}
 	s.document = firstDocument()
 	if s.Faults == EvacuationFaults {
-		s.document.WarmupS, s.document.WarmupPerS, s.ledger.WarmupTime = int(warmupTime/time.Second), warmupPerS, warmupTime
+		s.document, s.ledger.WarmupTime = placedDocument(s.document), warmupTime
 	}
 	s.store.Put("op", "config", s.document.JSON())
 	s.tasks.Go(s.beat)
