heartbeat: bound what datagrams make a VM keep

Anyone may send datagrams.

Demand is kept for workspaces of the configuration only; whoever runs the Fleet tells them. Spoofed heartbeats of real VMs aren't addressed: datagrams aren't signed.

--- a/internal/heartbeat/heartbeat.go
+++ b/internal/heartbeat/heartbeat.go
@@ -77,6 +77,9 @@
 	FillMessage func(*Message)
 	// HasUrgentNews reports whether a heartbeat should be sent before the next one is due.
 	HasUrgentNews func() bool
+	// IsWorkspace reports whether a workspace is known here. Demand for others isn't kept. It may be nil
+	// if all are.
+	IsWorkspace func(name string) bool
 	// OnMessage is called with each heartbeat of another VM, and with each change of a VM's state
 	// in a digest.
 	OnMessage func(Message)
@@ -374,27 +377,36 @@
 			clock.Sleep(ctx, time.Millisecond)
 			continue
 		}
-		var message Message
-		if err := json.Unmarshal(buffer[:n], &message); err != nil || message.VM == "" {
-			eventMalformed.Log(f.Logger, "from", from, "bytes", n, "err", err)
-			continue
+		f.handleDatagram(buffer[:n], from)
+	}
+}
+
+// handleDatagram handles a datagram of another VM, or of anyone else.
+func (f *Fleet) handleDatagram(datagram []byte, from net.Addr) {
+	var message Message
+	if err := json.Unmarshal(datagram, &message); err != nil || message.VM == "" {
+		eventMalformed.Log(f.Logger, "from", from, "bytes", len(datagram), "err", err)
+		return
+	}
+	if !f.bound(&message) {
+		eventTooManyVMs.Log(f.Logger, "from", from, "peer", message.VM, "max", maxPeers)
+		return
+	}
+	f.NoteStoreEra(message.StoreEra)
+	switch {
+	case message.VM == f.VM:
+	case message.Digest != nil:
+		if f.accepts(message) {
+			f.receiveDigest(message)
 		}
-		f.NoteStoreEra(message.StoreEra)
-		switch {
-		case message.VM == f.VM:
-		case message.Digest != nil:
-			if f.accepts(message) {
-				f.receiveDigest(message)
-			}
-		case message.RequestedZone != "":
-			f.answerRequest(message)
-		case message.ZonePayload != nil:
-			f.OnZonePayload(message.ZonePayload)
-		default:
-			f.recordMessage(message)
-			if message.View != nil && message.Zone == f.Zone && f.accepts(message) {
-				f.receiveView(message)
-			}
+	case message.RequestedZone != "":
+		f.answerRequest(message)
+	case message.ZonePayload != nil:
+		f.OnZonePayload(message.ZonePayload)
+	default:
+		f.recordMessage(message)
+		if message.View != nil && message.Zone == f.Zone && f.accepts(message) {
+			f.receiveView(message)
 		}
 	}
 }
