budget: limit what clients of a VM may hold

internal/budget says what a session may hold, what all may hold together, and who is closed first: those that read nothing for 0.25 s, then the largest that send nothing, never one that makes progress, is served or idle. Bytes of long messages (over 16 KB) are charged before they are held, as the longest ones while the length isn't known; a message waits for room, up to 5 s, and is then refused as not run. Charging each buffer as it grows was ruled out: all messages would hold a part and wait for the rest. What sessions keep (values, prepared statements) is limited by session and to half of the total, so that it can't use up the room for messages. Descriptors: half for callers, a quarter for links, a sixteenth for pages, the rest for connections that the VM opens. The kernel's buffers of accepted connections are 16 KB, since their bytes count towards the memory. The Go runtime gets a soft limit.

Long answers are sent in parts of 16 KB, which shows whether the caller reads, and aren't copied as a whole. relay: the length before each gob message is checked before the decoder allocates it; a batch without room is skipped and answered as busy. HTTP pages: header 8 KB, body 64 KB, 10 s for a request and for its answer.

All limits follow from limits.memoryMb and limits.fileDescriptors and have flags and variables (OPERATIONS.md). On the smallest documented machine (184 MB, 4,200 descriptors): 847 callers, 423 links, 141 connections to pages, 46 MB.

--- a/cmd/savoryramp-vm/daemon.go
+++ b/cmd/savoryramp-vm/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/go-kit/log"
 	"github.com/oklog/run"
 
+	"github.com/savoryramp/savoryramp/internal/budget"
 	"github.com/savoryramp/savoryramp/internal/clock"
 	"github.com/savoryramp/savoryramp/internal/event"
 	"github.com/savoryramp/savoryramp/internal/heartbeat"
@@ -39,13 +40,9 @@
 	eventNoMetrics           = event.Define(7005, "vm-no-metrics", event.Warn, "Listening on the metrics address failed; the VM runs without metrics.")
 )
 
-const (
-	// killMargin is how long before the platform kills the process a drain ends at the latest, so
-	// that the remaining connections can be closed in order.
-	killMargin = 400 * time.Millisecond
-	// headerTimeout bounds reading the header of a request to the VM's own HTTP pages.
-	headerTimeout = 5 * time.Second
-)
+// killMargin is how long before the platform kills the process a drain ends at the latest, so
+// that the remaining connections can be closed in order.
+const killMargin = 400 * time.Millisecond
 
 // daemon is the savoryramp-vm process. Its exported fields are set before Run.
 type daemon struct {
@@ -57,6 +54,7 @@
 	vm                   *proxy.VM
 	fleet                *heartbeat.Fleet
 	quota                *quota.Limiter
+	budget               *budget.Budget
 	store                *platform.Store
 	configurationWatcher *platform.ConfigurationWatcher
 	promoter             *platform.Promoter
@@ -91,21 +89,22 @@
 	if err != nil {
 		return proxy.ErrConnect.Wrap(err, "heartbeats")
 	}
+	d.budget = &budget.Budget{Limits: d.Options.Limits.Apply(s.MemoryMB, s.FileDescriptors, platform.MaxMessage), Logger: d.logger}
 	d.store = platform.NewStore(string(s.StoreAddress))
 	d.store.Logger = d.logger
 	d.fleet = &heartbeat.Fleet{
 		VM: heartbeat.VMName(s.VM), Zone: string(s.Zone), LinkMbps: s.LinkMbps, Conn: heartbeatConn, Directory: platform.Directory{Store: d.store, Logger: d.logger}, Logger: d.logger,
-		Seeds: d.seedAddresses(), FillMessage: d.fillMessage, OnMessage: d.onMessage, OnFleetDemand: d.onFleetDemand, OnZonePayload: d.onServerList, HasUrgentNews: d.hasUrgentNews,
+		Seeds: d.seedAddresses(), FillMessage: d.fillMessage, IsWorkspace: d.isWorkspace, OnMessage: d.onMessage, OnFleetDemand: d.onFleetDemand, OnZonePayload: d.onServerList, HasUrgentNews: d.hasUrgentNews,
 	}
 	d.store.OnEra = d.fleet.NoteStoreEra
 	d.quota = &quota.Limiter{Now: func() time.Duration { return time.Duration(clock.Now()) }, VMCount: d.fleet.RateSize}
 	d.vm = &proxy.VM{
-		Name: s.VM, Zone: s.Zone, Connect: platform.Connect, Fleet: verifierFleet{d.fleet}, Quota: d.quota, Logger: d.logger,
+		Name: s.VM, Zone: s.Zone, Connect: platform.Connector{Budget: d.budget}.Connect, Fleet: verifierFleet{d.fleet}, Quota: d.quota, Logger: d.logger,
 		IsolatedFor: func() time.Duration { return min(d.store.TimeSinceReply(), d.fleet.TimeSincePeerSeen()) },
 	}
-	relayListener, err := net.Listen("tcp", net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)))
+	relayListener, err := d.listenOn(net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)), budget.Links)
 	if err != nil {
-		return proxy.ErrConnect.Wrap(err, "relay")
+		return err
 	}
 	r := &relay.Relay{VM: d.vm, Capacity: s.CPUCores, Fleet: d.fleet, Listener: relayListener, Logger: d.logger}
 	d.vm.Relay = r
@@ -127,9 +126,9 @@
 
 // listen opens the listeners for callers, readiness checks, the control pages and metrics.
 func (d *daemon) listen() error {
-	callers, err := net.Listen("tcp", string(d.Settings.CallerAddress))
+	callers, err := d.listenOn(string(d.Settings.CallerAddress), budget.Callers)
 	if err != nil {
-		return proxy.ErrConnect.Wrap(err, "callers")
+		return err
 	}
 	d.addTask((&platform.CallerServer{Listener: callers, Serve: d.vm.Serve}).Run)
 	if err := d.addHTTPServer(string(d.Settings.ReadinessAddress), platform.Readiness(d.vm.IsReady)); err != nil {
@@ -174,7 +173,11 @@
 func (d *daemon) serveState(w http.ResponseWriter, _ *http.Request) {
 	e := json.NewEncoder(w)
 	e.SetIndent("", "  ")
-	if err := e.Encode(d.vm.State()); err != nil {
+	state := struct {
+		proxy.State
+		Budget budget.State `json:"budget"`
+	}{d.vm.State(), d.budget.State()}
+	if err := e.Encode(state); err != nil {
 		w.WriteHeader(http.StatusInternalServerError)
 	}
 }
@@ -188,6 +191,9 @@
 	if err := d.vm.RegisterMetrics(m.Meter("vm")); err != nil {
 		return nil, err
 	}
+	if err := d.budget.RegisterMetrics(m.Meter("budget")); err != nil {
+		return nil, proxy.ErrMalformed.Wrap(err, "metrics")
+	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", m.Handler())
 	mux.HandleFunc("GET /state", d.serveState)
@@ -196,15 +202,24 @@
 
 // addHTTPServer adds an HTTP server to the process's tasks.
 func (d *daemon) addHTTPServer(address string, handler http.Handler) error {
-	listener, err := net.Listen("tcp", address)
+	listener, err := d.listenOn(address, budget.Pages)
 	if err != nil {
-		return proxy.ErrConnect.Wrap(err, "%s", address)
+		return err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	server := budget.HTTPServer(handler)
 	d.tasks.Add(func() error { return server.Serve(listener) }, func(error) { server.Close() })
 	return nil
 }
 
+// listenOn opens a listener that accepts connections as far as the budget has room for their class.
+func (d *daemon) listenOn(address string, c budget.Class) (net.Listener, error) {
+	listener, err := budget.Listen(address, budget.KernelBuffer)
+	if err != nil {
+		return nil, proxy.ErrConnect.Wrap(err, "%s on %s", c, address)
+	}
+	return &budget.Listener{Listener: listener, Budget: d.budget, Class: c}, nil
+}
+
 // addTask adds a task that runs until its context ends.
 func (d *daemon) addTask(task func(context.Context) error) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -256,6 +271,12 @@
 	}
 }
 
+// isWorkspace reports whether the configuration in force, if there is one, has a workspace.
+func (d *daemon) isWorkspace(name string) bool {
+	c := d.vm.Configuration()
+	return c == nil || c.Workspaces[proxy.WorkspaceName(name)] != nil
+}
+
 // hasUrgentNews reports whether a heartbeat should be sent before the next one is due.
 func (d *daemon) hasUrgentNews() bool {
 	return len(d.vm.PrimaryObservations()) > 0 || d.quota.NeedsEarlyReport() || d.configurationVersion() > d.announcedVersion.Load()
--- a/cmd/savoryramp-vm/options.go
+++ b/cmd/savoryramp-vm/options.go
@@ -6,6 +6,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"github.com/savoryramp/savoryramp/internal/budget"
 	"github.com/savoryramp/savoryramp/internal/proxy"
 	"github.com/savoryramp/savoryramp/platform"
 )
@@ -28,6 +29,8 @@
 	MetricsPort int
 	// LogLinesPerSecond limits the average rate of log lines.
 	LogLinesPerSecond int
+	// Limits replace the limits that follow from the machine's, where they aren't 0.
+	Limits budget.Overrides
 	// CheckOnly validates the settings and exits.
 	CheckOnly bool
 	// PrintEvents prints the catalogue of log events and exits.
@@ -41,6 +44,9 @@
 	app.Flag("settings", "The platform's settings file.").Envar(platform.SettingsVariable).StringVar(&o.SettingsPath)
 	app.Flag("metrics-port", "Port for /metrics and /state on the VM's address; 0 disables both.").Default("9464").Envar("SAVORYRAMP_METRICS_PORT").IntVar(&o.MetricsPort)
 	app.Flag("log-lines", "Maximum average number of log lines per second.").Default("100").Envar("SAVORYRAMP_LOG_LINES").IntVar(&o.LogLinesPerSecond)
+	o.Limits.Define(func(name, help, variable string, target *int) {
+		app.Flag(name, help).Default("0").Envar(variable).IntVar(target)
+	})
 	app.Flag("check", "Validate the settings and exit.").BoolVar(&o.CheckOnly)
 	app.Flag("events", "Print the catalogue of log events and exit.").BoolVar(&o.PrintEvents)
 	if _, err := app.Parse(arguments); err != nil {
@@ -52,6 +58,9 @@
 	if o.LogLinesPerSecond < 1 {
 		return options{}, proxy.ErrMalformed.New("--log-lines is %d, must be at least 1", o.LogLinesPerSecond)
 	}
+	if err := o.Limits.Validate(); err != nil {
+		return options{}, proxy.ErrMalformed.Wrap(err, "command line")
+	}
 	return o, nil
 }
 
--- a/internal/proxy/errors.go
+++ b/internal/proxy/errors.go
@@ -54,5 +54,8 @@
 // IsMalformed reports whether a setting, row or message has an invalid form.
 func IsMalformed(err error) bool { return isType(err, ErrMalformed) }
 
+// IsBusy reports whether a request can't run now because of limited capacity.
+func IsBusy(err error) bool { return isType(err, ErrBusy) }
+
 // IsTimeout reports whether a deadline passed before the awaited message or state.
 func IsTimeout(err error) bool { return isType(err, ErrTimeout) }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -22,6 +22,7 @@
 	"github.com/go-kit/log"
 	"github.com/joomcode/errorx"
 
+	"github.com/savoryramp/savoryramp/internal/budget"
 	"github.com/savoryramp/savoryramp/internal/event"
 	"github.com/savoryramp/savoryramp/internal/heartbeat"
 	"github.com/savoryramp/savoryramp/internal/proxy"
@@ -285,7 +286,7 @@
 	out := bufio.NewWriterSize(nc, bufferSize)
 	return &link{
 		relay: r, address: address, net: nc, out: out,
-		encoder: gob.NewEncoder(out), decoder: gob.NewDecoder(bufio.NewReaderSize(nc, bufferSize)),
+		encoder: gob.NewEncoder(out), decoder: gob.NewDecoder(&frameReader{in: bufio.NewReaderSize(nc, bufferSize), maxLength: maxReply}),
 	}, nil
 }
 
@@ -410,22 +411,44 @@
 	defer stop()
 	session := proxy.RemoteSession{VM: r.VM}
 	defer session.Close()
+	account := budget.AccountOf(nc)
 	out := bufio.NewWriterSize(nc, bufferSize)
-	encoder, decoder := gob.NewEncoder(out), gob.NewDecoder(bufio.NewReaderSize(nc, bufferSize))
+	encoder, decoder := gob.NewEncoder(out), gob.NewDecoder(&frameReader{in: bufio.NewReaderSize(nc, bufferSize), maxLength: maxBatch, account: account})
 	for {
 		_ = nc.SetDeadline(time.Now().Add(servedLinkIdleTimeout))
 		var batch proxy.Batch
-		// A remote session usually ends when the other VM closes the link.
-		if err := decoder.Decode(&batch); err != nil {
+		err := decoder.Decode(&batch)
+		if err != nil && !proxy.IsBusy(err) {
+			// A remote session usually ends when the other VM closes the link.
 			return
 		}
-		answers, err := session.Exec(ctx, batch)
-		response := reply{Answers: answers}
+		account.Progress(budget.Serving)
+		var response reply
+		if err == nil {
+			response.Answers, err = session.Exec(ctx, batch)
+		}
 		if err != nil {
 			response = reply{Kind: errorKind(err), Text: err.Error()}
 		}
+		chargeAnswers(account, response.Answers)
+		account.Progress(budget.Sending)
 		if encoder.Encode(response) != nil || out.Flush() != nil {
 			return
 		}
+		account.ReleaseMessage()
+		account.Progress(budget.Idle)
+	}
+}
+
+// chargeAnswers charges long answers, which have been received already, and their encoded copy.
+func chargeAnswers(account *budget.Account, answers []proxy.Answer) {
+	size := budget.Bytes(0)
+	for _, a := range answers {
+		for _, row := range a.Rows {
+			size += budget.Bytes(len(row))
+		}
+	}
+	if size > budget.FreeBytes {
+		account.Force(2 * size)
 	}
 }
