caller, operator: limit what clients of the daemon may hold

40 clients that prepare 16 statements of 1 MiB each took 1,838 MB of 128, 40 queries of 8 MiB 833 MB (TestDaemonCallers), and connections took all descriptors.

The PostgreSQL side uses the same budget: a long message is charged before the rest of it is read, messages before a Sync and prepared statements are charged to what a session keeps, long answers are written in parts. Refusals have SQL state 53200 and say "not run". Limits follow from the control group or the machine and the process's limit of descriptors, with flags and variables. The admin page has limits of connections, header and time. A closed statement stays charged, as it is kept until the session ends. Not limited: the peers' port (gRPC, mutual TLS) and a session's SET statements that are restored on servers.

--- a/internal/caller/connection.go
+++ b/internal/caller/connection.go
@@ -6,6 +6,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"github.com/savoryramp/savoryramp/internal/budget"
 )
 
 const (
@@ -15,6 +17,13 @@
 	writeTimeout = 30 * time.Second
 	// closingTimeout is the longest time for writing the final error message.
 	closingTimeout = time.Second
+	// roomTimeout bounds waiting for memory for a long message.
+	roomTimeout = 10 * time.Second
+	// messageCopies is how many copies of a long message are held while it is served: what was read, the
+	// decoded message, and the one for the server.
+	messageCopies = 3
+	// writePart is the size of the parts in which long answers are written, in bytes.
+	writePart = 32 << 10
 )
 
 // callerConn is a caller's connection. It limits the time for receiving a message once
@@ -32,10 +41,14 @@
 	readsStopped bool
 	// closing is set once closingTimeout limits the remaining writes.
 	closing bool
+	// account is charged with what the caller makes this VM hold. It may be nil.
+	account *budget.Account
+	// isReserved is set once the message being received was charged. Only Read uses it.
+	isReserved bool
 }
 
 func newCallerConn(conn net.Conn, loginDeadline time.Time) *callerConn {
-	c := &callerConn{Conn: conn, loginDeadline: loginDeadline}
+	c := &callerConn{Conn: conn, loginDeadline: loginDeadline, account: budget.AccountOf(conn)}
 	c.setDeadlines()
 	return c
 }
@@ -48,12 +61,21 @@
 		c.mu.Unlock()
 		return 0, os.ErrDeadlineExceeded
 	}
+	bodyLeft := c.framer.bodyLeft
+	c.mu.Unlock()
+	if err := c.reserve(bodyLeft); err != nil {
+		return 0, err
+	}
+	c.mu.Lock()
 	c.setDeadlines()
 	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.framer.advance(p[:n])
+	if c.framer.startedInLastRead || !c.framer.isPartial() {
+		c.isReserved = false
+	}
 	switch {
 	case !c.framer.isPartial():
 		c.messageStart = time.Time{}
@@ -63,6 +85,20 @@
 	return n, err
 }
 
+// reserve charges a long message before the rest of it is read. It returns ErrOverLimit if there is no
+// memory for it in time.
+func (c *callerConn) reserve(bodyLeft int) error {
+	if bodyLeft <= int(budget.FreeBytes) {
+		return nil
+	}
+	if !c.isReserved && !c.account.Reserve(messageCopies*budget.Bytes(bodyLeft), time.Now().Add(roomTimeout)) {
+		return ErrOverLimit.New("no memory for a message of %d bytes", bodyLeft)
+	}
+	c.isReserved = true
+	c.account.Progress(budget.Receiving)
+	return nil
+}
+
 // setDeadlines sets the connection's deadlines for the current state. The caller holds
 // c.mu, or c isn't shared yet.
 func (c *callerConn) setDeadlines() {
@@ -84,7 +120,26 @@
 		_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
 	}
 	c.mu.Unlock()
-	return c.Conn.Write(p)
+	size := budget.Bytes(0)
+	if len(p) > int(budget.FreeBytes) {
+		size = budget.Bytes(len(p))
+	}
+	c.account.Force(size)
+	defer c.account.GiveBack(size)
+	return c.writeParts(p)
+}
+
+// writeParts writes in parts, so that it shows whether the caller reads.
+func (c *callerConn) writeParts(p []byte) (written int, err error) {
+	defer c.account.Progress(budget.Serving)
+	for {
+		c.account.Progress(budget.Sending)
+		n, err := c.Conn.Write(p[written:min(written+writePart, len(p))])
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
 }
 
 // endLogin removes the login deadline.
--- a/internal/caller/ending.go
+++ b/internal/caller/ending.go
@@ -48,6 +48,8 @@
 	case isType(err, ErrProtocol):
 		eventProtocolError.Log(s.server.Logger, "key", s.key, "err", err)
 		s.send(errorResponse("FATAL", err))
+	case isType(err, ErrOverLimit):
+		s.send(errorResponse("FATAL", err))
 	default:
 		return
 	}
--- a/internal/caller/errors.go
+++ b/internal/caller/errors.go
@@ -34,6 +34,8 @@
 	ErrUnsupported = errs.NewType("unsupported", upstream.NotExecuted)
 	// ErrUnknownOutcome means that a write was sent and may or may not have run.
 	ErrUnknownOutcome = errs.NewType("unknown-outcome")
+	// ErrOverLimit means that there is no memory for a message, or for what a session keeps.
+	ErrOverLimit = errs.NewType("over-limit", upstream.NotExecuted)
 	// ErrDrainTimeout means that sessions were still open when the time for draining
 	// ended.
 	ErrDrainTimeout = errs.NewType("cut")
@@ -62,6 +64,7 @@
 	CodeReadOnlyTransaction          SQLState = "25006"
 	CodeInFailedTransaction          SQLState = "25P02"
 	CodeSerializationFailure         SQLState = "40001"
+	CodeOutOfMemory                  SQLState = "53200"
 	CodeTooManyConnections           SQLState = "53300"
 	CodeConfigurationLimitExceeded   SQLState = "53400"
 	CodeInvalidParameterValue        SQLState = "22023"
@@ -78,6 +81,7 @@
 	ErrRateLimited:          CodeConfigurationLimitExceeded,
 	ErrInvalidSetting:       CodeInvalidParameterValue,
 	ErrTransactionLost:      CodeConnectionFailure,
+	ErrOverLimit:            CodeOutOfMemory,
 	ErrUnsupported:          CodeFeatureNotSupported,
 	ErrUnknownOutcome:       CodeTransactionResolutionUnknown,
 	errReadOnly:             CodeReadOnlyTransaction,
--- a/internal/caller/extended.go
+++ b/internal/caller/extended.go
@@ -19,6 +19,9 @@
 	if len(s.pendingMessages) >= maxPendingMessages {
 		return ErrProtocol.New("more than %d messages before a Sync", maxPendingMessages)
 	}
+	if err := s.keep(m); err != nil {
+		return err
+	}
 	s.pendingMessages = append(s.pendingMessages, cloneMessage(m))
 	return nil
 }
@@ -27,6 +30,7 @@
 func (s *Session) runExtended(ctx context.Context, sync bool) error {
 	messages := s.pendingMessages
 	s.pendingMessages = nil
+	defer s.releasePending()
 	if s.skippingToSync {
 		if !sync {
 			return s.flush()
--- a/internal/caller/session.go
+++ b/internal/caller/session.go
@@ -11,6 +11,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"github.com/savoryramp/savoryramp/internal/budget"
 	"github.com/savoryramp/savoryramp/internal/platform"
 	"github.com/savoryramp/savoryramp/internal/upstream"
 )
@@ -37,6 +38,10 @@
 	preparedStatements map[string]*preparedStatement
 	// pendingMessages are the extended-protocol messages since the last Sync or Flush.
 	pendingMessages []pgproto3.FrontendMessage
+	// pendingBytes is what is charged for pendingMessages, preparedBytes for each prepared statement by
+	// name. A closed statement's remains charged, as it is kept.
+	pendingBytes  budget.Bytes
+	preparedBytes map[string]budget.Bytes
 	// serverSettings are restored on each server connection that the session acquires.
 	serverSettings []serverSetting
 	// uncommittedSettings are those that the open transaction changed.
@@ -100,7 +105,10 @@
 			s.sendClosingError(nil)
 			return
 		}
+		s.callerConn.account.ReleaseMessage()
+		s.callerConn.account.Progress(budget.Idle)
 		m, err := s.backend.Receive()
+		s.callerConn.account.Progress(budget.Serving)
 		if err != nil {
 			s.sendClosingError(s.classifyReadError(err))
 			return
@@ -117,6 +125,9 @@
 // classifyReadError turns a read error into ErrProtocol if the caller violated the
 // protocol, otherwise into errCallerGone.
 func (s *Session) classifyReadError(err error) error {
+	if isType(err, ErrOverLimit) {
+		return err
+	}
 	if netErr, found := err.(net.Error); found && netErr.Timeout() && s.callerConn.isReceiving() {
 		return ErrProtocol.New("a message took longer than %s", messageTimeout)
 	}
--- a/internal/caller/startup.go
+++ b/internal/caller/startup.go
@@ -19,8 +19,9 @@
 	// loginTimeout is the longest time from the accept of a connection to the end of
 	// its login.
 	loginTimeout = 10 * time.Second
-	// maxMessageSize limits a caller's message, in bytes.
-	maxMessageSize = 16 << 20
+	// MaxMessage limits a caller's message, in bytes.
+	MaxMessage     = 16 << 20
+	maxMessageSize = MaxMessage
 	// maxStartupMessageSize limits a message during the login, in bytes.
 	maxStartupMessageSize = 64 << 10
 	// cancelSecretSize is the size of the secret in BackendKeyData, in bytes.
@@ -89,6 +90,7 @@
 		return false
 	}
 	upgraded := newCallerConn(tlsConn, s.callerConn.loginDeadline)
+	upgraded.account = s.callerConn.account
 	s.callerConn = upgraded
 	s.backend = pgproto3.NewBackend(upgraded, upgraded)
 	s.output.conn = upgraded
--- a/internal/operator/admin.go
+++ b/internal/operator/admin.go
@@ -10,13 +10,11 @@
 
 	"github.com/go-kit/log"
 
+	"github.com/savoryramp/savoryramp/internal/budget"
 	"github.com/savoryramp/savoryramp/internal/platform"
 )
 
-const (
-	adminHeaderTimeout = 5 * time.Second
-	adminCloseTimeout  = time.Second
-)
+const adminCloseTimeout = time.Second
 
 // StateFunc returns the state of a component for the state dump, as a value that marshals
 // to JSON with kebab-case keys. It must be safe to call from any goroutine.
@@ -30,7 +28,9 @@
 	Ready func() bool
 	// Metrics handles /metrics; nil means that there is no such path.
 	Metrics http.Handler
-	Logger  log.Logger
+	// Budget limits the connections; nil means no limit.
+	Budget *budget.Budget
+	Logger log.Logger
 
 	listener   net.Listener
 	mu         sync.Mutex
@@ -52,7 +52,7 @@
 
 // Listen opens the listener on Address. It returns ErrListen if that fails.
 func (a *Admin) Listen() error {
-	listener, err := listen("admin", a.Address)
+	listener, err := listenWithin(a.Budget, budget.Pages, "admin", a.Address)
 	if err != nil {
 		return err
 	}
@@ -62,7 +62,7 @@
 
 // Run serves the admin page until ctx ends. Listen must have succeeded before.
 func (a *Admin) Run(ctx context.Context) error {
-	server := &http.Server{Handler: a.Handler(), ReadHeaderTimeout: adminHeaderTimeout}
+	server := budget.HTTPServer(a.Handler())
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
@@ -170,11 +170,32 @@
 	_, _ = w.Write([]byte(text + "\n"))
 }
 
+// listenWithin opens a TCP listener that accepts connections as far as a budget, if there is one, has room
+// for their class.
+func listenWithin(b *budget.Budget, c budget.Class, flag string, address platform.Address) (net.Listener, error) {
+	if b == nil {
+		return listen(flag, address)
+	}
+	listener, err := budget.Listen(string(address), kernelBuffer)
+	if err != nil {
+		return nil, listenError(flag, address, err)
+	}
+	return &budget.Listener{Listener: listener, Budget: b, Class: c}, nil
+}
+
+// kernelBuffer is the size of the kernel's buffers of clients' connections. It is larger than on small VMs,
+// as messages are longer.
+const kernelBuffer = 4 * budget.KernelBuffer
+
 // listen opens a TCP listener. Its error names the flag that set the address.
 func listen(flag string, address platform.Address) (net.Listener, error) {
 	listener, err := net.Listen("tcp", string(address))
 	if err != nil {
-		return nil, ErrListen.New("can't listen on %s (--%s): %s; free the address or use another", address, flag, rootCause(err))
+		return nil, listenError(flag, address, err)
 	}
 	return listener, nil
 }
+
+func listenError(flag string, address platform.Address, err error) error {
+	return ErrListen.New("can't listen on %s (--%s): %s; free the address or use another", address, flag, rootCause(err))
+}
--- a/internal/operator/alerts.go
+++ b/internal/operator/alerts.go
@@ -28,6 +28,8 @@
 	"savoryramp_upstream_replica_lag",
 	"savoryramp_upstream_connections",
 	"savoryramp_upstream_requests_waiting",
+	"savoryramp_budget_acts_total",
+	"savoryramp_budget_held_bytes",
 	"savoryramp_configuration_version",
 	"savoryramp_configuration_read_timestamp_seconds",
 }
--- a/internal/operator/daemon.go
+++ b/internal/operator/daemon.go
@@ -10,6 +10,8 @@
 	"github.com/go-kit/log"
 	"github.com/oklog/run"
 
+	"github.com/savoryramp/savoryramp/internal/budget"
+	"github.com/savoryramp/savoryramp/internal/caller"
 	"github.com/savoryramp/savoryramp/internal/meter"
 	"github.com/savoryramp/savoryramp/internal/platform"
 )
@@ -50,6 +52,8 @@
 	// Configuration provides the document in force.
 	Configuration *platform.Configuration
 	components    *components
+	// budget limits what clients may use.
+	budget *budget.Budget
 	// started is the time at which the components were created.
 	started time.Time
 	// Exit terminates the process immediately; it is called on a second signal.
@@ -117,7 +121,11 @@
 // prepare opens the listeners, checks the platform and creates the components.
 func (d *Daemon) prepare() error {
 	d.Configuration = &platform.Configuration{Table: d.Table, Store: d.Store, PollInterval: documentPollInterval, Logger: d.Logger, Meter: d.Metrics.Meter("platform")}
-	d.Admin = &Admin{Address: d.Options.AdminListen, Ready: d.ready, Metrics: d.Metrics.Handler(), Logger: d.Logger}
+	d.budget = &budget.Budget{Limits: d.Options.ClientLimits.Apply(0, 0, caller.MaxMessage), Logger: d.Logger}
+	if err := d.budget.RegisterMetrics(d.Metrics.Meter("budget")); err != nil {
+		return ErrFailed.Wrap(err, "metrics")
+	}
+	d.Admin = &Admin{Budget: d.budget, Address: d.Options.AdminListen, Ready: d.ready, Metrics: d.Metrics.Handler(), Logger: d.Logger}
 	d.registerState(time.Now())
 	if err := d.Admin.Listen(); err != nil {
 		return err
--- a/internal/operator/options.go
+++ b/internal/operator/options.go
@@ -8,6 +8,7 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/joomcode/errorx"
 
+	"github.com/savoryramp/savoryramp/internal/budget"
 	"github.com/savoryramp/savoryramp/internal/platform"
 )
 
@@ -76,6 +77,8 @@
 	// Limit selects how the connections in use to each server are limited; empty means
 	// LimitFixed.
 	Limit LimitName
+	// ClientLimits replace the limits on clients that follow from the machine's, where they aren't 0.
+	ClientLimits budget.Overrides
 }
 
 // TLSFiles holds the paths of PEM files.
@@ -164,6 +167,7 @@
 	c.addDuration("max-wait", "Maximum time a request waits in a queue before it is refused without being run.", "2s", 0, &r.MaxWait)
 	c.addChoice("limit", "Limit on concurrently used connections to each server: fixed (this VM's share) or adaptive (fewer while the server is slow).",
 		string(LimitFixed), []string{string(LimitFixed), string(LimitAdaptive)}, (*string)(&r.Limit))
+	r.ClientLimits.Define(func(name, help, _ string, target *int) { c.addFlag(name, help).Default("0").IntVar(target) })
 	o.definePlatform(c)
 }
 
@@ -261,6 +265,9 @@
 	if (r.ListenTLS.Certificate == "") != (r.ListenTLS.Key == "") {
 		return ErrUsage.New("--listen-cert and --listen-key must be set together; set both or neither")
 	}
+	if err := r.ClientLimits.Validate(); err != nil {
+		return ErrUsage.New("%s", rootCause(err))
+	}
 	return r.validateAddresses()
 }
 
--- a/internal/operator/serve.go
+++ b/internal/operator/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 
+	"github.com/savoryramp/savoryramp/internal/budget"
 	"github.com/savoryramp/savoryramp/internal/caller"
 	"github.com/savoryramp/savoryramp/internal/peer"
 	"github.com/savoryramp/savoryramp/internal/platform"
@@ -27,7 +28,7 @@
 
 // newComponents opens the listeners for callers and peers and creates the components.
 func (d *Daemon) newComponents() (*components, error) {
-	listener, err := listen("listen", d.Options.CallerListen)
+	listener, err := listenWithin(d.budget, budget.Callers, "listen", d.Options.CallerListen)
 	if err != nil {
 		return nil, err
 	}
@@ -55,6 +56,7 @@
 		ForwardCancel: d.forwardCancel, DocumentTrusted: trust.CanServe, Logger: d.Logger, Meter: d.Metrics.Meter("caller"),
 	}
 	fleet.OnCancel = cancelHandler(c)
+	d.Admin.Register("client-limits", func() any { return d.budget.State() })
 	d.Admin.Register("trusted", func() any { return trust.CanServe() })
 	s := &components{upstreams: u, callers: c, fleet: fleet, coordination: coordinator, limits: limits, announced: d.announceSelf()}
 	s.registerState(d.Admin)
