--- a/internal/hostile/daemon_test.go
+++ b/internal/hostile/daemon_test.go
@@ -263,3 +263,21 @@
 		})
 	}
 }
+
+// TestDaemonPeers guards against connections to the port for other VMs that take the daemon's descriptors.
+func TestDaemonPeers(t *testing.T) {
+	patterns := map[string]func(c net.Conn){
+		"idle connections":      func(net.Conn) {},
+		"logins that never end": func(c net.Conn) { send(c, "\x16\x03\x01\x02\x00", text(100)) },
+	}
+	for name, client := range patterns {
+		t.Run(name, func(t *testing.T) {
+			d := startDaemon(t)
+			crowd := openCrowd(d.peer, 600, client)
+			d.expectAnswer(t)
+			crowd.close()
+			d.expectAnswer(t)
+			d.expectWithinLimits(t, daemonMemoryMB, daemonDescriptorBound)
+		})
+	}
+}
