operator, peer: limit connections to the port for peers

Connections of other VMs are counted against the budget's links, none is closed for others, and those that don't log in within 5 s end (2 minutes before). Headers are limited to 8 KB. The kernel's buffers stay as they are, since peers may be far away.

--- a/internal/budget/listener.go
+++ b/internal/budget/listener.go
@@ -33,6 +33,9 @@
 	net.Listener
 	Budget *Budget
 	Class  Class
+	// Activity is recorded for each accepted connection. It is Starting if empty; with Serving, sessions
+	// whose progress isn't recorded are never closed for others.
+	Activity Activity
 }
 
 // Conn is a connection with its account, which ends with it.
@@ -55,6 +58,9 @@
 			Reset(nc)
 			continue
 		}
+		if l.Activity != "" {
+			a.Progress(l.Activity)
+		}
 		return &Conn{Conn: nc, account: a}, nil
 	}
 }
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
+	"github.com/savoryramp/savoryramp/internal/budget"
 	"github.com/savoryramp/savoryramp/internal/caller"
 	"github.com/savoryramp/savoryramp/internal/peer"
 	"github.com/savoryramp/savoryramp/internal/platform"
@@ -27,7 +29,7 @@
 	f := &peer.Fleet{
 		Incarnation: peer.Incarnation(time.Now().UnixNano()),
 		Self:        platform.VMName(o.VMName), Address: o.PeerListen, AvailabilityZone: platform.AvailabilityZone(o.AvailabilityZone),
-		VMs: vms, Listener: listener, Logger: d.Logger,
+		VMs: vms, Listener: d.limitPeers(listener), Logger: d.Logger,
 	}
 	if t := o.PeerTLS; t != (TLSFiles{}) {
 		f.TLS = &peer.TLSFiles{Certificate: t.Certificate, Key: t.Key, Authorities: t.Authority, Logger: d.Logger}
@@ -37,6 +39,15 @@
 	return f, nil
 }
 
+// limitPeers limits the connections of other VMs, if there is a budget. Which of them make progress isn't
+// known here, so none is closed for others; those that don't log in end after a few seconds.
+func (d *Daemon) limitPeers(listener net.Listener) net.Listener {
+	if d.budget == nil {
+		return listener
+	}
+	return &budget.Listener{Listener: listener, Budget: d.budget, Class: budget.Links, Activity: budget.Serving}
+}
+
 // serveDocument returns the document in force to a peer that requests version v. It fails
 // if the document in force is older than v.
 func (d *Daemon) serveDocument(_ context.Context, v platform.DocumentVersion) (platform.DocumentHash, []byte, error) {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -23,11 +23,20 @@
 	fleet *Fleet
 }
 
+const (
+	// loginTimeout bounds the TLS handshake of a peer and the start of its HTTP/2 connection.
+	loginTimeout = 5 * time.Second
+	// maxHeader limits the headers of a request, in bytes.
+	maxHeader = 8 << 10
+)
+
 func (f *Fleet) newServer() *grpc.Server {
 	s := grpc.NewServer(
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: 10 * time.Second, Timeout: 5 * time.Second}),
 		grpc.StaticStreamWindowSize(windowBytes),
 		grpc.StaticConnWindowSize(windowBytes),
+		grpc.ConnectionTimeout(loginTimeout),
+		grpc.MaxHeaderListSize(maxHeader),
 	)
 	peerpb.RegisterPeerServer(s, &peerService{fleet: f})
 	return s
