--- a/internal/hostile/daemon_test.go
+++ b/internal/hostile/daemon_test.go
@@ -214,6 +214,13 @@
 		send(c, frontendMessages(&pgproto3.Sync{}))
 		awaitReady(c, 2)
 	}},
+	"settings kept by sessions": {clients: 40, client: func(c net.Conn) {
+		send(c, daemonStartup)
+		for i := range 16 {
+			send(c, frontendMessages(&pgproto3.Query{String: fmt.Sprint("set a.v", i, " = '", text(longValue), "'")}))
+		}
+		awaitReady(c, 17)
+	}},
 	"pipelined queries, answers unread": {clients: 40, client: func(c net.Conn) {
 		send(c, daemonStartup, strings.Repeat(frontendMessages(&pgproto3.Query{String: "select '" + text(longValue) + "'"}), 8))
 	}},
