caller: charge the settings that a session keeps

SET statements are kept to be restored on other servers, without a limit of bytes: 195 MB of 128 with 40 sessions. They are charged to what the session keeps. One that keeps too much ends after its current answer, with SQL state 53200; cancelling the statement was ruled out, as it has run.

--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -159,6 +159,7 @@
 // transaction or releases it.
 func (s *Session) finishRequest(x *attempt) error {
 	s.recordSettings(x)
+	s.chargeSettings()
 	if x.request.endsWithFlush {
 		s.implicitTransaction = s.implicitTransaction || !x.inTransaction
 		s.transactionConn = x.conn
--- a/internal/caller/ending.go
+++ b/internal/caller/ending.go
@@ -16,6 +16,7 @@
 	reasonShutdown  endReason = "shutdown"
 	reasonWithdrawn endReason = "withdrawn"
 	reasonUntrusted endReason = "untrusted"
+	reasonOverLimit endReason = "over-limit"
 )
 
 const (
@@ -43,6 +44,8 @@
 	case reason == reasonWithdrawn:
 		eventKeyWithdrawn.Log(s.server.Logger, "key", s.key, "workspace", s.workspace.Name)
 		s.send(fatalResponse(ErrAuthentication.New("key %s was withdrawn", s.key), CodeInvalidAuthorization))
+	case reason == reasonOverLimit:
+		s.send(errorResponse("FATAL", ErrOverLimit.New("the session keeps too many settings")))
 	case reason == reasonShutdown:
 		s.send(s.shutdownError())
 	case isType(err, ErrProtocol):
--- a/internal/caller/keep.go
+++ b/internal/caller/keep.go
@@ -37,6 +37,29 @@
 	s.pendingBytes = 0
 }
 
+// chargeSettings charges the settings that the session keeps, and ends it after the current answer if it
+// keeps too much.
+func (s *Session) chargeSettings() {
+	size := budget.Bytes(0)
+	for _, list := range [][]serverSetting{s.serverSettings, s.uncommittedSettings} {
+		for _, setting := range list {
+			size += budget.Bytes(len(setting.sql)) + messageOverhead
+		}
+	}
+	if size == s.settingsBytes {
+		return
+	}
+	if s.callerConn.account.Keep(size - s.settingsBytes) {
+		s.settingsBytes = size
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.endReason == reasonNone {
+		s.endReason = reasonOverLimit
+	}
+}
+
 // messageSize returns what a queued message takes.
 func messageSize(m pgproto3.FrontendMessage) budget.Bytes {
 	size := messageOverhead
--- a/internal/caller/session.go
+++ b/internal/caller/session.go
@@ -38,9 +38,10 @@
 	preparedStatements map[string]*preparedStatement
 	// pendingMessages are the extended-protocol messages since the last Sync or Flush.
 	pendingMessages []pgproto3.FrontendMessage
-	// pendingBytes is what is charged for pendingMessages, preparedBytes for each prepared statement by
-	// name. A closed statement's remains charged, as it is kept.
+	// pendingBytes is what is charged for pendingMessages, settingsBytes for the settings, preparedBytes for
+	// each prepared statement by name. A closed statement's remains charged, as it is kept.
 	pendingBytes  budget.Bytes
+	settingsBytes budget.Bytes
 	preparedBytes map[string]budget.Bytes
 	// serverSettings are restored on each server connection that the session acquires.
 	serverSettings []serverSetting
