budget: leave a part of the memory to answers

Messages held the memory while they waited for a connection to a server, whose answers waited for memory in turn, behind other messages, until their time-out of 1 s. The kernel's buffers of 16 KB were ruled out as the cause: a single read of 768 KB takes 3 to 8 ms with them and 3 to 16 ms with 64 KB.

Messages leave a quarter of the total to answers, which don't wait behind messages. A message above the limit is served while nothing is held but what sessions keep.

--- a/internal/budget/account.go
+++ b/internal/budget/account.go
@@ -6,11 +6,13 @@
 const recheckInterval = 50 * time.Millisecond
 
 // Unlimited returns an account of a connection that this process opened. It is charged like others, and
-// never closed for them.
+// never closed for them; what it holds without room isn't counted as refused.
 func (b *Budget) Unlimited() *Account {
 	return &Account{budget: b, activity: Serving, shut: func() {}}
 }
 
+func (a *Account) isUnlimited() bool { return a.class == "" }
+
 // charge adds to what the account holds. The budget's mu must be held.
 func (a *Account) charge(n Bytes) {
 	a.held += n
@@ -25,7 +27,7 @@
 	}
 	b := a.budget
 	b.mu.Lock()
-	if len(b.waiters) == 0 && b.fits(n) && !a.ended {
+	if (len(b.waiters) == 0 || a.isUnlimited()) && b.fits(a, n) && !a.ended {
 		a.charge(n)
 		b.mu.Unlock()
 		return true
@@ -35,7 +37,7 @@
 		return false
 	}
 	w := &waiter{account: a, needed: min(n, b.Limits.Total), granted: make(chan struct{})}
-	b.waiters = append(b.waiters, w)
+	b.enqueue(w)
 	// A session that waits here isn't read from, so it can't make progress.
 	before := a.activity
 	a.activity = Serving
@@ -46,7 +48,9 @@
 	defer b.mu.Unlock()
 	a.activity, a.progressAt = before, time.Now()
 	if !granted && b.forget(w) {
-		b.record(MemoryRefused, a.class, a.activity)
+		if !a.isUnlimited() {
+			b.record(MemoryRefused, a.class, a.activity)
+		}
 		return false
 	}
 	return !a.ended
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -144,15 +144,25 @@
 	b.grant()
 }
 
-// fits reports whether an amount can be charged. An amount above the limit fits if nothing else is held.
-// b.mu must be held.
-func (b *Budget) fits(n Bytes) bool { return b.held == 0 || b.held+n <= b.Limits.Total }
+// fits reports whether an account can be charged an amount. Clients' messages leave a part of the total to
+// the answers of servers, for which messages may be waiting in turn. An amount above the limit fits if
+// nothing is held but what sessions keep. b.mu must be held.
+func (b *Budget) fits(a *Account, n Bytes) bool {
+	limit := b.Limits.Total
+	if !a.isUnlimited() {
+		limit -= limit / answerPart
+	}
+	return b.held == b.kept || b.held+n <= limit
+}
+
+// answerPart is the part of the total that messages leave to answers, as its divisor.
+const answerPart = 4
 
 // grant charges the amounts of the waiters that fit, in order of arrival. b.mu must be held.
 func (b *Budget) grant() {
 	for len(b.waiters) > 0 {
 		w := b.waiters[0]
-		if !w.account.ended && !b.fits(w.needed) {
+		if !w.account.ended && !b.fits(w.account, w.needed) {
 			return
 		}
 		b.waiters = b.waiters[1:]
@@ -169,12 +179,30 @@
 	if len(b.waiters) == 0 {
 		return
 	}
+	needed := b.held + b.waiters[0].needed - b.Limits.Total
+	if !b.waiters[0].account.isUnlimited() {
+		needed += b.Limits.Total / answerPart
+	}
 	accounts, sessions := b.sessions(Callers, Links)
-	for _, i := range orderForBytes(sessions, b.held+b.waiters[0].needed-b.Limits.Total) {
+	for _, i := range orderForBytes(sessions, needed) {
 		b.close(accounts[i], MemoryClosed)
 	}
 }
 
+// enqueue adds a waiter: an answer's before those of messages, since it holds a connection to a server.
+// b.mu must be held.
+func (b *Budget) enqueue(w *waiter) {
+	if !w.account.isUnlimited() {
+		b.waiters = append(b.waiters, w)
+		return
+	}
+	first := slices.IndexFunc(b.waiters, func(other *waiter) bool { return !other.account.isUnlimited() })
+	if first < 0 {
+		first = len(b.waiters)
+	}
+	b.waiters = slices.Insert(b.waiters, first, w)
+}
+
 // forget removes a waiter that gives up. It returns false if its amount was charged meanwhile. b.mu must
 // be held.
 func (b *Budget) forget(w *waiter) bool {
--- a/internal/hostile/crowd_test.go
+++ b/internal/hostile/crowd_test.go
@@ -27,6 +27,14 @@
 // openCrowd runs a number of clients at once, each on a connection of its own, and returns when all
 // have done what they do. Their connections stay open until close.
 func openCrowd(address string, clients int, client func(c net.Conn)) *crowd {
+	return openClients(address, clients, func(c net.Conn) {
+		_ = c.(*net.TCPConn).SetReadBuffer(clientBuffer)
+		client(c)
+	})
+}
+
+// openClients does the same for clients whose receive buffers have the usual size.
+func openClients(address string, clients int, client func(c net.Conn)) *crowd {
 	crowd := &crowd{}
 	var tasks sync.WaitGroup
 	for range clients {
@@ -35,7 +43,6 @@
 			if err != nil {
 				return
 			}
-			_ = c.(*net.TCPConn).SetReadBuffer(clientBuffer)
 			_ = c.SetDeadline(time.Now().Add(actionTimeout))
 			crowd.mu.Lock()
 			crowd.conns = append(crowd.conns, c)
