--- a/cmd/savoryramp-vm/daemon.go
+++ b/cmd/savoryramp-vm/daemon.go
@@ -106,7 +106,7 @@
 	if err != nil {
 		return err
 	}
-	r := &relay.Relay{VM: d.vm, Capacity: s.CPUCores, Fleet: d.fleet, Listener: relayListener, Logger: d.logger}
+	r := &relay.Relay{VM: d.vm, Capacity: s.CPUCores, Fleet: d.fleet, Listener: relayListener, Budget: d.budget, Logger: d.logger}
 	d.vm.Relay = r
 	d.addTask(r.Run)
 	d.configurationWatcher = &platform.ConfigurationWatcher{Store: d.store, Configure: d.vm.Configure, ReadByDelegate: d.readByDelegate, Logger: d.logger}
--- a/internal/budget/account.go
+++ b/internal/budget/account.go
@@ -6,8 +6,12 @@
 const recheckInterval = 50 * time.Millisecond
 
 // Unlimited returns an account of a connection that this process opened. It is charged like others, and
-// never closed for them; what it holds without room isn't counted as refused.
+// never closed for them; what it holds without room isn't counted as refused. It is
+// nil for a nil Budget.
 func (b *Budget) Unlimited() *Account {
+	if b == nil {
+		return nil
+	}
 	return &Account{budget: b, activity: Serving, shut: func() {}}
 }
 
--- a/internal/relay/frame.go
+++ b/internal/relay/frame.go
@@ -18,6 +18,8 @@
 	// batchCopies is how many copies of a long batch are held while it runs: what was read, the decoded
 	// commands, and their text for the server.
 	batchCopies = 3
+	// replyCopies is how many copies of a long reply are held while it is decoded.
+	replyCopies = 2
 	// roomTimeout bounds waiting for room for a long batch. The sender waits little longer.
 	roomTimeout = 500 * time.Millisecond
 	// maxPrefix is the greatest length of the prefix with a message's length, in bytes.
@@ -32,6 +34,8 @@
 	maxLength uint64
 	// account is charged with long messages. It may be nil.
 	account *budget.Account
+	// forces is true if a message is read without room, too: a reply, since its batch has run.
+	forces bool
 	// left is the number of bytes of the current message that haven't been read.
 	left int
 }
@@ -67,7 +71,7 @@
 		return proxy.ErrMalformed.New("a message of %d bytes is longer than %d", length, f.maxLength)
 	}
 	f.account.Progress(budget.Receiving)
-	if length > uint64(budget.FreeBytes) && !f.account.Reserve(batchCopies*budget.Bytes(length), time.Now().Add(roomTimeout)) {
+	if !f.reserve(budget.Bytes(length)) {
 		if _, err := f.in.Discard(prefix + int(length)); err != nil {
 			return err
 		}
@@ -77,6 +81,20 @@
 	return nil
 }
 
+// reserve charges a long message before it is read, and reports whether it may be.
+func (f *frameReader) reserve(length budget.Bytes) bool {
+	if length <= budget.FreeBytes {
+		return true
+	}
+	if f.forces {
+		if !f.account.Reserve(replyCopies*length, time.Now().Add(roomTimeout)) {
+			f.account.Force(replyCopies * length)
+		}
+		return true
+	}
+	return f.account.Reserve(batchCopies*length, time.Now().Add(roomTimeout))
+}
+
 // peekLength returns the length of the next message and that of the prefix which tells it. A prefix is
 // one byte below 128, or the negated number of the bytes that follow it, most significant first.
 func (f *frameReader) peekLength() (prefix int, length uint64, err error) {
--- a/internal/relay/frame_test.go
+++ b/internal/relay/frame_test.go
@@ -62,6 +62,23 @@
 	assert.Equal(t, d.Decode(&third), io.EOF)
 }
 
+// A reply must be read also without room for it, as its batch has run.
+func TestReplyWithoutMemory(t *testing.T) {
+	b := &budget.Budget{Limits: budget.Limits{Total: 200 * budget.KB}}
+	b.Unlimited().Force(200 * budget.KB)
+	var encoded bytes.Buffer
+	row := strings.Repeat("x", 40<<10)
+	assert.NilError(t, gob.NewEncoder(&encoded).Encode(reply{Answers: []proxy.Answer{{Rows: []string{row}}}}))
+	frames := newFrames(encoded.String(), maxReply)
+	frames.account, frames.forces = b.Unlimited(), true
+	var got reply
+	assert.NilError(t, gob.NewDecoder(frames).Decode(&got))
+	assert.Equal(t, got.Answers[0].Rows[0], row)
+	assert.Assert(t, b.State().Held > 280*budget.KB)
+	frames.account.ReleaseMessage()
+	assert.Equal(t, b.State().Held, 200*budget.KB)
+}
+
 // FuzzBatches guards against a batch that makes the decoder panic or read beyond a message.
 func FuzzBatches(f *testing.F) {
 	f.Add(encodeBatch(f, "WRITE a 1"))
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -123,7 +123,10 @@
 	Capacity float64
 	Fleet    *heartbeat.Fleet
 	Listener net.Listener
-	Logger   log.Logger
+	// Budget is charged with long replies. It may be nil. Long batches are charged to the accounts of the
+	// connections that Listener accepts.
+	Budget *budget.Budget
+	Logger log.Logger
 
 	mu    sync.Mutex
 	peers map[proxy.Address]*peerState
@@ -284,9 +287,10 @@
 		return nil, proxy.ErrPeerUnreachable.Wrap(err, "VM at %s", address)
 	}
 	out := bufio.NewWriterSize(nc, bufferSize)
+	account := r.Budget.Unlimited()
 	return &link{
-		relay: r, address: address, net: nc, out: out,
-		encoder: gob.NewEncoder(out), decoder: gob.NewDecoder(&frameReader{in: bufio.NewReaderSize(nc, bufferSize), maxLength: maxReply}),
+		relay: r, address: address, net: nc, out: out, account: account,
+		encoder: gob.NewEncoder(out), decoder: gob.NewDecoder(&frameReader{in: bufio.NewReaderSize(nc, bufferSize), maxLength: maxReply, account: account, forces: true}),
 	}, nil
 }
 
@@ -327,12 +331,14 @@
 
 // link is a connection to another VM. It implements proxy.PeerLink.
 type link struct {
-	relay     *Relay
-	address   proxy.Address
-	net       net.Conn
-	out       *bufio.Writer
-	encoder   *gob.Encoder
-	decoder   *gob.Decoder
+	relay   *Relay
+	address proxy.Address
+	net     net.Conn
+	out     *bufio.Writer
+	encoder *gob.Encoder
+	decoder *gob.Decoder
+	// account is charged with a reply while it is received. It may be nil.
+	account   *budget.Account
 	idleSince time.Time
 	// answered isn't used.
 	answered bool
@@ -346,6 +352,7 @@
 		err = l.out.Flush()
 	}
 	var response reply
+	defer l.account.ReleaseMessage()
 	if err == nil {
 		err = l.decoder.Decode(&response)
 	}
