--- a/internal/heartbeat/bound.go
+++ b/internal/heartbeat/datagram.go
@@ -1,6 +1,8 @@
 package heartbeat
 
 import (
+	"encoding/json"
+	"net"
 	"slices"
 
 	"github.com/savoryramp/savoryramp/internal/event"
@@ -12,6 +14,36 @@
 // maxPeers limits the VMs that are known. It is over three times the largest fleet of small VMs.
 const maxPeers = 1000
 
+// handleDatagram handles a datagram of another VM, or of anyone else.
+func (f *Fleet) handleDatagram(datagram []byte, from net.Addr) {
+	var message Message
+	if err := json.Unmarshal(datagram, &message); err != nil || message.VM == "" {
+		eventMalformed.Log(f.Logger, "from", from, "bytes", len(datagram), "err", err)
+		return
+	}
+	if !f.bound(&message) {
+		eventTooManyVMs.Log(f.Logger, "from", from, "peer", message.VM, "max", maxPeers)
+		return
+	}
+	f.NoteStoreEra(message.StoreEra)
+	switch {
+	case message.VM == f.VM:
+	case message.Digest != nil:
+		if f.accepts(message) {
+			f.receiveDigest(message)
+		}
+	case message.RequestedZone != "":
+		f.answerRequest(message)
+	case message.ZonePayload != nil:
+		f.OnZonePayload(message.ZonePayload)
+	default:
+		f.recordMessage(message)
+		if message.View != nil && message.Zone == f.Zone && f.accepts(message) {
+			f.receiveView(message)
+		}
+	}
+}
+
 // bound removes from a message what this VM must not keep, since anyone may send datagrams: demand for
 // workspaces that don't exist, and VMs beyond maxPeers. It returns false if the message must be ignored,
 // as that of a VM beyond maxPeers.
--- a/internal/heartbeat/heartbeat.go
+++ b/internal/heartbeat/heartbeat.go
@@ -381,36 +381,6 @@
 	}
 }
 
-// handleDatagram handles a datagram of another VM, or of anyone else.
-func (f *Fleet) handleDatagram(datagram []byte, from net.Addr) {
-	var message Message
-	if err := json.Unmarshal(datagram, &message); err != nil || message.VM == "" {
-		eventMalformed.Log(f.Logger, "from", from, "bytes", len(datagram), "err", err)
-		return
-	}
-	if !f.bound(&message) {
-		eventTooManyVMs.Log(f.Logger, "from", from, "peer", message.VM, "max", maxPeers)
-		return
-	}
-	f.NoteStoreEra(message.StoreEra)
-	switch {
-	case message.VM == f.VM:
-	case message.Digest != nil:
-		if f.accepts(message) {
-			f.receiveDigest(message)
-		}
-	case message.RequestedZone != "":
-		f.answerRequest(message)
-	case message.ZonePayload != nil:
-		f.OnZonePayload(message.ZonePayload)
-	default:
-		f.recordMessage(message)
-		if message.View != nil && message.Zone == f.Zone && f.accepts(message) {
-			f.receiveView(message)
-		}
-	}
-}
-
 // recordMessage records a heartbeat of another VM.
 func (f *Fleet) recordMessage(message Message) {
 	f.mu.Lock()
