--- a/internal/operator/options_test.go
+++ b/internal/operator/options_test.go
@@ -37,6 +37,7 @@
 		"missing vm":          {[]string{"run"}, "--vm is required; pass it or set SAVORYRAMP_VM"},
 		"missing table":       {[]string{"show"}, "--table-endpoint is required; pass it or set SAVORYRAMP_TABLE_ENDPOINT"},
 		"bad name":            {runArgs("--vm=A 1"), `--vm: "A 1" is not a name; use lower-case letters, digits, dots, hyphens and underscores, like a-1`},
+		"negative limit":      {runArgs("--max-callers=-1"), "--max-callers is -1, must be at least 0"},
 		"host name":           {runArgs("--listen=localhost:6432"), `--listen: "localhost:6432" is not an address; use an IP address and a port, like 127.0.0.1:6432`},
 		"second seed peer":    {runArgs("--seed-peers=127.0.0.1:1,x"), `--seed-peers: "x" is not an address; use an IP address and a port, like 127.0.0.1:6432`},
 		"same address twice":  {runArgs("--listen=127.0.0.1:6480"), "--listen, --admin and --peer must differ; two of them are the same"},
