--- a/internal/proxy/decision_test.go
+++ b/internal/proxy/decision_test.go
@@ -26,7 +26,7 @@
 	return 0, nil, net.ErrClosed
 }
 func (c *silentConn) WriteTo(p []byte, _ net.Addr) (int, error) { return len(p), nil }
-func (c *silentConn) LocalAddr() net.Addr { return &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 1} }
+func (c *silentConn) LocalAddr() net.Addr                       { return &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 1} }
 
 func (c *silentConn) Close() error { c.once.Do(func() { close(c.closed) }); return nil }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -22,6 +22,7 @@
 	"github.com/go-kit/log"
 	"github.com/joomcode/errorx"
 
+	"github.com/savoryramp/savoryramp/internal/budget"
 	"github.com/savoryramp/savoryramp/internal/clock"
 	"github.com/savoryramp/savoryramp/internal/event"
 	"github.com/savoryramp/savoryramp/internal/heartbeat"
@@ -129,7 +130,10 @@
 	Capacity float64
 	Fleet    *heartbeat.Fleet
 	Listener net.Listener
-	Logger   log.Logger
+	// Budget is charged with long replies. It may be nil. Long batches are charged to the accounts of the
+	// connections that Listener accepts.
+	Budget *budget.Budget
+	Logger log.Logger
 
 	mu    sync.Mutex
 	peers map[proxy.Address]*peerState
@@ -317,9 +321,10 @@
 		return nil, proxy.ErrPeerUnreachable.Wrap(err, "VM at %s", address)
 	}
 	out := bufio.NewWriterSize(nc, bufferSize)
+	account := r.Budget.Unlimited()
 	return &link{
-		relay: r, address: address, net: nc, out: out, openedAt: clock.Now(),
-		encoder: gob.NewEncoder(out), decoder: gob.NewDecoder(bufio.NewReaderSize(nc, bufferSize)),
+		relay: r, address: address, net: nc, out: out, openedAt: clock.Now(), account: account,
+		encoder: gob.NewEncoder(out), decoder: gob.NewDecoder(&frameReader{in: bufio.NewReaderSize(nc, bufferSize), maxLength: maxReply, account: account, forces: true}),
 	}, nil
 }
 
@@ -366,6 +371,8 @@
 	out     *bufio.Writer
 	encoder *gob.Encoder
 	decoder *gob.Decoder
+	// account is charged with a reply while it is received. It may be nil.
+	account *budget.Account
 	// openedAt is when the link was opened, idleSince when it last became idle.
 	openedAt  clock.Instant
 	idleSince time.Time
@@ -388,6 +395,7 @@
 		err = l.out.Flush()
 	}
 	var response reply
+	defer l.account.ReleaseMessage()
 	if err == nil {
 		err = l.decoder.Decode(&response)
 	}
@@ -468,29 +476,51 @@
 	acceptedAt := clock.Now()
 	session := proxy.RemoteSession{VM: r.VM}
 	defer session.Close()
+	account := budget.AccountOf(nc)
 	out := bufio.NewWriterSize(nc, bufferSize)
-	encoder, decoder := gob.NewEncoder(out), gob.NewDecoder(bufio.NewReaderSize(nc, bufferSize))
+	encoder, decoder := gob.NewEncoder(out), gob.NewDecoder(&frameReader{in: bufio.NewReaderSize(nc, bufferSize), maxLength: maxBatch, account: account})
 	for {
 		_ = nc.SetDeadline(time.Now().Add(servedLinkIdleTimeout))
 		var batch proxy.Batch
-		// A remote session usually ends when the other VM closes the link.
-		if err := decoder.Decode(&batch); err != nil {
+		err := decoder.Decode(&batch)
+		if err != nil && !proxy.IsBusy(err) {
+			// A remote session usually ends when the other VM closes the link.
 			return
 		}
+		account.Progress(budget.Serving)
 		batch.Shorten(arrivalDelay(batch, acceptedAt))
-		if batch.Within <= 0 || !socket.IsAlive(nc) {
+		if err == nil && (batch.Within <= 0 || !socket.IsAlive(budget.Underlying(nc))) {
 			// Its sender has given up, perhaps long ago, and has told its caller so.
 			eventLateBatch.Log(r.Logger, "peer", nc.RemoteAddr(), "server", batch.Server, "workspace", batch.Workspace, "late", -batch.Within, "outcome", "not run")
 			return
 		}
-		answers, err := session.Exec(ctx, batch)
-		response := reply{Answers: answers}
+		var response reply
+		if err == nil {
+			response.Answers, err = session.Exec(ctx, batch)
+		}
 		if err != nil {
 			response = reply{Kind: errorKind(err), Text: err.Error(), RetryAfterMs: proxy.RetryAfter(err).Milliseconds()}
 		}
 		response.Load = session.Load(batch)
+		chargeAnswers(account, response.Answers)
+		account.Progress(budget.Sending)
 		if encoder.Encode(response) != nil || out.Flush() != nil {
 			return
 		}
+		account.ReleaseMessage()
+		account.Progress(budget.Idle)
+	}
+}
+
+// chargeAnswers charges long answers, which have been received already, and their encoded copy.
+func chargeAnswers(account *budget.Account, answers []proxy.Answer) {
+	size := budget.Bytes(0)
+	for _, a := range answers {
+		for _, row := range a.Rows {
+			size += budget.Bytes(len(row))
+		}
+	}
+	if size > budget.FreeBytes {
+		account.Force(2 * size)
 	}
 }
