--- a/internal/heartbeat/heartbeat.go
+++ b/internal/heartbeat/heartbeat.go
@@ -78,6 +78,9 @@
 	FillMessage func(*Message)
 	// HasUrgentNews reports whether a heartbeat should be sent before the next one is due.
 	HasUrgentNews func() bool
+	// IsWorkspace reports whether a workspace is known here. Demand for others isn't kept. It may be nil
+	// if all are.
+	IsWorkspace func(name string) bool
 	// OnMessage is called with each heartbeat of another VM, and with each change of a VM's state
 	// in a digest.
 	OnMessage func(Message)
@@ -205,8 +208,8 @@
 		case <-f.wake:
 		}
 		now := clock.Now()
-		f.checkEvacuation(now)
 		f.detectPause(now)
+		f.checkEvacuation(now)
 		f.expirePeers()
 		f.sendDue(f.HasUrgentNews() || f.hasEvacuationNews(now))
 	}
@@ -356,29 +359,7 @@
 			clock.Sleep(ctx, time.Millisecond)
 			continue
 		}
-		var message Message
-		if err := json.Unmarshal(buffer[:n], &message); err != nil || message.VM == "" && message.EvacuationNotice == nil {
-			eventMalformed.Log(f.Logger, "from", from, "bytes", n, "err", err)
-			continue
-		}
-		f.NoteStoreEra(message.StoreEra)
-		f.receiveEvacuation(message)
-		switch {
-		case message.VM == f.VM || message.EvacuationNotice != nil:
-		case message.Digest != nil:
-			if f.accepts(message) {
-				f.receiveDigest(message)
-			}
-		case message.RequestedZone != "":
-			f.answerRequest(message)
-		case message.ZonePayload != nil:
-			f.OnZonePayload(message.ZonePayload)
-		default:
-			f.recordMessage(message)
-			if message.View != nil && message.Zone == f.Zone && f.accepts(message) {
-				f.receiveView(message)
-			}
-		}
+		f.handleDatagram(buffer[:n], from)
 	}
 }
 
--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -85,18 +85,26 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	var list []Candidate
+	var list, cold []Candidate
 	members := map[ServerID]*member{}
 	for id, m := range g.members {
 		if exclude[id] || m.server.Leaving || g.isEvacuated(m) {
 			continue
 		}
 		members[id] = m
-		list = append(list, Candidate{
+		c := Candidate{
 			ID: id, SameZone: m.server.Zone == g.VM.Zone, IsPrimary: id == g.primary,
 			RecentlyFailed: now.Before(m.avoidUntil), RecentlyLagged: now.Before(m.lagAvoidUntil),
 			LatencyFactor: m.decayedLatencyFactor(now), Availability: g.availability(m, d, now),
-		})
+		}
+		if g.isForOthers(m) {
+			cold = append(cold, c)
+		} else {
+			list = append(list, c)
+		}
+	}
+	if len(list) == 0 {
+		list = cold
 	}
 	return list, members
 }
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -18,6 +18,17 @@
 	// AwaitCurrent returns once the zones are known as they are now, and false if that takes longer
 	// than until. It only waits after the VM was paused.
 	AwaitCurrent func(until time.Time) bool
+	// Warmup limits what cold servers get. Sender returns the address of the VM that sends to a cold
+	// server, and whether that is this VM. If Sender is nil, nothing is limited.
+	Warmup placement.Warmup
+	Sender func(Server) (address Address, isSelf bool)
+	// DoubtsList reports whether the VM was paused after the platform returned the list of servers, so
+	// that any of them may be cold by now. It may be nil.
+	DoubtsList func() bool
+	// RegionOf returns the region of a zone, empty if it isn't known, and Regions has all that are known.
+	// If RegionOf is nil, allowed regions don't count.
+	RegionOf func(AvailabilityZone) placement.Region
+	Regions  map[placement.Region]bool
 
 	mu sync.Mutex
 	// known is true once the zones are known; since has when the evacuation of each began.
--- a/internal/proxy/places_test.go
+++ b/internal/proxy/places_test.go
@@ -290,7 +290,8 @@
 	d.describe(&b)
 	got := b.demand(now)
 	assert.Equal(t, got.class(), schedule.Class{Route: 2, Workspace: 3})
-	assert.Assert(t, got.verification && *got.workspace == *d.workspace)
+	assert.Assert(t, got.verification)
+	assert.DeepEqual(t, *got.workspace, *d.workspace)
 	for name, times := range map[string][2]time.Time{"objective": {got.Objective, d.Objective}, "deadline": {got.Deadline, d.Deadline}, "first deadline": {got.FirstDeadline, d.FirstDeadline}} {
 		assert.Assert(t, times[0].Sub(times[1]).Abs() < 5*time.Millisecond, "%s: %s", name, times[0].Sub(times[1]))
 	}
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -55,7 +55,11 @@
 	relayedAt atomic.Int64
 	// AwaitCurrent is that of Placement, nil if zones aren't evacuated.
 	AwaitCurrent func(until time.Time) bool
+	// AdmitCold waits for, or refuses, commands for a cold server. It is nil if none is limited.
+	AdmitCold func(c *Conn, commands []Command, until time.Time) error
 
+	// sendsCold is true while this VM is the one that sends to the server because that is cold.
+	sendsCold atomic.Bool
 	// state is poolOpen if it is empty. retryAfter is told in refusals because of it. mu guards both.
 	state      poolState
 	retryAfter time.Duration
@@ -66,6 +70,9 @@
 	// open counts all connections: idle, in use and being opened. opening counts only the
 	// last.
 	open, opening int
+	// blocked has the requests that wait until a connection may be had, the most urgent first, if
+	// the pool has a Queue.
+	blocked []*blockedRequest
 	// waiting counts the waiters of all workspaces.
 	waiting int
 	// averageHandshake is the average time to open a connection.
@@ -241,6 +248,7 @@
 func (p *Pool) recheckWaiters() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.unblock()
 	p.openForWaiters()
 }
 
@@ -256,6 +264,7 @@
 func (p *Pool) uncount(wp *workspacePool) {
 	p.open--
 	wp.open--
+	p.unblock()
 }
 
 // dial opens a connection for a workspace, which is already counted as open.
@@ -321,6 +330,7 @@
 	}
 	c.idleSince = time.Now()
 	wp.idle = append(wp.idle, c)
+	p.unblock()
 }
 
 // Release returns a connection to the pool, or closes it if keep is false, if the pool is
@@ -358,6 +368,7 @@
 			delete(p.workspacePools, name)
 		}
 	}
+	p.unblock()
 	if p.Queue != nil {
 		p.Queue.trim()
 		// The time as owner of the connections counts from the first call.
@@ -392,6 +403,10 @@
 	if p.cancelDials != nil {
 		p.cancelDials()
 	}
+	for _, b := range p.blocked {
+		close(b.ready)
+	}
+	p.blocked = nil
 	p.closeIdle()
 	for _, wp := range p.workspacePools {
 		for _, wt := range wp.waiters {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/savoryramp/savoryramp/platform/standin"
@@ -57,6 +58,10 @@
 	restoring sync.Mutex
 	// evacuating is held while a zone is evacuated.
 	evacuating sync.Mutex
+	// evacuated is the number of the server whose zone is evacuated, from 1, or 0.
+	evacuated atomic.Int64
+	// warming is held while a server is cold.
+	warming sync.Mutex
 
 	mu       sync.Mutex
 	free     []*process
@@ -115,6 +120,7 @@
 	close(halt)
 	callers.Wait()
 	s.audit()
+	s.auditRegions()
 	for _, p := range s.vms {
 		if p.unexpected > 0 {
 			s.broken("no process ends by itself", "%s ended %d times", p.name, p.unexpected)
@@ -171,6 +177,9 @@
 		s.store.Put("servers", id, row)
 	}
 	s.document = firstDocument()
+	if s.Faults == EvacuationFaults {
+		s.document, s.ledger.WarmupTime = placedDocument(s.document), warmupTime
+	}
 	s.store.Put("op", "config", s.document.JSON())
 	s.tasks.Go(s.beat)
 	for i := range s.VMs {
