schedule: tell refused callers a true time to return

Cause: the times to return of a class only rose, so that one forecast of seconds, made for late statements, held for all callers refused after it (2.2 s told while 0.2 s were expected). What returns isn't late, so that this forecast didn't even hold for itself. Ruled out: lost wake-ups of requests that wait for a connection (no attempt ended that way).

The time to return is now the wait ahead plus that of the statements refused before, at half of the rate of the class, the rest being for new ones.

--- a/pkg/schedule/class.go
+++ b/pkg/schedule/class.go
@@ -15,7 +15,8 @@
 	// dueAt is the value of Queue.served from which on the class is served although more urgent
 	// ones wait.
 	dueAt time.Duration
-	// returningUntil is the time to return of the statement that was refused last.
+	// returningUntil is when the statements that were refused would all have been served, if nothing
+	// else waited.
 	returningUntil time.Duration
 }
 
