proxy: keep the place of a read whose floor couldn't be verified

A read that is refused while its floor is verified was told when to return, but its session didn't note that, so it came back as new.

--- a/internal/proxy/statement.go
+++ b/internal/proxy/statement.go
@@ -181,7 +181,7 @@
 func (s *Session) readOnAnyServer(ctx context.Context, op *operation, try func(*checkout, position.Position, time.Time) (Answer, error)) (*checkout, Answer) {
 	floor, err := s.readFloor(ctx, op)
 	if err != nil {
-		return nil, Answer{Failure: Busy, Detail: err.Error()}
+		return nil, busyAnswer(err)
 	}
 	tried := map[ServerID]bool{}
 	// refusals counts the servers among tried whose queue refused the request.
@@ -262,7 +262,7 @@
 		}
 		co, refusal := s.checkOutPrimary(ctx, op, op.verification())
 		if co == nil {
-			return position.Position{}, ErrNoServer.New("%s", refusal.Detail)
+			return position.Position{}, WithRetryAfter(ErrNoServer.New("%s", refusal.Detail), refusal.RetryAfter)
 		}
 		_, a, err := co.verifyPrimary(s.attemptDeadline(op))
 		co.release(notSent(err) || err == nil && a.Phase == Idle)
@@ -271,7 +271,7 @@
 			continue
 		}
 		if refusal := s.prepareRetryOnPrimary(ctx, op, co, a, err); !refusal.Succeeded() {
-			return position.Position{}, ErrNoServer.New("%s", refusal.Detail)
+			return position.Position{}, WithRetryAfter(ErrNoServer.New("%s", refusal.Detail), refusal.RetryAfter)
 		}
 	}
 }
