proxy: report no failure of a primary from before a pause

A VM that resumed reported for up to half a second that the primary fails, as it had before its pause. The health of the primary now starts anew after a pause of over 1 s, in the observation already before the pause is noted. Ruled out: a time limit on failures, since a hung primary whose connections are all in use yields none for a while.

--- a/internal/proxy/decision_test.go
+++ b/internal/proxy/decision_test.go
@@ -26,7 +26,7 @@
 	return 0, nil, net.ErrClosed
 }
 func (c *silentConn) WriteTo(p []byte, _ net.Addr) (int, error) { return len(p), nil }
-func (c *silentConn) LocalAddr() net.Addr { return &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 1} }
+func (c *silentConn) LocalAddr() net.Addr                       { return &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 1} }
 
 func (c *silentConn) Close() error { c.once.Do(func() { close(c.closed) }); return nil }
 
@@ -99,3 +99,33 @@
 		})
 	}
 }
+
+// TestPausedVMReportsNoFailure guards against a replacement that counts a VM's observation from before its
+// pause, which it reports when it resumes.
+func TestPausedVMReportsNoFailure(t *testing.T) {
+	for name, primary := range map[string]ServerID{"the primary failed": "a", "no primary was known": ""} {
+		t.Run(name, func(t *testing.T) {
+			runTest(t, func(tb *testbed) {
+				awaitVerifiedPrimary()
+				g := tb.vm.group(testService)
+				for _, id := range []ServerID{"a", "b", "c"} {
+					tb.onServer(id, isDown)
+				}
+				if primary == "" {
+					g.clearPrimary("a", "test")
+				}
+				clock.Sleep(tb.ctx, 3*time.Second)
+				g.noteWatched()
+				assert.Assert(t, g.observation().Failing)
+				// The clock goes on while the VM is paused.
+				now := clock.Now().Add(5 * time.Second)
+				defer clock.Fake(func() clock.Instant { return now })()
+				assert.Assert(t, !g.observation().Failing, "before the pause is noted")
+				g.noteWatched()
+				o := g.observation()
+				assert.Assert(t, !o.Failing)
+				assert.Equal(t, o.Server, string(primary))
+			})
+		})
+	}
+}
--- a/internal/proxy/failover.go
+++ b/internal/proxy/failover.go
@@ -138,6 +138,7 @@
 // evaluate makes a decision on the group's primary, if this VM is one of its verifiers, and
 // carries the decision out when this VM's turn has come.
 func (f *Failover) evaluate(ctx context.Context, g *Group) {
+	g.noteWatched()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	pending := f.pending[g.Name]
--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -41,6 +41,8 @@
 	// primaryChangedAt is when primary last changed, or when the group was created.
 	primaryChangedAt clock.Instant
 	failureReports   failureReports
+	// watchedAt is when the decision on the group was last evaluated, zero if it never was.
+	watchedAt clock.Instant
 }
 
 // member is a server of the group and this VM's connections to it.
--- a/internal/proxy/observation.go
+++ b/internal/proxy/observation.go
@@ -47,6 +47,11 @@
 	defer g.mu.Unlock()
 	observation := heartbeat.PrimaryObservation{Server: string(g.primary), Term: int64(g.term)}
 	switch {
+	case g.wasPaused():
+		// Whether the primary failed before the pause tells nothing now.
+		if g.members[g.primary] == nil {
+			observation.Server = ""
+		}
 	case g.members[g.primary] != nil:
 		observation.Failing = g.health.hasFailed()
 	default:
@@ -56,6 +61,25 @@
 	return observation
 }
 
+// wasPaused reports whether this VM was paused since the decision on the group was last evaluated. g.mu is held.
+func (g *Group) wasPaused() bool {
+	return g.watchedAt != 0 && failover.View{Unwatched: clock.Since(g.watchedAt)}.WasPaused()
+}
+
+// noteWatched records that the decision on the group is evaluated. After a pause this VM has to observe the
+// primary anew before it reports a failure.
+func (g *Group) noteWatched() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.wasPaused() {
+		g.health.reset()
+		if g.members[g.primary] == nil {
+			g.primaryChangedAt = clock.Now()
+		}
+	}
+	g.watchedAt = clock.Now()
+}
+
 // ObserveHeartbeat records the observations of primaries in another VM's heartbeat.
 func (v *VM) ObserveHeartbeat(message heartbeat.Message) {
 	for name, observation := range message.Observations {
--- a/pkg/failover/modelvm_test.go
+++ b/pkg/failover/modelvm_test.go
@@ -11,6 +11,7 @@
 	if (View{Unwatched: m.now - v.lastEvaluated}).WasPaused() && v.lastEvaluated > v.startedAt {
 		// The VM was paused.
 		v.observingSince, v.decision, v.lastEvaluated = m.now, Keep, m.now
+		v.failingSince, v.primaryUnknownAt = neverHeard, m.now
 		return
 	}
 	v.lastEvaluated = m.now
