heartbeat: take over since when a zone has been evacuated

The VM had read the row from the store before another VM answered its question, took the evacuation for new, and gave itself a grace. The ages in messages now count for zones that are known already, if they are older by over 100 ms. TestAgeIsTakenOver.

--- a/internal/heartbeat/evacuation.go
+++ b/internal/heartbeat/evacuation.go
@@ -36,6 +36,8 @@
 	// longAge is the age of an evacuation that began before this VM has started, so that it gets no
 	// grace: the VM has no connections and no transactions there.
 	longAge = time.Hour
+	// ageTolerance is by how much ages may differ, since messages take time.
+	ageTolerance = 100 * time.Millisecond
 	// evacuationNewsTime is how long a change is urgent news, and noticeInterval the time from one
 	// notice of it to the next, which makes up for lost ones.
 	evacuationNewsTime = 700 * time.Millisecond
@@ -145,8 +147,9 @@
 func (f *Fleet) mergeEvacuation(e Evacuation, source VMName, zone string) (changed bool) {
 	s := &f.evacuation
 	if !f.isNewerEvacuation(e) {
-		return false
+		return e.Era == s.era && e.Version == s.version && f.mergeAges(e)
 	}
+	older := f.mergeAges(e)
 	now := clock.Now()
 	first := !s.known
 	if first {
@@ -178,7 +181,21 @@
 		f.noteUrgent()
 		eventEvacuation.Log(f.Logger, "zones", zoneNames(s.since), "era", e.Era, "version", e.Version, "from", source, "first", first)
 	}
-	return changed || first
+	return changed || first || older
+}
+
+// mergeAges takes over the ages of evacuations that have lasted longer than this VM knows, as after a
+// pause or a cut in which it wasn't told, and reports whether there were any. f.mu must be held.
+func (f *Fleet) mergeAges(e Evacuation) (changed bool) {
+	now := clock.Now()
+	for name, ageMs := range e.Zones {
+		at := now.Add(-time.Duration(ageMs) * time.Millisecond)
+		if since, found := f.evacuation.since[name]; found && ageMs >= 0 && since.Sub(at) > ageTolerance {
+			f.evacuation.since[name] = at
+			changed = true
+		}
+	}
+	return changed
 }
 
 // lacksZones reports whether a set lacks zones that are being evacuated. f.mu must be held.
--- a/internal/heartbeat/evacuation_test.go
+++ b/internal/heartbeat/evacuation_test.go
@@ -265,3 +265,26 @@
 		assert.Assert(t, f.AwaitEvacuation(time.Now()))
 	})
 }
+
+// A VM that was paused or cut off may read the row before another VM tells it since when the zone has been
+// evacuated. It must not use the zone's servers for a grace of its own then.
+func TestAgeIsTakenOver(t *testing.T) {
+	runFleet(t, 9, func(fleet *testFleet) {
+		fleet.wait(4 * time.Second)
+		note(fleet.vms, 1, 10)
+		late := fleet.vms[0]
+		fleet.setIsolated(true, late)
+		note(fleet.vms[1:], 1, 20, "zone-1")
+		fleet.wait(6 * time.Second)
+		reported := 0
+		late.OnEvacuation = func() { reported++ }
+		note(fleet.vms[:1], 1, 20, "zone-1")
+		since, _ := late.EvacuatedZones()
+		assert.Equal(t, clock.Since(since["zone-1"]), time.Duration(0))
+		fleet.setIsolated(false, late)
+		fleet.wait(spreadTime)
+		since, _ = late.EvacuatedZones()
+		assert.Assert(t, clock.Since(since["zone-1"]) >= 6*time.Second)
+		assert.Equal(t, reported, 2)
+	})
+}
