--- a/internal/caller/connection.go
+++ b/internal/caller/connection.go
@@ -116,10 +116,16 @@
 // Write writes p to the caller, limited by writeTimeout after the login.
 func (c *callerConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
+	// A connection that has been answered during its login is still starting.
+	next := budget.Starting
+	if c.loginDeadline.IsZero() {
+		next = budget.Serving
+	}
 	if c.loginDeadline.IsZero() && !c.closing {
 		_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
 	}
 	c.mu.Unlock()
+	defer c.account.Progress(next)
 	size := budget.Bytes(0)
 	if len(p) > int(budget.FreeBytes) {
 		size = budget.Bytes(len(p))
@@ -131,7 +137,6 @@
 
 // writeParts writes in parts, so that it shows whether the caller reads.
 func (c *callerConn) writeParts(p []byte) (written int, err error) {
-	defer c.account.Progress(budget.Serving)
 	for {
 		c.account.Progress(budget.Sending)
 		n, err := c.Conn.Write(p[written:min(written+writePart, len(p))])
--- a/internal/hostile/daemon_test.go
+++ b/internal/hostile/daemon_test.go
@@ -228,6 +228,10 @@
 	"startups that never end": {clients: 600, held: true, client: func(c net.Conn) {
 		sendInPieces(c, daemonStartup[:len(daemonStartup)-2], 1, 100*time.Millisecond)
 	}},
+	"logins that stop half-way": {clients: 600, held: true, client: func(c net.Conn) {
+		send(c, frontendMessages(&pgproto3.SSLRequest{}))
+		_, _ = c.Read(make([]byte, 1))
+	}},
 	"half-closed connections": {clients: 600, held: true, client: func(c net.Conn) {
 		send(c, daemonStartup)
 		_ = c.(*net.TCPConn).CloseWrite()
