--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -44,6 +44,8 @@
 	failureReports   failureReports
 	// lastSearch is when searchElsewhere last looked for the primary.
 	lastSearch clock.Instant
+	// watchedAt is when the decision on the group was last evaluated, zero if it never was.
+	watchedAt clock.Instant
 }
 
 // member is a server of the group and this VM's connections to it.
