upstream: share the mark of a timed-out connection between goroutines

Cause: since a connection is reset when it is closed after a time-out, and a watch's connection is closed by another goroutine than the one that sets the mark. Change: the mark is atomic.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -55,7 +55,7 @@
 	// readOnly connections were opened for a replica.
 	readOnly bool
 	// timedOut is set once the server did not answer within a deadline.
-	timedOut bool
+	timedOut atomic.Bool
 	// notReusable connections may still be hit by a cancel request that is on its way.
 	notReusable atomic.Bool
 	netConn     net.Conn
@@ -135,7 +135,7 @@
 
 func (c *Conn) readError(err error) error {
 	if timeout, found := err.(net.Error); found && timeout.Timeout() && !c.aborted.Load() {
-		c.timedOut = true
+		c.timedOut.Store(true)
 		return ErrSilent.New("server %s did not answer within the deadline", c.Server)
 	}
 	return ErrBroken.Wrap(err, "server %s", c.Server)
@@ -216,7 +216,7 @@
 }
 
 func (c *Conn) close() {
-	if c.timedOut {
+	if c.timedOut.Load() {
 		// Statements that weren't delivered yet must not run once a partition has healed.
 		_ = socket.CloseDiscarding(c.netConn)
 		return
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -191,7 +191,7 @@
 	c.endIdlePhase()
 	c.startTiming(nil)
 	// Read before c becomes idle, since another goroutine may use c from then on.
-	timedOut := c.timedOut
+	timedOut := c.timedOut.Load()
 	c.idleSince = time.Now()
 	excess := p.Allowance != nil && p.Allowance.Excess() > 0
 	p.mu.Lock()
