quota: settle each VM's share against what the others count

Cause: each VM counted growth of its own demand that the total didn't include, all VMs at once, and nothing took it back. A surge in a fleet with digests exceeded the bound by 2 %.

Change: besides its bucket, each VM keeps an account that is refilled by its settled share only: its reported demand, as far as the others count it. It may be overdrawn by the VM's part of what the agreed limits leave. As a total arrives, the refills since the one before are corrected to the share that it shows; as a VM falls out of step, those of the last 1.3 s.

--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -41,6 +41,10 @@
 	// These are larger than for growth that isn't reported: reports usually arrive.
 	uncountedGrowthFactor = 2
 	minUncountedGrowth    = 3
+	// The same, as far as the settled share is concerned. It leaves room for changes from one report to the
+	// next at steady demand.
+	settledGrowthFactor = 1.25
+	minSettledGrowth    = 1
 	// Demand is reported before the next heartbeat if it exceeds both earlyReportFactor
 	// times the last reported value and minEarlyReportGrowth operations per second above
 	// it. Both bounds are a little above the increase that counts without a report.
@@ -89,8 +93,25 @@
 	// total is the last report of the demand of all VMs, nil if there was none.
 	total *totalDemand
 	// mostVMs is the largest number of VMs in a total since mostVMsAt.
-	mostVMs   int
-	mostVMsAt time.Duration
+	mostVMs     int
+	mostVMsAt   time.Duration
+	corrections Corrections
+}
+
+// Corrections is the number of tokens by which VMs' settled shares were corrected after the fact.
+type Corrections struct{ TakenBack, Added float64 }
+
+// Corrections returns the sums of all corrections.
+func (l *Limiter) Corrections() Corrections {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.corrections
+}
+
+// noteCorrection adds a correction to the sums. The caller must hold l.mu.
+func (l *Limiter) noteCorrection(amount float64) {
+	l.corrections.Added += max(amount, 0)
+	l.corrections.TakenBack += max(-amount, 0)
 }
 
 // totalDemand is a report of the demand of all VMs together.
@@ -130,6 +151,14 @@
 // bucket is this VM's token bucket for one workspace, with the demand of its callers.
 type bucket struct {
 	tokens float64
+	// account is what this VM has by its settled share, at most the size of the bucket. It is negative while
+	// the VM has used more.
+	account float64
+	// slots has what was refilled lately, oldest first.
+	slots []slot
+	// apart is the number of VMs that were out of step at the last refill, rate the rate at that time.
+	apart int
+	rate  float64
 	// updatedAt is when tokens and demand were last updated.
 	updatedAt time.Duration
 	demand    float64
@@ -147,21 +176,20 @@
 	now := l.Now()
 	b := l.bucket(workspace, now)
 	b.demand += 1 / demandWindow.Seconds()
-	fraction := l.shareFraction(workspace, b.countedDemand(b.demand), rate, now)
-	vmCount := float64(l.vmCount())
-	refill := fraction * rate * (1 + marginFraction)
-	maxTokens := max(fraction*burst+(extraTokens+extraBurstFraction*burst)/vmCount, 1)
+	d := l.divide(workspace, b, rate, now)
 	if b.updatedAt == 0 {
-		b.tokens = maxTokens
-	} else {
-		b.tokens = min(b.tokens+refill*(now-b.updatedAt).Seconds(), maxTokens)
+		b.tokens, b.account, b.updatedAt = d.maxTokens(d.expected, burst), d.maxTokens(d.settled, burst), now
 	}
-	b.updatedAt = now
-	if b.tokens >= wholeToken {
+	l.noteCorrection(b.refill(d, rate, burst, now))
+	overdraft := d.overdraft(rate, burst)
+	if b.tokens >= wholeToken && b.account+overdraft >= wholeToken {
 		b.tokens--
+		b.account--
 		return 0, true
 	}
-	return time.Duration(math.Ceil((1 - b.tokens) / refill * float64(time.Second))), false
+	perSecond := rate * (1 + marginFraction)
+	seconds := max((1-b.tokens)/(d.expected*perSecond), (1-b.account-overdraft)/(d.settled*perSecond))
+	return time.Duration(math.Ceil(seconds * float64(time.Second))), false
 }
 
 // Refund puts back the token of an admitted operation that wasn't run.
@@ -170,6 +198,7 @@
 	defer l.mu.Unlock()
 	if b := l.buckets[workspace]; b != nil {
 		b.tokens++
+		b.account++
 	}
 }
 
@@ -189,35 +218,42 @@
 	return b
 }
 
-// shareFraction returns this VM's fraction of a workspace's rate. A VM whose demand isn't
-// known yet is assumed to have as much as this one, ownDemand, and at least an even share
-// of the rate. The caller must hold l.mu.
-func (l *Limiter) shareFraction(workspace string, ownDemand, rate float64, now time.Duration) float64 {
+// divide returns how a workspace's rate is divided. A VM whose demand isn't known yet is assumed to have
+// as much as this one, and at least an even share of the rate. The caller must hold l.mu.
+func (l *Limiter) divide(workspace string, b *bucket, rate float64, now time.Duration) division {
 	vmCount := l.vmCount()
 	evenShare := rate / float64(vmCount)
+	even := evenFraction * evenShare
+	grown := b.countedDemand(b.demand)
 	if l.usesTotal(now) {
+		counted := l.total.own[workspace]
 		if now-l.total.receivedAt > freshTotalTime {
-			ownDemand = min(ownDemand, l.total.own[workspace])
+			grown = min(grown, counted)
 		}
-		others := max(l.total.demand[workspace]-l.total.own[workspace], 0) + float64(max(vmCount-l.total.vmCount, 0))*max(evenShare, ownDemand)
-		return min((ownDemand+evenFraction*evenShare)/(ownDemand+others+evenFraction*rate), 1)
+		others := max(l.total.demand[workspace]-counted, 0) + float64(max(vmCount-l.total.vmCount, 0))*max(evenShare, grown)
+		rest := others + even*float64(vmCount-1)
+		return division{fraction(counted+even, rest), fraction(grown+even, rest), counted + others, vmCount, 0}
 	}
-	ownDemand = min(ownDemand, l.countedByPeers(workspace, now))
-	others, apart := l.divide(workspace, now)
-	others.demand += float64(max(vmCount-1-len(l.peers), 0)) * max(evenShare, ownDemand)
+	byPeers := l.countedByPeers(workspace, now)
+	settled := min(b.reportedDemand, max(byPeers*settledGrowthFactor, byPeers+minSettledGrowth))
+	expected := min(grown, max(byPeers*uncountedGrowthFactor, byPeers+minUncountedGrowth))
+	others, apart := l.peerDemand(workspace, now)
+	others.demand += float64(max(vmCount-1-len(l.peers), 0)) * max(evenShare, expected)
 	others.vms = vmCount - 1 - apart.vms
-	even := evenFraction * evenShare
-	share := min((ownDemand+even)/(ownDemand+others.demand+even*float64(others.vms+1)), 1)
-	if apart.vms == 0 {
-		return share
-	}
-	if others.vms == 0 && !math.IsInf(apart.ownCounted, 1) {
-		apart.remaining = apart.ownCounted
+	rest, kept := others.demand+even*float64(others.vms), 1.0
+	if apart.vms > 0 {
+		if others.vms == 0 && !math.IsInf(apart.ownCounted, 1) {
+			apart.remaining = apart.ownCounted
+		}
+		remaining := apart.remaining + even*float64(others.vms+1)
+		kept = remaining / (remaining + apart.demand + even*float64(apart.vms))
 	}
-	kept := apart.remaining + even*float64(others.vms+1)
-	return share * kept / (kept + apart.demand + even*float64(apart.vms))
+	return division{kept * fraction(settled+even, rest), kept * fraction(expected+even, rest), settled + others.demand + apart.demand, vmCount, apart.vms}
 }
 
+// fraction returns the part of a demand in the sum of all.
+func fraction(own, rest float64) float64 { return min(own/(own+rest), 1) }
+
 // part is the demand of some VMs for a workspace.
 type part struct {
 	demand float64
@@ -227,9 +263,9 @@
 	remaining, ownCounted float64
 }
 
-// divide returns the other VMs' demand for a workspace, of those that are in step with this one and of
+// peerDemand returns the other VMs' demand for a workspace, of those that are in step with this one and of
 // those that aren't. The caller must hold l.mu.
-func (l *Limiter) divide(workspace string, now time.Duration) (others, apart part) {
+func (l *Limiter) peerDemand(workspace string, now time.Duration) (others, apart part) {
 	total := math.Inf(1)
 	apart.ownCounted = math.Inf(1)
 	for name, p := range l.peers {
@@ -261,7 +297,7 @@
 			counted = min(counted, p.counted[workspace])
 		}
 	}
-	return max(counted*uncountedGrowthFactor, counted+minUncountedGrowth)
+	return counted
 }
 
 // vmCount returns the number of VMs whose demand counts, including this one. The caller must hold l.mu.
@@ -348,9 +384,13 @@
 	if 2*vmCount < l.mostVMs {
 		return
 	}
+	before := l.total
 	l.total = &totalDemand{demand: total, own: own, vmCount: vmCount, receivedAt: now}
 	for workspace, b := range l.buckets {
 		b.reportedDemand = own[workspace]
+		if before != nil && b.rate > 0 {
+			l.noteCorrection(b.settle(before.receivedAt, l.divide(workspace, b, b.rate, now).settled, true))
+		}
 	}
 }
 
