--- a/internal/heartbeat/demand.go
+++ b/internal/heartbeat/demand.go
@@ -169,3 +169,15 @@
 	sent, found := f.sentDemands[sequence]
 	return sent.demand, clock.Since(sent.at), found
 }
+
+// receivedSequences returns the number of the latest heartbeat of each VM that sends them to this one,
+// by address. f.mu must be held.
+func (f *Fleet) receivedSequences() map[string]uint32 {
+	received := map[string]uint32{}
+	for _, p := range f.peers {
+		if p.lastDirect != 0 {
+			received[p.address] = p.lastSequence
+		}
+	}
+	return received
+}
--- a/internal/heartbeat/heartbeat.go
+++ b/internal/heartbeat/heartbeat.go
@@ -262,18 +262,6 @@
 	}
 }
 
-// receivedSequences returns the number of the latest heartbeat of each VM that sends them to this one,
-// by address. f.mu must be held.
-func (f *Fleet) receivedSequences() map[string]uint32 {
-	received := map[string]uint32{}
-	for _, p := range f.peers {
-		if p.lastDirect != 0 {
-			received[p.address] = p.lastSequence
-		}
-	}
-	return received
-}
-
 // composeOwn returns this VM's next heartbeat.
 func (f *Fleet) composeOwn() Message {
 	f.mu.Lock()
