--- a/internal/heartbeat/settlement_test.go
+++ b/internal/heartbeat/settlement_test.go
@@ -55,7 +55,7 @@
 	fleet.vms, fleet.cancel = fleet.vms[:last], fleet.cancel[:last]
 }
 
-// calmDemand is the workspace's demand without a disturbance, in operations per second.
+// calmDemand is the workspace's demand while no VM or link fails, in operations per second.
 const calmDemand = 240.0
 
 // testCalm checks that hardly anything is refused below a workspace's rate, lowered from the usual one to a
@@ -90,7 +90,7 @@
 	})
 }
 
-// TestCalmRefusals guards against refusals below a workspace's rate without a disturbance.
+// TestCalmRefusals guards against refusals below a workspace's rate while no VM or link fails.
 func TestCalmRefusals(t *testing.T) { testCalm(t, calmDemand/0.6) }
 
 // TestCalmRefusalsAtLoweredRate guards against the same when the rate was lowered to a tenth above the demand.
