--- a/internal/proxy/decision_test.go
+++ b/internal/proxy/decision_test.go
@@ -117,9 +117,7 @@
 				clock.Sleep(tb.ctx, 3*time.Second)
 				g.noteWatched()
 				assert.Assert(t, g.observation().Failing)
-				// The clock goes on while the VM is paused.
-				now := clock.Now().Add(5 * time.Second)
-				defer clock.Fake(func() clock.Instant { return now })()
+				tb.paused.Add(int64(5 * time.Second))
 				assert.Assert(t, !g.observation().Failing, "before the pause is noted")
 				g.noteWatched()
 				o := g.observation()
--- a/internal/proxy/places_test.go
+++ b/internal/proxy/places_test.go
@@ -256,10 +256,7 @@
 // Urgency, refusals and the server's load travel between VMs.
 func TestUrgencyOverRelay(t *testing.T) {
 	runScheduled(t, func(tb *testbed) {
-		relay := tb.relayThroughOwner()
-		relay.owner.PriorityScheduling = true
-		owner := relay.owner.member(testService, "a").pool
-		owner.Queue = newServerQueue(relay.owner, owner.Server)
+		tb.relayThroughOwnerWith(func(vm *VM) { vm.PriorityScheduling = true })
 		answers := tb.flood(60, boundedDatabase, hotKey)
 		clock.Sleep(tb.ctx, 150*time.Millisecond)
 		c := tb.openSession(testDatabase)
--- a/internal/proxy/remote_test.go
+++ b/internal/proxy/remote_test.go
@@ -72,8 +72,12 @@
 }
 
 // relayThroughOwner adds a second VM that owns the connections which the testbed's VM uses.
-func (tb *testbed) relayThroughOwner() *fakeRelay {
+func (tb *testbed) relayThroughOwner() *fakeRelay { return tb.relayThroughOwnerWith(func(*VM) {}) }
+
+// relayThroughOwnerWith is relayThroughOwner with a change to the owner before it starts.
+func (tb *testbed) relayThroughOwnerWith(change func(*VM)) *fakeRelay {
 	owner := &VM{Name: "home", Zone: "a", Connect: tb.connect, Fleet: settledFleet{1}, Logger: tb.vm.Logger}
+	change(owner)
 	if tb.vm.Placement != nil {
 		owner.Placement = &Placement{Rule: tb.vm.Placement.Rule, Warmup: tb.vm.Placement.Warmup, Sender: func(Server) (Address, bool) { return "", true }}
 	}
--- a/internal/proxy/testbed_test.go
+++ b/internal/proxy/testbed_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,6 +27,8 @@
 	tasks sync.WaitGroup
 
 	relay *fakeRelay
+	// paused is for how long the VM was paused in all, in nanoseconds: the clock goes on meanwhile.
+	paused *atomic.Int64
 
 	mu      sync.Mutex
 	servers map[ServerID]*memServer
@@ -114,8 +117,9 @@
 // runTestWith is runTest with a change to the VM before it starts.
 func runTestWith(t *testing.T, change func(*VM), test func(tb *testbed)) {
 	synctest.Test(t, func(t *testing.T) {
-		defer clock.Fake(func() clock.Instant { return clock.Instant(time.Now().UnixNano()) })()
-		tb := &testbed{t: t, relay: &fakeRelay{}, servers: map[ServerID]*memServer{}, contacted: map[ServerID]time.Time{}, primary: "a", term: 1, handshake: 10 * time.Millisecond}
+		var paused atomic.Int64
+		defer clock.Fake(func() clock.Instant { return clock.Instant(time.Now().UnixNano() + paused.Load()) })()
+		tb := &testbed{paused: &paused, t: t, relay: &fakeRelay{}, servers: map[ServerID]*memServer{}, contacted: map[ServerID]time.Time{}, primary: "a", term: 1, handshake: 10 * time.Millisecond}
 		var listed []Server
 		for _, id := range []ServerID{"a", "b", "c"} {
 			tb.servers[id] = &memServer{id: id, logEnd: position.Position{Term: 1, Offset: 1}, work: 5 * time.Millisecond}
