--- a/internal/proxy/load.go
+++ b/internal/proxy/load.go
@@ -63,7 +63,7 @@
 	if age >= loadTTL {
 		return ServerLoad{ServiceMs: l.ServiceMs}
 	}
-	// The news say less the older they are.
+	// An older load counts for less.
 	l.ExpectedWaitMs -= int64(float64(l.ExpectedWaitMs) * float64(age) / float64(loadTTL))
 	if age >= urgentTTL {
 		l.MoreUrgentWaiting = 0
