--- a/cmd/savoryramp-soak/main.go
+++ b/cmd/savoryramp-soak/main.go
@@ -10,6 +10,7 @@
 	"strings"
 
 	"github.com/savoryramp/savoryramp/internal/soak"
+	"github.com/savoryramp/savoryramp/platform/standin"
 )
 
 func main() { os.Exit(execute(os.Args[1:], os.Stdout, os.Stderr)) }
@@ -30,7 +31,8 @@
 	fmt.Fprintf(out, "%d VMs before three servers for %s, faults: %s, seed %d\n", o.VMs, o.Lasts, o.Faults, o.Seed)
 	s := &soak.Soak{
 		Binary: o.Binary, Folder: folder, Seed: o.Seed, VMs: o.VMs, Lasts: o.Lasts, Faults: o.Faults, Contracts: strings.FieldsFunc(o.Contracts, func(r rune) bool { return r == ',' }),
-		Network: os.Getpid() % networks,
+		Network: os.Getpid() % networks, Crowd: o.Crowd,
+		Stutter: &standin.Stutter{Seed: o.Seed, Repeated: o.Repeated, Late: o.Late, BrokenOff: o.BrokenOff, Refused: o.Refused},
 	}
 	report, err := s.Run()
 	if err != nil {
@@ -68,6 +70,9 @@
 	for _, l := range lines {
 		fmt.Fprintln(out, l)
 	}
+	if report.Repeats > 0 {
+		fmt.Fprintf(out, "repeated answers %d\n", report.Repeats)
+	}
 	for _, b := range report.Broken {
 		fmt.Fprintf(out, "BROKEN  %s\n", b)
 	}
--- a/cmd/savoryramp-soak/main_test.go
+++ b/cmd/savoryramp-soak/main_test.go
@@ -16,10 +16,10 @@
 		want      options
 		err       string
 	}{
-		"defaults":       {want: options{Binary: "bin/savoryramp-vm", Seed: 1, VMs: 4, Lasts: 10e9, Faults: soak.NoFaults}},
-		"faults":         {arguments: []string{"--faults", "all", "--seed", "7"}, want: options{Binary: "bin/savoryramp-vm", Seed: 7, VMs: 4, Lasts: 10e9, Faults: soak.AllFaults}},
-		"restores":       {arguments: []string{"--faults", "restores"}, want: options{Binary: "bin/savoryramp-vm", Seed: 1, VMs: 4, Lasts: 10e9, Faults: soak.RestoreFaults}},
-		"evacuations":    {arguments: []string{"--faults", "evacuations"}, want: options{Binary: "bin/savoryramp-vm", Seed: 1, VMs: 4, Lasts: 10e9, Faults: soak.EvacuationFaults}},
+		"defaults":       {want: options{Binary: "bin/savoryramp-vm", Seed: 1, VMs: 4, Lasts: 10e9, Crowd: 1, Late: 120e6, Faults: soak.NoFaults}},
+		"faults":         {arguments: []string{"--faults", "all", "--seed", "7"}, want: options{Binary: "bin/savoryramp-vm", Seed: 7, VMs: 4, Lasts: 10e9, Crowd: 1, Late: 120e6, Faults: soak.AllFaults}},
+		"restores":       {arguments: []string{"--faults", "restores"}, want: options{Binary: "bin/savoryramp-vm", Seed: 1, VMs: 4, Lasts: 10e9, Crowd: 1, Late: 120e6, Faults: soak.RestoreFaults}},
+		"evacuations":    {arguments: []string{"--faults", "evacuations"}, want: options{Binary: "bin/savoryramp-vm", Seed: 1, VMs: 4, Lasts: 10e9, Crowd: 1, Late: 120e6, Faults: soak.EvacuationFaults}},
 		"unknown faults": {arguments: []string{"--faults", "some"}, err: "some"},
 		"too few VMs":    {arguments: []string{"--vms", "2"}, err: "3 or more"},
 		"no time":        {arguments: []string{"--lasts", "0s"}, err: "above 0"},
--- a/cmd/savoryramp-soak/options.go
+++ b/cmd/savoryramp-soak/options.go
@@ -35,6 +35,12 @@
 	Faults soak.Faults
 	// Contracts are those in the VMs' settings, separated by commas.
 	Contracts string
+	// Crowd multiplies the writers and readers.
+	Crowd int
+	// Repeated, BrokenOff and Refused are shares of the servers' answers, Late the most by which a repeated one
+	// comes later.
+	Repeated, BrokenOff, Refused float64
+	Late                         time.Duration
 	// Keep is the folder for settings and logs; empty for one that is removed.
 	Keep string
 }
@@ -50,6 +56,11 @@
 	app.Flag("lasts", "How long callers work.").Default("10s").DurationVar(&o.Lasts)
 	app.Flag("faults", "Which faults come: none, planned, restores, evacuations or all.").Default(string(soak.NoFaults)).EnumVar(&faults, string(soak.NoFaults), string(soak.PlannedFaults), string(soak.RestoreFaults), string(soak.EvacuationFaults), string(soak.AllFaults))
 	app.Flag("contracts", "The contracts in the VMs' settings, separated by commas.").StringVar(&o.Contracts)
+	app.Flag("crowd", "By how much the writers and readers are multiplied.").Default("1").IntVar(&o.Crowd)
+	app.Flag("repeated", "The share of the servers' answers that are sent a second time.").Default("0").Float64Var(&o.Repeated)
+	app.Flag("late", "How much later a repeated answer comes at most.").Default("120ms").DurationVar(&o.Late)
+	app.Flag("broken-off", "The share of the servers' answers that are broken off.").Default("0").Float64Var(&o.BrokenOff)
+	app.Flag("refused", "The share of the callers' statements that the servers refuse.").Default("0").Float64Var(&o.Refused)
 	app.Flag("keep", "Folder in which the VMs' settings and logs are kept.").StringVar(&o.Keep)
 	if _, err := app.Parse(arguments); err != nil {
 		return options{}, errMalformed.Wrap(err, "command line")
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -13,8 +13,10 @@
 	mainKey = "key-main"
 	hotKey  = "key-hot"
 	// hotRate and hotBurst are the limits of the workspace that asks too much.
-	hotRate  = 30
-	hotBurst = 30
+	// writersPerCrowd is how many writers a crowd has.
+	writersPerCrowd = 4
+	hotRate         = 30
+	hotBurst        = 30
 	// staleMs is the bound of the route whose reads may be old.
 	staleMs = 1500
 	// within is how long callers wait: longer than a route's time-out.
@@ -52,10 +54,11 @@
 // callers are the loops of the run's clients.
 func (s *Soak) callers() []func(halt <-chan struct{}) {
 	var list []func(<-chan struct{})
-	for i := range 4 {
+	crowd := max(s.Crowd, 1)
+	for i := range writersPerCrowd * crowd {
 		list = append(list, func(halt <-chan struct{}) { s.writer(i, halt) })
 	}
-	for i := range 3 {
+	for i := range 3 * crowd {
 		list = append(list, func(halt <-chan struct{}) { s.reader(i, "strict", 0, halt) })
 		list = append(list, func(halt <-chan struct{}) { s.reader(i, "bounded", staleMs*time.Millisecond, halt) })
 	}
@@ -198,7 +201,7 @@
 		if client == nil {
 			continue
 		}
-		item, least, term := s.check.newest(r.IntN(4), bound)
+		item, least, term := s.check.newest(r.IntN(writersPerCrowd*max(s.Crowd, 1)), bound)
 		if item == "" {
 			continue
 		}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -41,6 +41,10 @@
 	Faults Faults
 	// Contracts are those in the VMs' settings.
 	Contracts []string
+	// Crowd multiplies the writers and readers. It is 1 if it is 0.
+	Crowd int
+	// Stutter is how unreliably the servers answer all the while. It may be nil.
+	Stutter *standin.Stutter
 	// Network is the third byte of the VMs' loopback addresses, so that runs may overlap.
 	Network int
 	Log     io.Writer
@@ -88,6 +92,8 @@
 	Faults []string
 	// Outcomes counts the answers.
 	Outcomes map[standin.Outcome]int
+	// Repeats counts the answers that the servers sent a second time.
+	Repeats int64
 	// Broken promises, each with what was seen.
 	Broken []string
 }
@@ -110,12 +116,14 @@
 	if !s.until(startWithin, func() bool { return len(s.balanced()) == len(s.vms) }) {
 		s.broken("all VMs get ready", "%d of %d in %s", len(s.balanced()), len(s.vms), startWithin)
 	}
+	s.ledger.SetStutter(s.Stutter)
 	var callers sync.WaitGroup
 	halt := make(chan struct{})
 	for _, call := range s.callers() {
 		callers.Go(func() { call(halt) })
 	}
 	names := s.play()
+	s.ledger.SetStutter(nil)
 	s.recover()
 	close(halt)
 	callers.Wait()
@@ -126,7 +134,7 @@
 			s.broken("no process ends by itself", "%s ended %d times", p.name, p.unexpected)
 		}
 	}
-	return Report{Faults: names, Outcomes: s.check.outcomes, Broken: s.check.broken}, nil
+	return Report{Faults: names, Outcomes: s.check.outcomes, Repeats: s.ledger.Repeats(), Broken: s.check.broken}, nil
 }
 
 // oddServers returns rows that another writer has left among those of the servers.
