--- a/cmd/savoryramp-soak/main.go
+++ b/cmd/savoryramp-soak/main.go
@@ -5,9 +5,11 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/savoryramp/savoryramp/internal/soak"
 	"github.com/savoryramp/savoryramp/platform/standin"
@@ -31,8 +33,9 @@
 	fmt.Fprintf(out, "%d VMs before three servers for %s, faults: %s, seed %d\n", o.VMs, o.Lasts, o.Faults, o.Seed)
 	s := &soak.Soak{
 		Binary: o.Binary, Folder: folder, Seed: o.Seed, VMs: o.VMs, Lasts: o.Lasts, Faults: o.Faults, Contracts: strings.FieldsFunc(o.Contracts, func(r rune) bool { return r == ',' }),
-		Network: os.Getpid() % networks, Crowd: o.Crowd,
-		Stutter: &standin.Stutter{Seed: o.Seed, Repeated: o.Repeated, Late: o.Late, BrokenOff: o.BrokenOff, Refused: o.Refused},
+		Network: os.Getpid() % networks, Crowd: o.Crowd, Clients: o.Clients,
+		Stutter:      &standin.Stutter{Seed: o.Seed, Repeated: o.Repeated, Late: o.Late, Repeats: o.repeats(), BrokenOff: o.BrokenOff, Refused: o.Refused},
+		StoreStutter: &standin.Stutter{Seed: o.Seed, Repeated: o.StoreRepeated, Late: o.Late},
 	}
 	report, err := s.Run()
 	if err != nil {
@@ -62,19 +65,22 @@
 	for _, f := range report.Faults {
 		fmt.Fprintf(out, "fault   %s\n", f)
 	}
-	var lines []string
-	for outcome, n := range report.Outcomes {
-		lines = append(lines, fmt.Sprintf("%-9s %7d", outcome, n))
+	for _, outcome := range slices.Sorted(maps.Keys(report.Outcomes)) {
+		fmt.Fprintf(out, "%-9s %7d\n", outcome, report.Outcomes[outcome])
 	}
-	slices.Sort(lines)
-	for _, l := range lines {
-		fmt.Fprintln(out, l)
+	if report.Asked > 0 {
+		fmt.Fprintf(out, "requests %d, served %d (%.2f%%), p50 %s, p99 %s\n", report.Asked, report.Served, 100*report.Share(), report.P50.Round(10*time.Microsecond), report.P99.Round(10*time.Microsecond))
 	}
-	if report.Repeats > 0 {
-		fmt.Fprintf(out, "repeated answers %d\n", report.Repeats)
+	if report.Repeats+report.StoreRepeats > 0 {
+		fmt.Fprintf(out, "repeated answers %d, of the store %d\n", report.Repeats, report.StoreRepeats)
 	}
 	for _, b := range report.Broken {
 		fmt.Fprintf(out, "BROKEN  %s\n", b)
 	}
-	fmt.Fprintf(out, "promises broken: %d\n", len(report.Broken))
+	all := 0
+	for _, promise := range slices.Sorted(maps.Keys(report.Counts)) {
+		fmt.Fprintf(out, "%7d  %s\n", report.Counts[promise], promise)
+		all += report.Counts[promise]
+	}
+	fmt.Fprintf(out, "promises broken: %d\n", all)
 }
--- a/cmd/savoryramp-soak/main_test.go
+++ b/cmd/savoryramp-soak/main_test.go
@@ -16,12 +16,13 @@
 		want      options
 		err       string
 	}{
-		"defaults":       {want: options{Binary: "bin/savoryramp-vm", Seed: 1, VMs: 4, Lasts: 10e9, Crowd: 1, Late: 120e6, Faults: soak.NoFaults}},
-		"faults":         {arguments: []string{"--faults", "all", "--seed", "7"}, want: options{Binary: "bin/savoryramp-vm", Seed: 7, VMs: 4, Lasts: 10e9, Crowd: 1, Late: 120e6, Faults: soak.AllFaults}},
-		"restores":       {arguments: []string{"--faults", "restores"}, want: options{Binary: "bin/savoryramp-vm", Seed: 1, VMs: 4, Lasts: 10e9, Crowd: 1, Late: 120e6, Faults: soak.RestoreFaults}},
-		"evacuations":    {arguments: []string{"--faults", "evacuations"}, want: options{Binary: "bin/savoryramp-vm", Seed: 1, VMs: 4, Lasts: 10e9, Crowd: 1, Late: 120e6, Faults: soak.EvacuationFaults}},
+		"defaults":       {want: options{Binary: "bin/savoryramp-vm", Seed: 1, VMs: 4, Lasts: 10e9, Crowd: 1, Late: 120e6, Repeats: "late", Faults: soak.NoFaults}},
+		"faults":         {arguments: []string{"--faults", "all", "--seed", "7"}, want: options{Binary: "bin/savoryramp-vm", Seed: 7, VMs: 4, Lasts: 10e9, Crowd: 1, Late: 120e6, Repeats: "late", Faults: soak.AllFaults}},
+		"restores":       {arguments: []string{"--faults", "restores"}, want: options{Binary: "bin/savoryramp-vm", Seed: 1, VMs: 4, Lasts: 10e9, Crowd: 1, Late: 120e6, Repeats: "late", Faults: soak.RestoreFaults}},
+		"evacuations":    {arguments: []string{"--faults", "evacuations"}, want: options{Binary: "bin/savoryramp-vm", Seed: 1, VMs: 4, Lasts: 10e9, Crowd: 1, Late: 120e6, Repeats: "late", Faults: soak.EvacuationFaults}},
 		"unknown faults": {arguments: []string{"--faults", "some"}, err: "some"},
 		"too few VMs":    {arguments: []string{"--vms", "2"}, err: "3 or more"},
+		"unknown way":    {arguments: []string{"--repeats", "late,twice"}, err: "twice"},
 		"no time":        {arguments: []string{"--lasts", "0s"}, err: "above 0"},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -55,6 +56,12 @@
 
 func TestTell(t *testing.T) {
 	var out bytes.Buffer
-	tell(&out, soak.Report{Faults: []string{"a cut"}, Broken: []string{"a write twice"}})
-	assert.Equal(t, out.String(), "fault   a cut\nBROKEN  a write twice\npromises broken: 1\n")
+	tell(&out, soak.Report{Faults: []string{"a cut"}, Broken: []string{"a write twice"}, Counts: map[string]int{"a write once": 2}, Asked: 8, Served: 6, P50: 2e6, P99: 3e6, Repeats: 4})
+	assert.Equal(t, out.String(), `fault   a cut
+requests 8, served 6 (75.00%), p50 2ms, p99 3ms
+repeated answers 4, of the store 0
+BROKEN  a write twice
+      2  a write once
+promises broken: 2
+`)
 }
--- a/cmd/savoryramp-soak/options.go
+++ b/cmd/savoryramp-soak/options.go
@@ -1,12 +1,15 @@
 package main
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/joomcode/errorx"
 
 	"github.com/savoryramp/savoryramp/internal/soak"
+	"github.com/savoryramp/savoryramp/platform/standin"
 )
 
 var version = "0.2.0"
@@ -41,6 +44,12 @@
 	// comes later.
 	Repeated, BrokenOff, Refused float64
 	Late                         time.Duration
+	// Repeats has the ways in which answers are repeated, separated by commas, or "mix" for all.
+	Repeats string
+	// StoreRepeated is the share of the store's answers that are sent a second time.
+	StoreRepeated float64
+	// Clients is how many callers send mixed statements without pauses.
+	Clients int
 	// Keep is the folder for settings and logs; empty for one that is removed.
 	Keep string
 }
@@ -61,6 +70,9 @@
 	app.Flag("late", "How much later a repeated answer comes at most.").Default("120ms").DurationVar(&o.Late)
 	app.Flag("broken-off", "The share of the servers' answers that are broken off.").Default("0").Float64Var(&o.BrokenOff)
 	app.Flag("refused", "The share of the callers' statements that the servers refuse.").Default("0").Float64Var(&o.Refused)
+	app.Flag("repeats", "The ways to repeat answers, separated by commas: "+ways()+", or mix for all.").Default(string(standin.RepeatLate)).StringVar(&o.Repeats)
+	app.Flag("store-repeated", "The share of the store's answers that are sent a second time.").Default("0").Float64Var(&o.StoreRepeated)
+	app.Flag("clients", "How many callers send mixed statements without pauses.").Default("0").IntVar(&o.Clients)
 	app.Flag("keep", "Folder in which the VMs' settings and logs are kept.").StringVar(&o.Keep)
 	if _, err := app.Parse(arguments); err != nil {
 		return options{}, errMalformed.Wrap(err, "command line")
@@ -72,5 +84,31 @@
 	if o.Lasts <= 0 {
 		return options{}, errMalformed.New("--lasts is %s, a time above 0 is expected", o.Lasts)
 	}
+	for _, r := range o.repeats() {
+		if !slices.Contains(standin.AllRepeats, r) {
+			return options{}, errMalformed.New("--repeats has %q, expected are %s and mix", r, ways())
+		}
+	}
 	return o, nil
 }
+
+// ways lists the ways to repeat answers.
+func ways() string {
+	var list []string
+	for _, r := range standin.AllRepeats {
+		list = append(list, string(r))
+	}
+	return strings.Join(list, ", ")
+}
+
+// repeats returns the ways to repeat answers.
+func (o options) repeats() []standin.Repeat {
+	if o.Repeats == "mix" {
+		return standin.AllRepeats
+	}
+	var list []standin.Repeat
+	for _, r := range strings.Split(o.Repeats, ",") {
+		list = append(list, standin.Repeat(r))
+	}
+	return list
+}
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/savoryramp/savoryramp/platform/standin"
@@ -55,22 +57,31 @@
 func (s *Soak) callers() []func(halt <-chan struct{}) {
 	var list []func(<-chan struct{})
 	crowd := max(s.Crowd, 1)
-	for i := range writersPerCrowd * crowd {
+	for i := range s.writers() {
 		list = append(list, func(halt <-chan struct{}) { s.writer(i, halt) })
 	}
 	for i := range 3 * crowd {
 		list = append(list, func(halt <-chan struct{}) { s.reader(i, "strict", 0, halt) })
 		list = append(list, func(halt <-chan struct{}) { s.reader(i, "bounded", staleMs*time.Millisecond, halt) })
 	}
+	for i := range s.Clients {
+		list = append(list, func(halt <-chan struct{}) { s.mixed(s.writers()+i, halt) })
+	}
 	for range 3 {
 		list = append(list, s.hot)
 	}
+	for i := range s.VMs {
+		list = append(list, func(halt <-chan struct{}) { s.keeper(i, halt) })
+	}
 	if s.Faults == EvacuationFaults {
 		list = append(list, s.restrictedReader)
 	}
 	return append(list, s.gone)
 }
 
+// writers returns how many writers there are beside the clients.
+func (s *Soak) writers() int { return writersPerCrowd * max(s.Crowd, 1) }
+
 // session is a caller's session that is opened again when it ends.
 type session struct {
 	soak     *Soak
@@ -82,6 +93,15 @@
 	// stays on its VM as long as it may.
 	stays  bool
 	random *rand.Rand
+	// hurries is true if it isn't checked before each use whether the VM has closed the session.
+	hurries bool
+	// values and plans are what was acknowledged in the session; neither is changed in place. wrote are the
+	// values of the items that were.
+	values, plans map[string]string
+	wrote         map[string]written
+	// transaction is the id of the BEGIN of the open transaction, and writes counts what was written in it.
+	transaction string
+	writes      int
 }
 
 // usesMost is after how many operations a caller roams to another VM.
@@ -89,7 +109,7 @@
 
 // open gives a session in which a request can be sent, nil if there is none now.
 func (c *session) open() *standin.Client {
-	if c.client != nil && (c.uses > usesMost && !c.stays || c.client.IsClosed()) {
+	if c.client != nil && (c.uses > usesMost && !c.stays || !c.hurries && c.client.IsClosed()) {
 		c.close()
 	}
 	if c.client != nil {
@@ -107,6 +127,7 @@
 		return nil
 	}
 	c.client, c.uses = client, 0
+	c.values, c.plans, c.wrote, c.transaction = map[string]string{}, map[string]string{}, map[string]written{}, ""
 	return client
 }
 
@@ -119,15 +140,48 @@
 
 // do runs a statement; a session that didn't stay whole is given up.
 func (c *session) do(client *standin.Client, workspace, text string) (string, standin.Answer) {
-	id := c.soak.check.id()
+	id, began := c.soak.check.id(), time.Now()
+	keyword, rest, _ := strings.Cut(text, " ")
+	name, value, _ := strings.Cut(rest, " ")
+	plan := ""
+	if keyword == "EXECUTE" {
+		plan = c.plans[name]
+	}
+	c.soak.expectations.Add(id, standin.Expectation{Text: text, Plan: plan, Values: c.values, Transaction: c.transaction, Writes: c.writes})
 	a := client.Query(id, text, within)
-	c.soak.answered(id, workspace, c.vm, text, a)
-	if a.Outcome == standin.Disconnected || a.Outcome == standin.Denied {
+	if workspace == "main" {
+		c.soak.check.served(a.Outcome, time.Since(began))
+	}
+	done := a.Outcome == standin.Done
+	switch {
+	case keyword == "BEGIN" && done:
+		c.transaction, c.writes = id, 0
+	case keyword == "COMMIT", keyword == "ROLLBACK":
+		c.transaction, c.writes = "", 0
+	case keyword == "SET" && done:
+		c.values = with(c.values, name, value)
+	case keyword == "PREPARE" && done:
+		c.plans = with(c.plans, name, value)
+	case done && c.transaction != "" && (keyword == "WRITE" || strings.HasPrefix(plan, "WRITE")):
+		c.writes++
+	}
+	state := "I"
+	if c.transaction != "" {
+		state = "T"
+	}
+	c.soak.answered(id, workspace, c.vm, text, state, keyword == "READ" || strings.HasPrefix(plan, "READ"), a)
+	if a.Outcome == standin.Disconnected || a.Outcome == standin.Denied || a.Outcome == standin.Unasked {
 		c.close()
 	}
 	return id, a
 }
 
+func with(values map[string]string, name, value string) map[string]string {
+	values = maps.Clone(values)
+	values[name] = value
+	return values
+}
+
 func halted(halt <-chan struct{}) bool {
 	select {
 	case <-halt:
@@ -165,23 +219,21 @@
 		}
 		_, a := c.do(client, "main", "READ "+item)
 		if a.Outcome == standin.Done {
-			s.sawOwn(item, value, term, a)
+			s.saw("own", item, value, term, a)
 		}
 	}
 }
 
 // write writes once, alone or in a transaction, and gives the id under which it commits.
 func (c *session) write(client *standin.Client, item string, value int, transaction bool) (string, standin.Outcome) {
-	text := fmt.Sprintf("WRITE %s %d", item, value)
+	text := c.statement("WRITE", item+" "+dataOf(item, value))
 	if !transaction {
 		id, a := c.do(client, "main", text)
 		return id, a.Outcome
 	}
 	for _, step := range []string{"BEGIN", "READ " + item, text} {
 		if id, a := c.do(client, "main", step); a.Outcome != standin.Done {
-			if c.client != nil {
-				c.do(client, "main", "ROLLBACK")
-			}
+			c.rollBack(client)
 			// Its commit was never asked for.
 			return id, standin.NotApplied
 		}
@@ -201,7 +253,7 @@
 		if client == nil {
 			continue
 		}
-		item, least, term := s.check.newest(r.IntN(writersPerCrowd*max(s.Crowd, 1)), bound)
+		item, least, term := s.check.newest(r.IntN(s.writers()), bound)
 		if item == "" {
 			continue
 		}
@@ -212,26 +264,23 @@
 	}
 }
 
-// sawOwn checks what a session read of its own write.
-func (s *Soak) sawOwn(item string, value int, term int64, a standin.Answer) {
-	s.saw("own", item, value, term, a)
-}
-
 // saw checks a read against the least that it may show, unless a failover came between.
 func (s *Soak) saw(database, item string, least int, term int64, a standin.Answer) {
-	got, _ := strconv.Atoi(first(a.Rows))
+	row := ""
+	if len(a.Rows) > 0 {
+		row = a.Rows[0]
+	}
+	number, _, _ := strings.Cut(row, " ")
+	got, _ := strconv.Atoi(number)
+	if row != "" && row != dataOf(item, got) {
+		s.broken("a read shows what was written", "%s: item %s is %.60q", database, item, row)
+		return
+	}
 	if got < least && s.ledger.NewestTerm() == term {
 		s.broken("reads are fresh", "%s: item %s is %d, at least %d was acknowledged in term %d", database, item, got, least, term)
 	}
 }
 
-func first(rows []string) string {
-	if len(rows) == 0 {
-		return ""
-	}
-	return rows[0]
-}
-
 // hot asks for more than its workspace may.
 func (s *Soak) hot(halt <-chan struct{}) {
 	r := rand.New(rand.NewPCG(s.Seed, 300))
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -30,6 +31,11 @@
 	mu       sync.Mutex
 	outcomes map[standin.Outcome]int
 	broken   []string
+	// counts has all violations by promise.
+	counts map[string]int
+	// asked counts the requests below their workspace's rate, took has the latencies of those that were served.
+	asked int
+	took  []time.Duration
 	// writes by the id under which they commit.
 	writes map[string]written
 	// acknowledged are the newest of each writer, in the order of their answers.
@@ -47,7 +53,7 @@
 }
 
 func (c *checks) begin() {
-	c.outcomes, c.writes = map[standin.Outcome]int{}, map[string]written{}
+	c.outcomes, c.writes, c.counts = map[standin.Outcome]int{}, map[string]written{}, map[string]int{}
 	c.acknowledged, c.keys = map[int][]written{}, map[string]time.Time{}
 }
 
@@ -59,26 +65,64 @@
 	c.outcomes[o]++
 }
 
+// served takes note of a request's outcome and latency.
+func (c *checks) served(o standin.Outcome, took time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.asked++
+	if o == standin.Done {
+		c.took = append(c.took, took)
+	}
+}
+
+// report adds what was counted to a report.
+func (c *checks) report(r *Report) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r.Outcomes, r.Broken, r.Counts, r.Asked, r.Served = c.outcomes, c.broken, c.counts, c.asked, len(c.took)
+	slices.Sort(c.took)
+	if n := len(c.took); n > 0 {
+		r.P50, r.P99 = c.took[n/2], c.took[n*99/100]
+	}
+}
+
 func (c *checks) fail(promise, what string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.counts[promise]++
 	if len(c.broken) < brokenMost {
 		c.broken = append(c.broken, promise+": "+what)
 	}
 }
 
-// answered checks one answer by itself.
-func (s *Soak) answered(id, workspace string, p *process, text string, a standin.Answer) {
+// localKeywords are those of statements that VMs answer themselves.
+var localKeywords = []string{"BEGIN", "ROLLBACK", "SET", "PREPARE", "DEALLOCATE"}
+
+// answered checks one answer by itself. The state is that of the transaction after a success, and reads tells
+// whether there are rows.
+func (s *Soak) answered(id, workspace string, p *process, text, state string, reads bool, a standin.Answer) {
 	s.check.count(a.Outcome)
-	own := strings.HasPrefix(text, "BEGIN") || strings.HasPrefix(text, "ROLLBACK")
-	if a.Outcome == standin.Done && !own && a.Digest != "d."+id {
-		s.broken("an answer is the request's own", "%s %s got %q", id, text, a.Digest)
+	keyword, _, _ := strings.Cut(text, " ")
+	digest, rows := "d."+id, 0
+	if slices.Contains(localKeywords, keyword) {
+		digest = "-"
+	}
+	if reads {
+		rows = 1
+	}
+	switch {
+	case a.Outcome == standin.Unasked:
+		s.broken("an answer is the request's own", "%s %.60q: %s", id, text, a.Text)
+	case a.Outcome == standin.Done && (a.Digest != digest || len(a.Rows) != rows):
+		s.broken("an answer is the request's own", "%s %.60q got %q and %d rows", id, text, a.Digest, len(a.Rows))
+	case a.Outcome == standin.Done && a.State != state:
+		s.broken("an answer tells the session's state", "%s %.60q got %s for %s", id, text, a.State, state)
 	}
 	if ran := s.ledger.WorkspaceOf(id); ran != "" && ran != workspace {
 		s.broken("a request runs for its key's workspace", "%s of %s ran for %s", id, workspace, ran)
 	}
 	if (s.Faults == PlannedFaults || s.Faults == NoFaults) && a.Outcome == standin.Disconnected && s.ledger.WorkspaceOf(id) != "" {
-		s.broken("planned work cuts no request", "%s %s at %s: %s", id, text, p.name, a.Text)
+		s.broken("planned work cuts no request", "%s %.60q at %s: %s", id, text, p.name, a.Text)
 	}
 }
 
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -3,10 +3,16 @@
 package soak
 
 import (
+	"bufio"
+	"bytes"
 	"io"
 	"net"
+	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"github.com/savoryramp/savoryramp/platform/standin"
 )
 
 // mode is what a proxy does with what passes.
@@ -36,6 +42,11 @@
 	every  int
 	number int
 	open   map[net.Conn]int
+	// responses is true if what comes from the target are HTTP responses, which are passed on one by one and
+	// repeated as stutter tells. repeats counts the repeated ones.
+	responses bool
+	stutter   atomic.Pointer[standin.Stutter]
+	repeats   atomic.Int64
 	// stale has the numbers of the connections that are silent for good.
 	stale   map[int]bool
 	changed chan struct{}
@@ -45,12 +56,12 @@
 // delay is what delayed adds, well under the time-outs of routes.
 const delay = 30 * time.Millisecond
 
-func newProxy(target func() string) (*proxy, error) {
+func newProxy(target func() string, responses bool) (*proxy, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{target: target, listener: listener, mode: passing, every: 1, open: map[net.Conn]int{}, stale: map[int]bool{}, changed: make(chan struct{})}
+	p := &proxy{target: target, responses: responses, listener: listener, mode: passing, every: 1, open: map[net.Conn]int{}, stale: map[int]bool{}, changed: make(chan struct{})}
 	p.tasks.Go(p.accept)
 	return p, nil
 }
@@ -135,7 +146,11 @@
 	}()
 	var both sync.WaitGroup
 	both.Go(func() { p.copy(far, near, n, false) })
-	both.Go(func() { p.copy(near, far, n, true) })
+	if p.responses {
+		both.Go(func() { p.copyResponses(near, far, n) })
+	} else {
+		both.Go(func() { p.copy(near, far, n, true) })
+	}
 	both.Wait()
 }
 
@@ -148,22 +163,61 @@
 		if err != nil {
 			return
 		}
-		for {
-			m, changed := p.of(n)
-			if m == delayed {
-				<-time.After(delay)
-			}
-			if m != silenced && (m != halfSilenced || !answers) {
-				break
-			}
-			<-changed
-		}
+		p.await(n, answers)
 		if _, err := to.Write(buffer[:count]); err != nil && err != io.ErrShortWrite {
 			return
 		}
 	}
 }
 
+// await waits until something may pass.
+func (p *proxy) await(n int, answers bool) {
+	for {
+		m, changed := p.of(n)
+		if m == delayed {
+			<-time.After(delay)
+		}
+		if m != silenced && (m != halfSilenced || !answers) {
+			return
+		}
+		<-changed
+	}
+}
+
+// copyResponses passes whole HTTP responses on, and some of them again later.
+func (p *proxy) copyResponses(to, from net.Conn, n int) {
+	defer to.Close()
+	in := bufio.NewReader(from)
+	var writing sync.Mutex
+	write := func(text []byte) error {
+		writing.Lock()
+		defer writing.Unlock()
+		_, err := to.Write(text)
+		return err
+	}
+	for {
+		response, err := http.ReadResponse(in, nil)
+		if err != nil {
+			return
+		}
+		var text bytes.Buffer
+		if err := response.Write(&text); err != nil {
+			return
+		}
+		p.await(n, true)
+		if write(text.Bytes()) != nil {
+			return
+		}
+		if after, repeated := p.stutter.Load().Delay(); repeated {
+			time.AfterFunc(after, func() {
+				if write(text.Bytes()) == nil {
+					p.repeats.Add(1)
+				}
+			})
+		}
+	}
+}
+
 func (p *proxy) close() {
 	p.set(refusing, 1)
 	p.listener.Close()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -27,6 +27,8 @@
 	firstPause = 300 * time.Millisecond
 	// pollEvery is how often the balancer asks who is ready.
 	pollEvery = 250 * time.Millisecond
+	// clientRate is a rate that clients without pauses don't reach.
+	clientRate = 200_000
 )
 
 // Soak is one run. The exported fields are set before Run.
@@ -43,8 +45,11 @@
 	Contracts []string
 	// Crowd multiplies the writers and readers. It is 1 if it is 0.
 	Crowd int
-	// Stutter is how unreliably the servers answer all the while. It may be nil.
-	Stutter *standin.Stutter
+	// Clients is how many callers send mixed statements without pauses. Unless it is 0, the servers are fast.
+	Clients int
+	// Stutter is how unreliably the servers answer all the while, StoreStutter the store, which only repeats
+	// answers. They may be nil.
+	Stutter, StoreStutter *standin.Stutter
 	// Network is the third byte of the VMs' loopback addresses, so that runs may overlap.
 	Network int
 	Log     io.Writer
@@ -58,6 +63,8 @@
 	stop    chan struct{}
 	tasks   sync.WaitGroup
 	check   checks
+	// expectations has what callers sent, for the servers.
+	expectations *standin.Expectations
 	// restoring is held while the store is restored.
 	restoring sync.Mutex
 	// evacuating is held while a zone is evacuated.
@@ -92,16 +99,25 @@
 	Faults []string
 	// Outcomes counts the answers.
 	Outcomes map[standin.Outcome]int
-	// Repeats counts the answers that the servers sent a second time.
-	Repeats int64
-	// Broken promises, each with what was seen.
+	// Repeats counts the answers that the servers sent a second time, StoreRepeats those of the store.
+	Repeats, StoreRepeats int64
+	// Asked counts the requests below their workspace's rate, Served those of them that succeeded, and P50 and
+	// P99 are the latencies of these.
+	Asked, Served int
+	P50, P99      time.Duration
+	// Broken promises, each with what was seen, the first ones. Counts has all by promise.
 	Broken []string
+	Counts map[string]int
 }
 
+// Share returns the share of requests that were served.
+func (r Report) Share() float64 { return float64(r.Served) / float64(max(r.Asked, 1)) }
+
 // Run plays one run. The error is one of the soak's own making.
 func (s *Soak) Run() (Report, error) {
 	s.stop = make(chan struct{})
 	s.check.begin()
+	s.expectations = &standin.Expectations{Broken: s.check.fail}
 	if err := s.stand(); err != nil {
 		return Report{}, err
 	}
@@ -116,14 +132,14 @@
 	if !s.until(startWithin, func() bool { return len(s.balanced()) == len(s.vms) }) {
 		s.broken("all VMs get ready", "%d of %d in %s", len(s.balanced()), len(s.vms), startWithin)
 	}
-	s.ledger.SetStutter(s.Stutter)
+	s.stutter(s.Stutter, s.StoreStutter)
 	var callers sync.WaitGroup
 	halt := make(chan struct{})
 	for _, call := range s.callers() {
 		callers.Go(func() { call(halt) })
 	}
 	names := s.play()
-	s.ledger.SetStutter(nil)
+	s.stutter(nil, nil)
 	s.recover()
 	close(halt)
 	callers.Wait()
@@ -134,7 +150,20 @@
 			s.broken("no process ends by itself", "%s ended %d times", p.name, p.unexpected)
 		}
 	}
-	return Report{Faults: names, Outcomes: s.check.outcomes, Repeats: s.ledger.Repeats(), Broken: s.check.broken}, nil
+	report := Report{Faults: names, Repeats: s.ledger.Repeats()}
+	for _, p := range s.vms {
+		report.StoreRepeats += p.store.repeats.Load()
+	}
+	s.check.report(&report)
+	return report, nil
+}
+
+// stutter sets how unreliably the servers and the store answer.
+func (s *Soak) stutter(servers, store *standin.Stutter) {
+	s.ledger.SetStutter(servers)
+	for _, p := range s.vms {
+		p.store.stutter.Store(store)
+	}
 }
 
 // oddServers returns rows that another writer has left among those of the servers.
@@ -161,13 +190,17 @@
 	s.ledger = &standin.Group{
 		Service: serviceName, Addresses: addresses, Zones: zones, AdvertisedAddresses: map[string]string{}, Slots: 3, QueueLimit: 24, ConnectionLimit: 24,
 		HandshakeTime: 8 * time.Millisecond, StatementTime: 4 * time.Millisecond, ReplicationLag: 10 * time.Millisecond, PromotionTime: 200 * time.Millisecond,
+		Expectations: s.expectations,
+	}
+	if s.Clients > 0 {
+		s.ledger.Slots, s.ledger.QueueLimit, s.ledger.StatementTime, s.ledger.HandshakeTime = 16, 100, 300*time.Microsecond, time.Millisecond
 	}
 	if err := s.ledger.Start(); err != nil {
 		return err
 	}
 	s.servers = map[string]*proxy{}
 	for _, id := range s.ids {
-		p, err := newProxy(func() string { return s.ledger.Address(id) })
+		p, err := newProxy(func() string { return s.ledger.Address(id) }, false)
 		if err != nil {
 			return err
 		}
@@ -188,10 +221,13 @@
 	if s.Faults == EvacuationFaults {
 		s.document, s.ledger.WarmupTime = placedDocument(s.document), warmupTime
 	}
+	if s.Clients > 0 {
+		s.document.Tenants[0].Rate, s.document.Tenants[0].Burst = clientRate, clientRate
+	}
 	s.store.Put("op", "config", s.document.JSON())
 	s.tasks.Go(s.beat)
 	for i := range s.VMs {
-		p, err := newProxy(func() string { return listener.Addr().String() })
+		p, err := newProxy(func() string { return listener.Addr().String() }, true)
 		if err != nil {
 			return err
 		}
@@ -352,7 +388,9 @@
 	if database == "strict" {
 		text = "WRITE probe x"
 	}
-	a = c.Query(s.check.id(), text, time.Second)
+	id := s.check.id()
+	s.expectations.Add(id, standin.Expectation{Text: text})
+	a = c.Query(id, text, time.Second)
 	return a.Outcome == standin.Done, a.Text
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -12,6 +13,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/savoryramp/savoryramp/platform/standin"
 )
 
 var (
@@ -27,10 +30,9 @@
 // in the same order; what they meet differs from run to run.
 var regressions = map[uint64]string{}
 
+// Guards against broken promises under faults of processes, networks, servers and the store.
 func TestSoak(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "savoryramp-vm")
-	out, err := exec.Command("go", "build", "-o", binary, "../../cmd/savoryramp-vm").CombinedOutput()
-	assert.NilError(t, err, string(out))
+	binary := buildVM(t)
 	list := map[uint64]bool{}
 	for seed := range regressions {
 		list[seed] = true
@@ -48,25 +50,62 @@
 		runs.Go(func() {
 			turns <- struct{}{}
 			defer func() { <-turns }()
-			soakOnce(t, binary, seed, own, nil)
+			soakOnce(t, binary, seed, own, nil, false)
 		})
 		network++
 		scheduled := network
 		runs.Go(func() {
 			turns <- struct{}{}
 			defer func() { <-turns }()
-			soakOnce(t, binary, seed, scheduled, []string{"pressure"})
+			soakOnce(t, binary, seed, scheduled, []string{"pressure"}, false)
+		})
+	}
+	runs.Wait()
+}
+
+// Guards against answers that aren't the request's own while servers and the store repeat answers, beside the
+// faults of TestSoak.
+func TestSoakWithRepeatedAnswers(t *testing.T) {
+	binary := buildVM(t)
+	turns := make(chan struct{}, *parallel)
+	var runs sync.WaitGroup
+	for i := range *seeds {
+		// The networks are none of TestSoak's, whose runs are over.
+		runs.Go(func() {
+			turns <- struct{}{}
+			defer func() { <-turns }()
+			soakOnce(t, binary, *from+uint64(i), os.Getpid()+i, [][]string{nil, {"pressure"}}[i%2], true)
 		})
 	}
 	runs.Wait()
 }
 
+func buildVM(t *testing.T) string {
+	binary := filepath.Join(t.TempDir(), "savoryramp-vm")
+	out, err := exec.Command("go", "build", "-o", binary, "../../cmd/savoryramp-vm").CombinedOutput()
+	assert.NilError(t, err, string(out))
+	return binary
+}
+
+// drawStutter draws how servers and the store answer in a run.
+func drawStutter(s *Soak) {
+	r := rand.New(rand.NewPCG(s.Seed, 7))
+	late := time.Duration(20+r.IntN(480)) * time.Millisecond
+	s.Stutter = &standin.Stutter{Seed: s.Seed, Repeated: 0.005 + 0.025*r.Float64(), Late: late, Repeats: standin.AllRepeats}
+	if r.IntN(2) == 0 {
+		s.Stutter.Repeats = []standin.Repeat{standin.AllRepeats[r.IntN(len(standin.AllRepeats))]}
+	}
+	s.Stutter.BrokenOff, s.Stutter.Refused = 0.01*float64(r.IntN(2)), 0.03*float64(r.IntN(2))
+	s.StoreStutter = &standin.Stutter{Seed: s.Seed, Repeated: 0.05 * float64(r.IntN(2)), Late: late}
+	s.Clients = 4 + r.IntN(8)
+}
+
 // evacuationSeed is the least seed that draws evacuations. It is always played.
 const evacuationSeed = 5
 
 // soakOnce plays a seed with the contracts; every fourth draws planned faults only, another fourth restores of the store
 // and what they may make worse, and an eighth evacuations.
-func soakOnce(t *testing.T, binary string, seed uint64, network int, contracts []string) {
+func soakOnce(t *testing.T, binary string, seed uint64, network int, contracts []string, repeats bool) {
 	folder, err := os.MkdirTemp(*keep, fmt.Sprintf("soak-%d-", seed))
 	assert.Check(t, err)
 	s := &Soak{Binary: binary, Folder: folder, Seed: seed, VMs: *vms, Lasts: *lasts, Faults: AllFaults, Network: network % 10000, Contracts: contracts}
@@ -79,9 +118,12 @@
 	if seed%8 == evacuationSeed {
 		s.Faults = EvacuationFaults
 	}
+	if repeats {
+		drawStutter(s)
+	}
 	report, err := s.Run()
 	assert.Check(t, err)
-	t.Logf("seed %d, contracts %v: %v", seed, contracts, report.Outcomes)
+	t.Logf("seed %d, contracts %v: %v, %.1f%% of %d served, %d answers repeated, %d of the store", seed, contracts, report.Outcomes, 100*report.Share(), report.Asked, report.Repeats, report.StoreRepeats)
 	for _, f := range report.Faults {
 		if strings.Contains(f, evacuateZone) || strings.Contains(f, restartCold) {
 			t.Logf("seed %d: %s", seed, f)
@@ -98,4 +140,5 @@
 	for _, b := range report.Broken {
 		t.Errorf("seed %d: %s", seed, b)
 	}
+	t.Logf("seed %d: %v", seed, report.Counts)
 }
