--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -156,12 +156,15 @@
 	}
 }
 
-// keeper keeps a session at one VM open until the VM closes it, and uses it now and then.
+// keeper uses a session now and then, and doesn't close its side until the VM has closed it and is gone.
 func (s *Soak) keeper(number int, halt <-chan struct{}) {
 	c := &session{soak: s, database: "bounded", key: mainKey, stays: true, random: rand.New(rand.NewPCG(s.Seed, uint64(600+number)))}
 	defer c.close()
 	for !halted(halt) {
 		s.pause(time.Duration(c.random.IntN(800)) * time.Millisecond)
+		if c.client != nil && c.client.IsClosed() {
+			s.until(stopWithin, func() bool { return halted(halt) || c.vm.wait(0) })
+		}
 		if client := c.open(); client != nil {
 			c.do(client, "main", "READ kept")
 		}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -58,15 +60,27 @@
 		if p == nil {
 			return "none left"
 		}
-		p.signal(syscall.SIGTERM, true)
-		if !p.wait(stopWithin) {
-			s.broken("a VM ends within its grace after SIGTERM", "%s", p.name)
-			p.signal(syscall.SIGKILL, true)
-			p.wait(time.Second)
-		}
-		s.restart(p)
+		s.stopAndStart(p)
 		return p.name
 	}},
+	{name: "signals, restarts and configuration changes in series", planned: true, restores: true, evacuations: true, do: func(s *Soak, r *rand.Rand, _ time.Duration) string {
+		var names []string
+		for range seriesLength {
+			p := s.take(r)
+			if p == nil {
+				break
+			}
+			names = append(names, p.name)
+			// A process that doesn't handle signals yet would be ended by SIGHUP.
+			if s.until(startWithin, func() bool { return slices.Contains(s.balanced(), p) }) {
+				p.signal(syscall.SIGHUP, false)
+				s.change(func(d *standin.Document) { d.Routes[1].TimeoutMs = 800 + r.IntN(3)*100 })
+				p.signal(syscall.SIGHUP, false)
+			}
+			s.stopAndStart(p)
+		}
+		return strings.Join(names, ", ")
+	}},
 	{name: "pause a VM", restores: true, evacuations: true, do: func(s *Soak, r *rand.Rand, lasts time.Duration) string {
 		p := s.take(r)
 		if p == nil {
@@ -179,12 +193,25 @@
 const (
 	// stopWithin is the grace in the stand-in's settings.
 	stopWithin = 6 * time.Second
+	// seriesLength is how many VMs are restarted one after the other.
+	seriesLength = 2
 	// drainFor is how long a server that leaves still serves.
 	drainFor = 4 * time.Second
 	// copyAge times the length of a fault is how old the copy is that a store is restored from.
 	copyAge = 2
 )
 
+// stopAndStart ends a VM's process as an operator does and starts it again.
+func (s *Soak) stopAndStart(p *process) {
+	p.signal(syscall.SIGTERM, true)
+	if !p.wait(stopWithin) {
+		s.broken("a VM ends within its grace after SIGTERM", "%s", p.name)
+		p.signal(syscall.SIGKILL, true)
+		p.wait(time.Second)
+	}
+	s.restart(p)
+}
+
 // harm does something to a way and undoes it.
 func (s *Soak) harm(p *proxy, r *rand.Rand, lasts time.Duration) string {
 	m := []mode{delayed, silenced, halfSilenced, refusing, stale}[r.IntN(5)]
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -50,34 +50,35 @@
 		runs.Go(func() {
 			turns <- struct{}{}
 			defer func() { <-turns }()
-			soakOnce(t, binary, seed, own, nil, false)
+			soakOnce(t, binary, seed, own, nil, nil)
 		})
 		network++
 		scheduled := network
 		runs.Go(func() {
 			turns <- struct{}{}
 			defer func() { <-turns }()
-			soakOnce(t, binary, seed, scheduled, []string{"pressure"}, false)
+			soakOnce(t, binary, seed, scheduled, []string{"pressure"}, nil)
 		})
 	}
 	runs.Wait()
 }
 
 // Guards against answers that aren't the request's own while servers and the store repeat answers, beside the
-// faults of TestSoak.
+// faults of TestSoak and under load without them.
 func TestSoakWithRepeatedAnswers(t *testing.T) {
 	binary := buildVM(t)
 	turns := make(chan struct{}, *parallel)
 	var runs sync.WaitGroup
+	// The networks are those of TestSoak, whose runs are over.
 	for i := range *seeds {
-		// The networks are none of TestSoak's, whose runs are over.
 		runs.Go(func() {
 			turns <- struct{}{}
 			defer func() { <-turns }()
-			soakOnce(t, binary, *from+uint64(i), os.Getpid()+i, [][]string{nil, {"pressure"}}[i%2], true)
+			soakOnce(t, binary, *from+uint64(i), os.Getpid()+i, [][]string{nil, {"pressure"}}[i%2], drawStutter)
 		})
 	}
 	runs.Wait()
+	soakOnce(t, binary, *from, os.Getpid(), nil, loadWithRepeats)
 }
 
 func buildVM(t *testing.T) string {
@@ -96,16 +97,25 @@
 		s.Stutter.Repeats = []standin.Repeat{standin.AllRepeats[r.IntN(len(standin.AllRepeats))]}
 	}
 	s.Stutter.BrokenOff, s.Stutter.Refused = 0.01*float64(r.IntN(2)), 0.03*float64(r.IntN(2))
-	s.StoreStutter = &standin.Stutter{Seed: s.Seed, Repeated: 0.05 * float64(r.IntN(2)), Late: late}
+	s.StoreStutter = &standin.Stutter{Seed: s.Seed, Repeated: 0.2 * float64(r.IntN(2)), Late: late}
 	s.Clients = 4 + r.IntN(8)
 }
 
+// leastShare is the share of requests that must be served while loadWithRepeats is in force.
+const leastShare = 0.95
+
+// loadWithRepeats has 2% of the servers' answers repeated up to 500 ms late, under load.
+func loadWithRepeats(s *Soak) {
+	s.Faults, s.Clients = NoFaults, 24
+	s.Stutter = &standin.Stutter{Seed: s.Seed, Repeated: 0.02, Late: 500 * time.Millisecond, Repeats: standin.AllRepeats}
+}
+
 // evacuationSeed is the least seed that draws evacuations. It is always played.
 const evacuationSeed = 5
 
 // soakOnce plays a seed with the contracts; every fourth draws planned faults only, another fourth restores of the store
 // and what they may make worse, and an eighth evacuations.
-func soakOnce(t *testing.T, binary string, seed uint64, network int, contracts []string, repeats bool) {
+func soakOnce(t *testing.T, binary string, seed uint64, network int, contracts []string, stutter func(*Soak)) {
 	folder, err := os.MkdirTemp(*keep, fmt.Sprintf("soak-%d-", seed))
 	assert.Check(t, err)
 	s := &Soak{Binary: binary, Folder: folder, Seed: seed, VMs: *vms, Lasts: *lasts, Faults: AllFaults, Network: network % 10000, Contracts: contracts}
@@ -118,11 +128,14 @@
 	if seed%8 == evacuationSeed {
 		s.Faults = EvacuationFaults
 	}
-	if repeats {
-		drawStutter(s)
+	if stutter != nil {
+		stutter(s)
 	}
 	report, err := s.Run()
 	assert.Check(t, err)
+	if s.Faults == NoFaults && report.Share() < leastShare {
+		report.Broken = append(report.Broken, fmt.Sprintf("requests are served: %.1f%% of %d", 100*report.Share(), report.Asked))
+	}
 	t.Logf("seed %d, contracts %v: %v, %.1f%% of %d served, %d answers repeated, %d of the store", seed, contracts, report.Outcomes, 100*report.Share(), report.Asked, report.Repeats, report.StoreRepeats)
 	for _, f := range report.Faults {
 		if strings.Contains(f, evacuateZone) || strings.Contains(f, restartCold) {
