--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -98,6 +98,12 @@
 	Workspace WorkspaceName
 
 	pool *Pool
+	// number distinguishes the connections of a pool.
+	number int
+	// phase is the transaction state after the latest command that was answered.
+	phase Phase
+	// history has the answers received so far.
+	history answerHistory
 	// inTransaction is true if the latest answer on the connection left a transaction open.
 	inTransaction bool
 	// dropped is true if the pool has closed the connection while its transaction was idle. The pool's
--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -57,6 +57,8 @@
 		"No server is listed in the zone that is to be evacuated; it has no effect here.")
 	eventUnknownRegions = event.Define(6044, "proxy-unknown-regions", event.Warn,
 		"The configuration allows regions that no zone in the settings is in; no server is in them.")
+	eventUnexpectedAnswer = event.Define(6050, "proxy-unexpected-answer", event.Warn,
+		"An answer on a server's connection isn't, or may not be, that of the oldest unanswered command: it was received before, has a form that no answer to that command has, or belongs to an earlier one.")
 	eventQuorum = event.Define(6018, "proxy-endorsed", event.Warn,
 		"Whether a majority of the verifier VMs can use the primary changed, as observed by this VM; without that majority this VM doesn't use the primary.")
 )
--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -142,8 +142,9 @@
 	}
 	p := &Pool{
 		AwaitCurrent: awaitCurrent, AdmitCold: admitCold,
-		Server: s, Connect: g.VM.Connect,
-		OnOpened: func() { g.VM.metrics.recordConnection(g.Name) },
+		Server: s, Connect: g.VM.Connect, Logger: g.Logger,
+		OnUnexpected: func(whose attribution) { g.VM.metrics.recordUnexpectedAnswer(g.Name, whose) },
+		OnOpened:     func() { g.VM.metrics.recordConnection(g.Name) },
 		TransactionIdleTimeout: func() time.Duration {
 			if c := g.VM.Configuration(); c != nil {
 				return c.TransactionIdleTimeout
--- a/internal/proxy/local.go
+++ b/internal/proxy/local.go
@@ -1,6 +1,9 @@
 package proxy
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // localExecutor runs commands on a connection of this VM's pool.
 type localExecutor struct{ conn *Conn }
@@ -60,6 +63,7 @@
 			if err != nil {
 				return nil, err
 			}
+			c.observe(Reset{}, a)
 			if !a.Succeeded() {
 				refused = string(a.Failure) + " " + a.Detail
 			}
@@ -68,6 +72,7 @@
 		if err != nil {
 			return nil, err
 		}
+		c.observe(commands[i], a)
 		if refused != "" {
 			// The statement may have run with values other than the session's.
 			return nil, ErrBroken.New("server %s refused a session value: %s", c.Server, refused)
@@ -120,3 +125,28 @@
 	}
 	return false
 }
+
+// observe reports an answer that isn't, or may not be, that of a command.
+func (c *Conn) observe(command Command, a Answer) {
+	whose, identical := c.history.attribute(command, c.phase, a)
+	if whose != ownAnswer && (whose != unclearAnswer || identical) {
+		c.reportUnexpected(command, a, whose, identical)
+	}
+	c.phase = a.Phase
+}
+
+// maxLoggedDigest is how much of a digest is logged.
+const maxLoggedDigest = 60
+
+// reportUnexpected logs and counts an answer that isn't, or may not be, that of a command.
+func (c *Conn) reportUnexpected(command Command, a Answer, whose attribution, identical bool) {
+	request := InternalRequestID
+	if f, isForward := command.(Forward); isForward {
+		request = f.ID
+	}
+	eventUnexpectedAnswer.Log(c.pool.Logger, "server", c.Server, "connection", c.number, "request", request, "command", fmt.Sprintf("%T", command),
+		"kind", whose, "identical", identical, "digest", a.Digest[:min(len(a.Digest), maxLoggedDigest)], "failure", a.Failure, "phase", a.Phase, "phase-before", c.phase, "position", a.Position, "received-before", len(c.history.contents))
+	if c.pool.OnUnexpected != nil {
+		c.pool.OnUnexpected(whose)
+	}
+}
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -20,6 +20,9 @@
 	connections metric.Int64Counter
 	// promotionRefusals counts attempts at a promotion that were given up.
 	promotionRefusals metric.Int64Counter
+	// unexpectedAnswers counts answers of servers that weren't, or may not have been, those of the outstanding
+	// commands.
+	unexpectedAnswers metric.Int64Counter
 }
 
 // latencyBounds, in seconds, are densest around the latency objectives and timeouts of the
@@ -63,10 +66,14 @@
 	if err != nil {
 		return ErrMalformed.Wrap(err, "instrument")
 	}
+	unexpectedAnswers, err := m.Int64Counter("savoryramp.vm.answers.unexpected", metric.WithDescription("Answers of servers that weren't, or may not have been, those of the outstanding commands, by service and kind."))
+	if err != nil {
+		return ErrMalformed.Wrap(err, "instrument")
+	}
 	if err := v.registerQueueLength(m); err != nil {
 		return err
 	}
-	v.metrics = instruments{answers, latency, refusals, waits, forecastErrors, connections, promotionRefusals}
+	v.metrics = instruments{answers, latency, refusals, waits, forecastErrors, connections, promotionRefusals, unexpectedAnswers}
 	return v.registerEvacuationMetrics(m)
 }
 
@@ -105,6 +112,13 @@
 	}
 }
 
+// recordUnexpectedAnswer counts an answer that wasn't, or may not have been, that of the outstanding command.
+func (i instruments) recordUnexpectedAnswer(service ServiceName, whose attribution) {
+	if i.unexpectedAnswers != nil {
+		i.unexpectedAnswers.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", string(service)), attribute.String("kind", string(whose))))
+	}
+}
+
 func (i instruments) recordAnswer(r *Route, a Answer, took time.Duration) {
 	if i.answers == nil {
 		return
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/go-kit/log"
 )
 
 const (
@@ -40,6 +42,10 @@
 type Pool struct {
 	Server  Server
 	Connect Connect
+	Logger  log.Logger
+	// OnUnexpected is called for each answer that isn't, or may not be, that of the oldest unanswered command.
+	// It may be nil.
+	OnUnexpected func(attribution)
 	// OnOpened is called with p.mu held when a connection has been opened. It may be nil.
 	OnOpened func()
 	// Share returns this VM's current limits for connections to the server.
@@ -70,6 +76,8 @@
 	// open counts all connections: idle, in use and being opened. opening counts only the
 	// last.
 	open, opening int
+	// opened counts all connections so far.
+	opened int
 	// blocked has the requests that wait until a connection may be had, the most urgent first, if
 	// the pool has a Queue.
 	blocked []*blockedRequest
@@ -289,7 +297,8 @@
 		p.OnOpened()
 	}
 	p.averageHandshake = movingAverage(p.averageHandshake, time.Since(began))
-	c := &Conn{Link: link, Server: p.Server.ID, Workspace: w, pool: p, values: map[string]string{}, plans: map[Plan]StatementName{}}
+	p.opened++
+	c := &Conn{Link: link, Server: p.Server.ID, Workspace: w, pool: p, number: p.opened, phase: Idle, values: map[string]string{}, plans: map[Plan]StatementName{}}
 	p.assignOrKeep(wp, c)
 	p.openForWaiters()
 }
