--- a/internal/proxy/testbed_test.go
+++ b/internal/proxy/testbed_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -37,10 +39,18 @@
 	// executed lists the statements that servers ran, each as server, workspace, session values
 	// and text.
 	executed []string
+	// committed counts the commits of each write.
+	committed map[string]int
+	// inTransaction counts the runs of each statement inside a transaction.
+	inTransaction map[string]int
 	// openingNow counts the connections being opened, peakOpening is its maximum, and opened
 	// counts all attempts to open one. handshake is how long an attempt takes.
 	links, openingNow, peakOpening, opened int
 	handshake                              time.Duration
+	// requests counts the requests of all clients, so that their IDs differ.
+	requests int
+	// stutter is how the servers repeat answers, nil if they don't.
+	stutter *stutter
 	// contacted has when each server last got a command or a new connection.
 	contacted map[ServerID]time.Time
 }
@@ -119,7 +129,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		var paused atomic.Int64
 		defer clock.Fake(func() clock.Instant { return clock.Instant(time.Now().UnixNano() + paused.Load()) })()
-		tb := &testbed{paused: &paused, t: t, relay: &fakeRelay{}, servers: map[ServerID]*memServer{}, contacted: map[ServerID]time.Time{}, primary: "a", term: 1, handshake: 10 * time.Millisecond}
+		tb := &testbed{paused: &paused, t: t, relay: &fakeRelay{}, servers: map[ServerID]*memServer{}, contacted: map[ServerID]time.Time{}, committed: map[string]int{}, inTransaction: map[string]int{}, primary: "a", term: 1, handshake: 10 * time.Millisecond}
 		var listed []Server
 		for _, id := range []ServerID{"a", "b", "c"} {
 			tb.servers[id] = &memServer{id: id, logEnd: position.Position{Term: 1, Offset: 1}, work: 5 * time.Millisecond}
@@ -214,21 +224,49 @@
 	return &memLink{testbed: tb, server: server, workspace: w, values: map[string]string{}, plans: map[StatementName]Plan{}, phase: Idle}, server.logEnd, nil
 }
 
+// memAnswer is an answer that arrives at a time.
+type memAnswer struct {
+	Answer
+	at time.Time
+}
+
+// stutter makes servers send answers again, late, on the same connection.
+type stutter struct {
+	random *rand.Rand
+	// share is that of the answers that are repeated, late the most by which they come later.
+	share float64
+	late  time.Duration
+	// together is how many consecutive answers at most are repeated in one piece.
+	together int
+	// repeats reports whether an answer may be repeated.
+	repeats func(c Command, a Answer) bool
+	// atNext is the share of repeated answers that arrive when the next command on the connection has been sent,
+	// before its answer.
+	atNext float64
+	// rewrites is true if a repeated answer has the present transaction state and position.
+	rewrites bool
+}
+
 // memLink is a connection to a memServer.
 type memLink struct {
 	testbed   *testbed
 	server    *memServer
 	workspace WorkspaceName
 	commands  []Command
-	answers   []Answer
-	values    map[string]string
-	plans     map[StatementName]Plan
-	phase     Phase
-	readWrite bool
-	wrote     bool
-	silent    bool
-	broken    bool
-	closed    bool
+	answers   []memAnswer
+	// repeated are answers that are sent again, ordered by the time, and held those that are sent again with the
+	// next command.
+	repeated, held []memAnswer
+	values         map[string]string
+	plans          map[StatementName]Plan
+	phase          Phase
+	readWrite      bool
+	wrote          bool
+	// uncommitted are the writes of the open transaction.
+	uncommitted []string
+	silent      bool
+	broken      bool
+	closed      bool
 }
 
 func (l *memLink) Send(c Command) { l.commands = append(l.commands, c) }
@@ -237,6 +275,12 @@
 	tb := l.testbed
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
+	for _, a := range l.held {
+		l.repeated = append(l.repeated, memAnswer{a.Answer, time.Now()})
+	}
+	l.held = nil
+	l.sortRepeated()
+	var latest []Answer
 	for _, c := range l.commands {
 		if l.broken || l.silent || l.closed {
 			break
@@ -251,7 +295,8 @@
 			l.broken = true
 			continue
 		case refuseBusy:
-			l.answers = append(l.answers, Answer{Failure: Busy, Phase: l.phase})
+			latest = append(latest, l.reply(c, Answer{Failure: Busy, Phase: l.phase, Position: l.server.logEnd}))
+			l.repeatSome(c, latest)
 			continue
 		}
 		a := l.run(c)
@@ -262,13 +307,61 @@
 		case breakAfter:
 			l.broken = true
 		default:
-			l.answers = append(l.answers, a)
+			latest = append(latest, l.reply(c, a))
 		}
+		l.repeatSome(c, latest)
 	}
 	l.commands = nil
 	return nil
 }
 
+// reply queues an answer, which arrives once the server has worked on the command; the testbed's mutex is held.
+func (l *memLink) reply(_ Command, a Answer) Answer {
+	at := time.Now()
+	if n := len(l.answers); n > 0 {
+		at = l.answers[n-1].at
+	}
+	l.answers = append(l.answers, memAnswer{a, at.Add(l.server.work)})
+	return a
+}
+
+// repeatSome sends some of the latest answers again; the testbed's mutex is held.
+func (l *memLink) repeatSome(c Command, latest []Answer) {
+	s := l.testbed.stutter
+	if s == nil || len(latest) == 0 || !s.repeats(c, latest[len(latest)-1]) || s.random.Float64() >= s.share {
+		return
+	}
+	from := max(0, len(latest)-1-s.random.IntN(max(s.together, 1)))
+	at := l.answers[len(l.answers)-1].at.Add(time.Duration(s.random.Float64() * float64(s.late)))
+	queue := &l.repeated
+	if s.random.Float64() < s.atNext {
+		queue = &l.held
+	}
+	for _, a := range latest[from:] {
+		*queue = append(*queue, memAnswer{a, at})
+	}
+	l.sortRepeated()
+}
+
+func (l *memLink) sortRepeated() {
+	slices.SortStableFunc(l.repeated, func(a, b memAnswer) int { return a.at.Compare(b.at) })
+}
+
+// next returns the next answer to arrive and the queue that it is in; the testbed's mutex is held.
+func (l *memLink) next() (memAnswer, *[]memAnswer) {
+	switch {
+	case len(l.repeated) > 0 && (len(l.answers) == 0 || l.repeated[0].at.Before(l.answers[0].at)):
+		a := l.repeated[0]
+		if s := l.testbed.stutter; s != nil && s.rewrites {
+			a.Phase, a.Position = l.phase, l.server.logEnd
+		}
+		return a, &l.repeated
+	case len(l.answers) > 0:
+		return l.answers[0], &l.answers
+	}
+	return memAnswer{}, nil
+}
+
 // run executes a command; the testbed's mutex is held.
 func (l *memLink) run(c Command) Answer {
 	isPrimary := l.testbed.primary == l.server.id
@@ -288,11 +381,14 @@
 		}
 		l.phase, l.readWrite = InTransaction, !c.ReadOnly
 	case Abandon:
-		l.phase, l.wrote = Idle, false
+		l.phase, l.wrote, l.uncommitted = Idle, false, nil
+	case QueryStatus, PauseReceiving, ResumeReceiving:
+		return Answer{Digest: "-", Rows: []string{fmt.Sprint("status of ", l.server.id, l.server.logEnd, isPrimary)}}
 	case Demote:
 		if isPrimary && c.Term > l.testbed.term {
 			l.testbed.primary = ""
 		}
+		return Answer{Digest: "-", Rows: []string{fmt.Sprint("demoted ", l.server.id, l.server.logEnd, c.Term)}}
 	case Forward:
 		return l.forward(c, isPrimary)
 	}
@@ -325,12 +421,22 @@
 		return Answer{Failure: NotPrimary}
 	}
 	l.testbed.executed = append(l.testbed.executed, fmt.Sprintf("%s %s %v %s", l.server.id, l.workspace, l.values, text))
+	if l.phase == InTransaction {
+		l.testbed.inTransaction[text]++
+	}
 	l.wrote = l.wrote || writes
+	if writes {
+		l.uncommitted = append(l.uncommitted, text)
+	}
 	if text == "COMMIT" {
 		l.phase = Idle
 	}
 	if l.wrote && l.phase == Idle {
 		l.wrote = false
+		for _, w := range l.uncommitted {
+			l.testbed.committed[w]++
+		}
+		l.uncommitted = nil
 		l.server.logEnd.Offset++
 		for _, s := range l.testbed.servers {
 			if !s.notReceiving {
@@ -343,23 +449,22 @@
 
 func (l *memLink) Receive(deadline time.Time) (Answer, error) {
 	l.testbed.mu.Lock()
-	work, broken := l.server.work, l.broken
-	ready := len(l.answers) > 0
+	a, queue := l.next()
+	broken := l.broken
 	l.testbed.mu.Unlock()
-	if !ready && broken {
+	if queue == nil && broken {
 		return Answer{}, ErrBroken.New("server %s closed the connection", l.server.id)
 	}
-	until := time.Now().Add(work)
-	if !ready || until.After(deadline) {
+	if queue == nil || a.at.After(deadline) {
 		clock.Sleep(context.Background(), time.Until(deadline))
 		return Answer{}, ErrTimeout.New("server %s didn't answer", l.server.id)
 	}
-	clock.Sleep(context.Background(), work)
+	clock.Sleep(context.Background(), time.Until(a.at))
 	l.testbed.mu.Lock()
 	defer l.testbed.mu.Unlock()
-	a := l.answers[0]
-	l.answers = l.answers[1:]
-	return a, nil
+	a, queue = l.next()
+	*queue = (*queue)[1:]
+	return a.Answer, nil
 }
 
 func (l *memLink) DecodeStatus(Answer) (ServerStatus, error) {
@@ -371,7 +476,8 @@
 func (l *memLink) IsAlive() bool {
 	l.testbed.mu.Lock()
 	defer l.testbed.mu.Unlock()
-	return !l.broken
+	a, queue := l.next()
+	return !l.broken && (queue == nil || a.at.After(time.Now()))
 }
 
 func (l *memLink) Close() {
@@ -385,15 +491,17 @@
 
 // client is an in-process caller of the testbed's VM.
 type client struct {
+	testbed   *testbed
 	requests  chan Request
 	replies   chan Answer
 	interrupt chan bool
 	database  DatabaseName
 	key       Key
-	next      int
-	rejected  Failure
-	closed    chan bool
-	once      sync.Once
+	// last is the ID of the latest request.
+	last     RequestID
+	rejected Failure
+	closed   chan bool
+	once     sync.Once
 }
 
 // openSession starts a session, which must be accepted.
@@ -406,7 +514,7 @@
 }
 
 func (tb *testbed) startClient(database DatabaseName, key Key) *client {
-	c := &client{rejected: sessionClosed, requests: make(chan Request), replies: make(chan Answer, 1), interrupt: make(chan bool, 1), database: database, key: key, closed: make(chan bool)}
+	c := &client{testbed: tb, rejected: sessionClosed, requests: make(chan Request), replies: make(chan Answer, 1), interrupt: make(chan bool, 1), database: database, key: key, closed: make(chan bool)}
 	tb.tasks.Go(func() { tb.vm.Serve(tb.ctx, c) })
 	return c
 }
@@ -454,9 +562,13 @@
 // exec runs one statement. If the session has been closed, it returns the failure that the
 // session was rejected with.
 func (c *client) exec(s Statement) Answer {
-	c.next++
+	c.testbed.mu.Lock()
+	c.testbed.requests++
+	id := RequestID(fmt.Sprint("r", c.testbed.requests))
+	c.testbed.mu.Unlock()
+	c.last = id
 	select {
-	case c.requests <- Request{ID: RequestID(fmt.Sprint("r", c.next)), Statement: s}:
+	case c.requests <- Request{ID: id, Statement: s}:
 	case <-c.closed:
 		return Answer{Failure: c.rejected}
 	}
