--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -77,14 +77,24 @@
 	// Receive reads the answer to the oldest unanswered command. It returns ErrTimeout after
 	// deadline and ErrBroken if the connection was closed.
 	Receive(deadline time.Time) (Answer, error)
-	// IsAlive reports whether the connection is open and has received no unsolicited data.
-	IsAlive() bool
+	// Input reports whether the connection is open and has received data that wasn't read.
+	Input() InputState
 	// DecodeStatus decodes the answer to QueryStatus, Demote, PauseReceiving or
 	// ResumeReceiving. It returns ErrBroken for any other answer.
 	DecodeStatus(a Answer) (ServerStatus, error)
 	Close()
 }
 
+// InputState is what can be read from a connection without waiting.
+type InputState string
+
+// States of a connection's input.
+const (
+	NoInput       InputState = "none"
+	InputReceived InputState = "received"
+	InputClosed   InputState = "closed"
+)
+
 // Connect opens a connection to a server for a workspace and returns it with the current end of
 // the server's log. It returns ErrConnect, ErrRefused or ErrWrongServer on failure, and gives up
 // when ctx ends.
@@ -102,8 +112,21 @@
 	number int
 	// phase is the transaction state after the latest command that was answered.
 	phase Phase
-	// history has the answers received so far.
-	history answerHistory
+	// history has the answers received so far. skipped counts those that weren't the awaited command's,
+	// skippedPlain those among them that complete a command of the VM.
+	history               answerHistory
+	skipped, skippedPlain int
+	// lastIdentical is true if an unclear answer since the latest markers was received before with the same
+	// transaction state and position.
+	lastIdentical bool
+	// markers are commands that were sent to find out whether all earlier answers have arrived, and whose
+	// answers weren't received yet. markerPlans counts those that prepare a plan.
+	markers     []Command
+	markerPlans int
+	// verified is true if the latest commands verified the primary.
+	verified bool
+	// misaligned is true once an answer couldn't be attributed to a command. The connection isn't used again.
+	misaligned bool
 	// inTransaction is true if the latest answer on the connection left a transaction open.
 	inTransaction bool
 	// dropped is true if the pool has closed the connection while its transaction was idle. The pool's
--- a/internal/proxy/contention_test.go
+++ b/internal/proxy/contention_test.go
@@ -134,11 +134,13 @@
 	server   *slotServer
 	commands []Command
 	phase    Phase
+	// answered counts the statements, for their digests.
+	answered int
 }
 
 func (l *slotLink) Send(c Command)                          { l.commands = append(l.commands, c) }
 func (*slotLink) Flush(time.Time) error                     { return nil }
-func (*slotLink) IsAlive() bool                             { return true }
+func (*slotLink) Input() InputState                         { return NoInput }
 func (l *slotLink) Close()                                  { l.server.mu.Lock(); l.server.connections--; l.server.mu.Unlock() }
 func (*slotLink) DecodeStatus(Answer) (ServerStatus, error) { return ServerStatus{}, nil }
 
@@ -160,6 +162,8 @@
 		case Write:
 			text = s.Text
 		}
+		l.answered++
+		a.Digest = fmt.Sprint("d-", l.answered)
 		work := 500
 		if _, after, found := strings.Cut(text, " "); found {
 			_, _ = fmt.Sscan(after, &work)
--- a/internal/proxy/election.go
+++ b/internal/proxy/election.go
@@ -173,7 +173,7 @@
 func (g *Group) runStatusCommand(ctx context.Context, m *member, c Command) (ServerStatus, error) {
 	deadline := time.Now().Add(statusTimeout)
 	for {
-		conn, err := m.pool.AcquireAny(ctx, deadline)
+		conn, err := g.acquireAny(ctx, m, deadline)
 		if err == nil {
 			co := g.newCheckout(localExecutor{conn}, conn.Server, true)
 			a, runErr := co.run(nil, c, deadline)
@@ -183,10 +183,10 @@
 			}
 			err = runErr
 			if err == nil {
-				err = ErrBusy.New("server %s: %s %s", conn.Server, a.Failure, a.Detail)
+				err = ErrBusy.New("server %s: %s %s", co.server, a.Failure, a.Detail)
 			}
 		}
-		if ctx.Err() != nil || time.Until(deadline) < statusPollInterval || !isType(err, ErrBusy) && !isType(err, ErrRefused) {
+		if ctx.Err() != nil || time.Until(deadline) < statusPollInterval || !isType(err, ErrBusy) && !isType(err, ErrRefused) && !isType(err, ErrUnproven) && !isType(err, ErrUnsettled) {
 			return ServerStatus{}, err
 		}
 		clock.Sleep(ctx, statusPollInterval)
--- a/internal/proxy/errors.go
+++ b/internal/proxy/errors.go
@@ -30,6 +30,11 @@
 	// ErrPeerOutcomeUnknown means that a batch may have reached another VM, but that its outcome
 	// isn't known.
 	ErrPeerOutcomeUnknown = errs.NewType("peer")
+	// ErrUnproven means that an answer can't be shown to be that of the command, which may have run.
+	ErrUnproven = errs.NewType("unproven")
+	// ErrUnsettled means that nothing was sent on a connection, since an earlier answer on it can't be
+	// attributed to a command.
+	ErrUnsettled = errs.NewType("unsettled")
 	// ErrCaller means that the caller closed its connection or violated the protocol.
 	ErrCaller = errs.NewType("caller")
 	// ErrUnavailable means that the platform's store didn't execute the request, or that the
@@ -95,3 +100,6 @@
 func busyAnswer(err error) Answer {
 	return Answer{Failure: Busy, Detail: err.Error(), RetryAfter: RetryAfter(err)}
 }
+
+// isUnattributed reports whether an error only says that an answer can't be attributed to a command.
+func isUnattributed(err error) bool { return isType(err, ErrUnproven) || isType(err, ErrUnsettled) }
--- /dev/null
+++ b/internal/proxy/exchange.go
@@ -0,0 +1,361 @@
+package proxy
+
+import (
+	"fmt"
+	"time"
+)
+
+// sentCommand is a command whose answer is awaited.
+type sentCommand struct {
+	command Command
+	// isSetup is true for a command that only prepares the connection for the next one.
+	isSetup bool
+	// writes is true for a statement that writes.
+	writes bool
+}
+
+// exec runs commands in order, preceded by those that make the connection match the profile. Answers to the
+// callers' statements and statuses are shown to be the commands' own: ErrUnproven means that one isn't, and that
+// the commands may have run. Refusals of reads and of begins, after which another server is tried, may be
+// repeated ones; the connection finds that out before its next use.
+func (c *Conn) exec(p *profile, commands []Command, until time.Time) ([]Answer, error) {
+	if len(c.markers) > 0 {
+		if err := c.receiveMarkers(until); err != nil {
+			return nil, err
+		}
+	}
+	if len(commands) == 0 {
+		return nil, nil
+	}
+	sent := c.send(p, commands)
+	if err := c.Link.Flush(until); err != nil {
+		return nil, err
+	}
+	before, skipped, skippedPlain := c.phase, c.skipped, c.skippedPlain
+	answers, unclear, err := c.receiveAll(sent, until)
+	if err != nil {
+		return nil, err
+	}
+	last := sent[len(sent)-1]
+	a := &answers[len(answers)-1]
+	_, forwards := last.command.(Forward)
+	verified := c.verified
+	c.verified = endsVerification(commands)
+	switch {
+	case unclear && needsProof(last, before):
+		*a, err = c.settle(last.command, *a, until)
+	case unclear:
+		c.sendMarkers(until)
+	case a.Succeeded() && !forwards && c.skipped != skipped && !isStatusCommand(last.command):
+		// Answers to the VM's own commands look alike.
+		err = c.misalign("%s was answered after repeated answers", commandName(last.command))
+	case verified && forwards && c.skippedPlain != skippedPlain:
+		// The answers that verified the primary may have been repeated ones, and these the true ones.
+		err = c.misalign("repeated answers followed a verification")
+	}
+	if err != nil {
+		return nil, err
+	}
+	return answers, nil
+}
+
+// send buffers commands, preceded by those that make the connection match the profile.
+func (c *Conn) send(p *profile, commands []Command) []sentCommand {
+	var sent []sentCommand
+	for _, command := range commands {
+		writes := false
+		if p != nil {
+			f, _ := command.(Forward)
+			if e, isExecute := f.Statement.(Execute); isExecute {
+				writes = p.plans[e.Name].Writes
+			}
+			sent, command = c.queueProfile(p, sent, command)
+		}
+		c.Link.Send(command)
+		sent = append(sent, sentCommand{command: command, writes: writes})
+	}
+	return sent
+}
+
+// receiveAll receives the answers to commands, and returns those that aren't setup. unclear reports whether one
+// of them may be a repeated one.
+func (c *Conn) receiveAll(sent []sentCommand, until time.Time) (answers []Answer, unclear bool, err error) {
+	refused := ""
+	for _, s := range sent {
+		a, whose, err := c.receive(s.command, until)
+		switch {
+		case err != nil:
+			return nil, false, err
+		case whose == lateAnswer:
+			return nil, false, c.misalign("%s received the answer to an earlier statement", commandName(s.command))
+		case s.isSetup && whose == unclearAnswer:
+			return nil, false, c.misalign("a refusal of %s may be a repeated one", commandName(s.command))
+		case s.isSetup && !a.Succeeded():
+			refused = string(a.Failure) + " " + a.Detail
+		}
+		if !s.isSetup {
+			answers = append(answers, a)
+			unclear = unclear || whose == unclearAnswer
+		}
+	}
+	if refused != "" {
+		// The statement may have run with values other than the session's.
+		return nil, false, ErrBroken.New("server %s refused a session value: %s", c.Server, refused)
+	}
+	return answers, unclear, nil
+}
+
+// receive receives the answer to the oldest unanswered command, or a late one. It skips repeated answers.
+func (c *Conn) receive(command Command, until time.Time) (Answer, attribution, error) {
+	for {
+		a, err := c.Link.Receive(until)
+		if err != nil {
+			return Answer{}, "", err
+		}
+		whose, identical := c.history.attribute(command, c.phase, a)
+		if whose == repeatedAnswer || whose == lateAnswer {
+			c.noteUnexpected(command, a, whose)
+		}
+		if whose == repeatedAnswer {
+			continue
+		}
+		c.lastIdentical = c.lastIdentical || whose == unclearAnswer && identical
+		if whose != lateAnswer {
+			c.phase = a.Phase
+		}
+		return a, whose, nil
+	}
+}
+
+// noteUnexpected logs and counts an answer that isn't that of a command.
+func (c *Conn) noteUnexpected(command Command, a Answer, whose attribution) {
+	c.skipped++
+	if a.Digest == completedWithoutDigest {
+		c.skippedPlain++
+	}
+	c.pool.stutters.Store(true)
+	eventUnexpectedAnswer.Log(c.pool.Logger, "server", c.Server, "connection", c.number, "request", requestOf(command), "command", commandName(command),
+		"kind", whose, "digest", truncateText(a.Digest), "failure", a.Failure, "phase", a.Phase, "phase-before", c.phase, "position", a.Position, "remembered", len(c.history.contents))
+	c.pool.countUnexpected(whose)
+}
+
+// misalign gives up a connection on which an answer can't be attributed, and returns ErrUnproven.
+func (c *Conn) misalign(format string, arguments ...any) error {
+	c.misaligned = true
+	return ErrUnproven.New("server %s, connection %d: "+format, append([]any{c.Server, c.number}, arguments...)...)
+}
+
+// needsProof reports whether a refusal of a command must be shown to be its own before anything follows from it.
+// before is the transaction state in which it was sent. A refused read is tried elsewhere, and a refused begin
+// has no effect.
+func needsProof(s sentCommand, before Phase) bool {
+	f, forwards := s.command.(Forward)
+	if !forwards {
+		return isStatusCommand(s.command)
+	}
+	switch f.Statement.(type) {
+	case Write, Commit:
+		return true
+	}
+	return s.writes || before != Idle
+}
+
+// settle finds out whether a refusal or status that is equal to an earlier one is that of a command. Servers
+// answer in order: if it was a repeated one, the true answer arrives before those to markers sent now. settle
+// returns the true answer, or ErrUnproven if that isn't clear.
+func (c *Conn) settle(command Command, unclear Answer, until time.Time) (Answer, error) {
+	c.pool.countUnexpected(unclearAnswer)
+	markers := c.newMarkers()
+	if len(markers) == 0 {
+		return Answer{}, c.misalign("%s %s may be a repeated answer", unclear.Failure, unclear.Detail)
+	}
+	for _, m := range markers {
+		c.Link.Send(m)
+	}
+	if err := c.Link.Flush(until); err != nil {
+		return Answer{}, err
+	}
+	answer, skipped := unclear, c.skipped
+	for i := 0; i < len(markers); {
+		a, whose, err := c.receive(markers[i], until)
+		switch {
+		case err != nil:
+			return Answer{}, err
+		case whose == lateAnswer && i == 0 && c.skipped == skipped+1 && a.Phase == phaseAfter(command, c.phase):
+			answer, skipped, c.phase = a, c.skipped, a.Phase
+			continue
+		case whose != ownAnswer || !a.Succeeded() || c.skipped != skipped:
+			return Answer{}, c.misalign("%s %s may be a repeated answer", unclear.Failure, unclear.Detail)
+		}
+		i++
+	}
+	eventSettled.Log(c.pool.Logger, "server", c.Server, "connection", c.number, "request", requestOf(command), "command", commandName(command), "failure", unclear.Failure, "outcome", answer.Failure, "digest", truncateText(answer.Digest))
+	return answer, nil
+}
+
+// newMarkers returns commands without effect whose answers follow that of the latest command, nil if there are
+// none in the connection's transaction state. Outside a transaction they change that state to and fro. In one
+// they leave it unchanged, while after a commit that ran it is another. Two of a kind must be answered, so that
+// a single repeated answer doesn't stand for them.
+func (c *Conn) newMarkers() []Command {
+	switch c.phase {
+	case Idle:
+		return []Command{BeginAt{ReadOnly: true}, Abandon{}, BeginAt{ReadOnly: true}, Abandon{}}
+	case InTransaction:
+		var markers []Command
+		for range 2 {
+			c.markerPlans++
+			markers = append(markers, PreparePlan{Name: StatementName("m" + itoa(int64(c.markerPlans))), Plan: Plan{Shape: "marker"}})
+		}
+		return markers
+	}
+	return nil
+}
+
+// sendMarkers sends markers after a refusal that may be a repeated one. Their answers are received before the
+// connection's next use, so that nothing waits for them now. In calm, refusals that are equal but for the
+// position are common and can't be repeated ones.
+func (c *Conn) sendMarkers(until time.Time) {
+	identical := c.lastIdentical
+	c.lastIdentical = false
+	if !identical && !c.pool.stutters.Load() {
+		return
+	}
+	c.pool.countUnexpected(unclearAnswer)
+	c.markers = c.newMarkers()
+	for _, m := range c.markers {
+		c.Link.Send(m)
+	}
+	if c.phase != Idle || c.Link.Flush(until) != nil {
+		c.misaligned = true
+	}
+}
+
+// receiveMarkers receives the answers to markers. It returns ErrUnsettled, and the connection must be closed, if
+// it isn't clear that all earlier answers have arrived.
+func (c *Conn) receiveMarkers(until time.Time) error {
+	markers, skippedPlain := c.markers, c.skippedPlain
+	c.markers = nil
+	for i := 0; i < len(markers); {
+		a, whose, err := c.receive(markers[i], until)
+		switch {
+		case err == nil && whose == lateAnswer && i == 0 && a.Phase == Idle:
+			// The true answer to a read that was tried elsewhere.
+			continue
+		case err != nil || whose != ownAnswer || !a.Succeeded() || c.skippedPlain != skippedPlain:
+			c.misaligned = true
+			return ErrUnsettled.New("server %s, connection %d: an earlier answer can't be attributed", c.Server, c.number)
+		}
+		i++
+	}
+	return nil
+}
+
+// prepare makes an idle connection ready for use. It discards what has arrived since its latest use, which can't
+// be the answer to what will be sent. It returns ErrBroken if the server has closed the connection, and
+// ErrUnsettled if an earlier answer can't be attributed.
+func (c *Conn) prepare(until time.Time) error {
+	if len(c.markers) > 0 {
+		return c.receiveMarkers(until)
+	}
+	for {
+		switch c.Link.Input() {
+		case NoInput:
+			return nil
+		case InputClosed:
+			return ErrBroken.New("server %s closed the connection", c.Server)
+		}
+		a, err := c.Link.Receive(until)
+		if err != nil {
+			return err
+		}
+		seen, _ := c.history.note(a)
+		c.noteUnexpected(nil, a, repeatedAnswer)
+		if !seen && (!a.Succeeded() || a.Digest != "" && a.Digest != completedWithoutDigest) {
+			c.misaligned = true
+			return ErrUnsettled.New("server %s, connection %d: an answer to nothing arrived", c.Server, c.number)
+		}
+	}
+}
+
+// mustClose reports whether the connection can't be used again.
+func (c *Conn) mustClose() bool { return c.misaligned || c.history.isFull() }
+
+// endsVerification reports whether commands verify the primary.
+func endsVerification(commands []Command) bool {
+	_, ends := commands[len(commands)-1].(Abandon)
+	return ends && len(commands) > 1
+}
+
+func isStatusCommand(c Command) bool {
+	switch c.(type) {
+	case QueryStatus, Demote, PauseReceiving, ResumeReceiving:
+		return true
+	}
+	return false
+}
+
+// requestOf returns the ID of the request that a command belongs to.
+func requestOf(c Command) RequestID {
+	if f, forwards := c.(Forward); forwards {
+		return f.ID
+	}
+	return InternalRequestID
+}
+
+// commandName returns the name of a command, or of the statement that it forwards, for logs.
+func commandName(c Command) string {
+	if f, forwards := c.(Forward); forwards {
+		return fmt.Sprintf("%T", f.Statement)
+	}
+	return fmt.Sprintf("%T", c)
+}
+
+// maxLoggedText is how much of a server's text is logged, in bytes.
+const maxLoggedText = 60
+
+func truncateText(text string) string { return text[:min(len(text), maxLoggedText)] }
+
+// queueProfile buffers the commands that set the connection's values and plans to those of the
+// profile. It appends them to those sent, and returns the command with the name that its prepared
+// statement has on the server.
+func (c *Conn) queueProfile(p *profile, sent []sentCommand, command Command) ([]sentCommand, Command) {
+	queue := func(setup Command) {
+		c.Link.Send(setup)
+		sent = append(sent, sentCommand{command: setup, isSetup: true})
+	}
+	if c.hasStaleValues(p.values) || len(c.plans) >= maxPreparedPlans {
+		queue(Reset{})
+		c.values, c.plans = map[string]string{}, map[Plan]StatementName{}
+	}
+	for name, value := range p.values {
+		if before, found := c.values[name]; !found || before != value {
+			queue(Assign{Name: name, Value: value})
+			c.values[name] = value
+		}
+	}
+	f, isForward := command.(Forward)
+	e, isExecute := f.Statement.(Execute)
+	if !isForward || !isExecute {
+		return sent, command
+	}
+	plan := p.plans[e.Name]
+	name, found := c.plans[plan]
+	if !found {
+		name = StatementName("p" + itoa(int64(len(c.plans)+1)))
+		queue(PreparePlan{Name: name, Plan: plan})
+		c.plans[plan] = name
+	}
+	f.Statement = Execute{Name: name, Arguments: e.Arguments}
+	return sent, f
+}
+
+// hasStaleValues reports whether the connection has values that the session hasn't set.
+func (c *Conn) hasStaleValues(values map[string]string) bool {
+	for name := range c.values {
+		if _, found := values[name]; !found {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/proxy/maintenance.go
+++ b/internal/proxy/maintenance.go
@@ -121,7 +121,7 @@
 	co.release(err == nil && a.Phase == Idle)
 	switch {
 	case err != nil:
-		if co.local {
+		if co.local && !isUnattributed(err) {
 			m.pool.CloseIdle()
 		}
 		co.recordFailure(err)
@@ -143,7 +143,7 @@
 		}
 		return g.checkOut(ctx, m, demand{workspace: anonymousWorkspace, verification: true, Urgency: Urgency{Deadline: until}}, until)
 	}
-	c, err := m.pool.AcquireAny(ctx, until)
+	c, err := g.acquireAny(ctx, m, until)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -64,6 +64,8 @@
 	// AdmitCold waits for, or refuses, commands for a cold server. It is nil if none is limited.
 	AdmitCold func(c *Conn, commands []Command, until time.Time) error
 
+	// stutters is true once the server has sent a repeated answer.
+	stutters atomic.Bool
 	// sendsCold is true while this VM is the one that sends to the server because that is cold.
 	sendsCold atomic.Bool
 	// state is poolOpen if it is empty. retryAfter is told in refusals because of it. mu guards both.
@@ -355,7 +357,7 @@
 	}
 	wp := p.workspacePools[c.Workspace]
 	wp.averageHold, wp.lastUsed = movingAverage(wp.averageHold, took), time.Now()
-	if !keep || p.closed || p.currentState() == poolTransactions || p.hasStarvingWorkspace(wp) {
+	if !keep || c.mustClose() || p.closed || p.currentState() == poolTransactions || p.hasStarvingWorkspace(wp) {
 		p.uncount(wp)
 		c.Link.Close()
 	} else {
@@ -429,6 +431,13 @@
 // Wait waits for pending attempts to open connections. It must be called after Close.
 func (p *Pool) Wait() { p.dials.Wait() }
 
+// countUnexpected counts an answer that isn't, or may not be, that of the awaited command.
+func (p *Pool) countUnexpected(whose attribution) {
+	if p.OnUnexpected != nil {
+		p.OnUnexpected(whose)
+	}
+}
+
 func movingAverage(mean, sample time.Duration) time.Duration {
 	if mean == 0 {
 		return sample
--- a/internal/proxy/remote.go
+++ b/internal/proxy/remote.go
@@ -308,17 +308,42 @@
 		if err != nil {
 			return nil, err
 		}
-		if c.Link.IsAlive() {
+		if g.prepare(m, c, until) {
 			return g.newCheckout(localExecutor{c}, c.Server, true), nil
 		}
-		c.leave()
-		m.pool.Release(c, false, 0)
+	}
+}
+
+// prepare makes an acquired connection ready for use, or closes it and reports that it can't be used. If the
+// server has closed it, all idle ones are closed.
+func (g *Group) prepare(m *member, c *Conn, until time.Time) bool {
+	err := c.prepare(until)
+	if err == nil {
+		return true
+	}
+	c.leave()
+	m.pool.Release(c, false, 0)
+	if !isType(err, ErrUnsettled) {
 		m.pool.CloseIdle()
 	}
+	return false
+}
+
+// acquireAny acquires any idle connection of this VM for the VM's own commands, or opens one.
+func (g *Group) acquireAny(ctx context.Context, m *member, until time.Time) (*Conn, error) {
+	for {
+		c, err := m.pool.AcquireAny(ctx, until)
+		if err != nil {
+			return nil, err
+		}
+		if g.prepare(m, c, until) {
+			return c, nil
+		}
+	}
 }
 
 // notSent reports whether an error guarantees that no command of the batch has run.
 func notSent(err error) bool {
 	return isType(err, ErrBusy) || isType(err, ErrRefused) || isType(err, ErrConnect) ||
-		isType(err, ErrWrongServer) || isType(err, ErrNoServer) || isType(err, ErrPeerUnreachable)
+		isType(err, ErrWrongServer) || isType(err, ErrNoServer) || isType(err, ErrPeerUnreachable) || isType(err, ErrUnsettled)
 }
--- a/internal/proxy/testbed_test.go
+++ b/internal/proxy/testbed_test.go
@@ -473,11 +473,17 @@
 	return ServerStatus{Primary: l.testbed.primary == l.server.id, Term: l.testbed.term, Received: l.server.logEnd}, nil
 }
 
-func (l *memLink) IsAlive() bool {
+func (l *memLink) Input() InputState {
 	l.testbed.mu.Lock()
 	defer l.testbed.mu.Unlock()
 	a, queue := l.next()
-	return !l.broken && (queue == nil || a.at.After(time.Now()))
+	switch {
+	case queue != nil && !a.at.After(time.Now()):
+		return InputReceived
+	case l.broken:
+		return InputClosed
+	}
+	return NoInput
 }
 
 func (l *memLink) Close() {
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -196,7 +196,7 @@
 		case err != nil:
 			co.release(false)
 			co.recordFailure(err)
-			if !tx.wrote || isType(err, ErrBusy) || isType(err, ErrNoServer) {
+			if !tx.wrote || isType(err, ErrBusy) || isType(err, ErrNoServer) || isType(err, ErrUnsettled) {
 				// A commit that waited in vain for its turn, or whose server may not be used, wasn't sent.
 				return Answer{Failure: Aborted, Detail: err.Error()}
 			}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -105,6 +105,7 @@
 var errorKinds = map[string]*errorx.Type{
 	"broken": proxy.ErrBroken, "silent": proxy.ErrTimeout, "connect": proxy.ErrConnect, "refused": proxy.ErrRefused,
 	"wrong-server": proxy.ErrWrongServer, "no-server": proxy.ErrNoServer, "busy": proxy.ErrBusy,
+	"unproven": proxy.ErrUnproven, "unsettled": proxy.ErrUnsettled,
 }
 
 // errorKind returns the name under which errorKinds has the error's type, "broken" if it has
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -31,15 +31,35 @@
 func (singleVMFleet) Settled() bool                     { return true }
 func (singleVMFleet) IsVerifier(proxy.ServiceName) bool { return true }
 
-// echo is a connection to a server that answers each command with its Go syntax.
-type echo struct{ answers []proxy.Answer }
+// echo is a connection to a server that answers each statement with its Go syntax as the digest, and a command
+// with a status with its Go syntax as the row.
+type echo struct {
+	// received has the Go syntax of all commands.
+	received []string
+	// sent has all answers, answers those that weren't received.
+	sent, answers []proxy.Answer
+	phase         proxy.Phase
+}
 
 func (e *echo) Send(c proxy.Command) {
-	phase := proxy.Idle
-	if _, begins := c.(proxy.BeginAt); begins {
-		phase = proxy.InTransaction
+	text := fmt.Sprintf("%#v", c)
+	e.received = append(e.received, text)
+	a := proxy.Answer{Digest: "-", Position: position.Position{Term: 3, Offset: 4}}
+	switch c := c.(type) {
+	case proxy.BeginAt:
+		e.phase = proxy.InTransaction
+	case proxy.Abandon:
+		e.phase = proxy.Idle
+	case proxy.QueryStatus, proxy.Demote, proxy.PauseReceiving, proxy.ResumeReceiving:
+		a.Rows = []string{text}
+	case proxy.Forward:
+		a.Digest = text
+		if _, commits := c.Statement.(proxy.Commit); commits {
+			e.phase = proxy.Idle
+		}
 	}
-	e.answers = append(e.answers, proxy.Answer{Digest: fmt.Sprintf("%#v", c), Phase: phase, Position: position.Position{Term: 1, Offset: 2}})
+	a.Phase = e.phase
+	e.sent, e.answers = append(e.sent, a), append(e.answers, a)
 }
 func (*echo) Flush(time.Time) error { return nil }
 func (e *echo) Receive(time.Time) (proxy.Answer, error) {
@@ -49,7 +69,7 @@
 }
 
 func (*echo) DecodeStatus(proxy.Answer) (proxy.ServerStatus, error) { return proxy.ServerStatus{}, nil }
-func (*echo) IsAlive() bool                                         { return true }
+func (*echo) Input() proxy.InputState                               { return proxy.NoInput }
 func (*echo) Close()                                                {}
 
 // startRelay starts a VM that accepts batches for server "i-1". If err is set, its connection
@@ -66,7 +86,7 @@
 		if err != nil {
 			return nil, position.Position{}, err
 		}
-		return &echo{}, position.Position{}, nil
+		return &echo{phase: proxy.Idle}, position.Position{}, nil
 	}
 	change(vm)
 	vm.SetServers([]proxy.Server{{ID: "i-1", Service: "s", Address: "127.0.0.1:1"}})
@@ -91,7 +111,12 @@
 
 // Every command and its answer are transferred without loss.
 func TestCommandsRoundTrip(t *testing.T) {
-	r := startRelay(t, nil)
+	server := &echo{phase: proxy.Idle}
+	r := startRelayWith(t, nil, func(vm *proxy.VM) {
+		vm.Connect = func(context.Context, proxy.Server, proxy.WorkspaceName) (proxy.ServerLink, position.Position, error) {
+			return server, position.Position{}, nil
+		}
+	})
 	link, err := r.Open(context.Background(), proxy.Address(r.Listener.Addr().String()))
 	assert.NilError(t, err)
 	defer link.Release(false)
@@ -113,8 +138,9 @@
 	} {
 		answers, err := link.Exec(newBatch(c), time.Now().Add(time.Second))
 		assert.NilError(t, err)
-		assert.Equal(t, answers[0].Digest, fmt.Sprintf("%#v", c))
-		assert.Equal(t, answers[0].Position, position.Position{Term: 1, Offset: 2})
+		assert.Equal(t, server.received[len(server.received)-1], fmt.Sprintf("%#v", c))
+		assert.DeepEqual(t, answers[0], server.sent[len(server.sent)-1])
+		assert.Equal(t, answers[0].Position, position.Position{Term: 3, Offset: 4})
 	}
 }
 
@@ -342,7 +368,7 @@
 	vm := &proxy.VM{Name: "home", Fleet: singleVMFleet{}, Logger: log.NewNopLogger()}
 	vm.Connect = func(context.Context, proxy.Server, proxy.WorkspaceName) (proxy.ServerLink, position.Position, error) {
 		connected <- struct{}{}
-		return &echo{}, position.Position{}, nil
+		return &echo{phase: proxy.Idle}, position.Position{}, nil
 	}
 	vm.SetServers([]proxy.Server{{ID: "i-1", Service: "s", Address: "127.0.0.1:1"}})
 	vm.Configure(&proxy.Configuration{Version: 1, Services: map[proxy.ServiceName]*proxy.Service{"s": {Name: "s", Connections: 9}}}, "test")
