--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -119,6 +119,8 @@
 	// lastIdentical is true if an unclear answer since the latest markers was received before with the same
 	// transaction state and position.
 	lastIdentical bool
+	// refused is true once a statement was refused, other than by a server that lagged.
+	refused bool
 	// markers are commands that were sent to find out whether all earlier answers have arrived, and whose
 	// answers weren't received yet. markerPlans counts those that prepare a plan.
 	markers     []Command
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/savoryramp/savoryramp/internal/clock"
 )
 
 // sentCommand is a command whose answer is awaited.
@@ -120,6 +122,8 @@
 			continue
 		}
 		c.lastIdentical = c.lastIdentical || whose == unclearAnswer && identical
+		_, forwards := command.(Forward)
+		c.refused = c.refused || forwards && !a.Succeeded() && a.Failure != Lagging
 		if whose != lateAnswer {
 			c.phase = a.Phase
 		}
@@ -133,7 +137,7 @@
 	if a.Digest == completedWithoutDigest {
 		c.skippedPlain++
 	}
-	c.pool.stutters.Store(true)
+	c.pool.repeatedAt.Store(int64(clock.Now()))
 	eventUnexpectedAnswer.Log(c.pool.Logger, "server", c.Server, "connection", c.number, "request", requestOf(command), "command", commandName(command),
 		"kind", whose, "digest", truncateText(a.Digest), "failure", a.Failure, "phase", a.Phase, "phase-before", c.phase, "position", a.Position, "remembered", len(c.history.contents))
 	c.pool.countUnexpected(whose)
@@ -195,13 +199,15 @@
 
 // newMarkers returns commands without effect whose answers follow that of the latest command, nil if there are
 // none in the connection's transaction state. Outside a transaction they change that state to and fro. In one
-// they leave it unchanged, while after a commit that ran it is another. Two of a kind must be answered, so that
-// a single repeated answer doesn't stand for them.
+// they leave it unchanged, while after a commit that ran it is another. Repeated answers to the VM's own commands
+// could stand for them, so they aren't used at a server that is known to repeat answers.
 func (c *Conn) newMarkers() []Command {
-	switch c.phase {
-	case Idle:
+	switch {
+	case c.pool.repeatsAnswers():
+		return nil
+	case c.phase == Idle:
 		return []Command{BeginAt{ReadOnly: true}, Abandon{}, BeginAt{ReadOnly: true}, Abandon{}}
-	case InTransaction:
+	case c.phase == InTransaction:
 		var markers []Command
 		for range 2 {
 			c.markerPlans++
@@ -213,12 +219,13 @@
 }
 
 // sendMarkers sends markers after a refusal that may be a repeated one. Their answers are received before the
-// connection's next use, so that nothing waits for them now. In calm, refusals that are equal but for the
-// position are common and can't be repeated ones.
+// connection's next use, so that nothing waits for them now. Without markers the connection is closed. A server
+// that isn't known to repeat answers often refuses reads because it lags, at another position each time: such
+// refusals are its own.
 func (c *Conn) sendMarkers(until time.Time) {
 	identical := c.lastIdentical
 	c.lastIdentical = false
-	if !identical && !c.pool.stutters.Load() {
+	if !identical && !c.pool.repeatsAnswers() {
 		return
 	}
 	c.pool.countUnexpected(unclearAnswer)
@@ -226,7 +233,7 @@
 	for _, m := range c.markers {
 		c.Link.Send(m)
 	}
-	if c.phase != Idle || c.Link.Flush(until) != nil {
+	if len(c.markers) == 0 || c.phase != Idle || c.Link.Flush(until) != nil {
 		c.misaligned = true
 	}
 }
@@ -278,8 +285,11 @@
 	}
 }
 
-// mustClose reports whether the connection can't be used again.
-func (c *Conn) mustClose() bool { return c.misaligned || c.history.isFull() }
+// mustClose reports whether the connection isn't used again. At a server that repeats answers, an equal refusal
+// of a later statement couldn't be told from one that this connection has received.
+func (c *Conn) mustClose() bool {
+	return c.misaligned || c.history.isFull() || c.refused && c.pool.repeatsAnswers()
+}
 
 // endsVerification reports whether commands verify the primary.
 func endsVerification(commands []Command) bool {
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/go-kit/log"
+
+	"github.com/savoryramp/savoryramp/internal/clock"
 )
 
 const (
@@ -64,8 +66,8 @@
 	// AdmitCold waits for, or refuses, commands for a cold server. It is nil if none is limited.
 	AdmitCold func(c *Conn, commands []Command, until time.Time) error
 
-	// stutters is true once the server has sent a repeated answer.
-	stutters atomic.Bool
+	// repeatedAt is when the server last sent a repeated answer, on clock.Now, or 0.
+	repeatedAt atomic.Int64
 	// sendsCold is true while this VM is the one that sends to the server because that is cold.
 	sendsCold atomic.Bool
 	// state is poolOpen if it is empty. retryAfter is told in refusals because of it. mu guards both.
@@ -431,6 +433,15 @@
 // Wait waits for pending attempts to open connections. It must be called after Close.
 func (p *Pool) Wait() { p.dials.Wait() }
 
+// repeatMemory is for how long a server is taken for one that repeats answers.
+const repeatMemory = time.Minute
+
+// repeatsAnswers reports whether the server is known to repeat answers.
+func (p *Pool) repeatsAnswers() bool {
+	at := p.repeatedAt.Load()
+	return at != 0 && clock.Since(clock.Instant(at)) < repeatMemory
+}
+
 // countUnexpected counts an answer that isn't, or may not be, that of the awaited command.
 func (p *Pool) countUnexpected(whose attribution) {
 	if p.OnUnexpected != nil {
