--- a/cmd/savoryramp-vm/daemon.go
+++ b/cmd/savoryramp-vm/daemon.go
@@ -117,7 +117,7 @@
 	d.addTask(r.Run)
 	d.configurationWatcher = &platform.ConfigurationWatcher{Store: d.store, Configure: d.vm.Configure, ReadByDelegate: d.readByDelegate, Logger: d.logger}
 	d.enablePlacement()
-	d.promoter = &platform.Promoter{VM: s.VM, Incarnation: rand.Int64(), Store: d.store, Client: platform.NewHTTPClient(), TokensChecked: s.FencingEnforced, Logger: d.logger}
+	d.promoter = &platform.Promoter{VM: s.VM, Incarnation: rand.Int64(), Store: d.store, Client: platform.NewWriter(), TokensChecked: s.FencingEnforced, Logger: d.logger}
 	d.promoter.SetAddress(string(s.CloudAPIAddress))
 	d.addTask(d.vm.Run)
 	d.addTask(d.fleet.Run)
