--- a/cmd/savoryramp-vm/daemon.go
+++ b/cmd/savoryramp-vm/daemon.go
@@ -198,6 +198,9 @@
 	if err := d.vm.RegisterMetrics(m.Meter("vm")); err != nil {
 		return nil, err
 	}
+	if err := d.store.RegisterMetrics(m.Meter("platform")); err != nil {
+		return nil, err
+	}
 	if err := d.budget.RegisterMetrics(m.Meter("budget")); err != nil {
 		return nil, proxy.ErrMalformed.Wrap(err, "metrics")
 	}
--- a/cmd/savoryramp-vm/fleet.go
+++ b/cmd/savoryramp-vm/fleet.go
@@ -172,7 +172,7 @@
 		}
 		address = addresses[rand.IntN(len(addresses))]
 	}
-	l, err := platform.FetchServers(ctx, d.store.Client, address)
+	l, err := d.store.FetchServers(ctx, address)
 	if err != nil {
 		return err
 	}
