--- a/cmd/savoryramp-vm/daemon.go
+++ b/cmd/savoryramp-vm/daemon.go
@@ -59,6 +59,7 @@
 	quota                *quota.Limiter
 	budget               *budget.Budget
 	store                *platform.Store
+	relay                *relay.Relay
 	configurationWatcher *platform.ConfigurationWatcher
 	promoter             *platform.Promoter
 	tasks                run.Group
@@ -112,9 +113,9 @@
 	if err != nil {
 		return err
 	}
-	r := &relay.Relay{VM: d.vm, Capacity: s.CPUCores, Fleet: d.fleet, Listener: relayListener, Budget: d.budget, Logger: d.logger}
-	d.vm.Relay = r
-	d.addTask(r.Run)
+	d.relay = &relay.Relay{VM: d.vm, Capacity: s.CPUCores, Fleet: d.fleet, Listener: relayListener, Budget: d.budget, Logger: d.logger}
+	d.vm.Relay = d.relay
+	d.addTask(d.relay.Run)
 	d.configurationWatcher = &platform.ConfigurationWatcher{Store: d.store, Configure: d.vm.Configure, ReadByDelegate: d.readByDelegate, Logger: d.logger}
 	d.enablePlacement()
 	d.promoter = &platform.Promoter{VM: s.VM, Incarnation: rand.Int64(), Store: d.store, Client: platform.NewWriter(), TokensChecked: s.FencingEnforced, Logger: d.logger}
@@ -201,6 +202,9 @@
 	if err := d.store.RegisterMetrics(m.Meter("platform")); err != nil {
 		return nil, err
 	}
+	if err := d.relay.RegisterMetrics(m.Meter("relay")); err != nil {
+		return nil, err
+	}
 	if err := d.budget.RegisterMetrics(m.Meter("budget")); err != nil {
 		return nil, proxy.ErrMalformed.Wrap(err, "metrics")
 	}
--- a/internal/hostile/ports_test.go
+++ b/internal/hostile/ports_test.go
@@ -35,6 +35,7 @@
 			proxy.Forward{ID: "a", Statement: proxy.Write{Text: "WRITE k " + text(fullMessage-256)}},
 		}}
 		for range 3 {
+			batch.Number++
 			if gob.NewEncoder(c).Encode(batch) != nil {
 				return
 			}
--- a/internal/proxy/remote.go
+++ b/internal/proxy/remote.go
@@ -27,6 +27,8 @@
 	// LinkAgeMs is for how long the link that carries the batch had been open when it was sent, in
 	// milliseconds. It is set by the link.
 	LinkAgeMs int64
+	// Number increases with each batch on the link that carries it, from 1. It is set by the link.
+	Number uint64
 	// Priority and WorkspacePriority order the batch among those that wait for the server.
 	// ObjectiveMs and DeadlineMs are the times left to the objective, zero if there is none, and
 	// to the deadline, in milliseconds. FirstDeadlineMs is that of a refused attempt whose caller
--- a/internal/relay/duplicate_test.go
+++ b/internal/relay/duplicate_test.go
@@ -4,26 +4,31 @@
 	"bufio"
 	"bytes"
 	"context"
+	"encoding/gob"
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/go-kit/log"
 	"gotest.tools/v3/assert"
 
+	"github.com/savoryramp/savoryramp/internal/budget"
 	"github.com/savoryramp/savoryramp/internal/proxy"
 	"github.com/savoryramp/savoryramp/pkg/position"
 )
 
-// copyFrames copies gob's messages from one connection to another until one of them ends. It sends each message
-// again right before the one that follows, but for those of the first batch or reply, which define gob's types.
-func copyFrames(to io.Writer, from io.Reader, repeats bool) {
+// copyFrames copies gob's messages from one connection to another until one of them ends. From when repeats is
+// true, it sends each message again right before the one that follows. The first batch and the first reply define
+// gob's types, which a decoder accepts only once.
+func copyFrames(to io.Writer, from io.Reader, repeats func() bool) {
 	f := &frameReader{in: bufio.NewReader(from), maxLength: maxReply}
 	var previous []byte
-	for values := 0; ; {
+	for {
 		prefix, length, err := f.peekLength()
 		if err != nil {
 			return
@@ -32,36 +37,19 @@
 		if _, err := io.ReadFull(f.in, text); err != nil {
 			return
 		}
-		if !definesTypes(text) {
-			values++
-		}
-		if repeats && values > 2 {
-			_, _ = to.Write(previous)
+		repeated := previous
+		if repeats() {
+			previous = text
 		}
+		_, _ = to.Write(repeated)
 		if _, err := to.Write(text); err != nil {
 			return
 		}
-		previous = text
-	}
-}
-
-// definesTypes reports whether a message of gob defines a type: the type ID after its length, of which bit 0 is
-// the sign, is negative.
-func definesTypes(text []byte) bool {
-	f := &frameReader{in: bufio.NewReader(bytes.NewReader(text))}
-	prefix, _, err := f.peekLength()
-	if err != nil || prefix >= len(text) {
-		return true
-	}
-	id := text[prefix:]
-	if id[0] >= 0x80 {
-		id = id[int(-int8(id[0])):]
 	}
-	return id[0]&1 == 1
 }
 
 // startFront forwards one link to a VM and repeats batches or replies.
-func startFront(t *testing.T, address net.Addr, batches, replies bool) proxy.Address {
+func startFront(t *testing.T, address net.Addr, batches, replies func() bool) proxy.Address {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { l.Close() })
@@ -128,7 +116,10 @@
 		t.Run(name, func(t *testing.T) {
 			r, runs := countRuns(t)
 			sender := &Relay{Logger: log.NewNopLogger()}
-			link, err := sender.Open(t.Context(), startFront(t, r.Listener.Addr(), test.batches, test.replies))
+			var started atomic.Bool
+			batches := func() bool { return started.Load() && test.batches }
+			replies := func() bool { return started.Load() && test.replies }
+			link, err := sender.Open(t.Context(), startFront(t, r.Listener.Addr(), batches, replies))
 			assert.NilError(t, err)
 			defer link.Release(false)
 			for i := range 5 {
@@ -136,6 +127,7 @@
 				assert.NilError(t, err)
 				assert.Equal(t, answers[0].Digest, fmt.Sprintf("%#v", writeOf(i)))
 				assert.Equal(t, runs(writeOf(i)), 1)
+				started.Store(true)
 			}
 		})
 	}
@@ -177,3 +169,60 @@
 	assert.NilError(t, err)
 	assert.Equal(t, answers[0].Digest, fmt.Sprintf("%#v", writeOf(2)))
 }
+
+// TestDuplicateWithoutMemory guards against a batch that runs although its sender was told that it didn't: a
+// duplicate of a long batch, for which there is no memory, is refused under the number of the next one.
+func TestDuplicateWithoutMemory(t *testing.T) {
+	r, runs := countRuns(t)
+	b := &budget.Budget{Limits: budget.Limits{Total: 200 * budget.KB, Connections: map[budget.Class]int{budget.Links: 10}}}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	listener := &budget.Listener{Listener: l, Budget: b, Class: budget.Links}
+	defer listener.Close()
+	nc, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		accepted, err := listener.Accept()
+		if err == nil {
+			r.serveLink(t.Context(), accepted)
+		}
+	}()
+	defer func() { <-served }()
+	defer nc.Close()
+	var text bytes.Buffer
+	encoder, decoder := gob.NewEncoder(&text), gob.NewDecoder(nc)
+	send := func(number uint64, c proxy.Command) reply {
+		t.Helper()
+		batch := newBatch(c)
+		batch.Number, batch.Within = number, 5*time.Second
+		text.Reset()
+		assert.NilError(t, encoder.Encode(batch))
+		_, err := nc.Write(text.Bytes())
+		assert.NilError(t, err)
+		var response reply
+		if number != 3 {
+			assert.NilError(t, decoder.Decode(&response))
+			assert.Equal(t, response.Number, number)
+		}
+		return response
+	}
+	long := proxy.Forward{ID: "2", Statement: proxy.Write{Text: "WRITE 1 " + strings.Repeat("x", 40<<10)}}
+	assert.Equal(t, len(send(1, writeOf(1)).Answers), 1)
+	assert.Equal(t, len(send(2, long).Answers), 1)
+	busy := b.Unlimited()
+	busy.Force(200 * budget.KB)
+	_, err = nc.Write(text.Bytes())
+	assert.NilError(t, err)
+	var refused reply
+	assert.NilError(t, decoder.Decode(&refused))
+	assert.Equal(t, refused.Kind, "busy")
+	assert.Equal(t, refused.Number, uint64(3))
+	busy.ReleaseMessage()
+	send(3, writeOf(3))
+	assert.Equal(t, len(send(4, writeOf(4)).Answers), 1)
+	assert.Equal(t, runs(writeOf(3)), 0)
+	assert.Equal(t, runs(writeOf(4)), 1)
+	assert.Equal(t, runs(long), 1)
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -13,10 +13,13 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/joomcode/errorx"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
 
 	"github.com/savoryramp/savoryramp/internal/budget"
 	"github.com/savoryramp/savoryramp/internal/clock"
@@ -29,7 +32,7 @@
 // Version is the version of the messages between VMs. It must be raised with each change of
 // them, so that VMs of different builds don't send each other statements during a rolling
 // upgrade.
-const Version = 3
+const Version = 4
 
 // gobNames are the names under which gob encodes the commands and statements. They are sent
 // with each value and have one or two letters, since traffic between zones is paid for by the
@@ -86,11 +89,15 @@
 		"Another VM couldn't be reached or didn't answer; it gets no statements for a while.")
 	eventLateBatch = event.Define(5203, "relay-late-batch", event.Warn,
 		"Statements of another VM arrived after that VM had stopped waiting for them, and weren't run.")
+	eventDuplicate = event.Define(5204, "relay-duplicate", event.Warn,
+		"A batch or reply of another VM had arrived before on the same link, or doesn't belong to the batch sent; it wasn't used.")
 	eventAcceptFailed = event.Define(5202, "relay-accept", event.Warn, "Accepting a connection from another VM failed.")
 )
 
 // reply is the response to a batch.
 type reply struct {
+	// Number is that of the batch.
+	Number  uint64
 	Answers []proxy.Answer
 	// Kind is the error's name in errorKinds, Text its message. They are empty if there is no
 	// error.
@@ -142,6 +149,8 @@
 	ownersSince          time.Time
 	// peersByZone has the other VMs by zone, as of ownersSince.
 	peersByZone map[proxy.AvailabilityZone][]heartbeat.Peer
+	// duplicateBatches and duplicateReplies count the messages that weren't used since they had arrived before.
+	duplicateBatches, duplicateReplies atomic.Int64
 }
 
 // peerState is the state of the links to another VM.
@@ -228,6 +237,8 @@
 	// openedAt is when the link was opened, idleSince when it last became idle.
 	openedAt  clock.Instant
 	idleSince time.Time
+	// number is that of the latest batch.
+	number uint64
 	// failed is true after a batch whose answer didn't arrive.
 	failed bool
 	// load is the server's load in the last response.
@@ -241,7 +252,8 @@
 func (l *link) Exec(batch proxy.Batch, deadline time.Time) ([]proxy.Answer, error) {
 	l.load = proxy.ServerLoad{}
 	_ = l.net.SetDeadline(deadline.Add(deadlineSlack))
-	batch.LinkAgeMs = clock.Since(l.openedAt).Milliseconds()
+	l.number++
+	batch.LinkAgeMs, batch.Number = clock.Since(l.openedAt).Milliseconds(), l.number
 	err := l.encoder.Encode(batch)
 	if err == nil {
 		err = l.out.Flush()
@@ -249,7 +261,7 @@
 	var response reply
 	defer l.account.ReleaseMessage()
 	if err == nil {
-		err = l.decoder.Decode(&response)
+		response, err = l.receive()
 	}
 	if err != nil {
 		l.failed = true
@@ -268,6 +280,37 @@
 	return response.Answers, nil
 }
 
+// receive returns the reply to the latest batch. It skips replies to earlier ones.
+func (l *link) receive() (reply, error) {
+	for {
+		var response reply
+		if err := l.decoder.Decode(&response); err != nil || response.Number == l.number {
+			return response, err
+		}
+		l.account.ReleaseMessage()
+		l.relay.duplicateReplies.Add(1)
+		eventDuplicate.Log(l.relay.Logger, "peer", l.address, "kind", "reply", "received", response.Number, "expected", l.number)
+		if response.Number > l.number {
+			return reply{}, proxy.ErrPeerOutcomeUnknown.New("reply to batch %d, the latest one is %d", response.Number, l.number)
+		}
+	}
+}
+
+// RegisterMetrics registers the relay's instruments. It returns ErrMalformed if the meter rejects one.
+func (r *Relay) RegisterMetrics(m metric.Meter) error {
+	_, err := m.Int64ObservableCounter("savoryramp.relay.duplicates",
+		metric.WithDescription("Batches and replies of other VMs that had arrived before and weren't used."),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(r.duplicateBatches.Load(), metric.WithAttributes(attribute.String("kind", "batch")))
+			o.Observe(r.duplicateReplies.Load(), metric.WithAttributes(attribute.String("kind", "reply")))
+			return nil
+		}))
+	if err != nil {
+		return proxy.ErrMalformed.Wrap(err, "instrument")
+	}
+	return nil
+}
+
 // Release keeps the link for reuse and resets the VM's count of failures, or closes the link if
 // keep is false or enough links are idle.
 func (l *link) Release(keep bool) {
@@ -331,6 +374,8 @@
 	account := budget.AccountOf(nc)
 	out := bufio.NewWriterSize(nc, bufferSize)
 	encoder, decoder := gob.NewEncoder(out), gob.NewDecoder(&frameReader{in: bufio.NewReaderSize(nc, bufferSize), maxLength: maxBatch, account: account})
+	// latest is the number of the latest batch. The link carries one at a time.
+	latest := uint64(0)
 	for {
 		_ = nc.SetDeadline(time.Now().Add(servedLinkIdleTimeout))
 		var batch proxy.Batch
@@ -339,6 +384,18 @@
 			// A remote session usually ends when the other VM closes the link.
 			return
 		}
+		if err != nil {
+			// The skipped batch is taken for the next one. If it was a duplicate, the next one will be
+			// refused as one, so that the reply remains true.
+			batch.Number = latest + 1
+		}
+		if batch.Number <= latest {
+			r.duplicateBatches.Add(1)
+			eventDuplicate.Log(r.Logger, "peer", nc.RemoteAddr(), "kind", "batch", "request", requestOf(batch), "server", batch.Server, "received", batch.Number, "expected", latest+1)
+			account.ReleaseMessage()
+			continue
+		}
+		latest = batch.Number
 		account.Progress(budget.Serving)
 		batch.Shorten(arrivalDelay(batch, acceptedAt))
 		if err == nil && (batch.Within <= 0 || !socket.IsAlive(budget.Underlying(nc))) {
@@ -353,7 +410,7 @@
 		if err != nil {
 			response = reply{Kind: errorKind(err), Text: err.Error(), RetryAfterMs: proxy.RetryAfter(err).Milliseconds()}
 		}
-		response.Load = session.Load(batch)
+		response.Number, response.Load = batch.Number, session.Load(batch)
 		chargeAnswers(account, response.Answers)
 		account.Progress(budget.Sending)
 		if encoder.Encode(response) != nil || out.Flush() != nil {
@@ -364,6 +421,16 @@
 	}
 }
 
+// requestOf returns the ID of the request that a batch is part of, empty if it has none.
+func requestOf(b proxy.Batch) proxy.RequestID {
+	for _, c := range b.Commands {
+		if f, isForward := c.(proxy.Forward); isForward {
+			return f.ID
+		}
+	}
+	return ""
+}
+
 // chargeAnswers charges long answers, which have been received already, and their encoded copy.
 func chargeAnswers(account *budget.Account, answers []proxy.Answer) {
 	size := budget.Bytes(0)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -86,7 +86,7 @@
 }
 
 func newBatch(commands ...proxy.Command) proxy.Batch {
-	return proxy.Batch{Service: "s", Server: "i-1", Workspace: "w", Commands: commands, Within: time.Second}
+	return proxy.Batch{Service: "s", Server: "i-1", Workspace: "w", Commands: commands, Within: time.Second, Number: 1}
 }
 
 // Every command and its answer are transferred without loss.
@@ -243,7 +243,7 @@
 	var out bytes.Buffer
 	encoder := gob.NewEncoder(&out)
 	batch := proxy.Batch{
-		Service: "ledger", Server: "i-7f3a91c2", Workspace: "amman", Profiled: true, Within: time.Second,
+		Service: "ledger", Server: "i-7f3a91c2", Workspace: "amman", Profiled: true, Within: time.Second, Number: 50000,
 		Commands: []proxy.Command{proxy.Forward{
 			ID: "5c0e7a21d94b36f8", Statement: proxy.Read{Text: text}, Floor: position.Position{Term: 3, Offset: 1207},
 		}},
