--- a/cmd/savoryramp-vm/daemon.go
+++ b/cmd/savoryramp-vm/daemon.go
@@ -162,7 +162,7 @@
 }
 
 // controlHandler returns the handler of the pages for other VMs and for operators.
-func (d *daemon) controlHandler() *http.ServeMux {
+func (d *daemon) controlHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /state", d.serveState)
 	mux.HandleFunc("GET "+platform.ServersPath, d.serveServerList)
@@ -175,7 +175,7 @@
 		// A client that disconnected meanwhile repeats its request.
 		_, _ = w.Write(c.Raw)
 	})
-	return mux
+	return platform.NumberResponses(mux)
 }
 
 func (d *daemon) serveState(w http.ResponseWriter, _ *http.Request) {
