--- a/cmd/savoryramp-vm/daemon.go
+++ b/cmd/savoryramp-vm/daemon.go
@@ -205,6 +205,9 @@
 	if err := d.relay.RegisterMetrics(m.Meter("relay")); err != nil {
 		return nil, err
 	}
+	if err := d.fleet.RegisterMetrics(m.Meter("heartbeat")); err != nil {
+		return nil, proxy.ErrMalformed.Wrap(err, "metrics")
+	}
 	if err := d.budget.RegisterMetrics(m.Meter("budget")); err != nil {
 		return nil, proxy.ErrMalformed.Wrap(err, "metrics")
 	}
--- a/internal/heartbeat/datagram.go
+++ b/internal/heartbeat/datagram.go
@@ -27,8 +27,10 @@
 	}
 	f.NoteStoreEra(message.StoreEra)
 	f.receiveEvacuation(message)
+	kind := message.kind()
 	switch {
 	case message.VM == f.VM || message.EvacuationNotice != nil:
+	case kind != kindUnordered && !f.isNewer(&message, kind):
 	case message.Digest != nil:
 		if f.accepts(message) {
 			f.receiveDigest(message)
--- a/internal/heartbeat/delegate.go
+++ b/internal/heartbeat/delegate.go
@@ -239,12 +239,16 @@
 // BroadcastToZone sends a payload to the VMs of this zone, if the fleet is so large that only
 // zone delegates query the platform.
 func (f *Fleet) BroadcastToZone(payload json.RawMessage) {
+	f.sending.Lock()
+	defer f.sending.Unlock()
 	f.mu.Lock()
 	if !f.hasDigests() {
 		f.mu.Unlock()
 		return
 	}
 	addresses := f.zoneAddresses()
+	f.payloads++
+	message := Message{VM: f.VM, Incarnation: f.incarnation, Sequence: f.payloads, ZonePayload: payload}
 	f.mu.Unlock()
-	f.send(Message{VM: f.VM, ZonePayload: payload}, addresses)
+	f.send(message, addresses)
 }
--- a/internal/heartbeat/digest.go
+++ b/internal/heartbeat/digest.go
@@ -187,14 +187,15 @@
 		}
 	}
 	f.mu.Unlock()
-	f.send(digestMessage(own, digest), addresses)
+	slices.Sort(addresses)
+	f.send(digestMessage(own, digest), slices.Compact(addresses))
 }
 
 // digestMessage returns the message with a digest. It tells the sender's configuration version, so
 // that VMs whose zone doesn't get a new one from the store fetch it from the sender, and the era of
 // the store.
 func digestMessage(own Message, d Digest) Message {
-	return Message{VM: own.VM, Address: own.Address, Zone: own.Zone, Settling: own.Settling, ConfigurationVersion: own.ConfigurationVersion, StoreEra: own.StoreEra, Evacuation: own.Evacuation, Digest: &d}
+	return Message{VM: own.VM, Incarnation: own.Incarnation, Sequence: own.Sequence, Address: own.Address, Zone: own.Zone, Settling: own.Settling, ConfigurationVersion: own.ConfigurationVersion, StoreEra: own.StoreEra, Evacuation: own.Evacuation, Digest: &d}
 }
 
 // anyAddresses returns the addresses of up to n random VMs of a zone. f.mu must be held.
@@ -464,6 +465,8 @@
 
 // answerRequest sends the full digest of a zone.
 func (f *Fleet) answerRequest(m Message) {
+	f.sending.Lock()
+	defer f.sending.Unlock()
 	own := f.composeOwn()
 	f.mu.Lock()
 	digest := f.digestOf(m.RequestedZone, own, clock.Now(), true)
--- a/internal/heartbeat/duplicate_test.go
+++ b/internal/heartbeat/duplicate_test.go
@@ -93,3 +93,20 @@
 		assert.Equal(t, f.demandByZone["y"].demand["known"], 2.0)
 	})
 }
+
+// TestNoDuplicatesInCalm guards against datagrams that VMs take for duplicates although the network delivers each
+// once and in order.
+func TestNoDuplicatesInCalm(t *testing.T) {
+	for name, n := range map[string]int{"small": 9, "with digests": 33} {
+		t.Run(name, func(t *testing.T) {
+			runFleet(t, n, func(fleet *testFleet) {
+				fleet.wait(5 * time.Second)
+				fleet.startVM(n)
+				fleet.wait(5 * time.Second)
+				for _, f := range fleet.vms {
+					assert.Check(t, f.duplicates.Load() == 0, "%s: %d", f.VM, f.duplicates.Load())
+				}
+			})
+		})
+	}
+}
--- a/internal/heartbeat/heartbeat.go
+++ b/internal/heartbeat/heartbeat.go
@@ -15,6 +15,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -95,6 +96,10 @@
 	OnEvacuation      func()
 	Logger            log.Logger
 
+	// sending is held from when a numbered message is composed until it has been sent, since receivers skip
+	// those that arrive after a later one. It is locked before mu.
+	sending sync.Mutex
+
 	mu            sync.Mutex
 	peers         map[VMName]*peer
 	incarnation   uint32
@@ -123,6 +128,12 @@
 	// latest ones by number.
 	sequence    uint32
 	sentDemands map[uint32]sentDemand
+	// payloads is the number of the latest payload for this zone.
+	payloads uint32
+	// lastNumbers has the numbers of the other VMs' newest messages, and duplicates counts those that weren't
+	// newer.
+	lastNumbers map[sender]*lastNumber
+	duplicates  atomic.Int64
 	// ownChecksum is the checksum of this VM's latest heartbeat, which last changed at
 	// ownChangedAt.
 	ownChecksum  uint64
@@ -190,7 +201,7 @@
 		f.peers, f.incarnation, f.startedAt = map[VMName]*peer{}, rand.Uint32(), clock.Now()
 		// Another incarnation's numbers aren't mistaken for this one's.
 		f.wake, f.entryLost = make(chan struct{}, 1), make(chan struct{}, 1)
-		f.sequence, f.sentDemands = rand.Uint32()>>1, map[uint32]sentDemand{}
+		f.sequence, f.payloads, f.sentDemands = rand.Uint32()>>1, rand.Uint32()>>1, map[uint32]sentDemand{}
 		f.digestsReceived, f.lastRequests = map[string]clock.Instant{}, map[string]clock.Instant{}
 		f.demandByVM, f.demandByZone = map[VMName]reportedDemand{}, map[string]reportedDemand{}
 	}
@@ -227,6 +238,8 @@
 	f.mu.Unlock()
 	switch {
 	case first && (digestDue || viewDue):
+		f.sending.Lock()
+		defer f.sending.Unlock()
 		own := f.composeOwn()
 		own.Urgent = urgent
 		if digestDue {
@@ -253,6 +266,8 @@
 func (f *Fleet) Announce() { f.sendHeartbeat(true) }
 
 func (f *Fleet) sendHeartbeat(urgent bool) {
+	f.sending.Lock()
+	defer f.sending.Unlock()
 	message := f.composeOwn()
 	message.Urgent = urgent
 	f.mu.Lock()
@@ -328,6 +343,16 @@
 	return message
 }
 
+// sendOwn sends this VM's heartbeat to some addresses.
+func (f *Fleet) sendOwn(addresses []string) {
+	if len(addresses) == 0 {
+		return
+	}
+	f.sending.Lock()
+	defer f.sending.Unlock()
+	f.send(f.composeOwn(), addresses)
+}
+
 func (f *Fleet) send(message Message, addresses []string) {
 	text, err := json.Marshal(message)
 	if err != nil {
@@ -390,9 +415,7 @@
 	added := f.addPeers(known)
 	f.mu.Unlock()
 	f.OnMessage(message)
-	if len(added) > 0 {
-		f.send(f.composeOwn(), added)
-	}
+	f.sendOwn(added)
 	if firstContact {
 		f.introduceTo(message)
 	}
@@ -416,12 +439,7 @@
 // introduceTo sends this VM's heartbeat, with the VMs that it knows, to a VM that it hears for the
 // first time. If this VM is a delegate, it sends the state of all zones, too.
 func (f *Fleet) introduceTo(m Message) {
-	own := f.composeOwn()
-	f.mu.Lock()
-	own.Known, own.Included = f.knownTo(m.Zone), m.Sequence
-	own.KnowsFleet = f.knowsFleet() && !f.hasDigests()
-	f.mu.Unlock()
-	f.send(own, []string{m.Address})
+	f.sendIntroduction(m)
 	f.mu.Lock()
 	var zones []string
 	if f.hasDigests() && m.Zone == f.Zone && f.isDelegate() {
@@ -433,6 +451,17 @@
 	}
 }
 
+func (f *Fleet) sendIntroduction(m Message) {
+	f.sending.Lock()
+	defer f.sending.Unlock()
+	own := f.composeOwn()
+	f.mu.Lock()
+	own.Known, own.Included = f.knownTo(m.Zone), m.Sequence
+	own.KnowsFleet = f.knowsFleet() && !f.hasDigests()
+	f.mu.Unlock()
+	f.send(own, []string{m.Address})
+}
+
 // knownTo returns the entries of the VMs from which a VM of a zone learns of all others: of the zone's
 // delegates if there are any, else of all VMs that this one counts, since silent ones may be on the other side
 // of a cut. f.mu must be held.
--- a/internal/heartbeat/message.go
+++ b/internal/heartbeat/message.go
@@ -23,7 +23,8 @@
 	Incarnation uint32 `json:"incarnation,omitempty"`
 	Address     string `json:"address,omitempty"`
 	Zone        string `json:"zone,omitempty"`
-	// Sequence increases with each heartbeat of an incarnation.
+	// Sequence increases with each heartbeat of an incarnation, and with each payload. A digest has that of a
+	// heartbeat. It is zero in digests and payloads of earlier builds.
 	Sequence uint32 `json:"sequence,omitempty"`
 	// Capacity is the VM's CPU allowance in cores. Work is distributed in proportion to it.
 	Capacity float64 `json:"capacity,omitempty"`
@@ -69,7 +70,7 @@
 	Digest *Digest `json:"digest,omitempty"`
 	// RequestedZone asks the receiver for the full digest of a zone.
 	RequestedZone string `json:"requested-zone,omitempty"`
-	// ZonePayload is set, with VM as the only other field, in a message with arbitrary content to
+	// ZonePayload is set, with VM, Incarnation and Sequence as the only other fields, in a message with arbitrary content to
 	// the VMs of the sender's zone.
 	ZonePayload json.RawMessage `json:"note,omitempty"`
 	// Evacuation is the set of zones that the sender knows are being evacuated, nil if it doesn't know
