--- a/internal/fakeplatform/handler.go
+++ b/internal/fakeplatform/handler.go
@@ -6,6 +6,8 @@
 	"sort"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/savoryramp/savoryramp/internal/platform"
 )
 
@@ -20,7 +22,12 @@
 	mux.HandleFunc("POST /fault", p.serveFault)
 	mux.HandleFunc("DELETE /vm/{name}", p.serveRemoveVM)
 	mux.HandleFunc("GET /state", p.serveState)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		id := uuid.NewString()
+		w.Header().Set("X-Amzn-Requestid", id)
+		w.Header().Set("X-Amz-Request-Id", id)
+		mux.ServeHTTP(w, r)
+	})
 }
 
 // serveFault sets a fault for the named calls, or for all if none is named. Durations
