--- a/cmd/savoryramp-vm/daemon.go
+++ b/cmd/savoryramp-vm/daemon.go
@@ -59,6 +59,7 @@
 	quota                *quota.Limiter
 	budget               *budget.Budget
 	store                *platform.Store
+	relay                *relay.Relay
 	configurationWatcher *platform.ConfigurationWatcher
 	promoter             *platform.Promoter
 	tasks                run.Group
@@ -112,12 +113,12 @@
 	if err != nil {
 		return err
 	}
-	r := &relay.Relay{VM: d.vm, Capacity: s.CPUCores, Fleet: d.fleet, Listener: relayListener, Budget: d.budget, Logger: d.logger}
-	d.vm.Relay = r
-	d.addTask(r.Run)
+	d.relay = &relay.Relay{VM: d.vm, Capacity: s.CPUCores, Fleet: d.fleet, Listener: relayListener, Budget: d.budget, Logger: d.logger}
+	d.vm.Relay = d.relay
+	d.addTask(d.relay.Run)
 	d.configurationWatcher = &platform.ConfigurationWatcher{Store: d.store, Configure: d.vm.Configure, ReadByDelegate: d.readByDelegate, Logger: d.logger}
 	d.enablePlacement()
-	d.promoter = &platform.Promoter{VM: s.VM, Incarnation: rand.Int64(), Store: d.store, Client: platform.NewHTTPClient(), TokensChecked: s.FencingEnforced, Logger: d.logger}
+	d.promoter = &platform.Promoter{VM: s.VM, Incarnation: rand.Int64(), Store: d.store, Client: platform.NewWriter(), TokensChecked: s.FencingEnforced, Logger: d.logger}
 	d.promoter.SetAddress(string(s.CloudAPIAddress))
 	d.addTask(d.vm.Run)
 	d.addTask(d.fleet.Run)
@@ -161,7 +162,7 @@
 }
 
 // controlHandler returns the handler of the pages for other VMs and for operators.
-func (d *daemon) controlHandler() *http.ServeMux {
+func (d *daemon) controlHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /state", d.serveState)
 	mux.HandleFunc("GET "+platform.ServersPath, d.serveServerList)
@@ -174,7 +175,7 @@
 		// A client that disconnected meanwhile repeats its request.
 		_, _ = w.Write(c.Raw)
 	})
-	return mux
+	return platform.NumberResponses(mux)
 }
 
 func (d *daemon) serveState(w http.ResponseWriter, _ *http.Request) {
@@ -198,6 +199,15 @@
 	if err := d.vm.RegisterMetrics(m.Meter("vm")); err != nil {
 		return nil, err
 	}
+	if err := d.store.RegisterMetrics(m.Meter("platform")); err != nil {
+		return nil, err
+	}
+	if err := d.relay.RegisterMetrics(m.Meter("relay")); err != nil {
+		return nil, err
+	}
+	if err := d.fleet.RegisterMetrics(m.Meter("heartbeat")); err != nil {
+		return nil, proxy.ErrMalformed.Wrap(err, "metrics")
+	}
 	if err := d.budget.RegisterMetrics(m.Meter("budget")); err != nil {
 		return nil, proxy.ErrMalformed.Wrap(err, "metrics")
 	}
