--- a/internal/operator/alerts.go
+++ b/internal/operator/alerts.go
@@ -32,6 +32,7 @@
 	"savoryramp_budget_held_bytes",
 	"savoryramp_configuration_version",
 	"savoryramp_configuration_read_timestamp_seconds",
+	"savoryramp_platform_responses_rejected_total",
 }
 
 // prometheusMetrics lists the metrics that Prometheus itself adds.
--- a/internal/operator/daemon.go
+++ b/internal/operator/daemon.go
@@ -93,11 +93,13 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
+	logger := newLogger(o.Run.LogFormat, o.Run.LogLevel, s.errOut)
+	o.Platform.Logger = logger
 	d := &Daemon{
 		Version:      s.version,
 		Options:      o.Run,
 		Platform:     o.Platform,
-		Logger:       newLogger(o.Run.LogFormat, o.Run.LogLevel, s.errOut),
+		Logger:       logger,
 		Metrics:      metrics,
 		Certificates: certificates,
 		Table:        newTable(o.Platform),
--- a/internal/operator/options.go
+++ b/internal/operator/options.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/go-kit/log"
 	"github.com/joomcode/errorx"
 
 	"github.com/savoryramp/savoryramp/internal/budget"
@@ -97,6 +98,8 @@
 	Region          string
 	AccessKeyID     string
 	AccessKeySecret string
+	// Logger logs responses that may be duplicates. It may be nil.
+	Logger log.Logger
 }
 
 // ParseOptions parses and validates the arguments. It returns ErrUsage naming the faulty
--- a/internal/operator/platform.go
+++ b/internal/operator/platform.go
@@ -19,7 +19,7 @@
 }
 
 func (p PlatformOptions) endpoint(url string) platform.Endpoint {
-	return platform.Endpoint{URL: url, Region: p.Region, AccessKey: p.AccessKeyID, SecretKey: p.AccessKeySecret}
+	return platform.Endpoint{URL: url, Region: p.Region, AccessKey: p.AccessKeyID, SecretKey: p.AccessKeySecret, Logger: p.Logger}
 }
 
 func isNoRow(err error) bool {
--- a/internal/platform/endpoint.go
+++ b/internal/platform/endpoint.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/aws/aws-sdk-go-v2/aws"
+	"github.com/go-kit/log"
 )
 
 const (
@@ -32,6 +33,8 @@
 	// AccessKey and SecretKey sign the requests.
 	AccessKey string
 	SecretKey string
+	// Logger logs responses that may be duplicates. It may be nil.
+	Logger log.Logger
 }
 
 // Retrieve returns the endpoint's credentials. It implements aws.CredentialsProvider.
@@ -43,27 +46,20 @@
 	dialer := net.Dialer{Timeout: connectTimeout}
 	return &http.Client{
 		Timeout: attemptTimeout,
-		Transport: &transport{&http.Transport{
-			DialContext:         dialer.DialContext,
+		Transport: &transport{logger: e.Logger, Transport: &http.Transport{
+			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				nc, err := dialer.DialContext(ctx, network, address)
+				if err != nil {
+					return nil, err
+				}
+				return &connection{Conn: nc}, nil
+			},
 			MaxIdleConnsPerHost: maxIdleConnections,
 			IdleConnTimeout:     idleTimeout,
 		}},
 	}
 }
 
-// transport closes its idle connections after a request without a response, since whatever silenced
-// one may have silenced all.
-type transport struct{ *http.Transport }
-
-// RoundTrip sends a request.
-func (t *transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	response, err := t.Transport.RoundTrip(r)
-	if err != nil {
-		t.CloseIdleConnections()
-	}
-	return response, err
-}
-
 // unwrapper is an error that wraps another.
 type unwrapper interface{ Unwrap() error }
 
--- a/internal/platform/events.go
+++ b/internal/platform/events.go
@@ -17,4 +17,6 @@
 		"The table's document row can't be understood.")
 	eventTableBehind = event.Define(4007, "document-table-behind", event.Warn,
 		"The table tells an older version than the one in force; the newer one stays.")
+	eventDuplicate = event.Define(4008, "platform-response-duplicate", event.Warn,
+		"A response of the table or the object store may be one to an earlier request on its connection; it wasn't used, and the connection is closed.")
 )
--- a/internal/platform/metrics.go
+++ b/internal/platform/metrics.go
@@ -27,11 +27,17 @@
 	if err != nil {
 		return nil, ErrMetric.Wrap(err, "read timestamp")
 	}
+	rejected, err := meter.Int64ObservableCounter("savoryramp.platform.responses.rejected",
+		metric.WithDescription("Responses of the table or the object store that might have been duplicates, and weren't used."))
+	if err != nil {
+		return nil, ErrMetric.Wrap(err, "rejected responses")
+	}
 	registration, err := meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		o.ObserveInt64(version, int64(c.Current().Version))
 		o.ObserveFloat64(read, c.tableReadUnixSeconds())
+		o.ObserveInt64(rejected, duplicates.Load())
 		return nil
-	}, version, read)
+	}, version, read, rejected)
 	if err != nil {
 		return nil, ErrMetric.Wrap(err, "callback")
 	}
