--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -58,6 +58,9 @@
 			e.phase = proxy.Idle
 		}
 	}
+	if e.phase == "" {
+		e.phase = proxy.Idle
+	}
 	a.Phase = e.phase
 	e.sent, e.answers = append(e.sent, a), append(e.answers, a)
 }
@@ -86,7 +89,7 @@
 		if err != nil {
 			return nil, position.Position{}, err
 		}
-		return &echo{phase: proxy.Idle}, position.Position{}, nil
+		return &echo{}, position.Position{}, nil
 	}
 	change(vm)
 	vm.SetServers([]proxy.Server{{ID: "i-1", Service: "s", Address: "127.0.0.1:1"}})
@@ -111,7 +114,7 @@
 
 // Every command and its answer are transferred without loss.
 func TestCommandsRoundTrip(t *testing.T) {
-	server := &echo{phase: proxy.Idle}
+	server := &echo{}
 	r := startRelayWith(t, nil, func(vm *proxy.VM) {
 		vm.Connect = func(context.Context, proxy.Server, proxy.WorkspaceName) (proxy.ServerLink, position.Position, error) {
 			return server, position.Position{}, nil
@@ -368,7 +371,7 @@
 	vm := &proxy.VM{Name: "home", Fleet: singleVMFleet{}, Logger: log.NewNopLogger()}
 	vm.Connect = func(context.Context, proxy.Server, proxy.WorkspaceName) (proxy.ServerLink, position.Position, error) {
 		connected <- struct{}{}
-		return &echo{phase: proxy.Idle}, position.Position{}, nil
+		return &echo{}, position.Position{}, nil
 	}
 	vm.SetServers([]proxy.Server{{ID: "i-1", Service: "s", Address: "127.0.0.1:1"}})
 	vm.Configure(&proxy.Configuration{Version: 1, Services: map[proxy.ServiceName]*proxy.Service{"s": {Name: "s", Connections: 9}}}, "test")
