--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -40,8 +40,9 @@
 	}
 	last := sent[len(sent)-1]
 	a := &answers[len(answers)-1]
-	_, forwards := last.command.(Forward)
-	verified := c.verified
+	f, forwards := last.command.(Forward)
+	// A read at a position is what follows a verification of the primary.
+	isVerifiedRead := c.verified && forwards && !f.Floor.IsZero()
 	c.verified = endsVerification(commands)
 	switch {
 	case unclear && needsProof(last, before):
@@ -51,7 +52,7 @@
 	case a.Succeeded() && !forwards && c.skipped != skipped && !isStatusCommand(last.command):
 		// Answers to the VM's own commands look alike.
 		err = c.misalign("%s was answered after repeated answers", commandName(last.command))
-	case verified && forwards && c.skippedPlain != skippedPlain:
+	case isVerifiedRead && c.skippedPlain != skippedPlain:
 		// The answers that verified the primary may have been repeated ones, and these the true ones.
 		err = c.misalign("repeated answers followed a verification")
 	}
