--- a/internal/fakeupstream/admin.go
+++ b/internal/fakeupstream/admin.go
@@ -31,6 +31,8 @@
 	FaultSlow FaultName = "slow"
 	// FaultConnectDelay reads duration.
 	FaultConnectDelay FaultName = "connect-delay"
+	// FaultDuplicate reads share, duration (the longest delay) and seed.
+	FaultDuplicate FaultName = "duplicate"
 )
 
 // FaultRequest is the body of POST /fault.
@@ -42,6 +44,9 @@
 	Duration string `json:"duration"`
 	// LoseTail is how many of the last log entries are lost in a kill.
 	LoseTail int `json:"lose-tail"`
+	// Share of the answers, from 0 to 1.
+	Share float64 `json:"share"`
+	Seed  uint64  `json:"seed"`
 }
 
 // Fault switches a fault. A request that can't be understood is ErrFault.
@@ -80,6 +85,8 @@
 		s.SetService(d)
 	case FaultConnectDelay:
 		s.SetConnectDelay(d)
+	case FaultDuplicate:
+		s.SetDuplicates(Duplicates{Share: r.Share, MaxDelay: d, Seed: r.Seed})
 	default:
 		return ErrFault.New("no fault %q", r.Fault)
 	}
--- a/internal/fakeupstream/faults.go
+++ b/internal/fakeupstream/faults.go
@@ -14,6 +14,7 @@
 	frozen     bool
 	late       time.Duration
 	dropAnswer bool
+	duplicates Duplicates
 }
 
 // up tells whether the server's process runs.
@@ -147,6 +148,14 @@
 	mu     sync.Mutex
 	silent bool
 	gone   bool
+
+	// writing is held by who writes; it guards the fields below.
+	writing chan struct{}
+	// recording tells that an answer has begun, recorded is what was written of it.
+	recording bool
+	recorded  []byte
+	// overdue are duplicates that were due within an answer.
+	overdue [][]byte
 }
 
 func (c *conn) silence() {
@@ -186,8 +195,18 @@
 	}
 }
 
-// Write pretends success on a silent connection.
+// Write records p if it belongs to an answer.
 func (c *conn) Write(p []byte) (int, error) {
+	c.writing <- struct{}{}
+	defer func() { <-c.writing }()
+	if c.recording {
+		c.recorded = append(c.recorded, p...)
+	}
+	return c.write(p)
+}
+
+// write pretends success on a silent connection; c.writing is held.
+func (c *conn) write(p []byte) (int, error) {
 	if c.isSilent() {
 		return len(p), nil
 	}
--- a/internal/fakeupstream/session.go
+++ b/internal/fakeupstream/session.go
@@ -65,6 +65,9 @@
 	// notifying tells that the notifier runs, also one that has nothing to tell any more.
 	notifying bool
 	gathered  int
+	// answering tells that a cycle has begun whose answer isn't complete.
+	answering  bool
+	duplicator duplicator
 }
 
 // serve accepts connections until ctx ends.
@@ -126,7 +129,7 @@
 		cancel(killed())
 	}
 	s.group.mu.Unlock()
-	n.conn = &conn{Conn: c, session: n}
+	n.conn = &conn{Conn: c, session: n, writing: make(chan struct{}, 1)}
 	n.backend = pgproto3.NewBackend(n.conn, n.conn)
 	return n
 }
@@ -179,10 +182,12 @@
 			return true
 		}
 	}
+	if _, terminates := m.(*pgproto3.Terminate); terminates {
+		return false
+	}
+	s.beginAnswer()
 	var err error
 	switch m := m.(type) {
-	case *pgproto3.Terminate:
-		return false
 	case *pgproto3.Query:
 		return s.query(m.String)
 	case *pgproto3.Sync:
@@ -255,7 +260,11 @@
 	if sleep(s.ctx, s.server.delay()) != nil {
 		return false
 	}
-	return s.flush() == nil
+	if s.flush() != nil {
+		return false
+	}
+	s.endAnswer()
+	return true
 }
 
 // tellPosition goes before the rows of a read, and before ReadyForQuery.
--- a/internal/fakeupstream/startup.go
+++ b/internal/fakeupstream/startup.go
@@ -61,6 +61,7 @@
 	if s.server.Password != "" && !s.authenticate() {
 		return false
 	}
+	s.beginAnswer()
 	s.backend.Send(&pgproto3.AuthenticationOk{})
 	for _, p := range [][2]string{
 		{"server_version", "16.0"},
