--- a/internal/caller/batch.go
+++ b/internal/caller/batch.go
@@ -15,9 +15,9 @@
 		b.add(m)
 	}
 	if sync {
-		c.Frontend.Send(&pgproto3.Sync{})
+		c.Send(&pgproto3.Sync{})
 	} else {
-		c.Frontend.Send(&pgproto3.Flush{})
+		c.Send(&pgproto3.Flush{})
 	}
 	return b.steps
 }
@@ -52,7 +52,7 @@
 }
 
 func (b *batchWriter) send(m pgproto3.FrontendMessage, kind stepKind) {
-	b.conn.Frontend.Send(m)
+	b.conn.Send(m)
 	b.steps = append(b.steps, step{kind: kind})
 }
 
@@ -62,7 +62,7 @@
 	st := newPreparedStatement(m)
 	b.session.preparedStatements[m.Name] = st
 	if m.Name == "" {
-		b.conn.Frontend.Send(st.parseMessage(""))
+		b.conn.Send(st.parseMessage(""))
 		b.conn.UnnamedStatement = st.serverName
 		b.conn.Dirty = b.conn.Dirty || mayLeaveState(st.sql)
 		b.steps = append(b.steps, step{kind: stepParse})
@@ -72,7 +72,7 @@
 		b.steps = append(b.steps, step{kind: stepLocal, localReply: &pgproto3.ParseComplete{}})
 		return
 	}
-	b.conn.Frontend.Send(st.parseMessage(st.serverName))
+	b.conn.Send(st.parseMessage(st.serverName))
 	b.steps = append(b.steps, step{kind: stepParse, prepares: st})
 }
 
@@ -87,14 +87,14 @@
 	b.conn.Dirty = b.conn.Dirty || mayLeaveState(st.sql)
 	if name == "" {
 		if b.conn.UnnamedStatement != st.serverName {
-			b.conn.Frontend.Send(st.parseMessage(""))
+			b.conn.Send(st.parseMessage(""))
 			b.conn.UnnamedStatement = st.serverName
 			b.steps = append(b.steps, step{kind: stepParse, hidden: true})
 		}
 		return ""
 	}
 	if !b.conn.PreparedStatements[st.serverName] && !b.isPreparing(st) {
-		b.conn.Frontend.Send(st.parseMessage(st.serverName))
+		b.conn.Send(st.parseMessage(st.serverName))
 		b.steps = append(b.steps, step{kind: stepParse, hidden: true, prepares: st})
 	}
 	return st.serverName
--- a/internal/caller/lost_transaction.go
+++ b/internal/caller/lost_transaction.go
@@ -49,7 +49,7 @@
 	s.transactionLost = false
 	return s.runRequest(ctx, &request{kind: k, executes: true, modeStatements: modeStatements, replacementAnswer: s.endReplies(r), send: func(c *upstream.Conn) []step {
 		c.UnnamedStatement = ""
-		c.Frontend.Send(&pgproto3.Query{String: strings.Join(modeStatements, "; ")})
+		c.Send(&pgproto3.Query{String: strings.Join(modeStatements, "; ")})
 		return nil
 	}})
 }
--- a/internal/caller/read_only.go
+++ b/internal/caller/read_only.go
@@ -21,11 +21,11 @@
 // send sends the request, within BEGIN READ ONLY and COMMIT if it is wrapped.
 func (x *attempt) send() {
 	if x.wrappedReadOnly {
-		x.conn.Frontend.Send(&pgproto3.Query{String: "BEGIN READ ONLY"})
+		x.conn.Send(&pgproto3.Query{String: "BEGIN READ ONLY"})
 	}
 	x.steps = x.request.send(x.conn)
 	if x.wrappedReadOnly {
-		x.conn.Frontend.Send(&pgproto3.Query{String: "COMMIT"})
+		x.conn.Send(&pgproto3.Query{String: "COMMIT"})
 	}
 	x.sendsStatusQuery = x.wrappedReadOnly && x.conn.Role == upstream.Primary && x.group.AcknowledgeRule() != platform.TermLeased
 	if x.sendsStatusQuery {
--- a/internal/caller/simple.go
+++ b/internal/caller/simple.go
@@ -28,7 +28,7 @@
 	r.send = func(c *upstream.Conn) []step {
 		c.UnnamedStatement = ""
 		c.Dirty = c.Dirty || mayLeaveState(sql)
-		c.Frontend.Send(&pgproto3.Query{String: sql})
+		c.Send(&pgproto3.Query{String: sql})
 		return nil
 	}
 	return s.runRequest(ctx, r)
--- a/internal/fakeupstream/duplicate.go
+++ b/internal/fakeupstream/duplicate.go
@@ -2,7 +2,10 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
 )
 
 // Duplicates is the fault that whole answers are sent a second time on the same
@@ -47,11 +50,26 @@
 	return delay, isDuplicated
 }
 
-// beginAnswer starts recording the answer to a cycle, unless one is being recorded.
-func (s *session) beginAnswer() {
+// beginCycle begins a cycle with its answer's number, unless one has begun.
+func (s *session) beginCycle() {
 	if s.answering {
 		return
 	}
+	s.beginAnswer()
+	s.cycle++
+	s.tellAnswer()
+}
+
+// tellAnswer numbers an answer. It goes before its other messages, and among the
+// parameters of the start-up.
+func (s *session) tellAnswer() {
+	if !s.server.Unnumbered {
+		s.backend.Send(&pgproto3.ParameterStatus{Name: answerParameter, Value: strconv.FormatInt(s.cycle, 10)})
+	}
+}
+
+// beginAnswer starts recording an answer.
+func (s *session) beginAnswer() {
 	s.answering = true
 	s.conn.record(true)
 }
--- a/internal/fakeupstream/server.go
+++ b/internal/fakeupstream/server.go
@@ -48,6 +48,8 @@
 	Lag time.Duration
 	// Password asks clients for it by SCRAM-SHA-256; empty asks for none.
 	Password string
+	// Unnumbered servers don't number their answers.
+	Unnumbered bool
 
 	group *Group
 	slots *semaphore.Weighted
--- a/internal/fakeupstream/session.go
+++ b/internal/fakeupstream/session.go
@@ -18,6 +18,7 @@
 const (
 	positionParameter = "savoryramp.position"
 	serverParameter   = "savoryramp.server"
+	answerParameter   = "savoryramp.answer"
 	positionChannel   = "savoryramp_position"
 	// defaultReadOnly is a setting whose changes are reported.
 	defaultReadOnly = "default_transaction_read_only"
@@ -66,7 +67,9 @@
 	notifying bool
 	gathered  int
 	// answering tells that a cycle has begun whose answer isn't complete.
-	answering  bool
+	answering bool
+	// cycle is the number of the newest cycle.
+	cycle      int64
 	duplicator duplicator
 }
 
@@ -185,7 +188,7 @@
 	if _, terminates := m.(*pgproto3.Terminate); terminates {
 		return false
 	}
-	s.beginAnswer()
+	s.beginCycle()
 	var err error
 	switch m := m.(type) {
 	case *pgproto3.Query:
--- a/internal/fakeupstream/startup.go
+++ b/internal/fakeupstream/startup.go
@@ -77,6 +77,7 @@
 		s.settings[p[0]] = p[1]
 		s.backend.Send(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
 	}
+	s.tellAnswer()
 	s.reported = s.settings[defaultReadOnly]
 	for name, value := range m.Parameters {
 		s.settings[name] = value
--- a/internal/operator/alerts.go
+++ b/internal/operator/alerts.go
@@ -28,6 +28,7 @@
 	"savoryramp_upstream_replica_lag",
 	"savoryramp_upstream_connections",
 	"savoryramp_upstream_requests_waiting",
+	"savoryramp_upstream_answers_unexpected_total",
 	"savoryramp_budget_acts_total",
 	"savoryramp_budget_held_bytes",
 	"savoryramp_configuration_version",
--- a/internal/upstream/commit.go
+++ b/internal/upstream/commit.go
@@ -93,7 +93,7 @@
 
 // SendStatusQuery queues the statement of ConfirmRead on c behind a read that is about
 // to be flushed. ConfirmPosition then replaces ConfirmRead.
-func (g *Group) SendStatusQuery(c *Conn) { c.Frontend.Send(&pgproto3.Query{String: statusQuery}) }
+func (g *Group) SendStatusQuery(c *Conn) { c.Send(&pgproto3.Query{String: statusQuery}) }
 
 // ConfirmPosition waits until c's last reported position is confirmed, as ConfirmRead
 // does. The answer to SendStatusQuery must have been received. It returns ErrNoServer.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -35,8 +35,6 @@
 // Conn is one connection to a server. It must be used by one goroutine at a time.
 type Conn struct {
 	Server platform.ServerName
-	// Frontend implements the client side of the PostgreSQL protocol.
-	Frontend *pgproto3.Frontend
 	// Role is the role for which the connection was acquired. Transactions on a
 	// replica's connection begin read only, even after the replica is promoted, unless
 	// DefaultsToReadOnly is false.
@@ -52,6 +50,21 @@
 	// Dirty connections carry a caller's settings and are closed when released.
 	Dirty bool
 
+	// frontend implements the client side of the PostgreSQL protocol.
+	frontend *pgproto3.Frontend
+	cycles   cycles
+	// numbered is set if the server numbers its answers; it doesn't change after the
+	// login.
+	numbered bool
+	// answered is the number of the newest cycle whose answer began, or ended if answers
+	// aren't numbered.
+	answered int64
+	// inAnswer is true from the number of an answer to its ReadyForQuery, skipping while
+	// a repeated answer is skipped; never both.
+	inAnswer, skipping bool
+	skippedNumber      int64
+	// monitor may be nil.
+	monitor *answerMonitor
 	// readOnly connections were opened for a replica.
 	readOnly bool
 	// timedOut is set once the server did not answer within a deadline.
@@ -99,9 +112,9 @@
 func (c *Conn) DefaultsToReadOnly() bool { return c.parameters[readOnlyParameter] == parameterOn }
 
 // Receive reads the next message, until deadline (zero: no deadline); it may time out
-// up to deadlineGranularity early. ParameterStatus messages are both stored in the
+// up to deadlineGranularity early. Answers that the server repeats are skipped. ParameterStatus messages are both stored in the
 // connection and returned. It returns ErrSilent when the deadline passed and ErrBroken
-// when the connection ended.
+// when the connection ended or a message can't be shown to belong to what was sent.
 func (c *Conn) Receive(deadline time.Time) (pgproto3.BackendMessage, error) {
 	c.endIdlePhase()
 	if err := c.setReadDeadline(deadline); err != nil {
@@ -111,9 +124,9 @@
 	if c.aborted.Load() {
 		return nil, ErrBroken.New("server %s: the connection was aborted", c.Server)
 	}
-	m, err := c.Frontend.Receive()
+	m, err := c.receiveOwn()
 	if err != nil {
-		return nil, c.readError(err)
+		return nil, err
 	}
 	c.recordMessage(m)
 	if p, found := m.(*pgproto3.ParameterStatus); found {
@@ -122,6 +135,19 @@
 	return m, nil
 }
 
+// receiveOwn reads the next message that isn't part of a repeated answer.
+func (c *Conn) receiveOwn() (pgproto3.BackendMessage, error) {
+	for {
+		m, err := c.frontend.Receive()
+		if err != nil {
+			return nil, c.readError(err)
+		}
+		if isOwn, err := c.isOwn(m); isOwn || err != nil {
+			return m, err
+		}
+	}
+}
+
 func (c *Conn) setReadDeadline(deadline time.Time) error {
 	if extension := deadline.Sub(c.deadline); extension >= 0 && extension < deadlineGranularity {
 		return nil
@@ -141,10 +167,10 @@
 	return ErrBroken.Wrap(err, "server %s", c.Server)
 }
 
-// Flush sends the messages that were queued by Frontend.Send.
+// Flush sends the messages that were queued by Send.
 func (c *Conn) Flush() error {
 	c.recordRequest()
-	if err := c.Frontend.Flush(); err != nil {
+	if err := c.frontend.Flush(); err != nil {
 		return ErrBroken.Wrap(err, "server %s", c.Server)
 	}
 	return nil
@@ -152,7 +178,7 @@
 
 // Query runs one statement and returns the first column of its last row.
 func (c *Conn) Query(sql string, deadline time.Time) (string, error) {
-	c.Frontend.Send(&pgproto3.Query{String: sql})
+	c.Send(&pgproto3.Query{String: sql})
 	if err := c.Flush(); err != nil {
 		return "", err
 	}
@@ -205,7 +231,7 @@
 	if len(c.PreparedStatements) > maxPreparedStatements {
 		reusable = false
 	}
-	c.pool.release(c, reusable && !c.Dirty && !c.notReusable.Load())
+	c.pool.release(c, reusable && !c.Dirty && !c.notReusable.Load() && c.isAnswered())
 }
 
 // Abort breaks the connection from another goroutine, so that a blocked Receive
@@ -238,9 +264,13 @@
 	return true
 }
 
-// isAlive reports whether the server still answers on an idle connection. It assumes so
-// without a probe if the connection was idle for less than idleProbeDelay.
+// isAlive reports whether the server still answers on an idle connection, which has no
+// unread answer. It assumes the former without a probe if the connection was idle for
+// less than idleProbeDelay.
 func (c *Conn) isAlive(timeout time.Duration) bool {
+	if !c.isInputValid(timeout) {
+		return false
+	}
 	if time.Since(c.idleSince) < idleProbeDelay {
 		return true
 	}
--- a/internal/upstream/conn_test.go
+++ b/internal/upstream/conn_test.go
@@ -24,7 +24,8 @@
 		server, err := l.Accept()
 		assert.NilError(t, err)
 		backend := pgproto3.NewBackend(server, server)
-		c := &Conn{Frontend: pgproto3.NewFrontend(nc, nc), netConn: nc}
+		c := &Conn{frontend: pgproto3.NewFrontend(nc, nc), netConn: nc}
+		c.Send(&pgproto3.Query{})
 		const timeout = time.Second
 		for range 500 {
 			backend.Send(&pgproto3.EmptyQueryResponse{})
--- a/internal/upstream/connect.go
+++ b/internal/upstream/connect.go
@@ -37,7 +37,7 @@
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
 	defer p.registerAttempt(cancel)()
-	c, err := openConn(ctx, p.Dial, p.Server, p.Login, r.ReadOnly)
+	c, err := openConn(ctx, p.Dial, p.Server, p.Login, r.ReadOnly, p.monitor)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/upstream/duplicate_test.go
+++ b/internal/upstream/duplicate_test.go
@@ -34,7 +34,9 @@
 	})
 	synctest.Wait()
 	a.SetDuplicates(fakeupstream.Duplicates{Share: 0.8, MaxDelay: 500 * time.Millisecond, Seed: seed})
-	return func(ctx context.Context, n, address string) (net.Conn, error) { return network.Dialer("vm")(ctx, n, address) }
+	return func(ctx context.Context, n, address string) (net.Conn, error) {
+		return network.Dialer("vm")(ctx, n, address)
+	}
 }
 
 // A control statement's result must not be the duplicate of an earlier answer: a fence
--- a/internal/upstream/events.go
+++ b/internal/upstream/events.go
@@ -25,4 +25,10 @@
 		"A server that replicated from no primary, or from that of an old term, was sent a statement to follow the primary.")
 	eventReserveFailed = event.Define(3011, "upstream-reserve-failed", event.Warn,
 		"The next term could not be reserved in advance; during an outage of the table no VM could promote.")
+	eventAnswerRepeated = event.Define(3012, "upstream-answer-repeated", event.Warn,
+		"A server sent an answer again on the same connection; it was skipped, and the request waits for its own answer.")
+	eventAnswerRejected = event.Define(3013, "upstream-answer-rejected", event.Error,
+		"A server sent something that can't be shown to belong to the outstanding request; the connection was closed.")
+	eventAnswersUnnumbered = event.Define(3014, "upstream-answers-unnumbered", event.Warn,
+		"A server doesn't number its answers, so an answer that it repeats may be taken for that of another request.")
 )
--- a/internal/upstream/group.go
+++ b/internal/upstream/group.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"go.opentelemetry.io/otel/metric"
 
 	"github.com/savoryramp/savoryramp/internal/platform"
 	"github.com/savoryramp/savoryramp/pkg/position"
@@ -37,6 +38,10 @@
 	// MaxQueueLength bounds the requests that wait for one server.
 	MaxQueueLength int
 
+	// Meter exports metrics of the servers' answers; may be nil.
+	Meter metric.Meter
+
+	monitor *answerMonitor
 	mu      sync.Mutex
 	members map[platform.ServerName]*member
 	// term is the highest term that any server reported; it never falls.
@@ -85,6 +90,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.ctx, g.cancel = context.WithCancel(ctx)
+	g.monitor = newAnswerMonitor(g.Logger, g.Meter)
 	g.members = map[platform.ServerName]*member{}
 	g.termStarts = map[position.Term]position.TermStart{}
 	g.changed = make(chan struct{})
--- a/internal/upstream/login.go
+++ b/internal/upstream/login.go
@@ -20,14 +20,14 @@
 }
 
 // openConn connects and logs in; transactions on a readOnly connection begin read only.
-func openConn(ctx context.Context, dial Dial, s platform.Server, login Login, readOnly bool) (*Conn, error) {
+func openConn(ctx context.Context, dial Dial, s platform.Server, login Login, readOnly bool, monitor *answerMonitor) (*Conn, error) {
 	netConn, err := dial(ctx, "tcp", string(s.Address))
 	if err != nil {
 		return nil, ErrConnect.Wrap(err, "server %s at %s", s.Name, s.Address)
 	}
 	c := &Conn{
-		Server: s.Name, Frontend: pgproto3.NewFrontend(netConn, netConn), netConn: netConn,
-		readOnly: readOnly, PreparedStatements: map[string]bool{}, parameters: map[string]string{},
+		Server: s.Name, frontend: pgproto3.NewFrontend(netConn, netConn), netConn: netConn,
+		readOnly: readOnly, monitor: monitor, PreparedStatements: map[string]bool{}, parameters: map[string]string{},
 	}
 	if deadline, found := ctx.Deadline(); found {
 		_ = netConn.SetDeadline(deadline)
@@ -39,6 +39,9 @@
 		return nil, ErrConnect.Wrap(err, "log in to server %s", s.Name)
 	}
 	_ = netConn.SetDeadline(time.Time{})
+	if !c.numbered {
+		monitor.reportUnnumbered(s.Name)
+	}
 	return c, nil
 }
 
@@ -47,20 +50,20 @@
 	if c.readOnly {
 		parameters[readOnlyParameter] = parameterOn
 	}
-	c.Frontend.Send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: parameters})
-	if err := c.Frontend.Flush(); err != nil {
+	c.frontend.Send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: parameters})
+	if err := c.frontend.Flush(); err != nil {
 		return ErrBroken.Wrap(err, "start-up")
 	}
 	var conversation *scram.ClientConversation
 	for {
-		m, err := c.Frontend.Receive()
+		m, err := c.frontend.Receive()
 		if err != nil {
 			return ErrBroken.Wrap(err, "start-up")
 		}
 		switch m := m.(type) {
 		case *pgproto3.AuthenticationCleartextPassword:
-			c.Frontend.Send(&pgproto3.PasswordMessage{Password: credentials.Password})
-			err = c.Frontend.Flush()
+			c.frontend.Send(&pgproto3.PasswordMessage{Password: credentials.Password})
+			err = c.frontend.Flush()
 		case *pgproto3.AuthenticationSASL:
 			conversation, err = c.startSCRAM(credentials)
 		case *pgproto3.AuthenticationSASLContinue:
@@ -68,7 +71,7 @@
 		case *pgproto3.AuthenticationSASLFinal:
 			err = c.finishSCRAM(conversation, string(m.Data))
 		case *pgproto3.ParameterStatus:
-			err = c.handleParameterStatus(m)
+			err = c.handleStartupParameter(m)
 		case *pgproto3.BackendKeyData:
 			c.backendPID, c.cancelKey = m.ProcessID, append([]byte(nil), m.SecretKey...)
 		case *pgproto3.ErrorResponse:
@@ -82,6 +85,18 @@
 	}
 }
 
+// handleStartupParameter stores a parameter, or that the server numbers its answers.
+func (c *Conn) handleStartupParameter(m *pgproto3.ParameterStatus) error {
+	if m.Name != answerParameter {
+		return c.handleParameterStatus(m)
+	}
+	if m.Value != startupAnswer {
+		return ErrBroken.New("server %s numbers the answer at the start-up %s", c.Server, m.Value)
+	}
+	c.numbered = true
+	return nil
+}
+
 func (c *Conn) startSCRAM(l Login) (*scram.ClientConversation, error) {
 	client, err := scram.SHA256.NewClient(l.User, l.Password, "")
 	if err != nil {
@@ -92,8 +107,8 @@
 	if err != nil {
 		return nil, ErrBroken.Wrap(err, "credentials")
 	}
-	c.Frontend.Send(&pgproto3.SASLInitialResponse{AuthMechanism: scramMechanism, Data: []byte(initialMessage)})
-	return conversation, c.Frontend.Flush()
+	c.frontend.Send(&pgproto3.SASLInitialResponse{AuthMechanism: scramMechanism, Data: []byte(initialMessage)})
+	return conversation, c.frontend.Flush()
 }
 
 func (c *Conn) continueSCRAM(conversation *scram.ClientConversation, challenge string) error {
@@ -104,8 +119,8 @@
 	if err != nil {
 		return ErrBroken.Wrap(err, "challenge")
 	}
-	c.Frontend.Send(&pgproto3.SASLResponse{Data: []byte(answer)})
-	return c.Frontend.Flush()
+	c.frontend.Send(&pgproto3.SASLResponse{Data: []byte(answer)})
+	return c.frontend.Flush()
 }
 
 func (c *Conn) finishSCRAM(conversation *scram.ClientConversation, finalMessage string) error {
--- a/internal/upstream/members.go
+++ b/internal/upstream/members.go
@@ -13,13 +13,13 @@
 	m := &member{server: s}
 	m.pool = &Pool{
 		Server: s, Login: g.Login, Dial: g.Dial, QueueOrder: g.QueueOrder, MaxQueueLength: g.MaxQueueLength,
-		ConcurrencyLimit: g.ConcurrencyLimit, Share: func() int { return g.Share(s.Name) },
+		ConcurrencyLimit: g.ConcurrencyLimit, Share: func() int { return g.Share(s.Name) }, monitor: g.monitor,
 	}
 	if g.Allowance != nil {
 		m.pool.Allowance = g.Allowance(s.Name)
 	}
 	m.pool.setLeaving(s.Leaving)
-	m.watch = &serverWatch{server: s, login: g.Login, dial: g.Dial, logger: g.Logger, onStatus: g.updateStatus}
+	m.watch = &serverWatch{server: s, login: g.Login, dial: g.Dial, logger: g.Logger, monitor: g.monitor, onStatus: g.updateStatus}
 	ctx, cancel := context.WithCancel(g.ctx)
 	m.cancel = cancel
 	g.members[s.Name] = m
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -24,6 +24,9 @@
 	// MaxQueueLength bounds the requests that wait at once.
 	MaxQueueLength int
 
+	// monitor may be nil.
+	monitor *answerMonitor
+
 	mu     sync.Mutex
 	idle   []*Conn
 	inUse  int
--- a/internal/upstream/replaced_test.go
+++ b/internal/upstream/replaced_test.go
@@ -70,7 +70,7 @@
 		c, err := g.AcquireForWrite(ctx, upstream.Request{Workspace: "w", Weight: 1})
 		assert.NilError(t, err)
 		servers.Server("a").Freeze(true)
-		c.Frontend.Send(&pgproto3.Query{String: "create table t (n int)"})
+		c.Send(&pgproto3.Query{String: "create table t (n int)"})
 		assert.NilError(t, c.Flush())
 		for _, name := range []fakeupstream.ServerName{"b", "c"} {
 			assert.NilError(t, servers.Server(name).Fence(2))
--- a/internal/upstream/upstreams.go
+++ b/internal/upstream/upstreams.go
@@ -106,6 +106,7 @@
 		Login:     Login{User: up.User, Database: up.Database, Password: password(up.PasswordVariable)},
 		Share:     u.Share,
 		Allowance: u.Allowance, Coordination: u.Coordination, Table: u.Table, ReadPolicy: u.ReadPolicy, QueueOrder: u.QueueOrder, ConcurrencyLimit: u.ConcurrencyLimit, MaxQueueLength: u.MaxQueueLength,
+		Meter: u.Meter,
 	}
 	g.start(ctx)
 	eventGroupAdded.Log(g.Logger, "servers", len(up.Servers))
--- a/internal/upstream/watch.go
+++ b/internal/upstream/watch.go
@@ -37,6 +37,8 @@
 	login  Login
 	dial   Dial
 	logger log.Logger
+	// monitor may be nil.
+	monitor *answerMonitor
 	// onStatus is called with every status, and with usable false when the connection
 	// is lost.
 	onStatus func(platform.ServerName, Status, bool)
@@ -84,7 +86,7 @@
 func (w *serverWatch) runConnection(ctx context.Context) error {
 	connectCtx, cancel := context.WithTimeout(ctx, silenceTimeout)
 	defer cancel()
-	c, err := openConn(connectCtx, w.dial, w.server, w.login, false)
+	c, err := openConn(connectCtx, w.dial, w.server, w.login, false, w.monitor)
 	if err != nil {
 		return err
 	}
@@ -217,8 +219,8 @@
 		return
 	}
 	w.pending = append(w.pending, pendingQuery{result: result, probe: sql == probeQuery})
-	w.conn.Frontend.Send(&pgproto3.Query{String: sql})
-	_ = w.conn.Frontend.Flush()
+	w.conn.Send(&pgproto3.Query{String: sql})
+	_ = w.conn.frontend.Flush()
 }
 
 // query runs a control statement and returns the status that the server answers with.
