--- a/internal/fakeupstream/duplicate.go
+++ b/internal/fakeupstream/duplicate.go
@@ -74,20 +74,17 @@
 	s.conn.record(true)
 }
 
-// endAnswer ends the recording of an answer that was sent completely, sends the
-// duplicates that were due meanwhile, and draws one of this answer.
-func (s *session) endAnswer() {
+// endAnswer ends the recording of an answer that was sent completely, and returns it.
+func (s *session) endAnswer() []byte {
 	s.answering = false
-	answer := s.conn.record(false)
-	delay, isDuplicated := s.duplicator.draw(s.server.duplicates(), s.id)
-	if !isDuplicated {
-		return
+	return s.conn.record(false)
+}
+
+// duplicate sends an answer again after a delay.
+func (s *session) duplicate(answer []byte, delay time.Duration) {
+	if sleep(s.ctx, delay) == nil && s.thaw() {
+		s.conn.duplicate(answer)
 	}
-	s.server.running.Go(func() {
-		if sleep(s.ctx, delay) == nil && s.thaw() {
-			s.conn.duplicate(answer)
-		}
-	})
 }
 
 // record begins or ends the recording of what is written, and returns what was recorded.
--- a/internal/fakeupstream/session.go
+++ b/internal/fakeupstream/session.go
@@ -263,10 +263,15 @@
 	if sleep(s.ctx, s.server.delay()) != nil {
 		return false
 	}
+	// Drawn before the client sees the answer: it may change the fault then.
+	delay, isDuplicated := s.duplicator.draw(s.server.duplicates(), s.id)
 	if s.flush() != nil {
 		return false
 	}
-	s.endAnswer()
+	answer := s.endAnswer()
+	if isDuplicated {
+		s.server.running.Go(func() { s.duplicate(answer, delay) })
+	}
 	return true
 }
 
