--- a/internal/caller/alloc_test.go
+++ b/internal/caller/alloc_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"math"
 	"net"
+	"slices"
+	"strconv"
 	"sync/atomic"
 	"testing"
 
@@ -17,6 +19,8 @@
 // cannedServer answers each statement with bytes encoded beforehand, so that the server
 // side allocates nothing for an answer.
 type cannedServer struct {
+	// numbered servers number their answers.
+	numbered                 bool
 	statusReply, listenReply []byte
 	replies                  map[string][]byte
 }
@@ -44,13 +48,14 @@
 }
 
 // listenCanned starts a cannedServer and returns its address.
-func listenCanned(t testing.TB, role string, answers map[string][]byte) net.Addr {
+func listenCanned(t testing.TB, role string, answers map[string][]byte, numbered bool) net.Addr {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { l.Close() })
 	status := fmt.Sprintf(`{"server":"r","role":%q,"term":1,"received":"1/7","applied":"1/7"}`, role)
 	ready := &pgproto3.ReadyForQuery{TxStatus: 'I'}
 	p := &cannedServer{
+		numbered:    numbered,
 		statusReply: encodeAll(&pgproto3.DataRow{Values: [][]byte{[]byte(status)}}, &pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")}, ready),
 		listenReply: encodeAll(&pgproto3.NotificationResponse{Channel: "savoryramp_position", Payload: status},
 			&pgproto3.CommandComplete{CommandTag: []byte("LISTEN")}, ready),
@@ -75,9 +80,14 @@
 	if err != nil {
 		return
 	}
-	_, _ = c.Write(encodeAll(&pgproto3.AuthenticationOk{}, reportReadOnly(m), &pgproto3.ReadyForQuery{TxStatus: 'I'}))
+	login := []pgproto3.BackendMessage{&pgproto3.AuthenticationOk{}, reportReadOnly(m), &pgproto3.ReadyForQuery{TxStatus: 'I'}}
+	if p.numbered {
+		login = slices.Insert(login, 1, pgproto3.BackendMessage(&pgproto3.ParameterStatus{Name: "savoryramp.answer", Value: "0"}))
+	}
+	_, _ = c.Write(encodeAll(login...))
 	header, buffer := make([]byte, 5), make([]byte, 1024)
-	for {
+	var answer []byte
+	for number := int64(1); ; number++ {
 		if _, err := io.ReadFull(c, header); err != nil {
 			return
 		}
@@ -85,12 +95,26 @@
 		if _, err := io.ReadFull(c, body); err != nil {
 			return
 		}
-		if _, err := c.Write(p.replyTo(body[:max(0, len(body)-1)])); err != nil {
+		answer = answer[:0]
+		if p.numbered {
+			answer = appendNumber(answer, number)
+		}
+		answer = append(answer, p.replyTo(body[:max(0, len(body)-1)])...)
+		if _, err := c.Write(answer); err != nil {
 			return
 		}
 	}
 }
 
+// appendNumber appends the ParameterStatus that numbers an answer.
+func appendNumber(b []byte, number int64) []byte {
+	b = append(b, 'S', 0, 0, 0, 0)
+	b = append(b, "savoryramp.answer\x00"...)
+	b = append(strconv.AppendInt(b, number, 10), 0)
+	binary.BigEndian.PutUint32(b[1:], uint32(len(b)-1))
+	return b
+}
+
 func (p *cannedServer) replyTo(sql []byte) []byte {
 	if a, found := p.replies[string(sql)]; found {
 		return a
@@ -188,29 +212,31 @@
 
 // startCannedProxy starts the proxy in front of canned servers and returns a client and
 // the listener that counts the proxy's writes.
-func startCannedProxy(t testing.TB, rows, size int) (*rawClient, *countingListener) {
+func startCannedProxy(t testing.TB, rows, size int, numbered bool) (*rawClient, *countingListener) {
 	answers := map[string][]byte{"SELECT one": encodeRows(1, size), "SELECT all": encodeRows(rows, size)}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	l := &countingListener{Listener: listener}
-	startProxyOn(t, l, func(role string) net.Addr { return listenCanned(t, role, answers) })
+	startProxyOn(t, l, func(role string) net.Addr { return listenCanned(t, role, answers, numbered) })
 	return connectRaw(t, l.Addr().String()), l
 }
 
 func TestEachWriteAllocatesAtMostOnce(t *testing.T) {
 	for name, test := range allocationCases {
-		t.Run(name, func(t *testing.T) {
-			c, l := startCannedProxy(t, test.rows, test.size)
-			oneRow, _ := measureAllocations(t, c, l, "SELECT one")
-			allRows, writes := measureAllocations(t, c, l, "SELECT all")
-			extraWrites := writes - 1
-			maxAllocations := extraWrites
-			if test.size > driverBufferSize {
-				maxAllocations += poolAllocations * float64(test.rows)
-			}
-			t.Logf("%.0f for an answer of one row, %.0f for one in %.0f batches: %.3f each further batch", oneRow, allRows, writes, (allRows-oneRow)/extraWrites)
-			assert.Assert(t, writes > 3 && allRows-oneRow <= maxAllocations)
-		})
+		for _, numbered := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, numbered %t", name, numbered), func(t *testing.T) {
+				c, l := startCannedProxy(t, test.rows, test.size, numbered)
+				oneRow, _ := measureAllocations(t, c, l, "SELECT one")
+				allRows, writes := measureAllocations(t, c, l, "SELECT all")
+				extraWrites := writes - 1
+				maxAllocations := extraWrites
+				if test.size > driverBufferSize {
+					maxAllocations += poolAllocations * float64(test.rows)
+				}
+				t.Logf("%.0f for an answer of one row, %.0f for one in %.0f batches: %.3f each further batch", oneRow, allRows, writes, (allRows-oneRow)/extraWrites)
+				assert.Assert(t, writes > 3 && allRows-oneRow <= maxAllocations)
+			})
+		}
 	}
 }
 
@@ -222,7 +248,7 @@
 func BenchmarkForwarded(b *testing.B) {
 	for name, test := range allocationCases {
 		b.Run(name, func(b *testing.B) {
-			c, l := startCannedProxy(b, test.rows, test.size)
+			c, l := startCannedProxy(b, test.rows, test.size, false)
 			query := encode(&pgproto3.Query{String: "SELECT all"})
 			c.sendQuery(b, query)
 			minAllocations, writes := measureAllocations(b, c, l, "SELECT all")
@@ -238,11 +264,15 @@
 // BenchmarkStatement measures a read of one row through the proxy. ./platform has the
 // same benchmark for its own protocol.
 func BenchmarkStatement(b *testing.B) {
-	c, _ := startCannedProxy(b, 1, 10)
-	query := encode(&pgproto3.Query{String: "SELECT one"})
-	c.sendQuery(b, query)
-	b.ReportAllocs()
-	for b.Loop() {
-		c.sendQuery(b, query)
+	for name, numbered := range map[string]bool{"unnumbered": false, "numbered": true} {
+		b.Run(name, func(b *testing.B) {
+			c, _ := startCannedProxy(b, 1, 10, numbered)
+			query := encode(&pgproto3.Query{String: "SELECT one"})
+			c.sendQuery(b, query)
+			b.ReportAllocs()
+			for b.Loop() {
+				c.sendQuery(b, query)
+			}
+		})
 	}
 }
--- a/internal/caller/consistency/answer_test.go
+++ b/internal/caller/consistency/answer_test.go
@@ -49,8 +49,8 @@
 }
 
 // TestAnswersAreWholeAndTheRequestsOwn runs queries on many sessions while answers are
-// late, connections close within a row or become silent, and servers freeze. Every
-// answer must be complete and belong to its request.
+// late or come twice, connections close within a row or become silent, and servers
+// freeze. Every answer must be complete and belong to its request.
 func TestAnswersAreWholeAndTheRequestsOwn(t *testing.T) {
 	answered, failed := 0, 0
 	rapid.Check(t, func(c *rapid.T) {
@@ -58,6 +58,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			r := startCluster(t, func(r *cluster) { r.share = 2 })
 			defer r.stop()
+			r.duplicateAnswers(seed)
 			var callers sync.WaitGroup
 			var mu sync.Mutex
 			for n := range 6 {
--- a/internal/caller/consistency/duplicate_test.go
+++ b/internal/caller/consistency/duplicate_test.go
@@ -12,6 +12,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/anishathalye/porcupine"
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
 	"gotest.tools/v3/assert"
@@ -161,10 +162,25 @@
 	<-ctx.Done()
 }
 
+// duplicateAnswers makes the servers send many answers twice.
+func (r *cluster) duplicateAnswers(seed uint64) { r.duplicateShare(seed, 0.3) }
+
+// duplicateShare makes the servers send a share of their answers twice, up to 500 ms late.
+func (r *cluster) duplicateShare(seed uint64, share float64) {
+	for n, s := range r.group.Servers {
+		s.SetDuplicates(fakeupstream.Duplicates{Share: share, MaxDelay: 500 * time.Millisecond, Seed: seed + uint64(n)})
+	}
+}
+
 // runDuplicates runs callers of two workspaces on two VMs while servers duplicate
 // answers.
-func runDuplicates(t *testing.T, seed uint64, share float64) (*duplicateReport, *fakeupstream.Recorder) {
-	r := startCluster(t, func(r *cluster) { r.share = 2 })
+func runDuplicates(t *testing.T, seed uint64, share float64, unnumbered bool) (*duplicateReport, *fakeupstream.Recorder) {
+	r := startCluster(t, func(r *cluster) {
+		r.share = 2
+		for _, s := range r.group.Servers {
+			s.Unnumbered = unnumbered
+		}
+	})
 	defer r.stop()
 	setup := r.connect("vm1", "")
 	for _, sql := range []string{
@@ -173,9 +189,7 @@
 	} {
 		r.exec(setup, sql)
 	}
-	for _, s := range r.group.Servers {
-		s.SetDuplicates(fakeupstream.Duplicates{Share: share, MaxDelay: 500 * time.Millisecond, Seed: seed})
-	}
+	r.duplicateShare(seed, share)
 	report := &duplicateReport{}
 	var callers sync.WaitGroup
 	for n := range 8 {
@@ -209,7 +223,7 @@
 		seed := rapid.Uint64().Draw(c, "seed")
 		share := rapid.SampledFrom([]float64{0.02, 0.2, 0.9}).Draw(c, "share")
 		synctest.Test(t, func(t *testing.T) {
-			report, recorder := runDuplicates(t, seed, share)
+			report, recorder := runDuplicates(t, seed, share, false)
 			served, lost = served+report.served, lost+report.lost
 			assert.Assert(t, len(report.violations) == 0, "seed %d, share %v: %d wrong answers of %d, such as\n%s", seed, share,
 				len(report.violations), report.served, strings.Join(report.violations[:min(5, len(report.violations))], "\n"))
@@ -230,3 +244,38 @@
 	})
 	t.Logf("%d requests served, %d not", served, lost)
 }
+
+// TestUnnumberedServersAreServed runs the same callers on servers that don't number their
+// answers, and repeat none. The checks that remain must not refuse right answers.
+func TestUnnumberedServersAreServed(t *testing.T) {
+	rapid.Check(t, func(c *rapid.T) {
+		seed := rapid.Uint64().Draw(c, "seed")
+		synctest.Test(t, func(t *testing.T) {
+			report, _ := runDuplicates(t, seed, 0, true)
+			assert.Assert(t, len(report.violations) == 0 && report.lost == 0, "seed %d: %d requests not served, wrong answers\n%s", seed,
+				report.lost, strings.Join(report.violations, "\n"))
+		})
+	})
+}
+
+// TestRoamingSessionsAreConsistentWithDuplicates checks the histories of sessions that
+// reconnect to different VMs while answers come twice: a position, status or commit that
+// is taken from a duplicate makes a session miss its own write.
+func TestRoamingSessionsAreConsistentWithDuplicates(t *testing.T) {
+	rapid.Check(t, func(c *rapid.T) {
+		seed := rapid.Uint64().Draw(c, "seed")
+		var h *history
+		synctest.Test(t, func(t *testing.T) {
+			r := startCluster(t, nil)
+			defer r.stop()
+			r.duplicateAnswers(seed)
+			for _, s := range r.group.Servers[1:] {
+				s.SetLag(20 * time.Millisecond)
+			}
+			h = r.recordHistory(seed, 0)
+		})
+		assert.Assert(t, porcupine.CheckOperations(registerModel, h.operations), "a session missed its own writes: seed %d", seed)
+		assert.Equal(t, h.unknownOutcomes, 0, "seed %d", seed)
+		assert.Assert(t, h.answered > 50, "seed %d: %d answered", seed, h.answered)
+	})
+}
--- a/internal/caller/consistency/history_test.go
+++ b/internal/caller/consistency/history_test.go
@@ -210,6 +210,10 @@
 func recordHistory(t assert.TestingT, seed uint64, faults int, readPolicy upstream.ReadPolicy) *history {
 	r := startCluster(t, func(r *cluster) { r.readPolicy = readPolicy })
 	defer r.stop()
+	return r.recordHistory(seed, faults)
+}
+
+func (r *cluster) recordHistory(seed uint64, faults int) *history {
 	h := &history{}
 	var sessions sync.WaitGroup
 	var faultsDone atomic.Bool
--- a/internal/caller/consistency/mixing_test.go
+++ b/internal/caller/consistency/mixing_test.go
@@ -84,7 +84,7 @@
 }
 
 // TestTransactionsAreNotMixed runs transactions that are cancelled, time out, or lose
-// their client, VM or server. In the servers' records, each transaction must contain
+// their client, VM or server, while answers come twice. In the servers' records, each transaction must contain
 // statements of only one client, and each commit all of them.
 func TestTransactionsAreNotMixed(t *testing.T) {
 	rapid.Check(t, func(c *rapid.T) {
@@ -93,6 +93,7 @@
 			r := startCluster(t, func(r *cluster) { r.share = 2 })
 			defer r.stop()
 			r.exec(r.connect("vm2", ""), "create table s (name text, n int)")
+			r.duplicateAnswers(seed)
 			var callers sync.WaitGroup
 			for n := range 8 {
 				random := rand.New(rand.NewPCG(seed, uint64(n)))
--- a/internal/upstream/fuzz_test.go
+++ b/internal/upstream/fuzz_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -57,6 +58,11 @@
 	f.Add(false, encodeMessages(&pgproto3.AuthenticationSASL{AuthMechanisms: []string{scramMechanism}}, &pgproto3.AuthenticationSASLContinue{Data: []byte("r=x,s=eA==,i=4096")}))
 	f.Add(true, encodeMessages(&pgproto3.DataRow{}, ready))
 	f.Add(false, encodeMessages(&pgproto3.AuthenticationSASLFinal{Data: []byte("v=eA==")}))
+	numberedLogin := encodeMessages(&pgproto3.AuthenticationOk{}, number("0"), ready)
+	listened := encodeMessages(number("1"), &pgproto3.CommandComplete{CommandTag: []byte("LISTEN")}, ready)
+	f.Add(false, slices.Concat(numberedLogin, listened, listened, encodeMessages(&pgproto3.NotificationResponse{Payload: status})))
+	f.Add(false, slices.Concat(numberedLogin, numberedLogin, listened, encodeMessages(number("2"), ready)))
+	f.Add(false, slices.Concat(numberedLogin, encodeMessages(number("x"))))
 	f.Fuzz(func(t *testing.T, loggedIn bool, sent []byte) {
 		if loggedIn {
 			sent = append(encodeMessages(&pgproto3.AuthenticationOk{}, ready), sent...)
