--- a/internal/fakeupstream/startup.go
+++ b/internal/fakeupstream/startup.go
@@ -61,6 +61,7 @@
 	if s.server.Password != "" && !s.authenticate() {
 		return false
 	}
+	s.beginAnswer()
 	s.backend.Send(&pgproto3.AuthenticationOk{})
 	for _, p := range [][2]string{
 		{"server_version", "16.0"},
@@ -76,6 +77,7 @@
 		s.settings[p[0]] = p[1]
 		s.backend.Send(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
 	}
+	s.tellAnswer()
 	s.reported = s.settings[defaultReadOnly]
 	for name, value := range m.Parameters {
 		s.settings[name] = value
