--- a/internal/upstream/answer_monitor.go
+++ b/internal/upstream/answer_monitor.go
@@ -60,6 +60,15 @@
 	am.count(c.Server, outcomeClosed)
 }
 
+// reportOldStatus reports a status that is older than the last one on the connection.
+func (am *answerMonitor) reportOldStatus(server platform.ServerName, s, last Status) {
+	if am == nil {
+		return
+	}
+	eventStatusRepeated.Log(am.logger, "server", server, "received", s.Applied, "received-term", s.Term, "expected", last.Applied, "expected-term", last.Term)
+	am.count(server, outcomeSkipped)
+}
+
 func (am *answerMonitor) count(server platform.ServerName, o answerOutcome) {
 	am.answers.Add(context.Background(), 1, metric.WithAttributes(
 		attribute.String("server", string(server)), attribute.String("outcome", string(o))))
--- a/internal/upstream/events.go
+++ b/internal/upstream/events.go
@@ -31,4 +31,6 @@
 		"A server sent something that can't be shown to belong to the outstanding request; the connection was closed.")
 	eventAnswersUnnumbered = event.Define(3014, "upstream-answers-unnumbered", event.Warn,
 		"A server doesn't number its answers, so an answer that it repeats may be taken for that of another request.")
+	eventStatusRepeated = event.Define(3015, "upstream-status-repeated", event.Warn,
+		"A server sent a status older than the last one on the connection that watches it; it was ignored.")
 )
--- a/internal/upstream/status.go
+++ b/internal/upstream/status.go
@@ -30,6 +30,16 @@
 	Starts []position.TermStart
 }
 
+// precedes reports whether the server's status was s before it was later: a term never
+// falls, and within its term a primary neither steps down nor loses what it applied. A
+// replica's log may be cut off.
+func (s Status) precedes(later Status) bool {
+	if s.Term != later.Term || later.Role != Primary {
+		return s.Term < later.Term
+	}
+	return s.Role != Primary || s.Applied.Compare(later.Applied) < 0
+}
+
 // parseStatus parses the JSON of savoryramp_status().
 func parseStatus(text string) (Status, error) {
 	var fields struct {
--- a/internal/upstream/watch.go
+++ b/internal/upstream/watch.go
@@ -153,13 +153,19 @@
 	return ErrServer.New("server %s: %s: %s", w.server.Name, m.Code, m.Message)
 }
 
-// handleStatus passes on a status that was pushed or queried.
+// handleStatus passes on a status that was pushed or queried, unless it is known to be
+// older than the last one on the connection.
 func (w *serverWatch) handleStatus(text string) error {
 	s, err := parseStatus(text)
 	if err != nil {
 		return err
 	}
 	w.mu.Lock()
+	if w.hasStatus && s.precedes(w.lastStatus) {
+		defer w.mu.Unlock()
+		w.monitor.reportOldStatus(w.server.Name, s, w.lastStatus)
+		return nil
+	}
 	isFirst := !w.hasStatus
 	w.hasStatus, w.lastStatus, w.lastStatusAt = true, s, time.Now()
 	w.mu.Unlock()
