--- a/internal/proxy/failover.go
+++ b/internal/proxy/failover.go
@@ -344,6 +344,9 @@
 	if err != nil {
 		return err
 	}
+	if stopped.Primary {
+		return ErrNoServer.New("server %s is still the primary after it was demoted", primary.pool.Server.ID)
+	}
 	eventPrimaryStopped.Log(g.Logger, "server", primary.pool.Server.ID, "term", status.Term, "received", stopped.Received)
 	if err := g.awaitReceived(ctx, target, stopped.Received); err != nil {
 		// The old primary has the complete log, so promoting it again loses nothing. An error
