--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -116,9 +116,8 @@
 	// skippedPlain those among them that complete a command of the VM.
 	history               answerHistory
 	skipped, skippedPlain int
-	// lastIdentical is true if an unclear answer since the latest markers was received before with the same
-	// transaction state and position.
-	lastIdentical bool
+	// isDoubtful is true after a refusal that may be a repeated one, until markers were sent.
+	isDoubtful bool
 	// refused is true once a statement was refused, other than by a server that lagged.
 	refused bool
 	// markers are commands that were sent to find out whether all earlier answers have arrived, and whose
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/savoryramp/savoryramp/internal/clock"
@@ -12,18 +13,20 @@
 	command Command
 	// isSetup is true for a command that only prepares the connection for the next one.
 	isSetup bool
+	// isMarker is true for a setup command that must be answered as expected.
+	isMarker bool
 	// writes is true for a statement that writes.
 	writes bool
 }
 
 // exec runs commands in order, preceded by those that make the connection match the profile. Answers to the
 // callers' statements and statuses are shown to be the commands' own: ErrUnproven means that one isn't, and that
-// the commands may have run. Refusals of reads and of begins, after which another server is tried, may be
-// repeated ones; the connection finds that out before its next use.
+// the commands may have run. Refusals after which nothing is promised but that another attempt follows, or that
+// the transaction is rolled back, may be repeated ones (see needsProof).
 func (c *Conn) exec(p *profile, commands []Command, until time.Time) ([]Answer, error) {
 	if len(c.markers) > 0 {
 		if err := c.receiveMarkers(until); err != nil {
-			return nil, err
+			return nil, c.unsettled(err.Error())
 		}
 	}
 	if len(commands) == 0 {
@@ -38,23 +41,28 @@
 	if err != nil {
 		return nil, err
 	}
-	last := sent[len(sent)-1]
+	last := lastCommand(sent)
 	a := &answers[len(answers)-1]
 	f, forwards := last.command.(Forward)
 	// A read at a position is what follows a verification of the primary.
 	isVerifiedRead := c.verified && forwards && !f.Floor.IsZero()
 	c.verified = endsVerification(commands)
+	c.isDoubtful = c.isDoubtful || unclear
 	switch {
 	case unclear && needsProof(last, before):
 		*a, err = c.settle(last.command, *a, until)
-	case unclear:
-		c.sendMarkers(until)
+		c.isDoubtful = false
 	case a.Succeeded() && !forwards && c.skipped != skipped && !isStatusCommand(last.command):
 		// Answers to the VM's own commands look alike.
 		err = c.misalign("%s was answered after repeated answers", commandName(last.command))
 	case isVerifiedRead && c.skippedPlain != skippedPlain:
 		// The answers that verified the primary may have been repeated ones, and these the true ones.
 		err = c.misalign("repeated answers followed a verification")
+	case forwards && !a.Succeeded() && before == InTransaction && a.Phase == Idle && !isCommit(f):
+		// The refusal is that of the begin, whose answer was a repeated one.
+		err = c.misalign("a statement was refused outside its transaction")
+	case c.isDoubtful && c.phase == Idle:
+		c.sendMarkers(until)
 	}
 	if err != nil {
 		return nil, err
@@ -62,6 +70,14 @@
 	return answers, nil
 }
 
+// lastCommand returns the last command that isn't setup.
+func lastCommand(sent []sentCommand) sentCommand {
+	for sent[len(sent)-1].isSetup {
+		sent = sent[:len(sent)-1]
+	}
+	return sent[len(sent)-1]
+}
+
 // send buffers commands, preceded by those that make the connection match the profile.
 func (c *Conn) send(p *profile, commands []Command) []sentCommand {
 	var sent []sentCommand
@@ -76,10 +92,22 @@
 		}
 		c.Link.Send(command)
 		sent = append(sent, sentCommand{command: command, writes: writes})
+		if _, begins := command.(BeginAt); begins && c.pool.repeatsAnswers() {
+			// A repeated answer to an earlier begin could be taken for that of this one. Those to the next
+			// commands show whether a transaction is open.
+			for _, m := range c.markersInTransaction(minBeginMarkers + rand.IntN(minBeginMarkers)) {
+				c.Link.Send(m)
+				sent = append(sent, sentCommand{command: m, isSetup: true, isMarker: true})
+			}
+		}
 	}
 	return sent
 }
 
+// minBeginMarkers is how many markers follow a begin at least. Their number varies, so that an earlier such sequence,
+// repeated in one piece, mostly doesn't stand for this one.
+const minBeginMarkers = 3
+
 // receiveAll receives the answers to commands, and returns those that aren't setup. unclear reports whether one
 // of them may be a repeated one.
 func (c *Conn) receiveAll(sent []sentCommand, until time.Time) (answers []Answer, unclear bool, err error) {
@@ -91,6 +119,8 @@
 			return nil, false, err
 		case whose == lateAnswer:
 			return nil, false, c.misalign("%s received the answer to an earlier statement", commandName(s.command))
+		case s.isMarker && (whose != ownAnswer || !a.Succeeded()):
+			return nil, false, c.misalign("the answer to a begin may be a repeated one")
 		case s.isSetup && whose == unclearAnswer:
 			return nil, false, c.misalign("a refusal of %s may be a repeated one", commandName(s.command))
 		case s.isSetup && !a.Succeeded():
@@ -115,14 +145,13 @@
 		if err != nil {
 			return Answer{}, "", err
 		}
-		whose, identical := c.history.attribute(command, c.phase, a)
+		whose := c.history.attribute(command, c.phase, a)
 		if whose == repeatedAnswer || whose == lateAnswer {
 			c.noteUnexpected(command, a, whose)
 		}
 		if whose == repeatedAnswer {
 			continue
 		}
-		c.lastIdentical = c.lastIdentical || whose == unclearAnswer && identical
 		_, forwards := command.(Forward)
 		c.refused = c.refused || forwards && !a.Succeeded() && a.Failure != Lagging
 		if whose != lateAnswer {
@@ -151,18 +180,21 @@
 }
 
 // needsProof reports whether a refusal of a command must be shown to be its own before anything follows from it.
-// before is the transaction state in which it was sent. A refused read is tried elsewhere, and a refused begin
-// has no effect.
+// before is the transaction state in which it was sent. A refused read or begin is tried elsewhere, and a
+// transaction with a refused statement is rolled back; before the connection's next use, markers show whether the
+// true answer comes later.
 func needsProof(s sentCommand, before Phase) bool {
 	f, forwards := s.command.(Forward)
 	if !forwards {
 		return isStatusCommand(s.command)
 	}
-	switch f.Statement.(type) {
-	case Write, Commit:
-		return true
-	}
-	return s.writes || before != Idle
+	_, writes := f.Statement.(Write)
+	return isCommit(f) || before == Idle && (writes || s.writes)
+}
+
+func isCommit(f Forward) bool {
+	_, commits := f.Statement.(Commit)
+	return commits
 }
 
 // settle finds out whether a refusal or status that is equal to an earlier one is that of a command. Servers
@@ -170,7 +202,7 @@
 // returns the true answer, or ErrUnproven if that isn't clear.
 func (c *Conn) settle(command Command, unclear Answer, until time.Time) (Answer, error) {
 	c.pool.countUnexpected(unclearAnswer)
-	markers := c.newMarkers()
+	markers := c.markersHere()
 	if len(markers) == 0 {
 		return Answer{}, c.misalign("%s %s may be a repeated answer", unclear.Failure, unclear.Detail)
 	}
@@ -198,74 +230,105 @@
 	return answer, nil
 }
 
-// newMarkers returns commands without effect whose answers follow that of the latest command, nil if there are
-// none in the connection's transaction state. Outside a transaction they change that state to and fro. In one
-// they leave it unchanged, while after a commit that ran it is another. Repeated answers to the VM's own commands
-// could stand for them, so they aren't used at a server that is known to repeat answers.
-func (c *Conn) newMarkers() []Command {
+// maxMarkerPairs is how many times at most markers begin and end a transaction.
+const maxMarkerPairs = 3
+
+// newMarkers returns commands without effect whose answers follow those to all earlier commands, for a connection
+// outside a transaction. They change its state to and fro a random number of times, so that an earlier such
+// sequence, repeated in one piece, mostly doesn't stand for them.
+func newMarkers() []Command {
+	var markers []Command
+	for range 1 + rand.IntN(maxMarkerPairs) {
+		markers = append(markers, BeginAt{ReadOnly: true}, Abandon{})
+	}
+	return markers
+}
+
+// markersHere returns markers for the connection's transaction state, nil if there are none. In a transaction
+// they leave the state unchanged, while after a commit that ran it is another. Repeated answers to the VM's own
+// commands could stand for markers, so nothing is proved by them at a server that is known to repeat answers.
+func (c *Conn) markersHere() []Command {
 	switch {
 	case c.pool.repeatsAnswers():
 		return nil
 	case c.phase == Idle:
-		return []Command{BeginAt{ReadOnly: true}, Abandon{}, BeginAt{ReadOnly: true}, Abandon{}}
+		return newMarkers()
 	case c.phase == InTransaction:
-		var markers []Command
-		for range 2 {
-			c.markerPlans++
-			markers = append(markers, PreparePlan{Name: StatementName("m" + itoa(int64(c.markerPlans))), Plan: Plan{Shape: "marker"}})
-		}
-		return markers
+		return c.markersInTransaction(2)
 	}
 	return nil
 }
 
-// sendMarkers sends markers after a refusal that may be a repeated one. Their answers are received before the
-// connection's next use, so that nothing waits for them now. Without markers the connection is closed. A server
-// that isn't known to repeat answers often refuses reads because it lags, at another position each time: such
-// refusals are its own.
+// markersInTransaction returns commands without effect whose answers have the transaction state that there is.
+func (c *Conn) markersInTransaction(n int) []Command {
+	var markers []Command
+	for range n {
+		c.markerPlans++
+		markers = append(markers, PreparePlan{Name: StatementName("m" + itoa(int64(c.markerPlans))), Plan: Plan{Shape: "marker"}})
+	}
+	return markers
+}
+
+// sendMarkers sends markers after a refusal that may be a repeated one, outside a transaction. Their answers are
+// received before the connection's next use, so that nothing waits for them now. Without markers the connection
+// is closed.
 func (c *Conn) sendMarkers(until time.Time) {
-	identical := c.lastIdentical
-	c.lastIdentical = false
-	if !identical && !c.pool.repeatsAnswers() {
-		return
-	}
+	c.isDoubtful = false
 	c.pool.countUnexpected(unclearAnswer)
-	c.markers = c.newMarkers()
+	c.markers = c.markersHere()
 	for _, m := range c.markers {
 		c.Link.Send(m)
 	}
-	if len(c.markers) == 0 || c.phase != Idle || c.Link.Flush(until) != nil {
+	if len(c.markers) == 0 || c.Link.Flush(until) != nil {
 		c.misaligned = true
 	}
 }
 
-// receiveMarkers receives the answers to markers. It returns ErrUnsettled, and the connection must be closed, if
-// it isn't clear that all earlier answers have arrived.
+// receiveMarkers receives the answers to markers. It returns ErrUnsettled if it isn't clear that all earlier answers
+// have arrived, and the error of the connection. The connection must be closed then.
 func (c *Conn) receiveMarkers(until time.Time) error {
 	markers, skippedPlain := c.markers, c.skippedPlain
 	c.markers = nil
 	for i := 0; i < len(markers); {
 		a, whose, err := c.receive(markers[i], until)
 		switch {
-		case err == nil && whose == lateAnswer && i == 0 && a.Phase == Idle:
+		case err != nil:
+			c.misaligned = true
+			return err
+		case whose == lateAnswer && i == 0 && a.Phase == Idle:
 			// The true answer to a read that was tried elsewhere.
 			continue
-		case err != nil || whose != ownAnswer || !a.Succeeded() || c.skippedPlain != skippedPlain:
-			c.misaligned = true
-			return ErrUnsettled.New("server %s, connection %d: an earlier answer can't be attributed", c.Server, c.number)
+		case whose != ownAnswer || !a.Succeeded() || c.skippedPlain != skippedPlain:
+			return c.unsettled("the answer to a marker isn't clear")
 		}
 		i++
 	}
 	return nil
 }
 
+// unsettled gives up a connection on which nothing may be sent, and returns ErrUnsettled.
+func (c *Conn) unsettled(reason string) error {
+	c.misaligned = true
+	return ErrUnsettled.New("server %s, connection %d: %s", c.Server, c.number, reason)
+}
+
+// prepareTimeout bounds waiting for the rest of what has arrived, and for the answers to markers, before a
+// connection's next use. Servers answer markers at once.
+const prepareTimeout = 200 * time.Millisecond
+
 // prepare makes an idle connection ready for use. It discards what has arrived since its latest use, which can't
-// be the answer to what will be sent. It returns ErrBroken if the server has closed the connection, and
-// ErrUnsettled if an earlier answer can't be attributed.
+// be the answer to what will be sent. It returns ErrUnsettled if an earlier answer can't be attributed, and
+// ErrBroken or ErrTimeout if the connection doesn't work.
 func (c *Conn) prepare(until time.Time) error {
+	if latest := time.Now().Add(prepareTimeout); latest.Before(until) {
+		until = latest
+	}
 	if len(c.markers) > 0 {
 		return c.receiveMarkers(until)
 	}
+	if c.phase != Idle {
+		return c.unsettled("a transaction is open")
+	}
 	for {
 		switch c.Link.Input() {
 		case NoInput:
@@ -277,11 +340,12 @@
 		if err != nil {
 			return err
 		}
-		seen, _ := c.history.note(a)
+		seen := c.history.note(a)
 		c.noteUnexpected(nil, a, repeatedAnswer)
-		if !seen && (!a.Succeeded() || a.Digest != "" && a.Digest != completedWithoutDigest) {
-			c.misaligned = true
-			return ErrUnsettled.New("server %s, connection %d: an answer to nothing arrived", c.Server, c.number)
+		isStatement := a.Digest != "" && a.Digest != completedWithoutDigest
+		if !seen && (!a.Succeeded() || isStatement) || a.Digest == completedWithoutDigest && a.Phase != Idle {
+			// It may be the true answer to a command for which another one was taken.
+			return c.unsettled("an answer to nothing arrived")
 		}
 	}
 }
@@ -335,9 +399,9 @@
 		c.Link.Send(setup)
 		sent = append(sent, sentCommand{command: setup, isSetup: true})
 	}
-	if c.hasStaleValues(p.values) || len(c.plans) >= maxPreparedPlans {
+	if c.hasStaleValues(p.values) || len(c.plans)+c.markerPlans >= maxPreparedPlans {
 		queue(Reset{})
-		c.values, c.plans = map[string]string{}, map[Plan]StatementName{}
+		c.values, c.plans, c.markerPlans = map[string]string{}, map[Plan]StatementName{}, 0
 	}
 	for name, value := range p.values {
 		if before, found := c.values[name]; !found || before != value {
--- a/internal/proxy/history.go
+++ b/internal/proxy/history.go
@@ -43,24 +43,14 @@
 // isFull reports whether the connection should be replaced.
 func (h *answerHistory) isFull() bool { return len(h.contents) >= maxHistory }
 
-// note remembers an answer and reports whether the same was received before, except for the transaction
-// state and position, and whether these were the same too.
-func (h *answerHistory) note(a Answer) (seen, identical bool) {
+// note remembers an answer and reports whether it was received before. The transaction state and position aren't
+// compared: a server may send the present ones with a repeated answer.
+func (h *answerHistory) note(a Answer) bool {
 	content := answerContent(a)
 	if content == "" {
-		return false, false
+		return false
 	}
-	seen = h.noteText(content)
-	if a.Succeeded() && len(a.Rows) == 0 || a.Digest != "" && a.Digest != completedWithoutDigest {
-		// A digest tells one answer from all others.
-		return seen, seen
-	}
-	return seen, h.noteText(content + "\x00" + string(a.Phase) + " " + a.Position.String())
-}
-
-// noteText remembers a text and reports whether it was known.
-func (h *answerHistory) noteText(text string) bool {
-	hash := xxhash.Sum64String(text)
+	hash := xxhash.Sum64String(content)
 	if slices.Contains(h.contents, hash) {
 		return true
 	}
@@ -82,53 +72,52 @@
 }
 
 // attribute decides whose an answer is that was received while a command was the oldest unanswered one.
-// before is the transaction state of the connection when the command was sent. identical reports that an
-// unclear answer was received before with the same transaction state and position.
-func (h *answerHistory) attribute(command Command, before Phase, a Answer) (whose attribution, identical bool) {
-	seen, identical := h.note(a)
+// before is the transaction state of the connection when the command was sent.
+func (h *answerHistory) attribute(command Command, before Phase, a Answer) attribution {
+	seen := h.note(a)
 	hasDigest := a.Digest != "" && a.Digest != completedWithoutDigest
 	switch {
 	case a.Succeeded() && a.Digest == "":
 		// Only the start of a session is answered so.
-		return repeatedAnswer, false
+		return repeatedAnswer
 	case !a.Succeeded() && seen:
-		return unclearAnswer, identical
+		return unclearAnswer
 	case !a.Succeeded():
-		return ownAnswer, false
+		return ownAnswer
 	case hasDigest && seen:
-		return repeatedAnswer, false
+		return repeatedAnswer
 	}
 	switch c := command.(type) {
 	case Forward:
 		switch {
 		case !hasDigest:
-			return repeatedAnswer, false
+			return repeatedAnswer
 		case a.Phase != phaseAfter(command, before):
-			return lateAnswer, false
+			return lateAnswer
 		}
-		return ownAnswer, false
+		return ownAnswer
 	case QueryStatus, Demote, PauseReceiving, ResumeReceiving:
 		switch {
 		case hasDigest:
-			return lateAnswer, false
+			return lateAnswer
 		case len(a.Rows) == 0:
-			return repeatedAnswer, false
+			return repeatedAnswer
 		case seen:
-			return unclearAnswer, identical
+			return unclearAnswer
 		}
-		return ownAnswer, false
+		return ownAnswer
 	case BeginAt:
 		if !hasDigest && !c.Floor.IsZero() && !a.Position.Covers(c.Floor) {
-			return repeatedAnswer, false
+			return repeatedAnswer
 		}
 	}
 	switch {
 	case hasDigest:
-		return lateAnswer, false
+		return lateAnswer
 	case len(a.Rows) > 0 || a.Phase != phaseAfter(command, before):
-		return repeatedAnswer, false
+		return repeatedAnswer
 	}
-	return ownAnswer, false
+	return ownAnswer
 }
 
 // phaseAfter returns the transaction state after a command that has succeeded.
--- a/internal/proxy/repeated_test.go
+++ b/internal/proxy/repeated_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -18,13 +19,15 @@
 	database []DatabaseName
 	// values are the session values that were acknowledged to each client.
 	values []map[string]string
+	// number distinguishes the bookkeepers of a test.
+	number int
 	// operations counts all, served those that succeeded.
 	operations, served int
 }
 
 // newBookkeeper opens two sessions for each database.
-func newBookkeeper(tb *testbed, seed uint64) *bookkeeper {
-	k := &bookkeeper{testbed: tb, random: rand.New(rand.NewPCG(seed, 2))}
+func newBookkeeper(tb *testbed, seed uint64, number int) *bookkeeper {
+	k := &bookkeeper{testbed: tb, random: rand.New(rand.NewPCG(seed, uint64(10+number))), number: number}
 	for _, database := range []DatabaseName{testDatabase, boundedDatabase, ownDatabase} {
 		for range 2 {
 			k.clients, k.database, k.values = append(k.clients, tb.openSession(database)), append(k.database, database), append(k.values, map[string]string{})
@@ -38,7 +41,7 @@
 	i := k.random.IntN(len(k.clients))
 	c := k.clients[i]
 	k.operations++
-	text := fmt.Sprint("item-", k.operations)
+	text := fmt.Sprint("item-", k.number, "-", k.operations)
 	switch n := k.random.IntN(12); {
 	case n < 5:
 		k.note(k.run(i, Read{Text: "READ " + text}, "READ "+text, false))
@@ -160,13 +163,14 @@
 		"commands of the VM":   {stutter: stutter{repeats: func(c Command, _ Answer) bool { return isOwn(c) }}},
 		"refusals":             {stutter: stutter{repeats: func(_ Command, a Answer) bool { return !a.Succeeded() }}, refused: .03, share: .5},
 		"rewritten refusals":   {stutter: stutter{repeats: func(_ Command, a Answer) bool { return !a.Succeeded() }, rewrites: true}, refused: .03, share: .5},
+		"rare refusals":        {stutter: stutter{repeats: func(_ Command, a Answer) bool { return !a.Succeeded() }, rewrites: true}, refused: .03, share: .02},
+		"rare pieces":          {stutter: stutter{repeats: func(Command, Answer) bool { return true }, together: maxTogether}, refused: .03, share: .01},
 		"several in one piece": {stutter: stutter{repeats: func(Command, Answer) bool { return true }, together: 4}, refused: .03},
 		"all, rewritten":       {stutter: stutter{repeats: func(Command, Answer) bool { return true }, rewrites: true}, refused: .03},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(8) {
 				runTest(t, func(tb *testbed) {
-					k := newBookkeeper(tb, seed)
 					s := test.stutter
 					s.random, s.share, s.late = rand.New(rand.NewPCG(seed, 3)), .1, 500*time.Millisecond
 					s.atNext = .5
@@ -188,14 +192,61 @@
 						}
 					}
 					tb.mu.Unlock()
-					for range 300 {
-						k.step()
+					// Several callers at once use connections again while answers may be under way.
+					var keepers []*bookkeeper
+					var tasks sync.WaitGroup
+					for number := range 3 {
+						k := newBookkeeper(tb, seed, number)
+						keepers = append(keepers, k)
+						tasks.Go(func() {
+							for range 150 {
+								k.step()
+							}
+						})
+					}
+					tasks.Wait()
+					operations, served := 0, 0
+					for _, k := range keepers {
+						operations, served = operations+k.operations, served+k.served
 					}
-					k.audit()
-					t.Logf("seed %d: %d of %d served", seed, k.served, k.operations)
-					assert.Check(t, float64(k.served) >= .95*float64(k.operations), "seed %d: %d of %d served", seed, k.served, k.operations)
+					keepers[0].audit()
+					t.Logf("seed %d: %d of %d served", seed, served, operations)
+					assert.Check(t, float64(served) >= .95*float64(operations), "seed %d: %d of %d served", seed, served, operations)
 				})
 			}
 		})
 	}
 }
+
+// isBegin reports whether an answer is that to a begin.
+func isBegin(c Command, _ Answer) bool { _, begins := c.(BeginAt); return begins }
+
+// TestRepeatedBegins guards against statements that run outside their transaction: a begin was refused at a server that
+// had lost the lead, and the answer to an earlier begin arrived again before the refusal.
+func TestRepeatedBegins(t *testing.T) {
+	for seed := range uint64(8) {
+		runTest(t, func(tb *testbed) {
+			c := tb.openSession(testDatabase)
+			tb.mu.Lock()
+			tb.stutter = &stutter{random: rand.New(rand.NewPCG(seed, 1)), share: 1, late: 40 * time.Millisecond, repeats: isBegin}
+			tb.mu.Unlock()
+			successor := map[ServerID]ServerID{"a": "b", "b": "c", "c": "a"}
+			for i := range 100 {
+				if i%10 == 5 {
+					tb.mu.Lock()
+					primary := tb.primary
+					tb.mu.Unlock()
+					tb.promote(successor[primary])
+				}
+				text := fmt.Sprint("READ tx-", i)
+				c.exec(Begin{})
+				c.exec(Read{Text: text})
+				c.exec(Rollback{})
+				tb.mu.Lock()
+				inTransaction := tb.inTransaction[text]
+				tb.mu.Unlock()
+				assert.Check(t, tb.countRuns(text) == inTransaction, "seed %d: %s ran outside its transaction", seed, text)
+			}
+		})
+	}
+}
--- a/internal/proxy/testbed_test.go
+++ b/internal/proxy/testbed_test.go
@@ -247,6 +247,9 @@
 	rewrites bool
 }
 
+// maxTogether is how many answers can be repeated in one piece.
+const maxTogether = 8
+
 // memLink is a connection to a memServer.
 type memLink struct {
 	testbed   *testbed
@@ -257,11 +260,13 @@
 	// repeated are answers that are sent again, ordered by the time, and held those that are sent again with the
 	// next command.
 	repeated, held []memAnswer
-	values         map[string]string
-	plans          map[StatementName]Plan
-	phase          Phase
-	readWrite      bool
-	wrote          bool
+	// latest are the latest answers, which may be repeated in one piece.
+	latest    []Answer
+	values    map[string]string
+	plans     map[StatementName]Plan
+	phase     Phase
+	readWrite bool
+	wrote     bool
 	// uncommitted are the writes of the open transaction.
 	uncommitted []string
 	silent      bool
@@ -280,7 +285,8 @@
 	}
 	l.held = nil
 	l.sortRepeated()
-	var latest []Answer
+	latest := l.latest
+	defer func() { l.latest = latest[max(0, len(latest)-maxTogether):] }()
 	for _, c := range l.commands {
 		if l.broken || l.silent || l.closed {
 			break
