--- a/internal/proxy/checkout.go
+++ b/internal/proxy/checkout.go
@@ -67,14 +67,10 @@
 	return a, err
 }
 
-// beginAt opens a transaction on the server. Success of a read-write one shows that the
-// server acts as primary.
+// beginAt opens a transaction on the server. That it acts as primary is shown only by the first statement: the
+// answer to a begin may be a repeated one.
 func (c *checkout) beginAt(s *Session, b BeginAt, until time.Time) (Answer, error) {
-	a, err := c.run(&s.profile, b, until)
-	if err == nil && a.Succeeded() && !b.ReadOnly {
-		c.markPrimary(a)
-	}
-	return a, err
+	return c.run(&s.profile, b, until)
 }
 
 // verifyPrimary has the server show that it is the primary by opening and rolling back a
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -23,6 +23,10 @@
 	wrote bool
 }
 
+// isOnReplica reports whether the transaction may run on any server. Otherwise each of its statements shows that the
+// server acts as primary.
+func (t *transaction) isOnReplica() bool { return t.readOnly && t.route.Consistency != Linearizable }
+
 // rollbackTimeout limits the rollback of an abandoned transaction on the server. It is many
 // times the round trip to the farthest zone.
 const rollbackTimeout = 300 * time.Millisecond
@@ -93,6 +97,9 @@
 		return Answer{Failure: Aborted, Detail: "server " + string(co.server) + ": " + err.Error()}
 	}
 	if a.Succeeded() {
+		if !s.tx.isOnReplica() {
+			co.markPrimary(a)
+		}
 		s.tx.wrote = s.tx.wrote || writes
 		a.Phase = InTransaction
 		return a
@@ -113,7 +120,7 @@
 	}
 	var co *checkout
 	var a Answer
-	if s.tx.readOnly && op.route.Consistency != Linearizable {
+	if s.tx.isOnReplica() {
 		readOp := *op
 		readOp.arrivedAt = s.tx.arrivedAt
 		co, a = s.beginReadOnly(ctx, &readOp)
@@ -137,7 +144,7 @@
 		if err == nil && a.Succeeded() {
 			return co, a
 		}
-		co.release(err == nil || notSent(err))
+		co.release(notSent(err) || err == nil && a.Phase == Idle)
 		if refusal := s.prepareRetryOnPrimary(ctx, op, co, a, err); !refusal.Succeeded() {
 			return nil, refusal
 		}
