--- a/internal/fakeupstream/session.go
+++ b/internal/fakeupstream/session.go
@@ -18,6 +18,7 @@
 const (
 	positionParameter = "savoryramp.position"
 	serverParameter   = "savoryramp.server"
+	answerParameter   = "savoryramp.answer"
 	positionChannel   = "savoryramp_position"
 	// defaultReadOnly is a setting whose changes are reported.
 	defaultReadOnly = "default_transaction_read_only"
@@ -65,6 +66,11 @@
 	// notifying tells that the notifier runs, also one that has nothing to tell any more.
 	notifying bool
 	gathered  int
+	// answering tells that a cycle has begun whose answer isn't complete.
+	answering bool
+	// cycle is the number of the newest cycle.
+	cycle      int64
+	duplicator duplicator
 }
 
 // serve accepts connections until ctx ends.
@@ -126,7 +132,7 @@
 		cancel(killed())
 	}
 	s.group.mu.Unlock()
-	n.conn = &conn{Conn: c, session: n}
+	n.conn = &conn{Conn: c, session: n, writing: make(chan struct{}, 1)}
 	n.backend = pgproto3.NewBackend(n.conn, n.conn)
 	return n
 }
@@ -179,10 +185,12 @@
 			return true
 		}
 	}
+	if _, terminates := m.(*pgproto3.Terminate); terminates {
+		return false
+	}
+	s.beginCycle()
 	var err error
 	switch m := m.(type) {
-	case *pgproto3.Terminate:
-		return false
 	case *pgproto3.Query:
 		return s.query(m.String)
 	case *pgproto3.Sync:
@@ -255,7 +263,16 @@
 	if sleep(s.ctx, s.server.delay()) != nil {
 		return false
 	}
-	return s.flush() == nil
+	// Drawn before the client sees the answer: it may change the fault then.
+	delay, isDuplicated := s.duplicator.draw(s.server.duplicates(), s.id)
+	if s.flush() != nil {
+		return false
+	}
+	answer := s.endAnswer()
+	if isDuplicated {
+		s.server.running.Go(func() { s.duplicate(answer, delay) })
+	}
+	return true
 }
 
 // tellPosition goes before the rows of a read, and before ReadyForQuery.
