--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -71,10 +71,11 @@
 	var runs sync.WaitGroup
 	// The networks are those of TestSoak, whose runs are over.
 	for i := range *seeds {
+		seed := *from + uint64(i)
 		runs.Go(func() {
 			turns <- struct{}{}
 			defer func() { <-turns }()
-			soakOnce(t, binary, *from+uint64(i), os.Getpid()+i, [][]string{nil, {"pressure"}}[i%2], drawStutter)
+			soakOnce(t, binary, seed, os.Getpid()+i, [][]string{nil, {"pressure"}}[seed%2], drawStutter)
 		})
 	}
 	runs.Wait()
