--- a/internal/fakeupstream/errors.go
+++ b/internal/fakeupstream/errors.go
@@ -103,8 +103,15 @@
 	codeRowID      = 2579
 	codeInterrupt  = 9
 	codeMismatch   = 20
+	codeBusy       = 5
 )
 
+// isLocked reports whether the engine couldn't read because another connection held its lock.
+func isLocked(err error) bool {
+	engine, found := err.(*sqlite.Error)
+	return found && engine.Code() == codeBusy
+}
+
 func engineState(err error) SQLState {
 	engine, found := err.(*sqlite.Error)
 	if !found {
--- a/internal/fakeupstream/run.go
+++ b/internal/fakeupstream/run.go
@@ -5,6 +5,7 @@
 	"database/sql"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/savoryramp/savoryramp/pkg/position"
 )
@@ -173,9 +174,23 @@
 		return nil, err
 	}
 	defer c.Close()
-	return collect(ctx, c, q, args)
+	for attempt := 1; ; attempt++ {
+		r, err := collect(ctx, c, q, args)
+		if !isLocked(err) || attempt == lockedAttempts {
+			return r, err
+		}
+		time.Sleep(lockedPause)
+	}
 }
 
+// lockedAttempts is how often a read is tried, with lockedPause between, while the engine says that the database is
+// locked, seen in one of some 440,000 requests on a busy machine: its lock may outlive the statement that held it. Servers
+// don't answer so.
+const (
+	lockedAttempts = 100
+	lockedPause    = time.Millisecond
+)
+
 // stream leaves the rows of a query that touches no table in the engine. They
 // outlive the message, so they have a context of their own.
 func (s *session) stream(v *view, q query, args []any) (*result, error) {
