--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -100,16 +100,8 @@
 // when ctx ends.
 type Connect func(ctx context.Context, s Server, w WorkspaceName) (ServerLink, position.Position, error)
 
-// Conn is a pooled connection to a server. It isn't safe for concurrent use.
-type Conn struct {
-	Link ServerLink
-	// Server and Workspace are constant.
-	Server    ServerID
-	Workspace WorkspaceName
-
-	pool *Pool
-	// number distinguishes the connections of a pool.
-	number int
+// alignment is what is known about the answers that have arrived and may yet arrive on a connection.
+type alignment struct {
 	// phase is the transaction state after the latest command that was answered.
 	phase Phase
 	// history has the answers received so far. skipped counts those that weren't the awaited command's,
@@ -128,6 +120,19 @@
 	verified bool
 	// misaligned is true once an answer couldn't be attributed to a command. The connection isn't used again.
 	misaligned bool
+}
+
+// Conn is a pooled connection to a server. It isn't safe for concurrent use.
+type Conn struct {
+	Link ServerLink
+	// Server and Workspace are constant.
+	Server    ServerID
+	Workspace WorkspaceName
+
+	pool *Pool
+	// number distinguishes the connections of a pool.
+	number int
+	alignment
 	// inTransaction is true if the latest answer on the connection left a transaction open.
 	inTransaction bool
 	// dropped is true if the pool has closed the connection while its transaction was idle. The pool's
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -168,8 +168,10 @@
 		c.skippedPlain++
 	}
 	c.pool.repeatedAt.Store(int64(clock.Now()))
-	eventUnexpectedAnswer.Log(c.pool.Logger, "server", c.Server, "connection", c.number, "request", requestOf(command), "command", commandName(command),
-		"kind", whose, "digest", truncateText(a.Digest), "failure", a.Failure, "phase", a.Phase, "phase-before", c.phase, "position", a.Position, "remembered", len(c.history.contents))
+	eventUnexpectedAnswer.Log(c.pool.Logger, "server", c.Server, "connection", c.number,
+		"request", requestOf(command), "command", commandName(command), "kind", whose,
+		"digest", truncateText(a.Digest), "failure", a.Failure, "position", a.Position,
+		"phase", a.Phase, "phase-before", c.phase, "remembered", len(c.history.contents))
 	c.pool.countUnexpected(whose)
 }
 
@@ -226,7 +228,9 @@
 		}
 		i++
 	}
-	eventSettled.Log(c.pool.Logger, "server", c.Server, "connection", c.number, "request", requestOf(command), "command", commandName(command), "failure", unclear.Failure, "outcome", answer.Failure, "digest", truncateText(answer.Digest))
+	eventSettled.Log(c.pool.Logger, "server", c.Server, "connection", c.number,
+		"request", requestOf(command), "command", commandName(command),
+		"failure", unclear.Failure, "outcome", answer.Failure, "digest", truncateText(answer.Digest))
 	return answer, nil
 }
 
@@ -380,6 +384,9 @@
 
 // commandName returns the name of a command, or of the statement that it forwards, for logs.
 func commandName(c Command) string {
+	if c == nil {
+		return "none"
+	}
 	if f, forwards := c.(Forward); forwards {
 		return fmt.Sprintf("%T", f.Statement)
 	}
--- a/internal/proxy/exchange_test.go
+++ b/internal/proxy/exchange_test.go
@@ -109,7 +109,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			link := &scriptedLink{}
-			c := &Conn{Link: link, pool: &Pool{}, phase: Idle, values: map[string]string{}, plans: map[Plan]StatementName{}}
+			c := &Conn{Link: link, pool: &Pool{}, alignment: alignment{phase: Idle}, values: map[string]string{}, plans: map[Plan]StatementName{}}
 			for _, a := range test.before {
 				c.history.note(a)
 			}
@@ -165,7 +165,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			link := &scriptedLink{script: []Answer{lagging}, late: test.late, change: test.change}
-			c := &Conn{Link: link, pool: &Pool{}, phase: Idle, values: map[string]string{}, plans: map[Plan]StatementName{}}
+			c := &Conn{Link: link, pool: &Pool{}, alignment: alignment{phase: Idle}, values: map[string]string{}, plans: map[Plan]StatementName{}}
 			// The position differs: a server may send the present one with a repeated answer.
 			before := lagging
 			before.Position = position.Position{Term: 1, Offset: 7}
@@ -191,7 +191,7 @@
 // for refused, since a refusal arrived again, and had begun.
 func TestPrepare(t *testing.T) {
 	link := &scriptedLink{script: []Answer{{Failure: Lagging, Detail: "i-1", Phase: InTransaction}}}
-	c := &Conn{Link: link, pool: &Pool{}, phase: Idle, values: map[string]string{}, plans: map[Plan]StatementName{}}
+	c := &Conn{Link: link, pool: &Pool{}, alignment: alignment{phase: Idle}, values: map[string]string{}, plans: map[Plan]StatementName{}}
 	_, err := c.exec(nil, []Command{BeginAt{ReadOnly: true}}, time.Now().Add(time.Second))
 	assert.NilError(t, err)
 	assert.Assert(t, errorx.IsOfType(c.prepare(time.Now().Add(time.Second)), ErrUnsettled))
--- a/internal/proxy/repeated_test.go
+++ b/internal/proxy/repeated_test.go
@@ -151,7 +151,7 @@
 // they were refused, and statements that run outside their transaction or with another session's values: a
 // server sent an answer again while another command was outstanding on the connection.
 func TestRepeatedAnswers(t *testing.T) {
-	isOwn := func(c Command) bool { _, forwards := c.(Forward); return !forwards }
+	isInternal := func(c Command) bool { _, forwards := c.(Forward); return !forwards }
 	for name, test := range map[string]struct {
 		stutter stutter
 		// refused is the share of statements that the servers refuse.
@@ -159,8 +159,8 @@
 		// share is that of the answers that are repeated, a tenth if it is zero.
 		share float64
 	}{
-		"statements":           {stutter: stutter{repeats: func(c Command, _ Answer) bool { return !isOwn(c) }}},
-		"commands of the VM":   {stutter: stutter{repeats: func(c Command, _ Answer) bool { return isOwn(c) }}},
+		"statements":           {stutter: stutter{repeats: func(c Command, _ Answer) bool { return !isInternal(c) }}},
+		"commands of the VM":   {stutter: stutter{repeats: func(c Command, _ Answer) bool { return isInternal(c) }}},
 		"refusals":             {stutter: stutter{repeats: func(_ Command, a Answer) bool { return !a.Succeeded() }}, refused: .03, share: .5},
 		"rewritten refusals":   {stutter: stutter{repeats: func(_ Command, a Answer) bool { return !a.Succeeded() }, rewrites: true}, refused: .03, share: .5},
 		"rare refusals":        {stutter: stutter{repeats: func(_ Command, a Answer) bool { return !a.Succeeded() }, rewrites: true}, refused: .03, share: .02},
@@ -185,7 +185,7 @@
 					refusals := rand.New(rand.NewPCG(seed, 4))
 					for _, server := range tb.servers {
 						server.fault = func(c Command) fault {
-							if c != nil && !isOwn(c) && refusals.Float64() < test.refused {
+							if c != nil && !isInternal(c) && refusals.Float64() < test.refused {
 								return refuseBusy
 							}
 							return faultNone
