--- a/internal/proxy/testbed_test.go
+++ b/internal/proxy/testbed_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -224,32 +222,6 @@
 	return &memLink{testbed: tb, server: server, workspace: w, values: map[string]string{}, plans: map[StatementName]Plan{}, phase: Idle}, server.logEnd, nil
 }
 
-// memAnswer is an answer that arrives at a time.
-type memAnswer struct {
-	Answer
-	at time.Time
-}
-
-// stutter makes servers send answers again, late, on the same connection.
-type stutter struct {
-	random *rand.Rand
-	// share is that of the answers that are repeated, late the most by which they come later.
-	share float64
-	late  time.Duration
-	// together is how many consecutive answers at most are repeated in one piece.
-	together int
-	// repeats reports whether an answer may be repeated.
-	repeats func(c Command, a Answer) bool
-	// atNext is the share of repeated answers that arrive when the next command on the connection has been sent,
-	// before its answer.
-	atNext float64
-	// rewrites is true if a repeated answer has the present transaction state and position.
-	rewrites bool
-}
-
-// maxTogether is how many answers can be repeated in one piece.
-const maxTogether = 8
-
 // memLink is a connection to a memServer.
 type memLink struct {
 	testbed   *testbed
@@ -321,53 +293,6 @@
 	return nil
 }
 
-// reply queues an answer, which arrives once the server has worked on the command; the testbed's mutex is held.
-func (l *memLink) reply(_ Command, a Answer) Answer {
-	at := time.Now()
-	if n := len(l.answers); n > 0 {
-		at = l.answers[n-1].at
-	}
-	l.answers = append(l.answers, memAnswer{a, at.Add(l.server.work)})
-	return a
-}
-
-// repeatSome sends some of the latest answers again; the testbed's mutex is held.
-func (l *memLink) repeatSome(c Command, latest []Answer) {
-	s := l.testbed.stutter
-	if s == nil || len(latest) == 0 || !s.repeats(c, latest[len(latest)-1]) || s.random.Float64() >= s.share {
-		return
-	}
-	from := max(0, len(latest)-1-s.random.IntN(max(s.together, 1)))
-	at := l.answers[len(l.answers)-1].at.Add(time.Duration(s.random.Float64() * float64(s.late)))
-	queue := &l.repeated
-	if s.random.Float64() < s.atNext {
-		queue = &l.held
-	}
-	for _, a := range latest[from:] {
-		*queue = append(*queue, memAnswer{a, at})
-	}
-	l.sortRepeated()
-}
-
-func (l *memLink) sortRepeated() {
-	slices.SortStableFunc(l.repeated, func(a, b memAnswer) int { return a.at.Compare(b.at) })
-}
-
-// next returns the next answer to arrive and the queue that it is in; the testbed's mutex is held.
-func (l *memLink) next() (memAnswer, *[]memAnswer) {
-	switch {
-	case len(l.repeated) > 0 && (len(l.answers) == 0 || l.repeated[0].at.Before(l.answers[0].at)):
-		a := l.repeated[0]
-		if s := l.testbed.stutter; s != nil && s.rewrites {
-			a.Phase, a.Position = l.phase, l.server.logEnd
-		}
-		return a, &l.repeated
-	case len(l.answers) > 0:
-		return l.answers[0], &l.answers
-	}
-	return memAnswer{}, nil
-}
-
 // run executes a command; the testbed's mutex is held.
 func (l *memLink) run(c Command) Answer {
 	isPrimary := l.testbed.primary == l.server.id
@@ -500,94 +425,3 @@
 		l.server.open--
 	}
 }
-
-// client is an in-process caller of the testbed's VM.
-type client struct {
-	testbed   *testbed
-	requests  chan Request
-	replies   chan Answer
-	interrupt chan bool
-	database  DatabaseName
-	key       Key
-	// last is the ID of the latest request.
-	last     RequestID
-	rejected Failure
-	closed   chan bool
-	once     sync.Once
-}
-
-// openSession starts a session, which must be accepted.
-func (tb *testbed) openSession(database DatabaseName) *client {
-	c := tb.startClient(database, testKey)
-	if a := <-c.replies; a.Phase != Idle {
-		tb.t.Fatalf("the session was refused: %v", a)
-	}
-	return c
-}
-
-func (tb *testbed) startClient(database DatabaseName, key Key) *client {
-	c := &client{testbed: tb, rejected: sessionClosed, requests: make(chan Request), replies: make(chan Answer, 1), interrupt: make(chan bool, 1), database: database, key: key, closed: make(chan bool)}
-	tb.tasks.Go(func() { tb.vm.Serve(tb.ctx, c) })
-	return c
-}
-
-func (c *client) ReadStartup(time.Time) (DatabaseName, Key, error) { return c.database, c.key, nil }
-
-func (c *client) Receive(deadline time.Time) (Request, error) {
-	var timer <-chan time.Time
-	if !deadline.IsZero() {
-		timer = time.After(time.Until(deadline))
-	}
-	select {
-	case r := <-c.requests:
-		return r, nil
-	case <-timer:
-		return Request{}, ErrTimeout.New("no request")
-	case <-c.interrupt:
-		return Request{}, ErrTimeout.New("interrupted")
-	case <-c.closed:
-		return Request{}, ErrCaller.New("gone")
-	}
-}
-
-func (c *client) Reply(a Answer) error { c.replies <- a; return nil }
-
-func (c *client) Reject(f Failure, _ string) {
-	c.rejected = f
-	c.Close()
-}
-
-func (c *client) HasBufferedInput() bool { return false }
-
-func (c *client) Interrupt() {
-	select {
-	case c.interrupt <- true:
-	default:
-	}
-}
-
-func (c *client) Close() { c.once.Do(func() { close(c.closed) }) }
-
-// sessionClosed is the failure that exec returns if the session was closed without one.
-const sessionClosed Failure = "session-closed"
-
-// exec runs one statement. If the session has been closed, it returns the failure that the
-// session was rejected with.
-func (c *client) exec(s Statement) Answer {
-	c.testbed.mu.Lock()
-	c.testbed.requests++
-	id := RequestID(fmt.Sprint("r", c.testbed.requests))
-	c.testbed.mu.Unlock()
-	c.last = id
-	select {
-	case c.requests <- Request{ID: id, Statement: s}:
-	case <-c.closed:
-		return Answer{Failure: c.rejected}
-	}
-	select {
-	case a := <-c.replies:
-		return a
-	case <-c.closed:
-		return Answer{Failure: c.rejected}
-	}
-}
