--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -69,8 +69,9 @@
 // ServerLink is a connection to a server that encodes the server's protocol. It isn't safe for
 // concurrent use.
 type ServerLink interface {
-	// Send buffers a command until the next Flush.
-	Send(c Command)
+	// Send buffers a command until the next Flush. What doesn't fit into the buffer is sent at once, which may
+	// block until deadline; Flush returns the error.
+	Send(c Command, deadline time.Time)
 	// Flush sends the buffered commands. It may block until deadline while the server doesn't
 	// read.
 	Flush(deadline time.Time) error
--- a/internal/proxy/contention_test.go
+++ b/internal/proxy/contention_test.go
@@ -138,7 +138,7 @@
 	answered int
 }
 
-func (l *slotLink) Send(c Command)                          { l.commands = append(l.commands, c) }
+func (l *slotLink) Send(c Command, _ time.Time)             { l.commands = append(l.commands, c) }
 func (*slotLink) Flush(time.Time) error                     { return nil }
 func (*slotLink) Input() InputState                         { return NoInput }
 func (l *slotLink) Close()                                  { l.server.mu.Lock(); l.server.connections--; l.server.mu.Unlock() }
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -32,7 +32,7 @@
 	if len(commands) == 0 {
 		return nil, nil
 	}
-	sent := c.send(p, commands)
+	sent := c.send(p, commands, until)
 	if err := c.Link.Flush(until); err != nil {
 		return nil, err
 	}
@@ -79,7 +79,7 @@
 }
 
 // send buffers commands, preceded by those that make the connection match the profile.
-func (c *Conn) send(p *profile, commands []Command) []sentCommand {
+func (c *Conn) send(p *profile, commands []Command, until time.Time) []sentCommand {
 	var sent []sentCommand
 	for _, command := range commands {
 		writes := false
@@ -88,15 +88,15 @@
 			if e, isExecute := f.Statement.(Execute); isExecute {
 				writes = p.plans[e.Name].Writes
 			}
-			sent, command = c.queueProfile(p, sent, command)
+			sent, command = c.queueProfile(p, sent, command, until)
 		}
-		c.Link.Send(command)
+		c.Link.Send(command, until)
 		sent = append(sent, sentCommand{command: command, writes: writes})
 		if _, begins := command.(BeginAt); begins && c.pool.repeatsAnswers() {
 			// A repeated answer to an earlier begin could be taken for that of this one. Those to the next
 			// commands show whether a transaction is open.
 			for _, m := range c.markersInTransaction(minBeginMarkers + rand.IntN(minBeginMarkers)) {
-				c.Link.Send(m)
+				c.Link.Send(m, until)
 				sent = append(sent, sentCommand{command: m, isSetup: true, isMarker: true})
 			}
 		}
@@ -209,7 +209,7 @@
 		return Answer{}, c.misalign("%s %s may be a repeated answer", unclear.Failure, unclear.Detail)
 	}
 	for _, m := range markers {
-		c.Link.Send(m)
+		c.Link.Send(m, until)
 	}
 	if err := c.Link.Flush(until); err != nil {
 		return Answer{}, err
@@ -281,7 +281,7 @@
 	c.pool.countUnexpected(unclearAnswer)
 	c.markers = c.markersHere()
 	for _, m := range c.markers {
-		c.Link.Send(m)
+		c.Link.Send(m, until)
 	}
 	if len(c.markers) == 0 || c.Link.Flush(until) != nil {
 		c.misaligned = true
@@ -401,9 +401,9 @@
 // queueProfile buffers the commands that set the connection's values and plans to those of the
 // profile. It appends them to those sent, and returns the command with the name that its prepared
 // statement has on the server.
-func (c *Conn) queueProfile(p *profile, sent []sentCommand, command Command) ([]sentCommand, Command) {
+func (c *Conn) queueProfile(p *profile, sent []sentCommand, command Command, until time.Time) ([]sentCommand, Command) {
 	queue := func(setup Command) {
-		c.Link.Send(setup)
+		c.Link.Send(setup, until)
 		sent = append(sent, sentCommand{command: setup, isSetup: true})
 	}
 	if c.hasStaleValues(p.values) || len(c.plans)+c.markerPlans >= maxPreparedPlans {
--- a/internal/proxy/exchange_test.go
+++ b/internal/proxy/exchange_test.go
@@ -22,10 +22,10 @@
 	flushed int
 }
 
-func (l *scriptedLink) Send(c Command)  { l.sent = append(l.sent, c) }
-func (*scriptedLink) Input() InputState { return NoInput }
-func (*scriptedLink) Close()            {}
-func (l *scriptedLink) remaining() int  { return len(l.answers) }
+func (l *scriptedLink) Send(c Command, _ time.Time) { l.sent = append(l.sent, c) }
+func (*scriptedLink) Input() InputState             { return NoInput }
+func (*scriptedLink) Close()                        {}
+func (l *scriptedLink) remaining() int              { return len(l.answers) }
 
 func (l *scriptedLink) Flush(time.Time) error {
 	if l.flushed++; l.flushed == 1 {
--- a/internal/proxy/testbed_test.go
+++ b/internal/proxy/testbed_test.go
@@ -246,7 +246,7 @@
 	closed      bool
 }
 
-func (l *memLink) Send(c Command) { l.commands = append(l.commands, c) }
+func (l *memLink) Send(c Command, _ time.Time) { l.commands = append(l.commands, c) }
 
 func (l *memLink) Flush(time.Time) error {
 	tb := l.testbed
--- a/internal/relay/duplicate_test.go
+++ b/internal/relay/duplicate_test.go
@@ -80,11 +80,11 @@
 	runs map[string]int
 }
 
-func (e *countingEcho) Send(c proxy.Command) {
+func (e *countingEcho) Send(c proxy.Command, until time.Time) {
 	e.mu.Lock()
 	e.runs[fmt.Sprintf("%#v", c)]++
 	e.mu.Unlock()
-	e.echo.Send(c)
+	e.echo.Send(c, until)
 }
 
 // countRuns starts a VM that counts the commands that it runs.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -41,7 +41,7 @@
 	phase         proxy.Phase
 }
 
-func (e *echo) Send(c proxy.Command) {
+func (e *echo) Send(c proxy.Command, _ time.Time) {
 	text := fmt.Sprintf("%#v", c)
 	e.received = append(e.received, text)
 	a := proxy.Answer{Digest: "-", Position: position.Position{Term: 3, Offset: 4}}
