review: show answers given to the wrong caller

Case 7, the known red entry TestSoakWithRepeatedAnswers with real processes: a server sends a refusal for lag and the answers after it a second time, late, and a client gets the rows of another client's read (MIXED).

--- a/review/standin-2/ledger.go
+++ b/review/standin-2/ledger.go
@@ -16,8 +16,6 @@
 const (
 	// hop is how long a message takes from one zone to another.
 	hop = 1400 * time.Microsecond
-	// applyLag is how much later than it was received a replica applies a commit.
-	applyLag = 8 * time.Millisecond
 	// catchUpInterval is how often a replica that has missed commits asks for them.
 	catchUpInterval = 10 * time.Millisecond
 )
@@ -27,6 +25,10 @@
 type ledger struct {
 	service                  string
 	promotionTime, handshake time.Duration
+	// applyLag is how much later than it was received a replica applies a commit.
+	applyLag time.Duration
+	// repeats makes the servers send some answers a second time, later.
+	repeats bool
 	// statementTime returns how long a statement on an item takes.
 	statementTime              func(item string) time.Duration
 	slots, limit, syncReplicas int
@@ -77,7 +79,7 @@
 // newLedger returns a group of three servers, one in each zone. The first one is the primary.
 func newLedger(r *record, service string) *ledger {
 	l := &ledger{
-		service: service, promotionTime: 300 * time.Millisecond, handshake: 12 * time.Millisecond, statementTime: func(string) time.Duration { return 6 * time.Millisecond },
+		service: service, promotionTime: 300 * time.Millisecond, handshake: 12 * time.Millisecond, applyLag: 8 * time.Millisecond, statementTime: func(string) time.Duration { return 6 * time.Millisecond },
 		slots: 3, limit: 23, record: r, servers: map[string]*ledgerServer{}, runs: map[string]bool{}, stop: make(chan struct{}), term: 1, token: -1,
 	}
 	for i := range 3 {
@@ -307,7 +309,7 @@
 		return len(s.log)
 	}
 	n := 0
-	for n < len(s.log) && time.Since(s.receivedAt[n]) >= applyLag {
+	for n < len(s.log) && time.Since(s.receivedAt[n]) >= s.ledger.applyLag {
 		n++
 	}
 	return n
@@ -349,6 +351,8 @@
 	plain     bool
 	begunTerm int64
 	writes    [][2]string
+	// recent has the latest answers, for those that are sent a second time.
+	recent []string
 }
 
 func readMessage(in *bufio.Reader) (string, error) {
@@ -402,6 +406,12 @@
 		if f[0] != "QUERY" || len(f) < 3 {
 			return
 		}
+		if again := c.repeatable(f[1], f[2]); again != "" {
+			l.record.note("server %s: answers %d of the last messages a second time, before that to %s %s", s.id, strings.Count(again, "READY"), f[1], f[2])
+			if _, err := fmt.Fprint(nc, again); err != nil {
+				return
+			}
+		}
 		answer, answered := c.execute(f[1], f[2])
 		if !answered {
 			return
@@ -409,12 +419,43 @@
 		if strings.HasPrefix(answer, "ERROR") && c.state == "T" {
 			c.state = "E"
 		}
-		if _, err := fmt.Fprint(nc, answer+"\r\n"+c.ready()); err != nil {
+		answer += "\r\n" + c.ready()
+		c.recent = append(c.recent, answer)
+		if _, err := fmt.Fprint(nc, answer); err != nil {
 			return
 		}
 	}
 }
 
+// repeatable returns the answers that the server sends again when a client's statement arrives: the latest refusal
+// for lag and those to the commands after it that aren't clients'. Each answer is sent twice at most.
+func (c *ledgerSession) repeatable(id, text string) string {
+	if !c.server.ledger.repeats || id == "-" || !c.canRun(text) {
+		return ""
+	}
+	for i := len(c.recent) - 1; i >= 0; i-- {
+		switch {
+		case strings.HasPrefix(c.recent[i], "COMPLETE -"):
+			continue
+		case strings.HasPrefix(c.recent[i], "ERROR LAGGING") && i+2 < len(c.recent):
+			again := strings.Join(c.recent[i:], "")
+			c.recent = nil
+			return again
+		}
+		break
+	}
+	return ""
+}
+
+// canRun reports whether the server has reached the position that a statement demands.
+func (c *ledgerSession) canRun(text string) bool {
+	rest, found := strings.CutPrefix(text, "AFTER ")
+	position, _, _ := strings.Cut(rest, " ")
+	c.server.ledger.mu.Lock()
+	defer c.server.ledger.mu.Unlock()
+	return !found || c.server.reached(position)
+}
+
 // occupy takes one of the server's slots for some time.
 func (s *ledgerServer) occupy(d time.Duration) {
 	s.slots <- struct{}{}
@@ -442,10 +483,7 @@
 	s := c.server
 	if rest, found := strings.CutPrefix(text, "AFTER "); found {
 		position, after, _ := strings.Cut(rest, " ")
-		s.ledger.mu.Lock()
-		reached := s.reached(position)
-		s.ledger.mu.Unlock()
-		if !reached {
+		if !c.canRun("AFTER " + position) {
 			return "ERROR LAGGING " + s.id, true
 		}
 		text = after
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -28,6 +28,7 @@
 var cases = map[string]func(w *world, trouble bool) outcome{
 	"busy-transaction": busyTransaction,
 	"confirmed-commit": confirmedCommit,
+	"repeated-answers": repeatedAnswers,
 	"route-removed":    routeRemoved,
 	"statements-kept":  statementsKept,
 }
