proxy: keep what an open transaction began with

What callers saw: a client goes on with an open transaction whose route a new version has removed.

Cause: authorize returns neither route nor workspace for a database without a route, and serveRequest used them after that check had failed, since a transaction was open. The stack ends in (*operation).demand.

Class: what a version may take away from an open transaction. Its route and workspace now stay those of its begin, also after a failure in it; a withdrawn key ends it, also when its route goes with it (it went on before) or when another workspace gets the key (it went on in the old one's connection). A service that is withdrawn keeps its newest settings: the group took commits for unconfirmed ones and its connection limit for zero. A refused request gets a complete answer before its session is closed.

Ruled out: a group that goes with its route (groups are never removed), the server's connection (none was used yet).

--- a/internal/proxy/client_test.go
+++ b/internal/proxy/client_test.go
@@ -93,6 +93,12 @@
 	case a := <-c.replies:
 		return a
 	case <-c.closed:
+	}
+	// The session may have answered before it closed the connection.
+	select {
+	case a := <-c.replies:
+		return a
+	default:
 		return Answer{Failure: c.rejected}
 	}
 }
--- a/internal/proxy/election.go
+++ b/internal/proxy/election.go
@@ -194,8 +194,8 @@
 }
 
 func (g *Group) syncReplicas() int {
-	if c := g.VM.Configuration(); c != nil && c.Services[g.Name] != nil {
-		return c.Services[g.Name].SyncReplicas
+	if s := g.VM.service(g.Name); s != nil {
+		return s.SyncReplicas
 	}
 	return 0
 }
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -46,11 +46,11 @@
 // computeScheduledShare computes this VM's share at a time. acting is true if other VMs use this VM
 // as the owner. Without a relay, it is an even share. v.shareMu is held.
 func (v *VM) computeScheduledShare(service ServiceName, server Server, acting bool, now time.Time) Share {
-	c := v.Configuration()
-	if v.Relay == nil || c == nil || c.Services[service] == nil {
+	settings := v.service(service)
+	if v.Relay == nil || settings == nil {
 		return v.computeShare(service, server)
 	}
-	limit := c.Services[service].Connections
+	limit := settings.Connections
 	if !acting && !(v.Fleet.Settled() && v.Relay.OwnsAny(server, v.ownerConnectionLimit(service))) {
 		delete(v.ownedSince, server.ID)
 		if v.Fleet.IsVerifier(service) {
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -37,6 +37,8 @@
 	caller   Caller
 	database DatabaseName
 	key      Key
+	// access is what the session's latest operation began with.
+	access access
 
 	// profile contains the values and prepared statements whose setting was acknowledged to the
 	// caller.
@@ -77,6 +79,8 @@
 	firstDeadline time.Time
 	// maybeSent is true once a server may have received the caller's statement.
 	maybeSent bool
+	// isRevoked is true if the operation's transaction was rolled back because its key was withdrawn.
+	isRevoked bool
 	// anyRegion is true for the VM's own commands, which may go to servers in any region.
 	anyRegion bool
 }
@@ -108,7 +112,7 @@
 		s.caller.Reject(Busy, "no configuration has been loaded yet")
 		return false
 	}
-	if _, _, f := s.authorize(c); f != NoFailure {
+	if _, f := s.authorize(c); f != NoFailure {
 		eventStartRefused.Log(s.vm.Logger, "database", database, "configuration", c.Version, "outcome", f)
 		s.caller.Reject(f, string(database))
 		return false
@@ -116,24 +120,6 @@
 	return true
 }
 
-// authorize looks up the session's route and workspace in a configuration.
-func (s *Session) authorize(c *Configuration) (*Route, *Workspace, Failure) {
-	route := c.Routes[s.database]
-	if route == nil {
-		return nil, nil, NoDatabase
-	}
-	if w := c.Keys[s.key]; w != nil {
-		return route, w, NoFailure
-	}
-	if route.Public {
-		return route, anonymousWorkspace, NoFailure
-	}
-	return nil, nil, UnknownKey
-}
-
-// anonymousWorkspace is the workspace of callers that use a public route without a key.
-var anonymousWorkspace = &Workspace{Name: "-"}
-
 // serveNext serves one request. It returns false when the session has ended.
 func (s *Session) serveNext(ctx context.Context) bool {
 	var deadline time.Time
@@ -164,8 +150,7 @@
 		return true
 	}
 	c := s.vm.Configuration()
-	_, _, f := s.authorize(c)
-	if f == UnknownKey {
+	if _, f := s.authorize(c); f == UnknownKey {
 		eventKeyWithdrawn.Log(s.vm.Logger, "database", s.database, "configuration", c.Version, "outcome", "session closed")
 		return true
 	}
@@ -191,21 +176,17 @@
 func (s *Session) serveRequest(ctx context.Context, r Request) bool {
 	op := operation{arrivedAt: clock.Now(), request: r, configuration: s.vm.Configuration()}
 	began := time.Now()
-	var f Failure
-	op.route, op.workspace, f = s.authorize(op.configuration)
-	if f == UnknownKey || f == NoDatabase && s.tx == nil {
+	if f := s.updateAccess(&op); f != NoFailure {
 		s.failTransaction()
 		eventRequestRefused.Log(s.vm.Logger, "request", r.ID, "database", s.database, "configuration", op.configuration.Version, "outcome", f)
-		s.caller.Reject(f, string(s.database))
+		_ = s.caller.Reply(Answer{Failure: f, Detail: string(s.database), Phase: Idle})
 		return false
 	}
 	if s.vm.isIsolated() && s.tx == nil {
 		eventRequestRefused.Log(s.vm.Logger, "request", r.ID, "database", s.database, "configuration", op.configuration.Version, "isolated", s.vm.IsolatedFor(), "outcome", Busy)
 		return s.caller.Reply(Answer{Failure: Busy, Detail: "the VM can't learn which keys are valid", Phase: s.phase()}) == nil
 	}
-	if s.tx != nil {
-		op.route = s.tx.route
-	}
+	op.route, op.workspace = s.access.route, s.access.workspace
 	op.deadline = began.Add(op.route.StatementTimeout)
 	op.group = s.vm.group(op.route.Service)
 	op.firstDeadline = s.refused.take(began)
--- a/internal/proxy/share.go
+++ b/internal/proxy/share.go
@@ -61,12 +61,12 @@
 // workspaces whose connections it owns. Without a relay or a quota, or before this VM knows the
 // others, it divides the connections evenly among the VMs.
 func (v *VM) computeShare(service ServiceName, server Server) Share {
-	c := v.Configuration()
-	if c == nil || c.Services[service] == nil {
+	c, settings := v.Configuration(), v.service(service)
+	if c == nil || settings == nil {
 		return Share{minConnections, minConnections}
 	}
 	if v.Relay == nil || v.Quota == nil {
-		n := evenShare(c.Services[service].Connections, max(v.Fleet.Size(), 1), v.Fleet.Rank(), server.ID)
+		n := evenShare(settings.Connections, max(v.Fleet.Size(), 1), v.Fleet.Rank(), server.ID)
 		return Share{n, n}
 	}
 	ownerTotal := v.ownerConnectionLimit(service)
@@ -86,11 +86,11 @@
 // ownerConnectionLimit returns how many connections to each server of a service all owners may
 // have together.
 func (v *VM) ownerConnectionLimit(service ServiceName) int {
-	c := v.Configuration()
-	if c == nil || c.Services[service] == nil {
+	s := v.service(service)
+	if s == nil {
 		return 0
 	}
-	return int(ownerFraction * float64(c.Services[service].Connections))
+	return int(ownerFraction * float64(s.Connections))
 }
 
 // evenShare returns one VM's part of a limit that is divided evenly. The remainder goes to VMs
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -67,6 +67,9 @@
 		s.transactionFailed = false
 		return Answer{Failure: Aborted, Detail: "the transaction failed and was rolled back"}
 	}
+	if op.isRevoked {
+		return Answer{Failure: Aborted, Detail: "the key of the transaction was withdrawn from its workspace"}
+	}
 	return Answer{Failure: BadStatement, Detail: "the transaction has failed"}
 }
 
--- a/internal/proxy/vm.go
+++ b/internal/proxy/vm.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -52,7 +53,10 @@
 	Placement *Placement
 
 	configuration atomic.Pointer[Configuration]
-	draining      atomic.Bool
+	// services has the newest settings of each service that was ever configured. A version that withdraws a service
+	// doesn't change them: transactions go on, and commits were confirmed by as many replicas as before.
+	services atomic.Pointer[map[ServiceName]*Service]
+	draining atomic.Bool
 	// startedAt is when Run began, on clock.Now.
 	startedAt atomic.Int64
 	// cancelTransactions is true once a drain also ends open transactions.
@@ -144,6 +148,7 @@
 	v.logUnknownRegions(c)
 	v.mu.Lock()
 	v.init()
+	v.keepServices(v.configuration.Load())
 	for name := range c.Services {
 		if v.groups[name] == nil {
 			g := newGroup(v, name)
@@ -158,6 +163,25 @@
 	v.interruptIdleSessions()
 }
 
+// keepServices adds a configuration's services to those of earlier ones; v.mu is held.
+func (v *VM) keepServices(c *Configuration) {
+	services := map[ServiceName]*Service{}
+	if before := v.services.Load(); before != nil {
+		maps.Copy(services, *before)
+	}
+	maps.Copy(services, c.Services)
+	v.services.Store(&services)
+}
+
+// service returns the newest settings of a service, nil if it was never configured.
+func (v *VM) service(name ServiceName) *Service {
+	services := v.services.Load()
+	if services == nil {
+		return nil
+	}
+	return (*services)[name]
+}
+
 // SetServers replaces the servers of all groups with those that the platform lists.
 func (v *VM) SetServers(servers []Server) {
 	v.mu.Lock()
--- a/internal/proxy/warmup.go
+++ b/internal/proxy/warmup.go
@@ -26,11 +26,11 @@
 	if p == nil || p.Sender == nil || !s.Cold && (p.DoubtsList == nil || !p.DoubtsList()) {
 		return placement.Limit{}, false
 	}
-	c := g.VM.Configuration()
-	if c == nil || c.Services[g.Name] == nil || c.Services[g.Name].WarmupPerSecond <= 0 {
+	settings := g.VM.service(g.Name)
+	if settings == nil || settings.WarmupPerSecond <= 0 {
 		return placement.Limit{}, false
 	}
-	return p.Warmup.Limit(c.Services[g.Name].WarmupPerSecond), true
+	return p.Warmup.Limit(settings.WarmupPerSecond), true
 }
 
 // updateSender determines which VM sends to a cold server.
