proxy, caller, relay: end only the session that panics

Cause: nothing recovered from a panic. The class is any fault in what one caller, or one link from another VM, makes the VM do, on both protocols.

Change: a panic ends its session or link. Connections that it had checked out are closed, since what was sent on them isn't known: the server rolls its transaction back, and places in queues and shares of connections are free. Events 2009 and 6052 have the stack; counters count them. Background tasks still end the process.

The soak's callers now run transactions on the route that the next change of the configuration removes.

--- a/internal/caller/access_test.go
+++ b/internal/caller/access_test.go
@@ -122,6 +122,8 @@
 	server    *caller.Server
 	trust     *platform.Trust
 	metrics   *meter.Metrics
+	// panics makes the next request panic once it has a server's connection.
+	panics atomic.Bool
 	// cutTable and cutPeers cut the VM off from the table and store, and from its
 	// peers.
 	cutTable, cutPeers atomic.Bool
@@ -134,6 +136,14 @@
 	done chan struct{}
 }
 
+// Current returns the VM's document, for the callers' server.
+func (v *vm) Current() platform.Snapshot {
+	if v.panics.CompareAndSwap(true, false) {
+		panic("test")
+	}
+	return v.Configuration.Current()
+}
+
 // isTrusted reports whether the VM may rely on its document.
 func (v *vm) isTrusted() bool {
 	if !v.paused.Load() {
@@ -250,7 +260,7 @@
 	listener, err := f.network.Listen(fakenet.Host(name), v.address)
 	assert.NilError(f, err)
 	v.server = &caller.Server{
-		VM: v.name, Listener: listener, Documents: v.Configuration, Upstreams: v.upstreams, DocumentTrusted: v.isTrusted,
+		VM: v.name, Listener: listener, Documents: v, Upstreams: v.upstreams, DocumentTrusted: v.isTrusted,
 		MaxWait: 2 * time.Second, ResponseTimeout: 30 * time.Second, Logger: logger,
 	}
 	f.mu.Lock()
--- a/internal/caller/events.go
+++ b/internal/caller/events.go
@@ -17,6 +17,8 @@
 		"A caller sent bytes that the protocol doesn't allow; its connection was closed.")
 	eventTrustChanged = event.Define(2007, "caller-trust-changed", event.Warn,
 		"The VM lost or regained the right to rely on its document; without it, no caller is served.")
+	eventSessionPanic = event.Define(2009, "caller-session-panic", event.Error,
+		"A session ended by a fault of this program, which the event shows; the other sessions go on. Please report it.")
 	eventAcceptFailed = event.Define(2008, "caller-accept-failed", event.Error,
 		"A caller's connection could not be accepted, as without file descriptors; it is tried again.")
 )
--- a/internal/caller/metrics.go
+++ b/internal/caller/metrics.go
@@ -19,6 +19,7 @@
 	requests    metric.Int64Counter
 	refused     metric.Int64Counter
 	sessionsCut metric.Int64Counter
+	panics      metric.Int64Counter
 	duration    metric.Float64Histogram
 
 	mu sync.RWMutex
@@ -53,6 +54,8 @@
 		metric.WithDescription("Requests refused or failed by savoryramp itself, by workspace and SQLSTATE."))
 	i.sessionsCut, _ = m.Int64Counter("savoryramp.caller.sessions.cut",
 		metric.WithDescription("Sessions broken off at the end of a shutdown's drain."))
+	i.panics, _ = m.Int64Counter("savoryramp.caller.session.panics",
+		metric.WithDescription("Sessions that ended by a fault of this program."))
 	i.duration, _ = m.Float64Histogram("savoryramp.caller.request.duration", metric.WithUnit("s"),
 		metric.WithExplicitBucketBoundaries(.0005, .001, .002, .005, .01, .02, .05, .1, .2, .5, 1, 2, 5, 10),
 		metric.WithDescription("Time from a request's arrival to the end of its answer."))
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -7,6 +7,7 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -208,6 +209,14 @@
 	defer s.openConns.Add(-1)
 	defer conn.Close()
 	session := &Session{server: s, callerConn: newCallerConn(conn, time.Now().Add(loginTimeout)), floors: map[platform.UpstreamName]floor{}, preparedStatements: map[string]*preparedStatement{}}
+	// A fault that one caller brings about ends that caller's session, not the process with all others.
+	defer func() {
+		if cause := recover(); cause != nil {
+			eventSessionPanic.Log(s.Logger, "key", session.key, "cause", cause, "stack", string(debug.Stack()))
+			s.metrics.panics.Add(context.Background(), 1)
+			session.closeConnInUse()
+		}
+	}()
 	session.run(ctx)
 }
 
--- a/internal/caller/session.go
+++ b/internal/caller/session.go
@@ -182,10 +182,21 @@
 func (s *Session) releaseTransaction() {
 	if s.transactionConn != nil {
 		s.transactionConn.Release(false)
+		if s.connInUse == s.transactionConn {
+			s.setConnInUse(nil)
+		}
 		s.transactionConn = nil
 	}
 }
 
+// closeConnInUse closes the connection that a panic has left in use.
+func (s *Session) closeConnInUse() {
+	if c := s.connInUse; c != nil {
+		s.setConnInUse(nil)
+		c.Release(false)
+	}
+}
+
 // hasConn reports whether the session uses a server connection. The caller holds s.mu.
 func (s *Session) hasConn() bool { return s.connInUse != nil }
 
--- a/internal/proxy/access.go
+++ b/internal/proxy/access.go
@@ -1,5 +1,11 @@
 package proxy
 
+import (
+	"context"
+	"slices"
+	"time"
+)
+
 // access is what a configuration lets a session do: use a route for a workspace.
 type access struct {
 	// route and workspace aren't nil once the session has been accepted.
@@ -60,3 +66,22 @@
 	newest := c.Routes[r.Database]
 	return newest != nil && newest.Public
 }
+
+// checkOut checks out a connection for a statement of the session.
+func (s *Session) checkOut(ctx context.Context, op *operation, m *member, d demand, until time.Time) (*checkout, error) {
+	co, err := op.group.checkOut(ctx, m, d, until)
+	if err != nil {
+		return nil, err
+	}
+	s.checkouts = append(slices.DeleteFunc(s.checkouts, func(c *checkout) bool { return c.released }), co)
+	return co, nil
+}
+
+// closeCheckouts closes the connections that the session hasn't released.
+func (s *Session) closeCheckouts() {
+	for _, co := range s.checkouts {
+		if !co.released {
+			co.release(false)
+		}
+	}
+}
--- a/internal/proxy/checkout.go
+++ b/internal/proxy/checkout.go
@@ -40,6 +40,8 @@
 	sent clock.Instant
 	// local is true if the connection is one of this VM's own.
 	local bool
+	// released is true once the connection was returned or closed.
+	released bool
 }
 
 func (g *Group) newCheckout(e executor, id ServerID, local bool) *checkout {
@@ -47,7 +49,10 @@
 }
 
 // release returns the connection to its pool, or closes it if keep is false.
-func (c *checkout) release(keep bool) { c.executor.release(keep, time.Since(c.startedAt)) }
+func (c *checkout) release(keep bool) {
+	c.released = true
+	c.executor.release(keep, time.Since(c.startedAt))
+}
 
 // run runs one command and returns its answer.
 func (c *checkout) run(p *profile, command Command, until time.Time) (Answer, error) {
--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -61,6 +61,8 @@
 		"An answer on a server's connection isn't, or may not be, that of the oldest unanswered command: it was received before, has a form that no answer to that command has, or belongs to an earlier one.")
 	eventSettled = event.Define(6051, "proxy-settled", event.Info,
 		"A refusal that was equal to an earlier one on the connection is shown to be the statement's own, or the statement's true answer arrived after it.")
+	eventSessionPanic = event.Define(6052, "proxy-session-panic", event.Error,
+		"A session ended by a fault of this program, which the event shows; the other sessions go on. Please report it.")
 	eventQuorum = event.Define(6018, "proxy-endorsed", event.Warn,
 		"Whether a majority of the verifier VMs can use the primary changed, as observed by this VM; without that majority this VM doesn't use the primary.")
 )
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -23,6 +23,8 @@
 	// unexpectedAnswers counts answers of servers that weren't, or may not have been, those of the outstanding
 	// commands.
 	unexpectedAnswers metric.Int64Counter
+	// sessionPanics counts sessions that ended by a fault of this program.
+	sessionPanics metric.Int64Counter
 }
 
 // latencyBounds, in seconds, are densest around the latency objectives and timeouts of the
@@ -70,10 +72,14 @@
 	if err != nil {
 		return ErrMalformed.Wrap(err, "instrument")
 	}
+	sessionPanics, err := m.Int64Counter("savoryramp.vm.session.panics", metric.WithDescription("Sessions of callers and of other VMs that ended by a fault of this program."))
+	if err != nil {
+		return ErrMalformed.Wrap(err, "instrument")
+	}
 	if err := v.registerQueueLength(m); err != nil {
 		return err
 	}
-	v.metrics = instruments{answers, latency, refusals, waits, forecastErrors, connections, promotionRefusals, unexpectedAnswers}
+	v.metrics = instruments{answers, latency, refusals, waits, forecastErrors, connections, promotionRefusals, unexpectedAnswers, sessionPanics}
 	return v.registerEvacuationMetrics(m)
 }
 
@@ -119,6 +125,13 @@
 	}
 }
 
+// recordSessionPanic counts a session that ended by a fault of this program.
+func (i instruments) recordSessionPanic() {
+	if i.sessionPanics != nil {
+		i.sessionPanics.Add(context.Background(), 1)
+	}
+}
+
 func (i instruments) recordAnswer(r *Route, a Answer, took time.Duration) {
 	if i.answers == nil {
 		return
--- a/internal/proxy/remote.go
+++ b/internal/proxy/remote.go
@@ -185,6 +185,8 @@
 	VM *VM
 
 	checkout *checkout
+	// isRunning is true while a batch runs, also if it ends with a panic.
+	isRunning bool
 }
 
 // Exec runs a batch. The connection returns to its pool when no transaction is open on it, and
@@ -206,7 +208,9 @@
 	if b.Profiled {
 		p = &profile{values: b.Values, plans: b.Plans}
 	}
+	rs.isRunning = true
 	answers, err := rs.checkout.executor.exec(p, b.Commands, until)
+	rs.isRunning = false
 	switch {
 	case err != nil:
 		rs.checkout.recordFailure(err)
@@ -237,11 +241,15 @@
 }
 
 // Close rolls back the open transaction, if there is one, and releases the connection, or closes
-// it if the rollback fails.
+// it if the rollback fails or a panic has ended a batch.
 func (rs *RemoteSession) Close() {
 	if rs.checkout == nil {
 		return
 	}
+	if rs.isRunning {
+		rs.release(false)
+		return
+	}
 	a, err := rs.checkout.rollback(time.Now().Add(rollbackTimeout))
 	rs.release(err == nil && a.Phase == Idle)
 }
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -56,6 +56,10 @@
 	pendingRollbacks []*checkout
 	// refused is the session's last request if a server's queue refused it.
 	refused refusedRequest
+	// checkouts has the connections that the session has checked out, and some that it has released since.
+	checkouts []*checkout
+	// isServing is true from the arrival of a request to the end of its answer, also if it ends with a panic.
+	isServing bool
 	// busy is true from the end of a Receive until the session is about to wait for the next
 	// request.
 	busy atomic.Bool
@@ -138,7 +142,10 @@
 	if err != nil {
 		return false
 	}
-	return s.serveRequest(ctx, r)
+	s.isServing = true
+	goesOn := s.serveRequest(ctx, r)
+	s.isServing = false
+	return goesOn
 }
 
 // shouldClose reports whether the session must be closed and is at a point where that is safe.
@@ -301,8 +308,13 @@
 	s.floors[service] = position.Max(s.floors[service], p)
 }
 
-// releaseAll rolls back the session's transactions and releases their connections.
+// releaseAll rolls back the session's transactions and releases their connections. After a panic it closes them, since
+// what was sent on them isn't known.
 func (s *Session) releaseAll() {
 	s.failTransaction()
+	if s.isServing {
+		s.closeCheckouts()
+		return
+	}
 	s.rollBackPending()
 }
--- a/internal/proxy/statement.go
+++ b/internal/proxy/statement.go
@@ -52,7 +52,7 @@
 		if refusal, refused := s.vm.refuseAtPrimary(op, m, d); refused {
 			return nil, refusal
 		}
-		co, err := op.group.checkOut(ctx, m, d, op.deadline)
+		co, err := s.checkOut(ctx, op, m, d, op.deadline)
 		if err == nil && op.group.hasQuorum() {
 			return co, okAnswer
 		}
@@ -216,7 +216,7 @@
 			continue
 		}
 		tried[best.ID] = true
-		co, err := op.group.checkOut(ctx, members[best.ID], op.demand(), s.attemptDeadlineAt(op, best.ID))
+		co, err := s.checkOut(ctx, op, members[best.ID], op.demand(), s.attemptDeadlineAt(op, best.ID))
 		if err != nil {
 			eventRetry.Log(s.vm.Logger, "request", op.request.ID, "server", best.ID, "attempt", attempt, "err", err)
 			if !isType(err, ErrBusy) && !isType(err, ErrRefused) {
--- a/internal/proxy/vm.go
+++ b/internal/proxy/vm.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"runtime/debug"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -127,9 +128,22 @@
 	v.openSessions.Add(1)
 	defer v.openSessions.Add(-1)
 	s := &Session{vm: v, caller: c, profile: newProfile(), floors: map[ServiceName]position.Position{}}
+	// A fault that one caller brings about ends that caller's session, not the process with all others.
+	defer func() {
+		if cause := recover(); cause != nil {
+			v.RecordPanic(cause, "database", s.database)
+		}
+	}()
 	s.run(ctx)
 }
 
+// RecordPanic logs and counts a panic that has ended a session. It is called while the panic is recovered from; keyvals
+// identify the session.
+func (v *VM) RecordPanic(cause any, keyvals ...any) {
+	eventSessionPanic.Log(v.Logger, append(keyvals, "cause", cause, "stack", string(debug.Stack()))...)
+	v.metrics.recordSessionPanic()
+}
+
 // Configuration returns the configuration in force, or nil if there is none yet.
 func (v *VM) Configuration() *Configuration { return v.configuration.Load() }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -371,6 +371,12 @@
 	defer stop()
 	acceptedAt := clock.Now()
 	session := proxy.RemoteSession{VM: r.VM}
+	// A fault that one link brings about ends that link, not the process.
+	defer func() {
+		if cause := recover(); cause != nil {
+			r.VM.RecordPanic(cause, "peer", nc.RemoteAddr())
+		}
+	}()
 	defer session.Close()
 	account := budget.AccountOf(nc)
 	out := bufio.NewWriterSize(nc, bufferSize)
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -48,6 +48,7 @@
 		t := &d.Tenants[2]
 		key = t.Keys[0]
 		t.Keys = []string{fmt.Sprint("key-gone-", d.Version)}
+		replaceDeparting(d, d.Version)
 	})
 	s.check.withdrawn(key)
 	return key
@@ -76,7 +77,7 @@
 	if s.Faults == EvacuationFaults {
 		list = append(list, s.restrictedReader)
 	}
-	return append(list, s.gone)
+	return append(list, s.gone, s.departing)
 }
 
 // writers returns how many writers there are beside the clients.
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -156,6 +156,49 @@
 	}
 }
 
+// departing runs transactions on the route that the next change of the configuration removes.
+func (s *Soak) departing(halt <-chan struct{}) {
+	c := &session{soak: s, key: mainKey, random: rand.New(rand.NewPCG(s.Seed, 500))}
+	defer c.close()
+	for n := 0; !halted(halt); n++ {
+		s.pause(20 * time.Millisecond)
+		if c.client == nil {
+			c.database = s.departingDatabase()
+		}
+		if c.database == "" {
+			continue
+		}
+		client := c.open()
+		if client == nil {
+			continue
+		}
+		for _, step := range []string{"BEGIN", "READ departing", fmt.Sprintf("WRITE departing-%d x", n), "COMMIT"} {
+			_, a := c.do(client, "main", step)
+			if a.Outcome == standin.Denied && step != "BEGIN" {
+				s.broken("a transaction keeps its route", "%s at %s: %s", step, c.vm.name, a.Text)
+			}
+			if a.Outcome != standin.Done {
+				c.rollBack(client)
+				break
+			}
+			s.pause(time.Duration(c.random.IntN(200)) * time.Millisecond)
+		}
+	}
+}
+
+// departingDatabase returns the database of the route that the next change of the configuration removes, empty before
+// the first one.
+func (s *Soak) departingDatabase() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.document.Routes {
+		if strings.HasPrefix(r.Database, departingPrefix) {
+			return r.Database
+		}
+	}
+	return ""
+}
+
 // keeper uses a session now and then, and doesn't close its side until the VM has closed it and is gone.
 func (s *Soak) keeper(number int, halt <-chan struct{}) {
 	c := &session{soak: s, database: "bounded", key: mainKey, stays: true, random: rand.New(rand.NewPCG(s.Seed, uint64(600+number)))}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -74,7 +74,10 @@
 			// A process that doesn't handle signals yet would be ended by SIGHUP.
 			if s.until(startWithin, func() bool { return slices.Contains(s.balanced(), p) }) {
 				p.signal(syscall.SIGHUP, false)
-				s.change(func(d *standin.Document) { d.Routes[1].TimeoutMs = 800 + r.IntN(3)*100 })
+				s.change(func(d *standin.Document) {
+					d.Routes[1].TimeoutMs = 800 + r.IntN(3)*100
+					replaceDeparting(d, d.Version)
+				})
 				p.signal(syscall.SIGHUP, false)
 			}
 			s.stopAndStart(p)
@@ -184,7 +187,7 @@
 	{name: "change the configuration", planned: true, restores: true, do: func(s *Soak, r *rand.Rand, _ time.Duration) string {
 		s.change(func(d *standin.Document) {
 			d.Routes[0].TimeoutMs = 700 + r.IntN(3)*100
-			d.Routes = append(d.Routes[:3:3], standin.Route{Database: fmt.Sprint("extra", r.IntN(100)), Service: serviceName, Kind: "primary", TimeoutMs: 800})
+			replaceDeparting(d, r.IntN(100))
 		})
 		return ""
 	}},
@@ -197,6 +200,8 @@
 	seriesLength = 2
 	// drainFor is how long a server that leaves still serves.
 	drainFor = 4 * time.Second
+	// departingPrefix begins the database names of routes that a later change removes.
+	departingPrefix = "extra"
 	// copyAge times the length of a fault is how old the copy is that a store is restored from.
 	copyAge = 2
 )
@@ -212,6 +217,12 @@
 	s.restart(p)
 }
 
+// replaceDeparting removes the route that callers use until it goes, and adds another one.
+func replaceDeparting(d *standin.Document, number int) {
+	routes := slices.DeleteFunc(slices.Clone(d.Routes), func(r standin.Route) bool { return strings.HasPrefix(r.Database, departingPrefix) })
+	d.Routes = append(routes, standin.Route{Database: fmt.Sprint(departingPrefix, number), Service: serviceName, Kind: "primary", TimeoutMs: 800})
+}
+
 // harm does something to a way and undoes it.
 func (s *Soak) harm(p *proxy, r *rand.Rand, lasts time.Duration) string {
 	m := []mode{delayed, silenced, halfSilenced, refusing, stale}[r.IntN(5)]
