proxy: pause replicas before the choice of a primary

Cause: the server to promote is chosen by answers that are out of date when the promotion takes effect. The old primary goes on confirming commits with another replica meanwhile.

Change: where replicas confirm commits, an attempt acquires a new token, pauses the replicas, chooses by their answers to that, promotes one and makes the others receive again. The promoter's row tells that replicas may be paused, so that VMs that are killed, paused or cut off leave none: an attempt that ends early resumes them if no order can be outstanding, else it, or another VM, pauses them itself, has the platform refuse earlier tokens, waits for promotions under way and then resumes them. Whoever acquires a token waits for another VM's commands to resume. Without syncReplicas nothing changes.

Ruled out: a commit that is acknowledged without a replica, a late order (one order, accepted at once, in each record).

--- a/cmd/savoryramp-soak/options.go
+++ b/cmd/savoryramp-soak/options.go
@@ -48,6 +48,8 @@
 	Repeats string
 	// StoreRepeated is the share of the store's answers that are sent a second time.
 	StoreRepeated float64
+	// SyncReplicas is how many replicas confirm each commit.
+	SyncReplicas int
 	// Clients is how many callers send mixed statements without pauses.
 	Clients int
 	// Keep is the folder for settings and logs; empty for one that is removed.
@@ -72,6 +74,7 @@
 	app.Flag("refused", "The share of the callers' statements that the servers refuse.").Default("0").Float64Var(&o.Refused)
 	app.Flag("repeats", "The ways to repeat answers, separated by commas: "+ways()+", or mix for all.").Default(string(standin.RepeatLate)).StringVar(&o.Repeats)
 	app.Flag("store-repeated", "The share of the store's answers that are sent a second time.").Default("0").Float64Var(&o.StoreRepeated)
+	app.Flag("sync-replicas", "How many replicas confirm each commit.").Default("0").IntVar(&o.SyncReplicas)
 	app.Flag("clients", "How many callers send mixed statements without pauses.").Default("0").IntVar(&o.Clients)
 	app.Flag("keep", "Folder in which the VMs' settings and logs are kept.").StringVar(&o.Keep)
 	if _, err := app.Parse(arguments); err != nil {
--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -62,6 +62,8 @@
 	Term    position.Term
 	// Received is the end of the server's log.
 	Received position.Position
+	// HeldTerm is the term with which the server was paused, zero if it receives the log.
+	HeldTerm position.Term
 	// BusySlots and OpenConnections count those used by all VMs together.
 	BusySlots, OpenConnections int
 }
--- a/internal/proxy/election.go
+++ b/internal/proxy/election.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/savoryramp/savoryramp/internal/clock"
@@ -116,7 +117,14 @@
 // until each server but the old primary has answered or failed once. As long as their answers don't allow a
 // promotion, it asks those that failed again, up to askTime.
 func (f *Failover) queryStatuses(ctx context.Context, a attempt, announced position.Term) []replicaStatus {
-	members := a.askedMembers()
+	return a.askMembers(ctx, &f.attempts, a.askedMembers(), QueryStatus{}, func(statuses []replicaStatus) bool {
+		return a.election(statuses, announced).IsDecisive()
+	})
+}
+
+// askMembers sends servers a command that is answered with a status, as queryStatuses does, until enough returns
+// true. Commands that were sent by then may end later, with tasks.
+func (a attempt) askMembers(ctx context.Context, tasks *sync.WaitGroup, members []*member, c Command, enough func([]replicaStatus) bool) []replicaStatus {
 	// Queries of servers that don't answer end after those that matter.
 	ctx, cancel := context.WithTimeout(ctx, askTime)
 	defer cancel()
@@ -126,7 +134,7 @@
 		if m != a.oldPrimary {
 			awaited[m.pool.Server.ID] = true
 		}
-		f.attempts.Go(func() { a.group.askUntilAnswered(ctx, m, m == a.oldPrimary, answers, failed) })
+		tasks.Go(func() { a.group.askUntilAnswered(ctx, m, c, m == a.oldPrimary, answers, failed) })
 	}
 	var statuses []replicaStatus
 	for len(statuses) < len(members) {
@@ -139,17 +147,17 @@
 		case <-ctx.Done():
 			return statuses
 		}
-		if len(awaited) == 0 && a.election(statuses, announced).IsDecisive() {
+		if len(awaited) == 0 && enough(statuses) {
 			break
 		}
 	}
 	return statuses
 }
 
-// askUntilAnswered queries a server's status until it answers or ctx ends. It reports the first failure.
-func (g *Group) askUntilAnswered(ctx context.Context, m *member, isOldPrimary bool, answers chan<- replicaStatus, failed chan<- ServerID) {
+// askUntilAnswered sends a server a command until it answers with its status or ctx ends. It reports the first failure.
+func (g *Group) askUntilAnswered(ctx context.Context, m *member, c Command, isOldPrimary bool, answers chan<- replicaStatus, failed chan<- ServerID) {
 	for first := true; ctx.Err() == nil; first = false {
-		s, err := g.runStatusCommand(ctx, m, QueryStatus{})
+		s, err := g.runStatusCommand(ctx, m, c)
 		if err == nil {
 			answers <- replicaStatus{m.pool.Server.ID, g.isLeaving(m), isOldPrimary, s}
 			return
--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -35,6 +35,12 @@
 		"This VM decided that a primary has to be replaced, but promotes no server now: too few of the listed ones answered, or their logs lack a newer term that is known.")
 	eventDecisionOutdated = event.Define(6031, "proxy-verdict-outdated", event.Info,
 		"This VM's decision to replace a primary no longer stood when it was to be carried out.")
+	eventPaused = event.Define(6033, "proxy-paused", event.Warn,
+		"This VM has stopped replicas from receiving the log, so that no commit is confirmed between their answers and the promotion of one of them.")
+	eventResumed = event.Define(6034, "proxy-resumed", event.Info,
+		"This VM has made replicas that may have been paused receive the log again; the event shows those that didn't answer.")
+	eventPauseLeft = event.Define(6035, "proxy-pause-left", event.Warn,
+		"Replicas may be left paused by an attempt at a failover that has ended early; this VM, or another one, ends that.")
 	eventFleetUnknown = event.Define(6032, "proxy-fleet-unknown", event.Warn,
 		"Whether this VM knows which VMs there are changed; while it doesn't, it takes no decision on a primary.")
 	eventPrimaryStopped = event.Define(6016, "proxy-primary-stopped", event.Info,
--- a/internal/proxy/failover.go
+++ b/internal/proxy/failover.go
@@ -33,6 +33,19 @@
 	// token is outdated or that the server isn't running. After ErrOutcomeUnknown the order may
 	// still take effect seconds later, after any other error it doesn't.
 	Promote(ctx context.Context, service ServiceName, id ServerID, t Token) error
+	// AcquireForPause makes this VM the one that may pause replicas of a group and promote a server, with a new
+	// token. It records until EndResume that replicas may be paused, so that other VMs learn it if this one fails. It
+	// may have to wait until other VMs' orders and commands can't arrive any more. term is the one that this VM is
+	// about to create.
+	AcquireForPause(ctx context.Context, service ServiceName, term position.Term) (PauseRight, error)
+	// BeginResume announces that this VM is about to make replicas receive again, at once; whoever calls
+	// AcquireForPause waits meanwhile. EndResume records that no replica is paused, and the
+	// newest term that was or may be created. Both return ErrConflict if another
+	// VM has acquired a token since: that one may rely on the replicas being paused.
+	BeginResume(ctx context.Context, service ServiceName, t Token) error
+	EndResume(ctx context.Context, service ServiceName, t Token, created position.Term) error
+	// ReadPause returns what is recorded on paused replicas of a group.
+	ReadPause(ctx context.Context, service ServiceName) (RecordedPause, error)
 }
 
 const (
@@ -82,6 +95,9 @@
 	// only used by Run.
 	fleetUnknown bool
 
+	// pauses has what is left to be done in each group in which replicas may be paused.
+	pauses map[ServiceName]*pauseWatch
+
 	quorumMu     sync.Mutex
 	quorumChecks map[ServiceName]quorumCheck
 }
@@ -159,6 +175,7 @@
 		}
 	}
 	pending.evaluatedAt = clock.Now()
+	f.watchPause(ctx, g, view, decision, pending.running)
 	due := decision != failover.Keep && !pending.running && time.Since(pending.since) >= wait && time.Since(pending.lastAttempt) > pending.backoff && f.Fleet.Settled()
 	if due {
 		pending.running, pending.lastAttempt = true, time.Now()
@@ -209,6 +226,13 @@
 // a hand-over it first stops the old primary.
 func (f *Failover) replacePrimary(ctx context.Context, a attempt) error {
 	g := a.group
+	if g.syncReplicas() > 0 {
+		if a.decision == failover.Replace {
+			return f.replaceConfirmed(ctx, a)
+		}
+		// A token that was kept would not show whether another VM is about to replace the primary.
+		f.Promoter.DiscardToken(g.Name)
+	}
 	chosen, e, err := f.chooseServer(ctx, a, 0)
 	if err != nil || chosen.Server == "" {
 		return err
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -194,7 +194,7 @@
 			s.broken("a write takes effect once", "%s: %d times", id, n)
 		case n > 0 && w.outcome == standin.NotApplied:
 			s.broken("a refusal is true", "%s of %s was refused and is kept", id, w.item)
-		case n == 0 && w.outcome == standin.Done && w.term == term:
+		case n == 0 && w.outcome == standin.Done && (w.term == term || s.SyncReplicas > 0):
 			s.broken("an acknowledged write stays", "%s of %s, term %d", id, w.item, w.term)
 		}
 	}
@@ -213,3 +213,17 @@
 		}
 	}
 }
+
+// pauseWithin is how long a replica may stay paused after the faults: an attempt at a failover counts as ended after
+// six seconds, and making sure that none of its orders is carried out takes a few more.
+const pauseWithin = 15 * time.Second
+
+// auditConfirmed checks that promotions have lost no confirmed commit and that no replica stays paused.
+func (s *Soak) auditConfirmed() {
+	for _, id := range s.ledger.Lost() {
+		s.broken("a confirmed commit is in the log of the server that is promoted", "%s", id)
+	}
+	if !s.until(pauseWithin, func() bool { return len(s.ledger.Paused()) == 0 }) {
+		s.broken("no replica stays paused", "%v after %s", s.ledger.Paused(), pauseWithin)
+	}
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -45,6 +45,8 @@
 	Contracts []string
 	// Crowd multiplies the writers and readers. It is 1 if it is 0.
 	Crowd int
+	// SyncReplicas is how many replicas confirm each commit.
+	SyncReplicas int
 	// Clients is how many callers send mixed statements without pauses. Unless it is 0, the servers are fast.
 	Clients int
 	// Stutter is how unreliably the servers answer all the while, StoreStutter the store, which only repeats
@@ -144,6 +146,7 @@
 	close(halt)
 	callers.Wait()
 	s.audit()
+	s.auditConfirmed()
 	s.auditRegions()
 	for _, p := range s.vms {
 		if p.unexpected > 0 {
@@ -190,7 +193,7 @@
 	s.ledger = &standin.Group{
 		Service: serviceName, Addresses: addresses, Zones: zones, AdvertisedAddresses: map[string]string{}, Slots: 3, QueueLimit: 24, ConnectionLimit: 24,
 		HandshakeTime: 8 * time.Millisecond, StatementTime: 4 * time.Millisecond, ReplicationLag: 10 * time.Millisecond, PromotionTime: 200 * time.Millisecond,
-		Expectations: s.expectations,
+		Expectations: s.expectations, SyncReplicas: s.SyncReplicas,
 	}
 	if s.Clients > 0 {
 		s.ledger.Slots, s.ledger.QueueLimit, s.ledger.StatementTime, s.ledger.HandshakeTime = 16, 100, 300*time.Microsecond, time.Millisecond
@@ -218,6 +221,7 @@
 		s.store.Put("servers", id, row)
 	}
 	s.document = firstDocument()
+	s.document.SyncReplicas = s.SyncReplicas
 	if s.Faults == EvacuationFaults {
 		s.document, s.ledger.WarmupTime = placedDocument(s.document), warmupTime
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -63,6 +63,28 @@
 	runs.Wait()
 }
 
+// Guards against confirmed commits that a failover loses, and against replicas that one leaves paused, beside the faults
+// of TestSoak.
+func TestSoakWithConfirmedCommits(t *testing.T) {
+	binary := buildVM(t)
+	turns := make(chan struct{}, *parallel)
+	var runs sync.WaitGroup
+	for i := range *seeds {
+		seed := *from + uint64(i)
+		runs.Go(func() {
+			turns <- struct{}{}
+			defer func() { <-turns }()
+			soakOnce(t, binary, seed, os.Getpid()+i, [][]string{nil, {"pressure"}}[seed%2], func(s *Soak) {
+				s.SyncReplicas = 1 + int(seed/2%2)
+				if s.Faults == PlannedFaults {
+					s.Faults = AllFaults
+				}
+			})
+		})
+	}
+	runs.Wait()
+}
+
 // Guards against answers that aren't the request's own while servers and the store repeat answers, beside the
 // faults of TestSoak.
 func TestSoakWithRepeatedAnswers(t *testing.T) {
--- a/pkg/failover/failover.go
+++ b/pkg/failover/failover.go
@@ -151,6 +151,14 @@
 // ActionDelay returns how long the decision must have been unchanged before this VM acts,
 // so that one VM acts first, and the next one only if that attempt had no effect.
 func (v View) ActionDelay() time.Duration {
+	if v.OwnObservation.Failing {
+		return v.FenceDelay + time.Duration(v.Rank())*replaceStagger
+	}
+	return time.Duration(v.Rank()) * handOverStagger
+}
+
+// Rank returns how many VMs go before this one among those that may carry out the decision.
+func (v View) Rank() int {
 	rank := 0
 	ownHash := v.rankHash(v.VM)
 	for _, vm := range v.rankedVMs() {
@@ -158,10 +166,7 @@
 			rank++
 		}
 	}
-	if v.OwnObservation.Failing {
-		return v.FenceDelay + time.Duration(rank)*replaceStagger
-	}
-	return time.Duration(rank) * handOverStagger
+	return rank
 }
 
 // rankedVMs returns the VMs that may carry out the decision and are therefore ranked. This
@@ -205,13 +210,17 @@
 	return p.Term < q.Term || p.Term == q.Term && p.Offset < q.Offset
 }
 
+// AnswersNeeded returns how many of a group's replicas must have answered so that each commit that was confirmed by
+// syncReplicas of them is on one that has. It is at least one.
+func AnswersNeeded(replicas, syncReplicas int) int { return max(replicas-syncReplicas+1, 1) }
+
 // PickReplica returns the replica whose promotion loses the fewest entries, or false if too
 // few of the total replicas answered. If each commit was confirmed by at least syncReplicas
 // replicas, enough must have answered that every commit is on one of them. If syncReplicas
 // is 0, any replica that isn't leaving goes before one that is whose log ends in the same term, even if more
 // entries are lost.
 func PickReplica(answered []Replica, total, syncReplicas int) (Replica, bool) {
-	if len(answered) == 0 || syncReplicas > 0 && len(answered) < total-syncReplicas+1 {
+	if len(answered) == 0 || syncReplicas > 0 && len(answered) < AnswersNeeded(total, syncReplicas) {
 		return Replica{}, false
 	}
 	var best Replica
