proxy: let one VM at a time pause a group's replicas

Cause: an attempt took over the right to pause from one that was under way. Killed and paused VMs on the other hand were waited for longer than needed: 10 s without a write.

Change: the promoter's row has the time of the pause and its holder. Another VM's attempt takes over once the first one must have ended, or its VM is silent.

--- a/internal/proxy/failover.go
+++ b/internal/proxy/failover.go
@@ -36,8 +36,8 @@
 	// AcquireForPause makes this VM the one that may pause replicas of a group and promote a server, with a new
 	// token. It records until EndResume that replicas may be paused, so that other VMs learn it if this one fails. It
 	// may have to wait until other VMs' orders and commands can't arrive any more. term is the one that this VM is
-	// about to create.
-	AcquireForPause(ctx context.Context, service ServiceName, term position.Term) (PauseRight, error)
+	// about to create. It returns ErrNotPromotable if another VM hasn't ended its pause and mayTakeOver is false for it.
+	AcquireForPause(ctx context.Context, service ServiceName, term position.Term, mayTakeOver func(RecordedPause) bool) (PauseRight, error)
 	// BeginResume announces that this VM is about to make replicas receive again, at once; whoever calls
 	// AcquireForPause waits meanwhile. EndResume records that no replica is paused, and the
 	// newest term that was or may be created. Both return ErrConflict if another
--- a/internal/proxy/pause.go
+++ b/internal/proxy/pause.go
@@ -33,8 +33,11 @@
 type RecordedPause struct {
 	// Term is the term with which replicas may be paused, 0 if none is.
 	Term position.Term
-	// Token is the newest one of the group.
-	Token Token
+	// Token is the newest one of the group, Holder the VM that has acquired it.
+	Token  Token
+	Holder VMName
+	// Age is the time since that VM acquired the right to pause replicas, if Term isn't 0.
+	Age time.Duration
 }
 
 // pause is an attempt's pause of replicas. While too few replicas receive the log to confirm a commit, none can be
@@ -61,7 +64,7 @@
 		return err
 	}
 	p := &pause{attempt: a}
-	if p.right, err = f.Promoter.AcquireForPause(ctx, g.Name, g.newestTerm()+1); err != nil {
+	if p.right, err = f.Promoter.AcquireForPause(ctx, g.Name, g.newestTerm()+1, f.mayReplacePause); err != nil {
 		return err
 	}
 	err = f.promotePaused(ctx, p, e)
@@ -69,6 +72,22 @@
 	return err
 }
 
+// mayReplacePause reports whether an attempt may begin although another VM's pause is recorded: that VM's attempt has
+// ended, or the VM is silent.
+func (f *Failover) mayReplacePause(r RecordedPause) bool {
+	return r.Age >= failoverTimeout || f.isSilent(r.Holder)
+}
+
+// isSilent reports whether a VM was heard before and isn't any more.
+func (f *Failover) isSilent(name VMName) bool {
+	for _, p := range f.Fleet.Peers() {
+		if VMName(p.VM) == name {
+			return p.Silent
+		}
+	}
+	return false
+}
+
 // promotePaused pauses the replicas and promotes one of them. before is the election that led here.
 func (f *Failover) promotePaused(ctx context.Context, p *pause, before failover.Election) error {
 	g := p.group
--- a/internal/proxy/pause_watch.go
+++ b/internal/proxy/pause_watch.go
@@ -17,8 +17,8 @@
 	// pauseCheckInterval is how often the first verifier in rank looks for pauses that other VMs have left. Each further
 	// one does so more rarely.
 	pauseCheckInterval = 2 * time.Second
-	// abandonedPauseAge is how long a pause of another VM must have been recorded without a change before it counts as
-	// left: that VM's attempt, and ending its pause, have ended by then.
+	// abandonedPauseAge is the age at which a pause of another VM counts as left: that VM's attempt, and ending its
+	// pause, have ended by then.
 	abandonedPauseAge = failoverTimeout + releaseTimeout
 	// lateCommandTime is how long after it was sent a command without an answer may be carried out.
 	lateCommandTime = 15 * time.Second
@@ -33,10 +33,8 @@
 	due map[*member]clock.Instant
 	// failures counts the attempts in a row after which a server still had to be.
 	failures int
-	// checkedAt is when the record was last read, token the newest one then and tokenAt since when it has been that.
+	// checkedAt is when the record was last read.
 	checkedAt clock.Instant
-	token     Token
-	tokenAt   clock.Instant
 	// isRunning is true while a check runs.
 	isRunning bool
 }
@@ -120,10 +118,7 @@
 	}
 	f.mu.Lock()
 	w := f.watchOf(g)
-	if w.token != recorded.Token {
-		w.token, w.tokenAt = recorded.Token, clock.Now()
-	}
-	isAbandoned, isDue := w.isLeft || clock.Since(w.tokenAt) >= abandonedPauseAge, w.isDue()
+	isAbandoned, isDue := w.isLeft || recorded.Holder == f.VM.Name || f.mayEndPause(recorded), w.isDue()
 	if recorded.Term == 0 {
 		w.isLeft = false
 	}
@@ -136,6 +131,11 @@
 	eventPauseLeft.Log(g.Logger, "token", recorded.Token, "term", recorded.Term, "outcome", "settled", "err", err)
 }
 
+// mayEndPause reports whether a pause of another VM is left, so that this one may end it.
+func (f *Failover) mayEndPause(r RecordedPause) bool {
+	return r.Age >= abandonedPauseAge || f.isSilent(r.Holder)
+}
+
 // isHeld reports whether a replica tells that it is paused although that isn't recorded.
 func (f *Failover) isHeld(ctx context.Context, g *Group, recorded RecordedPause) bool {
 	primary, _ := g.currentPrimary()
@@ -144,7 +144,7 @@
 		if s, err := g.runStatusCommand(ctx, m, QueryStatus{}); err == nil && s.HeldTerm > s.Term {
 			// Another VM may have paused it since the record was read.
 			again, err := f.Promoter.ReadPause(ctx, g.Name)
-			return err == nil && again == recorded
+			return err == nil && again.Term == 0 && again.Token == recorded.Token
 		}
 	}
 	return false
@@ -159,7 +159,7 @@
 	}
 	p := &pause{attempt: attempt{group: g, decision: failover.Keep, oldPrimary: primary, first: time.Now()}}
 	var err error
-	if p.right, err = f.Promoter.AcquireForPause(ctx, g.Name, g.newestTerm()+1); err != nil {
+	if p.right, err = f.Promoter.AcquireForPause(ctx, g.Name, g.newestTerm()+1, f.mayEndPause); err != nil {
 		return err
 	}
 	p.members = p.replicas()
@@ -199,23 +199,19 @@
 // excludeOrders makes sure that no order of an earlier attempt is carried out any more. It pauses the replicas itself
 // and has the platform promote the primary, which changes nothing but makes it refuse all earlier tokens, and waits for
 // promotions that are under way. If another server is promoted meanwhile, no commit of it can be confirmed without
-// the primary, so that the order loses none. If that isn't possible, it is enough that the time is over in which an
-// order may be carried out late.
+// the primary, so that the order loses none. An attempt of this VM may have sent its order a moment ago; for another
+// one's, and after the time in which an order may be carried out late, it isn't needed that enough replicas answer.
 func (f *Failover) excludeOrders(ctx context.Context, p *pause) error {
 	g := p.group
 	f.mu.Lock()
 	w := f.watchOf(g)
-	isOver := w.isLeft && clock.Since(w.leftAt) >= lateCommandTime+abandonedPauseAge
+	isRecent := w.isLeft && clock.Since(w.leftAt) < lateCommandTime
 	f.mu.Unlock()
-	if isOver {
-		_, err := p.actingPrimary(ctx)
-		return err
-	}
 	paused, err := f.pauseReplicas(ctx, p)
 	if err != nil {
 		return err
 	}
-	if needed := p.pausesNeeded(); len(paused) < needed {
+	if needed := p.pausesNeeded(); len(paused) < needed && isRecent {
 		return ErrNotPromotable.New("service %s: %d of %d replicas are paused, %d are needed", g.Name, len(paused), len(p.members), needed)
 	}
 	term, err := p.actingPrimary(ctx)
