--- a/internal/proxy/pause.go
+++ b/internal/proxy/pause.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -240,7 +241,7 @@
 		w.resumeLater(m, lateCommandTime)
 	}
 	f.mu.Unlock()
-	eventResumed.Log(g.Logger, "token", p.right.Token, "replicas", len(members), "unanswered", left)
+	eventResumed.Log(g.Logger, "token", p.right.Token, "replicas", len(members), "unanswered", fmt.Sprint(left))
 	return f.Promoter.EndResume(ctx, g.Name, p.right.Token, g.knownTerm())
 }
 
