proxy, caller: end busy transactions before a drain ends

Cause: a drain ended a transaction only while its session waited for a request. A caller that sends each statement directly after the last answer is never found waiting.

Class: what may not be answered before the process ends mustn't begin. In the second half of the grace period a request whose time limit is past the drain's end is refused: in a transaction as not kept, else as not run; likewise another VM's batch over this one's connections. The PostgreSQL side answers a statement of an open transaction with 57P01 in the second half of its drain.

Ruled out, by reading only: polling sessions more often, since a request that has been read keeps Interrupt from having an effect.

--- a/internal/caller/drain_test.go
+++ b/internal/caller/drain_test.go
@@ -200,3 +200,35 @@
 	}
 	return 1
 }
+
+// Guards against statements that are cut off at the end of a drain: a transaction whose caller sends each one directly
+// after the last answer went on until the sessions were aborted.
+func TestDrainEndsBusyTransactions(t *testing.T) {
+	tests := map[string]string{"reads": "select pg_sleep(0.3)", "writes": "insert into t values (1)"}
+	for name, statement := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newCluster(t, 1)
+				v := f.vms[0]
+				c := f.connectAsOne(v)
+				f.exec(c, "create table if not exists t (n int)")
+				f.exec(c, "begin")
+				const lasts = 6 * time.Second
+				ctx, cancel := context.WithTimeout(f.ctx, lasts)
+				defer cancel()
+				began := time.Now()
+				drained := make(chan error)
+				go func() { drained <- v.server.Drain(ctx) }()
+				var err error
+				for err == nil && ctx.Err() == nil {
+					_, err = c.Exec(f.ctx, statement)
+					time.Sleep(callerDelay)
+				}
+				assert.Equal(t, sqlState(err), "57P01", "%v", err)
+				took := time.Since(began)
+				assert.Assert(t, lasts/2 <= took && took < lasts, "the transaction was ended after %s", took)
+				assert.NilError(t, <-drained)
+			})
+		})
+	}
+}
--- a/internal/caller/ending.go
+++ b/internal/caller/ending.go
@@ -87,6 +87,16 @@
 	return m
 }
 
+// endForShutdown makes the session end in place of an answer. Its transaction is rolled back.
+func (s *Session) endForShutdown() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.endReason == reasonNone {
+		s.endReason = reasonShutdown
+	}
+	return ErrNotReady.New("VM %s is shutting down", s.server.VM)
+}
+
 // requestEnd ends the session at once if it is idle, otherwise after its current answer.
 // For a shutdown it does nothing unless the session has been idle for
 // minIdleBeforeShutdown, outside of a transaction.
--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -50,6 +50,10 @@
 // caller.
 func (s *Session) runRequest(ctx context.Context, r *request) error {
 	start := time.Now()
+	if s.transactionConn != nil && r.kind != kindEnd && s.server.endsTransactions.Load() {
+		// A statement that is still running when the drain ends is cut off.
+		return s.endForShutdown()
+	}
 	if s.transactionLost {
 		return s.runInLostTransaction(ctx, r)
 	}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -56,11 +56,14 @@
 	Logger          log.Logger
 	Meter           metric.Meter
 
-	mu        sync.Mutex
-	sessions  map[SessionID]*Session
-	nextID    SessionID
-	draining  atomic.Bool
-	startedAt time.Time
+	mu       sync.Mutex
+	sessions map[SessionID]*Session
+	nextID   SessionID
+	draining atomic.Bool
+	// endsTransactions is true in the second half of a drain's time: open transactions are rolled back before their
+	// next statement, unless that ends them.
+	endsTransactions atomic.Bool
+	startedAt        time.Time
 	// lastTrusted is when DocumentTrusted was last true, as the time since startedAt.
 	lastTrusted atomic.Int64
 	// openConns counts connections, including those that haven't logged in yet.
@@ -125,10 +128,16 @@
 func (s *Server) Draining() bool { return s.draining.Load() }
 
 // Drain closes the listener, lets sessions end between transactions, and returns when
-// none is left. If ctx ends first, it returns ErrDrainTimeout and leaves the remaining
+// none is left. After half of the time until ctx ends, it also ends open transactions. If ctx ends first, it returns ErrDrainTimeout and leaves the remaining
 // sessions open; Run aborts them when its own context ends.
 func (s *Server) Drain(ctx context.Context) error {
 	s.draining.Store(true)
+	if deadline, limited := ctx.Deadline(); limited {
+		half := time.AfterFunc(time.Until(deadline)/2, func() { s.endsTransactions.Store(true) })
+		// Sessions that Drain leaves open go on until Run aborts them.
+		defer s.endsTransactions.Store(false)
+		defer half.Stop()
+	}
 	_ = s.Listener.Close()
 	ticker := time.NewTicker(drainCheckInterval)
 	defer ticker.Stop()
--- a/internal/proxy/client_test.go
+++ b/internal/proxy/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -14,6 +15,8 @@
 	interrupt chan bool
 	database  DatabaseName
 	key       Key
+	// sendsAhead is true if the next request has always been read already.
+	sendsAhead atomic.Bool
 	// last is the ID of the latest request.
 	last     RequestID
 	rejected Failure
@@ -62,7 +65,7 @@
 	c.Close()
 }
 
-func (c *client) HasBufferedInput() bool { return false }
+func (c *client) HasBufferedInput() bool { return c.sendsAhead.Load() }
 
 func (c *client) Interrupt() {
 	select {
--- a/internal/proxy/remote.go
+++ b/internal/proxy/remote.go
@@ -193,6 +193,11 @@
 // is closed after an error, unless no command was sent and no transaction is open.
 func (rs *RemoteSession) Exec(ctx context.Context, b Batch) ([]Answer, error) {
 	until := time.Now().Add(b.Within - replyMargin)
+	// A refusal rolls back first, so that it needs time as well.
+	if rs.VM.endsBefore(until.Add(rollbackTimeout)) {
+		rs.Close()
+		return nil, ErrBusy.New("VM %s is shutting down", rs.VM.Name)
+	}
 	if rs.checkout == nil && b.Open {
 		return nil, ErrBroken.New("the connection of the transaction at server %s was lost", b.Server)
 	}
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -197,7 +197,12 @@
 	op.deadline = began.Add(op.route.StatementTimeout)
 	op.group = s.vm.group(op.route.Service)
 	op.firstDeadline = s.refused.take(began)
-	answer := s.execute(ctx, &op)
+	var answer Answer
+	if s.vm.endsBefore(op.deadline) {
+		answer = s.refuseDuringDrain(&op)
+	} else {
+		answer = s.execute(ctx, &op)
+	}
 	if answer.Phase == "" {
 		answer.Phase = s.phase()
 	}
@@ -212,6 +217,24 @@
 	return err == nil
 }
 
+// refuseDuringDrain answers a request that may not be answered before the VM ends. It rolls the open transaction back.
+func (s *Session) refuseDuringDrain(op *operation) Answer {
+	const detail = "the VM is shutting down"
+	if s.tx == nil && !s.transactionFailed {
+		return Answer{Failure: Busy, Detail: detail}
+	}
+	wasOpen := s.tx != nil
+	s.failTransaction()
+	switch op.request.Statement.(type) {
+	case Commit, Rollback:
+		return s.answerInFailedTransaction(op)
+	}
+	if wasOpen {
+		return Answer{Failure: Aborted, Detail: detail}
+	}
+	return s.answerInFailedTransaction(op)
+}
+
 func (s *Session) phase() Phase {
 	switch {
 	case s.transactionFailed:
--- a/internal/proxy/vm.go
+++ b/internal/proxy/vm.go
@@ -60,8 +60,10 @@
 	draining atomic.Bool
 	// startedAt is when Run began, on clock.Now.
 	startedAt atomic.Int64
-	// cancelTransactions is true once a drain also ends open transactions.
+	// cancelTransactions is true once a drain also ends open transactions. drainEndsAt is when the drain ends
+	// whatever is left, nil if it has no such time.
 	cancelTransactions atomic.Bool
+	drainEndsAt        atomic.Pointer[time.Time]
 	// remoteSessions counts the connections of this VM that other VMs have checked out.
 	remoteSessions atomic.Int64
 	openSessions   atomic.Int64
@@ -264,9 +266,13 @@
 
 // Drain closes sessions between operations. It returns when no session of a caller is left and
 // no other VM has a connection checked out, but not before minDrainDuration, or when ctx ends.
-// After transactionGrace, transactions of callers are rolled back when they are idle.
+// After transactionGrace, transactions of callers are rolled back when they are idle, and requests are refused that may not
+// be answered before ctx ends.
 func (v *VM) Drain(ctx context.Context, transactionGrace time.Duration) {
 	eventDrain.Log(v.Logger, "sessions", v.openSessions.Load())
+	if deadline, limited := ctx.Deadline(); limited {
+		v.drainEndsAt.Store(&deadline)
+	}
 	v.BeginDrain()
 	began := time.Now()
 	tick := time.NewTicker(drainPollInterval)
@@ -289,6 +295,15 @@
 	eventDrained.Log(v.Logger, "sessions", 0, "outcome", "done")
 }
 
+// endsBefore reports whether a drain has stopped waiting for transactions and may end before a time.
+func (v *VM) endsBefore(t time.Time) bool {
+	if !v.cancelTransactions.Load() {
+		return false
+	}
+	end := v.drainEndsAt.Load()
+	return end != nil && end.Before(t)
+}
+
 // minDrainDuration is the minimum duration of a drain, unless its context ends earlier. The load
 // balancer may send new callers until two health checks have failed, which are a second apart.
 const minDrainDuration = 2500 * time.Millisecond
