proxy, platform: let a promoter finish before another one takes over

Cause: where the platform checks tokens, a VM took the right to promote over from another one that had used it 10 to 140 ms before. Both lose a dark primary at the same moment, and ranks count only the VMs that are known to fail.

Change: the promoter's row has the time of its holder's latest attempt. Another VM takes over 4 s after it, when that attempt has ended, or if the holder is silent. The VM that has promoted a server a moment ago acts first if that one fails.

Ruled out as needed: other ranks; with these unchanged the rule holds.

--- a/cmd/savoryramp-vm/daemon.go
+++ b/cmd/savoryramp-vm/daemon.go
@@ -125,6 +125,7 @@
 	d.addTask(d.configurationWatcher.Run)
 	d.addTask((&platform.ServerListWatcher{Store: d.store, OnServers: d.onServers, ReadByDelegate: d.listReadByDelegate, Known: d.knownServers, LacksList: d.lacksServerList, FetchFromPeer: d.fetchServersFromPeer, LimitsCold: d.vm.Placement != nil, Logger: d.logger}).Run)
 	failover := &proxy.Failover{VM: d.vm, Fleet: d.fleet, Promoter: d.promoter, PromotionFences: s.FencingEnforced, Logger: d.logger}
+	d.promoter.MayTakeOver = failover.MayTakeOver
 	if !s.FencingEnforced {
 		d.vm.HasQuorum = failover.HasQuorum
 	}
--- a/internal/proxy/failover.go
+++ b/internal/proxy/failover.go
@@ -95,6 +95,8 @@
 	// only used by Run.
 	fleetUnknown bool
 
+	// promotedAt has when this VM last ordered a promotion in a group.
+	promotedAt map[ServiceName]clock.Instant
 	// pauses has what is left to be done in each group in which replicas may be paused.
 	pauses map[ServiceName]*pauseWatch
 
@@ -167,7 +169,7 @@
 		return
 	}
 	decision := view.Decide()
-	wait := g.handOverWait(decision, view.ActionDelay())
+	wait := f.wait(g, view, decision)
 	if view.WasPaused() || pending.decision != decision || pending.primary != ServerID(view.OwnObservation.Primary) {
 		pending = pendingDecision{decision: decision, primary: ServerID(view.OwnObservation.Primary), since: time.Now(), running: pending.running, lastAttempt: pending.lastAttempt, backoff: pending.backoff}
 		if decision != failover.Keep {
@@ -188,6 +190,31 @@
 	f.pending[g.Name] = pending
 }
 
+// wait returns how long a decision must have been unchanged before this VM acts. The VM that has promoted a server a
+// moment ago goes first, since another one would have to wait for the end of its turn (MayTakeOver). f.mu is held.
+func (f *Failover) wait(g *Group, view failover.View, decision failover.Decision) time.Duration {
+	if at, found := f.promotedAt[g.Name]; found && decision == failover.Replace && clock.Since(at) < failoverTimeout {
+		return view.FenceDelay
+	}
+	return g.handOverWait(decision, view.ActionDelay())
+}
+
+// MayTakeOver reports whether this VM may become the promoter of a group in place of another one, which became it some
+// time ago: that VM's attempt has ended, or it is silent. Two VMs that act in turn would undo each other's promotions.
+func (f *Failover) MayTakeOver(holder VMName, age time.Duration) bool {
+	return age >= failoverTimeout || f.isSilent(holder)
+}
+
+// isSilent reports whether a VM was heard before and isn't any more.
+func (f *Failover) isSilent(name VMName) bool {
+	for _, p := range f.Fleet.Peers() {
+		if VMName(p.VM) == name {
+			return p.Silent
+		}
+	}
+	return false
+}
+
 // newAttempt returns an attempt to carry out a pending decision.
 func (f *Failover) newAttempt(g *Group, decision failover.Decision, pending pendingDecision) attempt {
 	oldPrimary, _ := g.currentPrimary()
@@ -334,6 +361,12 @@
 // promote orders the promotion that creates a term. It gives up the token if that is outdated. Otherwise the
 // order may have created the term, even if its answer was lost.
 func (f *Failover) promote(ctx context.Context, g *Group, id ServerID, token Token, term position.Term) error {
+	f.mu.Lock()
+	if f.promotedAt == nil {
+		f.promotedAt = map[ServiceName]clock.Instant{}
+	}
+	f.promotedAt[g.Name] = clock.Now()
+	f.mu.Unlock()
 	err := f.Promoter.Promote(ctx, g.Name, id, token)
 	if isType(err, ErrFenced) {
 		f.Promoter.DiscardToken(g.Name)
--- a/internal/proxy/failover_test.go
+++ b/internal/proxy/failover_test.go
@@ -257,3 +257,30 @@
 		})
 	}
 }
+
+// Guards against a second failover that waits although the VM that has carried out the first one could act: the others
+// have to wait for the end of its turn.
+func TestLatestPromoterActsFirst(t *testing.T) {
+	runTest(t, func(tb *testbed) {
+		awaitVerifiedPrimary()
+		g := tb.vm.group(testService)
+		f := &Failover{VM: tb.vm, Fleet: &heartbeat.Fleet{}, Promoter: &fakePromoter{testbed: tb}, PromotionFences: true, Logger: log.NewNopLogger()}
+		view := failover.View{VM: "vm", Group: string(testService), IsVerifier: true, OwnObservation: failover.Observation{VM: "vm", Failing: true}}
+		for _, other := range []string{"a", "b", "c", "d", "e", "f", "g"} {
+			view.Others = append(view.Others, failover.Observation{VM: other, Failing: true})
+		}
+		usual := view.ActionDelay()
+		assert.Assert(t, usual > 0, "the VM goes first anyway")
+		wait := func() time.Duration {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return f.wait(g, view, failover.Replace)
+		}
+		assert.Equal(t, wait(), usual)
+		assert.NilError(t, f.promote(tb.ctx, g, "b", 1, 2))
+		assert.Equal(t, wait(), time.Duration(0))
+		clock.Sleep(tb.ctx, failoverTimeout)
+		assert.Equal(t, wait(), usual)
+		assert.Assert(t, !f.MayTakeOver("other", failoverTimeout-1) && f.MayTakeOver("other", failoverTimeout))
+	})
+}
--- a/internal/proxy/pause.go
+++ b/internal/proxy/pause.go
@@ -76,17 +76,7 @@
 // mayReplacePause reports whether an attempt may begin although another VM's pause is recorded: that VM's attempt has
 // ended, or the VM is silent.
 func (f *Failover) mayReplacePause(r RecordedPause) bool {
-	return r.Age >= failoverTimeout || f.isSilent(r.Holder)
-}
-
-// isSilent reports whether a VM was heard before and isn't any more.
-func (f *Failover) isSilent(name VMName) bool {
-	for _, p := range f.Fleet.Peers() {
-		if VMName(p.VM) == name {
-			return p.Silent
-		}
-	}
-	return false
+	return f.MayTakeOver(r.Holder, r.Age)
 }
 
 // promotePaused pauses the replicas and promotes one of them. before is the election that led here.
