proxy: know prepared statements on connections by digests

Cause: a pooled connection remembered up to 128 statements with their texts, also after the session had deallocated them and got the bytes back.

Class: memory that a session causes and that outlives its charge. A connection has digests now, and one with long session values isn't kept.

Ruled out as needed: buffers of sessions and links, which are as before.

--- a/internal/hostile/callers_test.go
+++ b/internal/hostile/callers_test.go
@@ -104,6 +104,14 @@
 		}
 		readAnswers(c, 13)
 	}},
+	"statements that pooled connections keep": {clients: 4, client: func(c net.Conn) {
+		send(c, startup)
+		readAnswers(c, 1)
+		for i := range 60 {
+			send(c, fmt.Sprint("QUERY a PREPARE p READ ", i, c.LocalAddr(), text(keptText), "\r\n"), "QUERY b EXECUTE p k\r\n", "QUERY c DEALLOCATE p\r\n")
+			readAnswers(c, 3)
+		}
+	}},
 	"messages that stop half-way": {clients: 200, held: true, client: func(c net.Conn) {
 		send(c, startup, "QUERY a SET v "+text(halfMessage))
 	}},
--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -142,9 +142,10 @@
 	// mutex guards it.
 	dropped bool
 	// values and plans are the session values and prepared statements that the connection
-	// currently has on the server.
+	// currently has on the server. Nobody is charged for them, so that neither may hold much: plans has digests,
+	// and a connection with long values isn't kept.
 	values map[string]string
-	plans  map[Plan]StatementName
+	plans  map[planDigest]StatementName
 	// place is the connection's place in the pool's queue while a statement is about to run on it
 	// or runs, nil otherwise. demand is that of the latest checkout.
 	place  *place
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -357,7 +357,19 @@
 // mustClose reports whether the connection isn't used again. At a server that repeats answers, an equal refusal
 // of a later statement couldn't be told from one that this connection has received.
 func (c *Conn) mustClose() bool {
-	return c.misaligned || c.history.isFull() || c.refused && c.pool.repeatsAnswers()
+	return c.misaligned || c.history.isFull() || c.refused && c.pool.repeatsAnswers() || c.valuesSize() > maxIdleValues
+}
+
+// maxIdleValues is the size in bytes of the session values that a pooled connection may have while no session uses it.
+// Usual values take some hundred bytes.
+const maxIdleValues = 16 << 10
+
+func (c *Conn) valuesSize() int {
+	size := 0
+	for name, value := range c.values {
+		size += len(name) + len(value)
+	}
+	return size
 }
 
 // endsVerification reports whether commands verify the primary.
@@ -408,7 +420,7 @@
 	}
 	if c.hasStaleValues(p.values) || len(c.plans)+c.markerPlans >= maxPreparedPlans {
 		queue(Reset{})
-		c.values, c.plans, c.markerPlans = map[string]string{}, map[Plan]StatementName{}, 0
+		c.values, c.plans, c.markerPlans = map[string]string{}, map[planDigest]StatementName{}, 0
 	}
 	for name, value := range p.values {
 		if before, found := c.values[name]; !found || before != value {
@@ -422,11 +434,12 @@
 		return sent, command
 	}
 	plan := p.plans[e.Name]
-	name, found := c.plans[plan]
+	digest := plan.digest()
+	name, found := c.plans[digest]
 	if !found {
 		name = StatementName("p" + itoa(int64(len(c.plans)+1)))
 		queue(PreparePlan{Name: name, Plan: plan})
-		c.plans[plan] = name
+		c.plans[digest] = name
 	}
 	f.Statement = Execute{Name: name, Arguments: e.Arguments}
 	return sent, f
--- a/internal/proxy/exchange_test.go
+++ b/internal/proxy/exchange_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -109,7 +110,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			link := &scriptedLink{}
-			c := &Conn{Link: link, pool: &Pool{}, alignment: alignment{phase: Idle}, values: map[string]string{}, plans: map[Plan]StatementName{}}
+			c := &Conn{Link: link, pool: &Pool{}, alignment: alignment{phase: Idle}, values: map[string]string{}, plans: map[planDigest]StatementName{}}
 			for _, a := range test.before {
 				c.history.note(a)
 			}
@@ -165,7 +166,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			link := &scriptedLink{script: []Answer{lagging}, late: test.late, change: test.change}
-			c := &Conn{Link: link, pool: &Pool{}, alignment: alignment{phase: Idle}, values: map[string]string{}, plans: map[Plan]StatementName{}}
+			c := &Conn{Link: link, pool: &Pool{}, alignment: alignment{phase: Idle}, values: map[string]string{}, plans: map[planDigest]StatementName{}}
 			// The position differs: a server may send the present one with a repeated answer.
 			before := lagging
 			before.Position = position.Position{Term: 1, Offset: 7}
@@ -191,9 +192,51 @@
 // for refused, since a refusal arrived again, and had begun.
 func TestPrepare(t *testing.T) {
 	link := &scriptedLink{script: []Answer{{Failure: Lagging, Detail: "i-1", Phase: InTransaction}}}
-	c := &Conn{Link: link, pool: &Pool{}, alignment: alignment{phase: Idle}, values: map[string]string{}, plans: map[Plan]StatementName{}}
+	c := &Conn{Link: link, pool: &Pool{}, alignment: alignment{phase: Idle}, values: map[string]string{}, plans: map[planDigest]StatementName{}}
 	_, err := c.exec(nil, []Command{BeginAt{ReadOnly: true}}, time.Now().Add(time.Second))
 	assert.NilError(t, err)
 	assert.Assert(t, errorx.IsOfType(c.prepare(time.Now().Add(time.Second)), ErrUnsettled))
 	assert.Assert(t, c.mustClose())
 }
+
+// Guards against memory that pooled connections hold for sessions that have ended, and that nobody is charged for.
+func TestConnectionWithLongValuesIsNotKept(t *testing.T) {
+	tests := map[string]struct {
+		size int
+		kept bool
+	}{"usual": {200, true}, "long": {maxIdleValues, false}}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			runTest(t, func(tb *testbed) {
+				awaitVerifiedPrimary()
+				c := tb.openSession(testDatabase)
+				assert.Assert(t, c.exec(Set{"note", strings.Repeat("x", test.size)}).Succeeded())
+				assert.Assert(t, c.exec(write("1")).Succeeded())
+				c.Close()
+				found := false
+				for _, m := range tb.vm.group(testService).sortedMembers() {
+					m.pool.mu.Lock()
+					for _, wp := range m.pool.workspacePools {
+						for _, conn := range wp.idle {
+							found = found || conn.values["note"] != ""
+						}
+					}
+					m.pool.mu.Unlock()
+				}
+				assert.Equal(t, found, test.kept)
+			})
+		})
+	}
+}
+
+// Guards against a prepared statement that runs in place of another one, since connections know plans by their digest.
+func TestPlanDigests(t *testing.T) {
+	plans := []Plan{{}, {Writes: true}, {Shape: "q"}, {Writes: true, Shape: "q"}, {Shape: "\x00q"}, {Shape: "\x01q"}}
+	seen := map[planDigest]Plan{}
+	for _, p := range plans {
+		if other, found := seen[p.digest()]; found {
+			t.Errorf("%v and %v have the same digest", p, other)
+		}
+		seen[p.digest()] = p
+	}
+}
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -302,7 +302,7 @@
 	}
 	p.averageHandshake = movingAverage(p.averageHandshake, time.Since(began))
 	p.opened++
-	c := &Conn{Link: link, Server: p.Server.ID, Workspace: w, pool: p, number: p.opened, alignment: alignment{phase: Idle}, values: map[string]string{}, plans: map[Plan]StatementName{}}
+	c := &Conn{Link: link, Server: p.Server.ID, Workspace: w, pool: p, number: p.opened, alignment: alignment{phase: Idle}, values: map[string]string{}, plans: map[planDigest]StatementName{}}
 	p.assignOrKeep(wp, c)
 	p.openForWaiters()
 }
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -2,6 +2,11 @@
 // Protocol adapters translate requests and answers to and from its types.
 package proxy
 
+import (
+	"crypto/sha256"
+	"io"
+)
+
 // RequestID identifies a caller's request; it is forwarded to servers unchanged.
 type RequestID string
 
@@ -60,6 +65,20 @@
 	Shape string
 }
 
+// planDigest identifies a plan without its text. No two plans are known to have the same one.
+type planDigest [sha256.Size]byte
+
+func (p Plan) digest() planDigest {
+	h := sha256.New()
+	if p.Writes {
+		_, _ = h.Write([]byte{1})
+	} else {
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = io.WriteString(h, p.Shape)
+	return planDigest(h.Sum(nil))
+}
+
 func (Begin) statement()      {}
 func (Commit) statement()     {}
 func (Rollback) statement()   {}
