--- a/internal/proxy/vm.go
+++ b/internal/proxy/vm.go
@@ -266,8 +266,8 @@
 
 // Drain closes sessions between operations. It returns when no session of a caller is left and
 // no other VM has a connection checked out, but not before minDrainDuration, or when ctx ends.
-// After transactionGrace, transactions of callers are rolled back when they are idle, and requests are refused that may not
-// be answered before ctx ends.
+// After transactionGrace, transactions of callers are rolled back when they are idle, and requests are
+// refused that may not be answered before ctx ends.
 func (v *VM) Drain(ctx context.Context, transactionGrace time.Duration) {
 	eventDrain.Log(v.Logger, "sessions", v.openSessions.Load())
 	if deadline, limited := ctx.Deadline(); limited {
