proxy: count servers that may hold confirmed commits, not listed rows

With syncReplicas above 0, the quorum of a replacement was counted over the servers that the platform lists.

The VMs now keep a roster of all servers that may hold a confirmed commit: in memory, and in a row of the store that outlives a restart of all VMs. A server leaves it once as many replicas as confirm a commit have received what the primary had after the server was gone, or at once if a listed server has got its log. A hand-over counts nobody, since the successor gets the primary's whole log. A rise of syncReplicas counts only once as many replicas have all.

--- a/cmd/savoryramp-vm/daemon.go
+++ b/cmd/savoryramp-vm/daemon.go
@@ -109,6 +109,7 @@
 		PriorityScheduling: s.HasContract(priorityContract),
 		IsolatedFor:        func() time.Duration { return min(d.store.TimeSinceReply(), d.fleet.TimeSincePeerSeen()) },
 	}
+	d.vm.ServerListAge = d.serverListAge
 	relayListener, err := d.listenOn(net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)), budget.Links)
 	if err != nil {
 		return err
--- a/cmd/savoryramp-vm/fleet.go
+++ b/cmd/savoryramp-vm/fleet.go
@@ -137,6 +137,13 @@
 	return d.list.lackedFrom != ""
 }
 
+// serverListAge returns how long ago the platform last returned the list of servers.
+func (d *daemon) serverListAge() time.Duration {
+	d.listMu.Lock()
+	defer d.listMu.Unlock()
+	return clock.Since(d.list.listedAt)
+}
+
 // knownServers returns the servers that this VM uses.
 func (d *daemon) knownServers() []proxy.Server {
 	d.listMu.Lock()
--- a/internal/proxy/election.go
+++ b/internal/proxy/election.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -71,23 +72,24 @@
 // row, 0 if it isn't known.
 func (a attempt) election(statuses []replicaStatus, announced position.Term) failover.Election {
 	g := a.group
-	e := failover.Election{SyncReplicas: g.syncReplicas(), SinceFirstAttempt: time.Since(a.first)}
+	servers, syncReplicas := g.confirmation()
+	e := failover.Election{SyncReplicas: syncReplicas, Replicas: servers - 1, SinceFirstAttempt: time.Since(a.first)}
+	if a.decision == failover.HandOver {
+		// The successor gets the whole log of the old primary, which has each confirmed commit.
+		e.SyncReplicas = 0
+	}
 	for _, m := range g.sortedMembers() {
-		asked := g.allows(m, placement.Control)
-		if asked {
+		if g.allows(m, placement.Control) {
 			e.Listed++
 		}
-		// Before a hand-over the successor gets the whole log of the old primary, so that replicas which
-		// may not be asked can't have more.
-		if m != a.oldPrimary && (asked || a.decision != failover.HandOver) {
-			e.Replicas++
-		}
 	}
 	for _, s := range statuses {
 		g.noteTerm(max(s.status.Term, s.status.Received.Term))
 		e.Answered = append(e.Answered, failover.Replica{
-			Server: string(s.id), Leaving: s.leaving, OldPrimary: s.isOldPrimary,
-			Received: failover.LogEnd{Term: int64(s.status.Received.Term), Offset: int64(s.status.Received.Offset)},
+			Server: string(s.id), Leaving: s.leaving,
+			// A server that says it is the primary isn't paused, and confirms commits with the other replicas.
+			OldPrimary: s.isOldPrimary || s.status.Primary && syncReplicas > 0,
+			Received:   failover.LogEnd{Term: int64(s.status.Received.Term), Offset: int64(s.status.Received.Offset)},
 		})
 	}
 	e.NewestTerm = int64(max(announced, g.newestTerm()))
@@ -108,7 +110,7 @@
 		return chosen, e, nil
 	}
 	best, _ := failover.PickReplica(e.Answered, e.Replicas, 0)
-	eventPromotionRefused.Log(g.Logger, "reason", refused, "verdict", a.decision, "listed", e.Listed, "answered", len(e.Answered), "best", best.Server, "received", best.Received, "newest-term", e.NewestTerm, "announced", announced, "since-first", e.SinceFirstAttempt)
+	eventPromotionRefused.Log(g.Logger, "reason", refused, "verdict", a.decision, "listed", e.Listed, "answered", len(e.Answered), "best", best.Server, "received", best.Received, "newest-term", e.NewestTerm, "announced", announced, "since-first", e.SinceFirstAttempt, "unlisted", fmt.Sprint(g.unlistedServers()))
 	g.recordRefusal(string(refused))
 	return failover.Replica{}, e, ErrNotPromotable.New("service %s: %s: %d of %d servers answered, the best log ends at %s, the newest known term is %d", g.Name, refused, len(e.Answered), e.Listed, best.Received, e.NewestTerm)
 }
--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -41,6 +41,8 @@
 		"This VM has made replicas that may have been paused receive the log again; the event shows those that didn't answer.")
 	eventPauseLeft = event.Define(6035, "proxy-pause-left", event.Warn,
 		"Replicas may be left paused by an attempt at a failover that has ended early; this VM, or another one, ends that.")
+	eventRoster = event.Define(6036, "proxy-roster", event.Info,
+		"This VM has recorded which servers may hold confirmed commits, or couldn't; servers that are no longer listed are kept until the others have all that those could have confirmed.")
 	eventFleetUnknown = event.Define(6032, "proxy-fleet-unknown", event.Warn,
 		"Whether this VM knows which VMs there are changed; while it doesn't, it takes no decision on a primary.")
 	eventPrimaryStopped = event.Define(6016, "proxy-primary-stopped", event.Info,
--- a/internal/proxy/failover.go
+++ b/internal/proxy/failover.go
@@ -46,6 +46,10 @@
 	EndResume(ctx context.Context, service ServiceName, t Token, created position.Term) error
 	// ReadPause returns what is recorded on paused replicas of a group.
 	ReadPause(ctx context.Context, service ServiceName) (RecordedPause, error)
+	// ReadRoster returns the recorded servers of a group that may hold confirmed commits. WriteRoster records others in
+	// place of those of its version. It returns ErrConflict if another VM has changed the record since.
+	ReadRoster(ctx context.Context, service ServiceName) (RecordedRoster, error)
+	WriteRoster(ctx context.Context, service ServiceName, r RecordedRoster) error
 }
 
 const (
@@ -99,6 +103,8 @@
 	promotedAt map[ServiceName]clock.Instant
 	// pauses has what is left to be done in each group in which replicas may be paused.
 	pauses map[ServiceName]*pauseWatch
+	// rosters has the progress of the checks of each group's roster.
+	rosters map[ServiceName]*rosterWatch
 
 	quorumMu     sync.Mutex
 	quorumChecks map[ServiceName]quorumCheck
@@ -178,6 +184,7 @@
 	}
 	pending.evaluatedAt = clock.Now()
 	f.watchPause(ctx, g, view, decision, pending.running)
+	f.watchRoster(ctx, g, view)
 	due := decision != failover.Keep && !pending.running && time.Since(pending.since) >= wait && time.Since(pending.lastAttempt) > pending.backoff && f.Fleet.Settled()
 	if due {
 		pending.running, pending.lastAttempt = true, time.Now()
--- a/internal/proxy/failover_test.go
+++ b/internal/proxy/failover_test.go
@@ -41,6 +41,27 @@
 	pausedAt clock.Instant
 	// fenced is the highest token that the platform has seen.
 	fenced Token
+	// roster is the recorded roster, unavailable is true while the store doesn't answer.
+	roster      RecordedRoster
+	unavailable bool
+}
+
+func (p *fakePromoter) ReadRoster(context.Context, ServiceName) (RecordedRoster, error) {
+	if p.unavailable {
+		return RecordedRoster{}, ErrUnavailable.New("store")
+	}
+	return p.roster, nil
+}
+
+func (p *fakePromoter) WriteRoster(_ context.Context, service ServiceName, r RecordedRoster) error {
+	switch {
+	case p.unavailable:
+		return ErrUnavailable.New("store")
+	case r.Version != p.roster.Version:
+		return ErrConflict.New("service %s: version %d is newer than %d", service, p.roster.Version, r.Version)
+	}
+	p.roster = RecordedRoster{r.Roster, r.Version + 1}
+	return nil
 }
 
 // vmKey is the key of a context's value that tells which VM calls the promoter.
--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -46,6 +46,8 @@
 	lastSearch clock.Instant
 	// watchedAt is when the decision on the group was last evaluated, zero if it never was.
 	watchedAt clock.Instant
+	// roster is what this VM knows of the servers that may hold confirmed commits.
+	roster rosterMemory
 }
 
 // member is a server of the group and this VM's connections to it.
@@ -97,6 +99,7 @@
 // address has changed gets a new pool.
 func (g *Group) setServers(servers []Server) {
 	g.mu.Lock()
+	g.rememberListed()
 	var removed []*Pool
 	listed := map[ServerID]bool{}
 	for _, s := range servers {
@@ -127,6 +130,7 @@
 		}
 	}
 	g.setPrimaryFromList(servers)
+	g.rememberListed()
 	g.mu.Unlock()
 	g.applyEvacuation()
 	for _, p := range removed {
--- a/internal/proxy/pause.go
+++ b/internal/proxy/pause.go
@@ -60,10 +60,26 @@
 // with the longest log, and makes the others receive again.
 func (f *Failover) replaceConfirmed(ctx context.Context, a attempt) error {
 	g := a.group
+	rosterRead := make(chan error, 1)
+	f.attempts.Go(func() {
+		_, err := f.readRoster(ctx, g)
+		rosterRead <- err
+	})
+	if !g.knowsRoster() {
+		// The list may lack servers that others have seen.
+		err := <-rosterRead
+		if err != nil {
+			return err
+		}
+		rosterRead <- nil
+	}
 	chosen, e, err := f.chooseServer(ctx, a, 0)
 	if err != nil || chosen.Server == "" {
 		return err
 	}
+	if err := <-rosterRead; err != nil {
+		return err
+	}
 	p := &pause{attempt: a}
 	if p.right, err = f.Promoter.AcquireForPause(ctx, g.Name, g.newestTerm()+1, f.mayReplacePause); err != nil {
 		return err
@@ -97,7 +113,7 @@
 	chosen, refused := e.Choose()
 	if refused != "" {
 		g.recordRefusal(string(refused))
-		eventPromotionRefused.Log(g.Logger, "reason", refused, "verdict", p.decision, "listed", e.Listed, "answered", len(e.Answered), "newest-term", e.NewestTerm, "announced", p.right.Announced, "pause-term", p.right.Term)
+		eventPromotionRefused.Log(g.Logger, "reason", refused, "verdict", p.decision, "listed", e.Listed, "answered", len(e.Answered), "newest-term", e.NewestTerm, "announced", p.right.Announced, "pause-term", p.right.Term, "unlisted", fmt.Sprint(g.unlistedServers()))
 		return ErrNotPromotable.New("service %s: %s: %d of %d replicas are paused, the newest known term is %d", g.Name, refused, len(statuses), e.Replicas, e.NewestTerm)
 	}
 	id := ServerID(chosen.Server)
@@ -143,7 +159,7 @@
 	p.unanswered = slices.Clone(p.members)
 	needed := p.pausesNeeded()
 	paused := p.askMembers(ctx, &p.tasks, p.members, PauseReceiving{Term: p.right.Term}, func(statuses []replicaStatus) bool {
-		return len(statuses) >= needed
+		return countReplicas(statuses) >= needed
 	})
 	isOutdated := false
 	for _, s := range paused {
@@ -158,14 +174,31 @@
 	return paused, nil
 }
 
+// countReplicas counts the answers of replicas. The command to pause has no effect on a primary.
+func countReplicas(statuses []replicaStatus) int {
+	n := 0
+	for _, s := range statuses {
+		if !s.status.Primary {
+			n++
+		}
+	}
+	return n
+}
+
 // replicas returns the servers but the old primary that may be asked.
 func (a attempt) replicas() []*member {
 	return slices.DeleteFunc(a.askedMembers(), func(m *member) bool { return m == a.oldPrimary })
 }
 
-// pausesNeeded returns how many replicas have to be paused so that no commit can be confirmed. It counts those that
-// may not be asked.
+// pausesNeeded returns how many replicas have to be paused so that no commit can be confirmed, and each that was is on
+// one of them. It counts servers that aren't listed or may not be asked.
 func (a attempt) pausesNeeded() int {
+	servers, syncReplicas := a.group.confirmation()
+	return failover.AnswersNeeded(servers-1, syncReplicas)
+}
+
+// listedPausesNeeded returns how many replicas have to be paused so that no commit can be confirmed by the listed ones.
+func (a attempt) listedPausesNeeded() int {
 	total := slices.DeleteFunc(a.group.sortedMembers(), func(m *member) bool { return m == a.oldPrimary })
 	return failover.AnswersNeeded(len(total), a.group.syncReplicas())
 }
--- a/internal/proxy/pause_watch.go
+++ b/internal/proxy/pause_watch.go
@@ -6,7 +6,6 @@
 
 	"github.com/savoryramp/savoryramp/internal/clock"
 	"github.com/savoryramp/savoryramp/pkg/failover"
-	"github.com/savoryramp/savoryramp/pkg/position"
 )
 
 const (
@@ -211,10 +210,10 @@
 	if err != nil {
 		return err
 	}
-	if needed := p.pausesNeeded(); len(paused) < needed && isRecent {
+	if needed := p.listedPausesNeeded(); len(paused) < needed && isRecent {
 		return ErrNotPromotable.New("service %s: %d of %d replicas are paused, %d are needed", g.Name, len(paused), len(p.members), needed)
 	}
-	term, err := p.actingPrimary(ctx)
+	before, err := p.actingPrimary(ctx)
 	if err != nil {
 		return err
 	}
@@ -223,22 +222,22 @@
 	}
 	clock.Sleep(ctx, promotionTimeout)
 	again, err := p.actingPrimary(ctx)
-	if err == nil && again != term {
-		return ErrAbandoned.New("service %s: term %d has begun, the primary was that of term %d", g.Name, again, term)
+	if err == nil && again.Term != before.Term {
+		return ErrAbandoned.New("service %s: term %d has begun, the primary was that of term %d", g.Name, again.Term, before.Term)
 	}
 	return err
 }
 
-// actingPrimary returns the term in which the attempt's primary says that it acts. It returns ErrAbandoned if it doesn't
-// act or another one is known.
-func (a attempt) actingPrimary(ctx context.Context) (position.Term, error) {
+// actingPrimary returns the status of the attempt's primary, which says that it acts. It returns ErrAbandoned if it
+// doesn't act or another one is known.
+func (a attempt) actingPrimary(ctx context.Context) (ServerStatus, error) {
 	g, id := a.group, a.oldPrimary.pool.Server.ID
 	s, err := g.runStatusCommand(ctx, a.oldPrimary, QueryStatus{})
 	if err != nil {
-		return 0, err
+		return ServerStatus{}, err
 	}
 	if !s.Primary || s.Term < g.knownTerm() || a.isSuperseded() {
-		return 0, ErrAbandoned.New("service %s: server %s isn't the primary of the newest term", g.Name, id)
+		return ServerStatus{}, ErrAbandoned.New("service %s: server %s isn't the primary of the newest term", g.Name, id)
 	}
-	return s.Term, nil
+	return s, nil
 }
--- a/internal/proxy/state.go
+++ b/internal/proxy/state.go
@@ -39,6 +39,8 @@
 	// answered as primary with a quorum, or -1 if there was none.
 	VerifiedMs int64         `json:"proved-ms"`
 	Servers    []ServerState `json:"servers"`
+	// Unlisted has the servers that aren't listed and may hold confirmed commits.
+	Unlisted []string `json:"unlisted,omitempty"`
 }
 
 // ServerState is the state of one server.
@@ -110,6 +112,7 @@
 		s.VerifiedMs = clock.Since(clock.Instant(sent)).Milliseconds()
 	}
 	members := g.sortedMembers()
+	s.Unlisted = g.unlistedServers()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s.Primary, s.Term, s.Failing = g.primary, int64(g.term), g.health.hasFailed()
--- a/internal/proxy/vm.go
+++ b/internal/proxy/vm.go
@@ -50,6 +50,9 @@
 	// PriorityScheduling makes the VM order the statements for each server by urgency, and refuse
 	// those that can't be served in time. All VMs have the same setting.
 	PriorityScheduling bool
+	// ServerListAge returns how long ago the platform last returned its list of servers. It is nil if the list is always
+	// up to date.
+	ServerListAge func() time.Duration
 	// Placement has the zones that are being evacuated. It is nil if zones can't be evacuated.
 	Placement *Placement
 
@@ -209,6 +212,14 @@
 	}
 }
 
+// serverListAge returns the age of the platform's list of servers.
+func (v *VM) serverListAge() time.Duration {
+	if v.ServerListAge == nil {
+		return 0
+	}
+	return v.ServerListAge()
+}
+
 func serversOf(servers []Server, name ServiceName) []Server {
 	var list []Server
 	for _, s := range servers {
