proxy: give the VM's own commands a connection of their own

While replicas are paused, writes that wait for their confirmation hold all connections to the primary until their time-outs, and new ones take their places. Reads without an answer and a full queue kept out statuses and verifications in the same way.

Own commands that find no idle connection while callers hold what the share allows, wait for one, or fill the queue, use one connection of the pool that carries nothing else.

--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -133,6 +133,8 @@
 	Workspace WorkspaceName
 
 	pool *Pool
+	// isControl is true for the pool's control connection.
+	isControl bool
 	// number distinguishes the connections of a pool.
 	number int
 	alignment
--- a/internal/proxy/pause_test.go
+++ b/internal/proxy/pause_test.go
@@ -26,7 +26,12 @@
 // runPauseTest runs a test with a group of three servers, of which a is the primary that the VM decided to replace. It
 // still acts as primary for others.
 func runPauseTest(t *testing.T, syncReplicas int, test func(pt *pauseTest)) {
-	runTest(t, func(tb *testbed) {
+	runPauseTestWith(t, syncReplicas, func(*VM) {}, test)
+}
+
+// runPauseTestWith is runPauseTest with a change to the VM before it starts.
+func runPauseTestWith(t *testing.T, syncReplicas int, change func(*VM), test func(pt *pauseTest)) {
+	runTestWith(t, change, func(tb *testbed) {
 		tb.withdraw(func(c *Configuration) {
 			c.Services[testService] = &Service{Name: testService, Connections: 9, SyncReplicas: syncReplicas}
 		})
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -87,6 +87,8 @@
 	blocked []*blockedRequest
 	// waiting counts the waiters of all workspaces.
 	waiting int
+	// control is the connection for the VM's own commands.
+	control controlConnection
 	// averageHandshake is the average time to open a connection.
 	averageHandshake time.Duration
 	// dialNotBefore is the earliest time for the next attempt to open a connection, after one
@@ -191,29 +193,20 @@
 }
 
 // AcquireAny returns any idle connection, for the VM's own commands, or opens one for the
-// workspace that was served last. It returns ErrBusy if all connections are in use, and the
-// errors of Acquire.
+// workspace that was served last. If callers hold all connections or wait for one, it returns the control connection. It
+// returns the errors of Acquire and of acquireControl.
 func (p *Pool) AcquireAny(ctx context.Context, deadline time.Time) (*Conn, error) {
-	p.mu.Lock()
-	var lastUsed *workspacePool
-	for _, wp := range p.workspacePools {
-		if len(wp.idle) > 0 {
-			c := wp.idle[0]
-			wp.idle = wp.idle[1:]
-			p.mu.Unlock()
-			return c, nil
-		}
-		if lastUsed == nil || wp.lastUsed.After(lastUsed.lastUsed) {
-			lastUsed = wp
-		}
+	if c := p.takeIdle(); c != nil {
+		return c, nil
 	}
-	if !p.hasCapacity() || p.currentState() != poolOpen {
+	p.mu.Lock()
+	if !p.hasCapacity() || p.currentState() != poolOpen || p.waiting > 0 || len(p.blocked) > 0 || p.Queue != nil && p.Queue.isFull() {
 		p.mu.Unlock()
-		return nil, ErrBusy.New("server %s: all connections are in use", p.Server.ID)
+		return p.acquireControl(ctx, deadline)
 	}
 	w := anonymousWorkspace
-	if lastUsed != nil {
-		w = lastUsed.workspace
+	if last := p.lastUsedWorkspace(); last != nil {
+		w = last.workspace
 	}
 	p.mu.Unlock()
 	if p.Queue == nil {
@@ -357,6 +350,10 @@
 	if c.dropped {
 		return
 	}
+	if c.isControl {
+		p.releaseControl(c, keep)
+		return
+	}
 	wp := p.workspacePools[c.Workspace]
 	wp.averageHold, wp.lastUsed = movingAverage(wp.averageHold, took), time.Now()
 	if !keep || c.mustClose() || p.closed || p.currentState() == poolTransactions || p.hasStarvingWorkspace(wp) {
@@ -373,6 +370,9 @@
 func (p *Pool) Trim() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if c := p.control.idle; c != nil && time.Since(c.idleSince) > maxIdleTime {
+		p.closeIdleControl()
+	}
 	for name, wp := range p.workspacePools {
 		for len(wp.idle) > 0 && (p.isOverCapacity() || time.Since(wp.idle[0].idleSince) > maxIdleTime) {
 			p.closeOldestIdle(wp)
@@ -400,6 +400,7 @@
 
 // closeIdle is CloseIdle with p.mu held.
 func (p *Pool) closeIdle() {
+	p.closeIdleControl()
 	for _, wp := range p.workspacePools {
 		for len(wp.idle) > 0 {
 			p.closeOldestIdle(wp)
--- a/internal/proxy/queue.go
+++ b/internal/proxy/queue.go
@@ -297,6 +297,14 @@
 	return float64(d.Round(10*time.Microsecond)) / float64(time.Millisecond)
 }
 
+// isFull reports whether a further statement would have to wait.
+func (q *serverQueue) isFull() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	l := q.queue.Load(q.now(), schedule.Class{})
+	return l.InService >= l.Limit
+}
+
 func (q *serverQueue) trim() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
