proxy: hold writes back while commits aren't confirmed

While too few replicas receive the log, each write held a connection until its time-out and ended with an unknown outcome, and all connections were held so: reads at the primary weren't served either, and callers couldn't repeat what may have been done.

A server whose oldest unanswered commit has waited for 500 ms, while none was confirmed, counts as stalled (event 6037). Writes then hold half of the VM's connections or places in service at most, as probes; others wait in the VM, and are refused at once, with the promise that nothing was done and a time to return, if commits aren't expected to be confirmed by their deadline. The end of a transaction that has written is refused in the same way when enough commits wait. The first commit that is confirmed ends the stall. With syncReplicas 0 nothing changes.

--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -140,6 +140,10 @@
 	alignment
 	// inTransaction is true if the latest answer on the connection left a transaction open.
 	inTransaction bool
+	// hasWritten is true if that transaction has written.
+	hasWritten bool
+	// mayCommit is true while a request that may commit holds the connection.
+	mayCommit bool
 	// dropped is true if the pool has closed the connection while its transaction was idle. The pool's
 	// mutex guards it.
 	dropped bool
--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -43,6 +43,8 @@
 		"Replicas may be left paused by an attempt at a failover that has ended early; this VM, or another one, ends that.")
 	eventRoster = event.Define(6036, "proxy-roster", event.Info,
 		"This VM has recorded which servers may hold confirmed commits, or couldn't; servers that are no longer listed are kept until the others have all that those could have confirmed.")
+	eventStalled = event.Define(6037, "proxy-stalled", event.Warn,
+		"A server has confirmed no commit for a while although some wait, or confirms them again. Meanwhile only a part of this VM's connections is used for writes; others wait, or are refused with a time to return.")
 	eventFleetUnknown = event.Define(6032, "proxy-fleet-unknown", event.Warn,
 		"Whether this VM knows which VMs there are changed; while it doesn't, it takes no decision on a primary.")
 	eventPrimaryStopped = event.Define(6016, "proxy-primary-stopped", event.Info,
--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -147,8 +147,10 @@
 	p := &Pool{
 		AwaitCurrent: awaitCurrent, AdmitCold: admitCold,
 		Server: s, Connect: g.VM.Connect, Logger: g.Logger,
-		OnUnexpected: func(whose attribution) { g.VM.metrics.recordUnexpectedAnswer(g.Name, whose) },
-		OnOpened:     func() { g.VM.metrics.recordConnection(g.Name) },
+		OnUnexpected:   func(whose attribution) { g.VM.metrics.recordUnexpectedAnswer(g.Name, whose) },
+		OnOpened:       func() { g.VM.metrics.recordConnection(g.Name) },
+		AwaitsReplicas: func() bool { return g.syncReplicas() > 0 },
+		ExpectedOutage: func(lasted time.Duration) time.Duration { return g.VM.outages.remaining(true, lasted) },
 		TransactionIdleTimeout: func() time.Duration {
 			if c := g.VM.Configuration(); c != nil {
 				return c.TransactionIdleTimeout
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -63,6 +63,11 @@
 	relayedAt atomic.Int64
 	// AwaitCurrent is that of Placement, nil if zones aren't evacuated.
 	AwaitCurrent func(until time.Time) bool
+	// AwaitsReplicas reports whether the server acknowledges commits only once replicas have received them, and
+	// ExpectedOutage how much longer it is expected to confirm none, when it has confirmed none for some time. Both
+	// may be nil.
+	AwaitsReplicas func() bool
+	ExpectedOutage func(lasted time.Duration) time.Duration
 	// AdmitCold waits for, or refuses, commands for a cold server. It is nil if none is limited.
 	AdmitCold func(c *Conn, commands []Command, until time.Time) error
 
@@ -86,7 +91,8 @@
 	// the pool has a Queue.
 	blocked []*blockedRequest
 	// waiting counts the waiters of all workspaces.
-	waiting int
+	waiting     int
+	unconfirmed unconfirmedWrites
 	// control is the connection for the VM's own commands.
 	control controlConnection
 	// averageHandshake is the average time to open a connection.
@@ -347,6 +353,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.idleTransactions, c)
+	if c.mayCommit {
+		c.mayCommit = false
+		p.leaveWrite()
+	}
 	if c.dropped {
 		return
 	}
--- a/internal/proxy/queue.go
+++ b/internal/proxy/queue.go
@@ -49,6 +49,8 @@
 	// of the server and carries no statement of a caller, so that any workspace's connection will
 	// do.
 	verification bool
+	// mayCommit is true if the checkout may end with a commit.
+	mayCommit bool
 }
 
 // demand returns what the operation's statement asks of a server.
@@ -62,6 +64,13 @@
 	return d
 }
 
+// commitDemand returns the demand of a write, or of a transaction that may write.
+func (op *operation) commitDemand() demand {
+	d := op.demand()
+	d.mayCommit = true
+	return d
+}
+
 // verification returns the demand of a verification of the primary for the operation.
 func (op *operation) verification() demand {
 	d := op.demand()
--- a/internal/proxy/remote.go
+++ b/internal/proxy/remote.go
@@ -283,7 +283,9 @@
 		return nil, ErrNoServer.New("server %s is unknown to this VM", b.Server)
 	}
 	m.pool.relayedAt.Store(int64(clock.Now()))
-	return g.checkOutLocal(ctx, m, b.demand(until), until)
+	d := b.demand(until)
+	d.mayCommit = b.mayCommit()
+	return g.checkOutLocal(ctx, m, d, until)
 }
 
 // checkOut checks out a connection to a server for a demand, from the VM that owns the
--- a/internal/proxy/scheduled.go
+++ b/internal/proxy/scheduled.go
@@ -8,6 +8,28 @@
 
 // checkOut returns a connection for a demand, in its turn if the pool has a queue.
 func (p *Pool) checkOut(ctx context.Context, d demand, until time.Time) (*Conn, error) {
+	d.mayCommit = d.mayCommit && p.AwaitsReplicas != nil && p.AwaitsReplicas()
+	if d.mayCommit {
+		if err := p.admitWrite(ctx, until); err != nil {
+			return nil, err
+		}
+	}
+	c, err := p.acquireInTurn(ctx, d, until)
+	if !d.mayCommit {
+		return c, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err != nil {
+		p.leaveWrite()
+		return nil, err
+	}
+	c.mayCommit = true
+	return c, nil
+}
+
+// acquireInTurn returns a connection for a demand that may have one.
+func (p *Pool) acquireInTurn(ctx context.Context, d demand, until time.Time) (*Conn, error) {
 	if p.Queue == nil {
 		return p.Acquire(ctx, d.workspace, until)
 	}
--- a/internal/proxy/statement.go
+++ b/internal/proxy/statement.go
@@ -78,7 +78,7 @@
 // the error guarantees that it hasn't run.
 func (s *Session) write(ctx context.Context, op *operation) Answer {
 	for {
-		co, refusal := s.checkOutPrimary(ctx, op, op.demand())
+		co, refusal := s.checkOutPrimary(ctx, op, op.commitDemand())
 		if co == nil {
 			return refusal
 		}
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -139,7 +139,9 @@
 // before the commit covers transactions that wrote.
 func (s *Session) beginOnPrimary(ctx context.Context, op *operation) (*checkout, Answer) {
 	for {
-		co, refusal := s.checkOutPrimary(ctx, op, op.demand())
+		d := op.demand()
+		d.mayCommit = !s.tx.readOnly
+		co, refusal := s.checkOutPrimary(ctx, op, d)
 		if co == nil {
 			return nil, refusal
 		}
