proxy: let an attempt to end a pause leave things no worse

It now asks the primary first and pauses replicas only if that answers, and makes those receive again that did so before if it fails after that. The time to its next attempt grows to 8 s.

Before: TestFailedRepairAddsNoPause (a replica that received is paused) and TestAnotherVMEndsPause (both are paused after 12 s) fail on the parent; after: they pass.

--- a/internal/proxy/failover_test.go
+++ b/internal/proxy/failover_test.go
@@ -37,8 +37,10 @@
 	record   RecordedPause
 	token    Token
 	resuming bool
-	// pausedAt is when it was acquired.
-	pausedAt clock.Instant
+	// acquiredAt is when it was acquired, pausedAt since when replicas may have been paused.
+	acquiredAt, pausedAt clock.Instant
+	// cutOff is a VM whose orders aren't answered.
+	cutOff VMName
 	// fenced is the highest token that the platform has seen.
 	fenced Token
 	// roster is the recorded roster, unavailable is true while the store doesn't answer.
@@ -78,7 +80,10 @@
 	}
 	before := p.record.Term
 	p.token++
-	p.record, p.pausedAt = RecordedPause{Term: max(term, p.announced), Token: p.token, Holder: vm}, clock.Now()
+	if before == 0 {
+		p.pausedAt = clock.Now()
+	}
+	p.record, p.acquiredAt = RecordedPause{Term: max(term, p.announced), Token: p.token, Holder: vm}, clock.Now()
 	return PauseRight{Token: p.token, Term: p.record.Term, Announced: p.announced, Before: before}, nil
 }
 
@@ -100,7 +105,7 @@
 
 func (p *fakePromoter) ReadPause(context.Context, ServiceName) (RecordedPause, error) {
 	recorded := p.record
-	recorded.Age = clock.Since(p.pausedAt)
+	recorded.Age, recorded.AttemptAge = clock.Since(p.pausedAt), clock.Since(p.acquiredAt)
 	return recorded, nil
 }
 
@@ -113,7 +118,10 @@
 }
 func (p *fakePromoter) DiscardToken(ServiceName) { p.discarded++ }
 
-func (p *fakePromoter) Promote(_ context.Context, _ ServiceName, id ServerID, t Token) error {
+func (p *fakePromoter) Promote(ctx context.Context, _ ServiceName, id ServerID, t Token) error {
+	if vm, _ := ctx.Value(vmKey{}).(VMName); p.cutOff != "" && vm == p.cutOff {
+		return ErrUnavailable.New("the platform can't be reached")
+	}
 	if p.fencedOff || t < p.fenced {
 		return ErrFenced.New("a newer token was seen")
 	}
--- a/internal/proxy/pause.go
+++ b/internal/proxy/pause.go
@@ -37,8 +37,9 @@
 	// Token is the newest one of the group, Holder the VM that has acquired it.
 	Token  Token
 	Holder VMName
-	// Age is the time since that VM acquired the right to pause replicas, if Term isn't 0.
-	Age time.Duration
+	// Age is the time since replicas may have been paused, if Term isn't 0, and AttemptAge the time since the holder
+	// last acquired the right to pause them, as it also does to end a pause.
+	Age, AttemptAge time.Duration
 }
 
 // pause is an attempt's pause of replicas. While too few replicas receive the log to confirm a commit, none can be
@@ -92,7 +93,7 @@
 // mayReplacePause reports whether an attempt may begin although another VM's pause is recorded: that VM's attempt has
 // ended, or the VM is silent.
 func (f *Failover) mayReplacePause(r RecordedPause) bool {
-	return f.MayTakeOver(r.Holder, r.Age)
+	return f.MayTakeOver(r.Holder, r.AttemptAge)
 }
 
 // promotePaused pauses the replicas and promotes one of them. before is the election that led here.
@@ -233,26 +234,19 @@
 		return err
 	}
 	members := slices.DeleteFunc(slices.Clone(p.members), func(m *member) bool { return m == p.promoted || !g.isMember(m) })
-	failed := make(chan *member, len(members))
-	var tasks sync.WaitGroup
-	for _, m := range members {
-		tasks.Go(func() {
-			if clock.Since(began) > statusTimeout {
-				failed <- m
-			} else if _, err := g.runStatusCommand(ctx, m, ResumeReceiving{}); err != nil {
-				failed <- m
-			}
-		})
+	var failed []*member
+	if clock.Since(began) > statusTimeout {
+		failed = members
+	} else {
+		failed = f.resumeMembers(ctx, g, members)
 	}
-	tasks.Wait()
-	close(failed)
 	if clock.Since(began) > resumeTimeout {
 		return ErrTimeout.New("service %s: making replicas receive again took %s", g.Name, clock.Since(began))
 	}
 	f.mu.Lock()
 	w := f.watchOf(g)
 	var left []ServerID
-	for m := range failed {
+	for _, m := range failed {
 		left = append(left, m.pool.Server.ID)
 		w.resumeLater(m, pauseRetryInterval<<min(w.failures, maxRetryDoublings))
 	}
@@ -268,6 +262,22 @@
 	return f.Promoter.EndResume(ctx, g.Name, p.right.Token, g.knownTerm())
 }
 
+// resumeMembers makes replicas receive again, and returns those that don't answer.
+func (f *Failover) resumeMembers(ctx context.Context, g *Group, members []*member) (failed []*member) {
+	errors := make([]error, len(members))
+	var tasks sync.WaitGroup
+	for i, m := range members {
+		tasks.Go(func() { _, errors[i] = g.runStatusCommand(ctx, m, ResumeReceiving{}) })
+	}
+	tasks.Wait()
+	for i, m := range members {
+		if errors[i] != nil {
+			failed = append(failed, m)
+		}
+	}
+	return failed
+}
+
 // isMember reports whether a server is still listed.
 func (g *Group) isMember(m *member) bool {
 	g.mu.Lock()
--- /dev/null
+++ b/internal/proxy/pause_repair_test.go
@@ -0,0 +1,51 @@
+package proxy
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/savoryramp/savoryramp/internal/clock"
+	"github.com/savoryramp/savoryramp/pkg/position"
+)
+
+// Guards against an attempt to end a pause that fails and leaves replicas paused that received before it.
+func TestFailedRepairAddsNoPause(t *testing.T) {
+	runPauseTest(t, 1, func(pt *pauseTest) {
+		pt.leavePaused(t)
+		pt.onServer("c", func(s *memServer) { s.heldTerm = 0 })
+		pt.promoter.cutOff = "first"
+		for range 4 {
+			pt.check(pt.failover, abandonedPauseAge)
+			assert.DeepEqual(t, pt.paused(), []ServerID{"b"})
+		}
+		pt.promoter.cutOff = ""
+		pt.check(pt.failover, abandonedPauseAge)
+		assert.Equal(t, len(pt.paused()), 0)
+	})
+}
+
+// Guards against a VM whose attempts to end a pause fail again and again and keep the other VMs from ending it.
+func TestAnotherVMEndsPause(t *testing.T) {
+	runPauseTest(t, 1, func(pt *pauseTest) {
+		pt.promoter.lost = 100
+		assert.Assert(t, pt.replace() != nil)
+		pt.promoter.cutOff, pt.promoter.lost = "first", 0
+		second := pt.newFailover()
+		const within = 12 * time.Second
+		for began := clock.Now(); clock.Since(began) < within && len(pt.paused()) > 0; {
+			for name, vm := range map[VMName]*Failover{"first": pt.failover, "second": second} {
+				vm.mu.Lock()
+				vm.startPauseCheck(asVM(pt.ctx, name), pt.group, 1)
+				vm.mu.Unlock()
+			}
+			clock.Sleep(pt.ctx, decisionInterval)
+		}
+		paused := pt.paused()
+		pt.failover.attempts.Wait()
+		second.attempts.Wait()
+		assert.Equal(t, len(paused), 0, "still paused after %s: %v", within, paused)
+		assert.Equal(t, pt.promoter.record.Term, position.Term(0))
+	})
+}
--- a/internal/proxy/pause_watch.go
+++ b/internal/proxy/pause_watch.go
@@ -6,11 +6,13 @@
 
 	"github.com/savoryramp/savoryramp/internal/clock"
 	"github.com/savoryramp/savoryramp/pkg/failover"
+	"github.com/savoryramp/savoryramp/pkg/position"
 )
 
 const (
 	// pauseRetryInterval is the time between two attempts of this VM to end a pause. It doubles up to
-	// maxRetryDoublings times while a replica doesn't answer.
+	// maxRetryDoublings times while a replica doesn't answer, and twice with each attempt that fails. The longest one is
+	// longer than another VM waits until it takes over (mayEndPause).
 	pauseRetryInterval = 500 * time.Millisecond
 	maxRetryDoublings  = 4
 	// pauseCheckInterval is how often the first verifier in rank looks for pauses that other VMs have left. Each further
@@ -32,7 +34,9 @@
 	due map[*member]clock.Instant
 	// failures counts the attempts in a row after which a server still had to be.
 	failures int
-	// checkedAt is when the record was last read.
+	// settleFailures counts the attempts in a row to end a pause that have failed.
+	settleFailures int
+	// checkedAt is when the last check began or ended.
 	checkedAt clock.Instant
 	// isRunning is true while a check runs.
 	isRunning bool
@@ -89,10 +93,15 @@
 	if g.syncReplicas() == 0 && f.pauses[g.Name] == nil || decision == failover.Replace || isAttempting || view.OwnObservation.Failing || view.FleetUnknown || view.WasPaused() || !f.Fleet.Settled() {
 		return
 	}
+	f.startPauseCheck(ctx, g, view.Rank())
+}
+
+// startPauseCheck starts a check for pauses when that is due for a VM of a rank. f.mu is held.
+func (f *Failover) startPauseCheck(ctx context.Context, g *Group, rank int) {
 	w := f.watchOf(g)
-	interval := pauseCheckInterval * time.Duration(1+2*view.Rank())
+	interval := pauseCheckInterval * time.Duration(1+rank)
 	if w.isLeft || w.isDue() {
-		interval = pauseRetryInterval
+		interval = pauseRetryInterval << min(2*w.settleFailures, maxRetryDoublings)
 	}
 	if w.isRunning || w.checkedAt != 0 && clock.Since(w.checkedAt) < interval {
 		return
@@ -102,7 +111,7 @@
 		f.checkPause(ctx, g)
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		w.isRunning = false
+		w.isRunning, w.checkedAt = false, clock.Now()
 	})
 }
 
@@ -127,12 +136,20 @@
 		return
 	}
 	err = f.settle(ctx, g)
-	eventPauseLeft.Log(g.Logger, "token", recorded.Token, "term", recorded.Term, "outcome", "settled", "err", err)
+	f.mu.Lock()
+	w.settleFailures++
+	if err == nil {
+		w.settleFailures = 0
+	}
+	failures := w.settleFailures
+	f.mu.Unlock()
+	eventPauseLeft.Log(g.Logger, "token", recorded.Token, "term", recorded.Term, "holder", recorded.Holder, "age", recorded.Age, "failures", failures, "outcome", "settled", "err", err)
 }
 
-// mayEndPause reports whether a pause of another VM is left, so that this one may end it.
+// mayEndPause reports whether a pause of another VM is left, so that this one may end it: that VM is silent, or its
+// attempts to end the pause fail.
 func (f *Failover) mayEndPause(r RecordedPause) bool {
-	return r.Age >= abandonedPauseAge || f.isSilent(r.Holder)
+	return r.Age >= abandonedPauseAge && r.AttemptAge >= failoverTimeout || f.isSilent(r.Holder)
 }
 
 // isHeld reports whether a replica tells that it is paused although that isn't recorded.
@@ -195,8 +212,8 @@
 	}
 }
 
-// excludeOrders makes sure that no order of an earlier attempt is carried out any more. It pauses the replicas itself
-// and has the platform promote the primary, which changes nothing but makes it refuse all earlier tokens, and waits for
+// excludeOrders makes sure that no order of an earlier attempt is carried out any more. It pauses the replicas itself,
+// unless the primary can't be asked or the platform can't be reached, and has the platform promote the primary, which changes nothing but makes it refuse all earlier tokens, and waits for
 // promotions that are under way. If another server is promoted meanwhile, no commit of it can be confirmed without
 // the primary, so that the order loses none. An attempt of this VM may have sent its order a moment ago; for another
 // one's, and after the time in which an order may be carried out late, it isn't needed that enough replicas answer.
@@ -206,33 +223,78 @@
 	w := f.watchOf(g)
 	isRecent := w.isLeft && clock.Since(w.leftAt) < lateCommandTime
 	f.mu.Unlock()
-	paused, err := f.pauseReplicas(ctx, p)
+	before, err := p.actingPrimary(ctx)
 	if err != nil {
 		return err
 	}
-	if needed := p.listedPausesNeeded(); len(paused) < needed && isRecent {
-		return ErrNotPromotable.New("service %s: %d of %d replicas are paused, %d are needed", g.Name, len(paused), len(p.members), needed)
+	receiving := p.receivingMembers(ctx)
+	paused, err := f.pauseReplicas(ctx, p)
+	if err == nil {
+		err = f.fenceOrders(ctx, p, before.Term, paused, isRecent)
 	}
-	before, err := p.actingPrimary(ctx)
 	if err != nil {
-		return err
+		f.resumeAgain(ctx, p, receiving)
+	}
+	return err
+}
+
+// fenceOrders is the part of excludeOrders that the pause of replicas is for. term is that in which the primary acts.
+func (f *Failover) fenceOrders(ctx context.Context, p *pause, term position.Term, paused []replicaStatus, isRecent bool) error {
+	g := p.group
+	if needed := p.listedPausesNeeded(); len(paused) < needed && isRecent {
+		return ErrNotPromotable.New("service %s: %d of %d replicas are paused, %d are needed", g.Name, len(paused), len(p.members), needed)
 	}
 	if err := f.Promoter.Promote(ctx, g.Name, p.oldPrimary.pool.Server.ID, p.right.Token); err != nil {
 		return err
 	}
 	clock.Sleep(ctx, promotionTimeout)
 	again, err := p.actingPrimary(ctx)
-	if err == nil && again.Term != before.Term {
-		return ErrAbandoned.New("service %s: term %d has begun, the primary was that of term %d", g.Name, again.Term, before.Term)
+	if err == nil && again.Term != term {
+		return ErrAbandoned.New("service %s: term %d has begun, the primary was that of term %d", g.Name, again.Term, term)
 	}
 	return err
 }
 
+// receivingMembers returns the replicas of a pause that receive the log, as far as they answer.
+func (p *pause) receivingMembers(ctx context.Context) []*member {
+	var receiving []*member
+	statuses := p.askMembers(ctx, &p.tasks, p.members, QueryStatus{}, func([]replicaStatus) bool { return true })
+	for _, s := range statuses {
+		for _, m := range p.members {
+			if m.pool.Server.ID == s.id && s.status.HeldTerm == 0 && !s.status.Primary {
+				receiving = append(receiving, m)
+			}
+		}
+	}
+	return receiving
+}
+
+// resumeAgain makes the replicas receive again that did so before an attempt to end a pause which has failed, so that
+// the attempt leaves no more of them paused than it found. The pause stays recorded.
+func (f *Failover) resumeAgain(ctx context.Context, p *pause, receiving []*member) {
+	if len(receiving) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
+	defer cancel()
+	p.tasks.Wait()
+	err := f.Promoter.BeginResume(ctx, p.group.Name, p.right.Token)
+	var failed []*member
+	if err == nil {
+		failed = f.resumeMembers(ctx, p.group, receiving)
+	}
+	eventResumed.Log(p.group.Logger, "token", p.right.Token, "replicas", len(receiving), "unanswered", len(failed), "outcome", "attempt failed", "err", err)
+}
+
 // actingPrimary returns the status of the attempt's primary, which says that it acts. It returns ErrAbandoned if it
 // doesn't act or another one is known.
 func (a attempt) actingPrimary(ctx context.Context) (ServerStatus, error) {
 	g, id := a.group, a.oldPrimary.pool.Server.ID
 	s, err := g.runStatusCommand(ctx, a.oldPrimary, QueryStatus{})
+	for deadline := time.Now().Add(askTime); err != nil && ctx.Err() == nil && time.Now().Before(deadline); {
+		clock.Sleep(ctx, askPause)
+		s, err = g.runStatusCommand(ctx, a.oldPrimary, QueryStatus{})
+	}
 	if err != nil {
 		return ServerStatus{}, err
 	}
