proxy: don't repeat an order once a paused replica has started again

A replica that starts again receives the log, and may confirm commits that the server chosen before lacks. An order without an answer was repeated each 0.5 s nevertheless. The replicas are now asked before it is repeated, and the attempt is abandoned if one isn't paused any more; the next one pauses and chooses anew, with a token that fences the order off.

Remains: a replica that starts again after an order that was accepted.

--- a/internal/proxy/failover.go
+++ b/internal/proxy/failover.go
@@ -315,14 +315,15 @@
 		return a.outdated("before the order")
 	}
 	eventPromote.Log(g.Logger, "server", id, "token", token, "received", chosen.Received, "heard", len(e.Answered), "listed", e.Listed, "newest-term", e.NewestTerm)
-	return f.promoteAndAwait(ctx, g, id, token)
+	return f.promoteAndAwait(ctx, g, id, token, func(context.Context) error { return nil })
 }
 
 // promoteAndAwait promotes a server and waits until it acts as primary. An order without an answer may
 // have been lost, or be carried out seconds later, while the group has no primary: it is repeated. The
 // same order with the same token has no further effect, but where the platform doesn't check tokens each
-// order could be carried out after another VM's, so there only one is sent.
-func (f *Failover) promoteAndAwait(ctx context.Context, g *Group, id ServerID, token Token) error {
+// order could be carried out after another VM's, so there only one is sent. recheck returns an error if the order may not
+// be repeated.
+func (f *Failover) promoteAndAwait(ctx context.Context, g *Group, id ServerID, token Token, recheck func(context.Context) error) error {
 	term := g.newestTerm() + 1
 	for {
 		err := f.promote(ctx, g, id, token, term)
@@ -339,6 +340,9 @@
 		if ctx.Err() != nil {
 			return err
 		}
+		if err := recheck(ctx); err != nil {
+			return err
+		}
 	}
 }
 
--- a/internal/proxy/pause.go
+++ b/internal/proxy/pause.go
@@ -127,7 +127,7 @@
 		return p.outdated("before the order")
 	}
 	eventPromote.Log(g.Logger, "server", id, "token", p.right.Token, "received", chosen.Received, "heard", len(e.Answered), "listed", e.Listed, "newest-term", e.NewestTerm, "pause-term", p.right.Term)
-	err = f.promoteAndAwait(ctx, g, id, p.right.Token)
+	err = f.promoteAndAwait(ctx, g, id, p.right.Token, p.checkPaused)
 	g.mu.Lock()
 	m := g.members[id]
 	g.mu.Unlock()
@@ -139,6 +139,19 @@
 	return err
 }
 
+// checkPaused returns ErrAbandoned if a replica says that it isn't paused any more, as after a restart: it may confirm
+// commits that the chosen one lacks.
+func (p *pause) checkPaused(ctx context.Context) error {
+	statuses := p.askMembers(ctx, &p.tasks, p.members, QueryStatus{}, func([]replicaStatus) bool { return true })
+	for _, s := range statuses {
+		isUnanswered := slices.ContainsFunc(p.unanswered, func(m *member) bool { return m.pool.Server.ID == s.id })
+		if s.status.HeldTerm == 0 && !s.status.Primary && !isUnanswered {
+			return ErrAbandoned.New("service %s: replica %s isn't paused any more", p.group.Name, s.id)
+		}
+	}
+	return nil
+}
+
 // pausedElection returns what the choice among paused replicas depends on. The old primary's answer only counts as one
 // that was given.
 func (a attempt) pausedElection(paused []replicaStatus, before failover.Election, announced position.Term) failover.Election {
--- a/internal/proxy/pause_repair_test.go
+++ b/internal/proxy/pause_repair_test.go
@@ -49,3 +49,21 @@
 		assert.Equal(t, pt.promoter.record.Term, position.Term(0))
 	})
 }
+
+// Guards against an order that is repeated after a paused replica has started again: it confirms commits that the
+// chosen one lacks.
+func TestPausedReplicaRestarts(t *testing.T) {
+	runPauseTest(t, 1, func(pt *pauseTest) {
+		pt.promoter.lost = 1
+		pt.promoter.onPromote = func() {
+			pt.restart("c")
+			pt.onServer("c", func(s *memServer) { s.logEnd.Offset += 30 })
+		}
+		err := pt.replace()
+		assert.Check(t, isType(err, ErrAbandoned), "%v", err)
+		assert.DeepEqual(t, pt.promoter.promoted, []ServerID{"b"})
+		pt.promoter.onPromote = nil
+		assert.NilError(t, pt.replace())
+		assert.DeepEqual(t, pt.promoter.promoted, []ServerID{"b", "c"})
+	})
+}
