--- a/cmd/savoryramp-soak/main.go
+++ b/cmd/savoryramp-soak/main.go
@@ -33,7 +33,7 @@
 	fmt.Fprintf(out, "%d VMs before three servers for %s, faults: %s, seed %d\n", o.VMs, o.Lasts, o.Faults, o.Seed)
 	s := &soak.Soak{
 		Binary: o.Binary, Folder: folder, Seed: o.Seed, VMs: o.VMs, Lasts: o.Lasts, Faults: o.Faults, Contracts: strings.FieldsFunc(o.Contracts, func(r rune) bool { return r == ',' }),
-		Network: os.Getpid() % networks, Crowd: o.Crowd, Clients: o.Clients, SyncReplicas: o.SyncReplicas,
+		Network: os.Getpid() % networks, Crowd: o.Crowd, Clients: o.Clients, SyncReplicas: o.SyncReplicas, EndsWithFault: o.SyncReplicas > 0 && o.Faults == soak.AllFaults,
 		Stutter:      &standin.Stutter{Seed: o.Seed, Repeated: o.Repeated, Late: o.Late, Repeats: o.repeats(), BrokenOff: o.BrokenOff, Refused: o.Refused},
 		StoreStutter: &standin.Stutter{Seed: o.Seed, Repeated: o.StoreRepeated, Late: o.Late},
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -47,6 +47,8 @@
 	Crowd int
 	// SyncReplicas is how many replicas confirm each commit.
 	SyncReplicas int
+	// EndsWithFault is true if the primary crashes and all VMs are killed at the end, under load.
+	EndsWithFault bool
 	// Clients is how many callers send mixed statements without pauses. Unless it is 0, the servers are fast.
 	Clients int
 	// Stutter is how unreliably the servers answer all the while, StoreStutter the store, which only repeats
@@ -316,13 +318,14 @@
 		s.pause(s.Lasts)
 		return names
 	}
+	drawn := s.drawn()
 	for first := true; time.Since(began) < s.Lasts; first = false {
-		f := faults[r.IntN(len(faults))]
+		f := drawn[r.IntN(len(drawn))]
 		for first && s.Faults == EvacuationFaults && f.name != evacuateZone {
-			f = faults[r.IntN(len(faults))]
+			f = drawn[r.IntN(len(drawn))]
 		}
 		for !f.isDrawn(s.Faults) {
-			f = faults[r.IntN(len(faults))]
+			f = drawn[r.IntN(len(drawn))]
 		}
 		lasts := time.Duration(300+r.IntN(3000)) * time.Millisecond
 		own := rand.New(rand.NewPCG(s.Seed, r.Uint64()))
@@ -336,6 +339,9 @@
 		s.pause(time.Duration(200+r.IntN(1500)) * time.Millisecond)
 	}
 	running.Wait()
+	if s.EndsWithFault {
+		names = append(names, s.finalFault())
+	}
 	slices.Sort(names)
 	return names
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -79,6 +79,7 @@
 				if s.Faults == PlannedFaults {
 					s.Faults = AllFaults
 				}
+				s.EndsWithFault, s.Crowd = seed%3 != 0, 1+int(seed%3)*finalCrowd
 			})
 		})
 	}
@@ -138,6 +139,9 @@
 	s.Stutter = &standin.Stutter{Seed: s.Seed, Repeated: 0.02, Late: 500 * time.Millisecond, Repeats: standin.AllRepeats, Refused: 0.03}
 }
 
+// finalCrowd is by how much a run that ends with a final fault has more callers.
+const finalCrowd = 3
+
 // evacuationSeed is the least seed that draws evacuations. It is always played.
 const evacuationSeed = 5
 
