--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -119,6 +119,8 @@
 	// answers weren't received yet. markerPlans counts those that prepare a plan.
 	markers     []Command
 	markerPlans int
+	// sequences counts the sequences of markers that were sent outside a transaction.
+	sequences int
 	// verified is true if the latest commands verified the primary.
 	verified bool
 	// misaligned is true once an answer couldn't be attributed to a command. The connection isn't used again.
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -234,29 +234,16 @@
 	return answer, nil
 }
 
-// maxMarkerPairs is how many times at most markers begin and end a transaction.
-const maxMarkerPairs = 3
-
-// newMarkers returns commands without effect whose answers follow those to all earlier commands, for a connection
-// outside a transaction. They change its state to and fro a random number of times, so that an earlier such
-// sequence, repeated in one piece, mostly doesn't stand for them.
-func newMarkers() []Command {
-	var markers []Command
-	for range 1 + rand.IntN(maxMarkerPairs) {
-		markers = append(markers, BeginAt{ReadOnly: true}, Abandon{})
-	}
-	return markers
-}
-
-// markersHere returns markers for the connection's transaction state, nil if there are none. In a transaction
-// they leave the state unchanged, while after a commit that ran it is another. Repeated answers to the VM's own
+// markersHere returns markers for the connection's transaction state: commands without effect whose answers follow those
+// to all earlier commands. It returns nil if there are none. In a transaction they leave the state unchanged, while
+// after a commit that ran it is another. Repeated answers to the VM's own
 // commands could stand for markers, so nothing is proved by them at a server that is known to repeat answers.
 func (c *Conn) markersHere() []Command {
 	switch {
 	case c.pool.repeatsAnswers():
 		return nil
 	case c.phase == Idle:
-		return newMarkers()
+		return c.nextMarkers()
 	case c.phase == InTransaction:
 		return c.markersInTransaction(2)
 	}
