vm: read the settings file when it changes without a signal

The file is now compared each second with what was last read of it.

Before: TestSettingsChangeWithoutSignal fails on the parent, the new address gets no call in 10 s.

--- a/cmd/savoryramp-vm/daemon.go
+++ b/cmd/savoryramp-vm/daemon.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -31,7 +32,7 @@
 var (
 	eventStarted             = event.Define(7001, "vm-started", event.Info, "The process has started and listens for callers.")
 	eventStopped             = event.Define(7002, "vm-stopped", event.Info, "The process is exiting.")
-	eventReloaded            = event.Define(7003, "vm-reloaded", event.Info, "The settings were reloaded after SIGHUP.")
+	eventReloaded            = event.Define(7003, "vm-reloaded", event.Info, "The settings were reloaded after SIGHUP, or because their file has changed.")
 	eventSettingsRefused     = event.Define(7004, "vm-settings-refused", event.Error, "Reloading the settings failed; the previous settings stay in force.")
 	eventMalformedServerList = event.Define(7006, "vm-note-malformed", event.Warn, "A list of servers couldn't be encoded or decoded.")
 	eventOutOfStep           = event.Define(7007, "vm-out-of-step", event.Info, "Other VMs and this one don't exchange reports of demand, or do so again; until then both sides keep their parts of the rates.")
@@ -42,6 +43,9 @@
 	// killMargin is how long before the platform kills the process a drain ends at the latest, so
 	// that the remaining connections can be closed in order.
 	killMargin = 400 * time.Millisecond
+	// settingsInterval is how often the settings file is compared with what was last read of it. It may change without a
+	// signal, and a changed configuration must be in force within 3 s of the time when the store can be reached.
+	settingsInterval = time.Second
 	// priorityContract is the contract that asks for statements in order of priority.
 	priorityContract = "pressure"
 )
@@ -63,6 +67,9 @@
 	configurationWatcher *platform.ConfigurationWatcher
 	promoter             *platform.Promoter
 	tasks                run.Group
+	// settingsText is the content of the settings file that was last read after the start, nil if none was. It is only
+	// used by handleSignals.
+	settingsText []byte
 	// announcedVersion is the configuration version in the last heartbeat sent.
 	announcedVersion atomic.Int64
 	// outOfStep has the names of the VMs that were out of step at the last heartbeat.
@@ -320,14 +327,21 @@
 	d.quota.ObserveTotal(total, vms, own)
 }
 
-// handleSignals drains on SIGTERM and SIGINT and reloads the settings on SIGHUP.
+// handleSignals drains on SIGTERM and SIGINT, and reloads the settings on SIGHUP and when their file has changed.
 func (d *daemon) handleSignals() {
 	stop := make(chan struct{})
 	d.tasks.Add(func() error {
+		tick := time.NewTicker(settingsInterval)
+		defer tick.Stop()
 		for {
 			select {
 			case <-d.Signals.reload:
-				d.reload()
+				d.haveSettingsChanged()
+				d.reload("signal")
+			case <-tick.C:
+				if d.haveSettingsChanged() {
+					d.reload("file changed")
+				}
 			case <-d.Signals.terminate:
 				d.drain()
 				return nil
@@ -348,9 +362,25 @@
 	d.vm.Drain(ctx, grace/2)
 }
 
+// haveSettingsChanged reports whether the settings file differs from what was last read of it.
+func (d *daemon) haveSettingsChanged() bool {
+	text, err := os.ReadFile(d.Options.SettingsPath)
+	if err != nil || bytes.Equal(text, d.settingsText) {
+		// A file that is being replaced is there at the next look.
+		return false
+	}
+	isFirst := d.settingsText == nil
+	d.settingsText = text
+	if !isFirst {
+		return true
+	}
+	s, err := platform.ParseSettings(text)
+	return err != nil || s.StoreAddress != d.Settings.StoreAddress || s.CloudAPIAddress != d.Settings.CloudAPIAddress
+}
+
 // reload updates the addresses of the platform's services. A change of any other setting takes
 // effect after a restart.
-func (d *daemon) reload() {
+func (d *daemon) reload(reason string) {
 	s, err := platform.ReadSettings(d.Options.SettingsPath)
 	if err != nil {
 		eventSettingsRefused.Log(d.logger, "path", d.Options.SettingsPath, "err", err)
@@ -358,5 +388,5 @@
 	}
 	d.store.SetAddress(string(s.StoreAddress))
 	d.promoter.SetAddress(string(s.CloudAPIAddress))
-	eventReloaded.Log(d.logger, "store", s.StoreAddress, "orders", s.CloudAPIAddress)
+	eventReloaded.Log(d.logger, "why", reason, "store", s.StoreAddress, "orders", s.CloudAPIAddress)
 }
--- a/cmd/savoryramp-vm/options.go
+++ b/cmd/savoryramp-vm/options.go
@@ -17,7 +17,7 @@
 
 The platform's settings file has the VM's zone, the addresses it listens on and the
 addresses of the platform's services; docs/PLATFORM.md explains each field that is used.
-SIGHUP reloads the settings. SIGTERM drains the VM: sessions are closed between operations,
+SIGHUP reloads the settings, and so does a change of their file. SIGTERM drains the VM: sessions are closed between operations,
 and open transactions may continue for half of the platform's grace period.`
 
 // options holds the values of the command line flags and environment variables.
--- a/cmd/savoryramp-vm/signals_test.go
+++ b/cmd/savoryramp-vm/signals_test.go
@@ -2,15 +2,21 @@
 
 import (
 	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/savoryramp/savoryramp/platform"
+	"github.com/savoryramp/savoryramp/platform/standin"
 )
 
 // runsCommand is set in the environment of a test binary that runs the command instead of tests.
@@ -41,3 +47,38 @@
 	assert.Assert(t, errors.As(command.Wait(), &ended))
 	assert.Equal(t, ended.ExitCode(), 2, "%s", ended)
 }
+
+// Guards against a VM that goes on with the store's old address, and so with withdrawn keys, because the settings file
+// changed without a signal.
+func TestSettingsChangeWithoutSignal(t *testing.T) {
+	store := &standin.Store{}
+	var calls atomic.Int64
+	before := httptest.NewServer(store)
+	after := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls.Add(1)
+		store.ServeHTTP(w, r)
+	}))
+	t.Cleanup(before.Close)
+	t.Cleanup(after.Close)
+	ip := fmt.Sprintf("127.203.%d.%d", 1+os.Getpid()/250%250, 1+os.Getpid()%250)
+	path := filepath.Join(t.TempDir(), "settings")
+	write := func(s *httptest.Server) {
+		address := s.Listener.Addr().String()
+		assert.NilError(t, os.WriteFile(path, standin.SettingsFile("vm-1", "zone-1", ip, address, address), 0o600))
+	}
+	write(before)
+	command := exec.Command(os.Args[0], "--metrics-port=0")
+	command.Env = append(os.Environ(), runsCommand+"=1", platform.SettingsVariable+"="+path)
+	assert.NilError(t, command.Start())
+	t.Cleanup(func() {
+		_ = command.Process.Kill()
+		_ = command.Wait()
+	})
+	time.Sleep(settingsInterval)
+	assert.Equal(t, calls.Load(), int64(0))
+	write(after)
+	for end := time.Now().Add(10 * time.Second); calls.Load() == 0 && time.Now().Before(end); {
+		time.Sleep(50 * time.Millisecond)
+	}
+	assert.Check(t, calls.Load() > 0, "the new address got no call")
+}
--- a/internal/soak/confirmed.go
+++ b/internal/soak/confirmed.go
@@ -7,7 +7,6 @@
 	"sync"
 	"syscall"
 	"time"
-
 )
 
 const (
