proxy: forget no server by the record of a restored store

A store that was restored from a copy has an older roster; the servers that it lacks were taken for forgotten by another VM. A record whose version is lower than the one before shows nothing of that now. TestRosterOfRestoredStore fails without.

--- a/internal/proxy/roster.go
+++ b/internal/proxy/roster.go
@@ -41,7 +41,7 @@
 	known failover.Roster
 	// recorded is the record as this VM last read or wrote it. A server of it that a newer record lacks was forgotten by
 	// another VM.
-	recorded failover.Roster
+	recorded RecordedRoster
 	// isRead is true once the record was read.
 	isRead bool
 	// missingSince has since when a server has been missing in lists that are up to date.
@@ -99,10 +99,12 @@
 	defer g.mu.Unlock()
 	g.rememberListed()
 	m := &g.roster
+	// A store that was restored from a copy has an older record, which shows nothing of what was forgotten.
+	isOlder := r.Version < m.recorded.Version
 	maps.DeleteFunc(m.known.Servers, func(id string, _ failover.RosterServer) bool {
 		_, wasRecorded := m.recorded.Servers[id]
 		_, isRecorded := r.Servers[id]
-		return wasRecorded && !isRecorded && g.members[ServerID(id)] == nil
+		return !isOlder && wasRecorded && !isRecorded && g.members[ServerID(id)] == nil
 	})
 	for id, s := range r.Servers {
 		if g.members[ServerID(id)] == nil {
@@ -110,16 +112,16 @@
 			m.known.Servers[id] = s
 		}
 	}
-	if r.SyncReplicas > 0 {
+	if r.SyncReplicas > 0 && !isOlder {
 		m.known.SyncReplicas = r.SyncReplicas
 	}
-	m.recorded, m.isRead = r.Roster, true
+	m.recorded, m.isRead = r, true
 	g.rememberListed()
 }
 
 // noteRecorded takes over a roster that was recorded. known has the servers that this VM knew of before: those that the
 // roster lacks are forgotten.
-func (g *Group) noteRecorded(known map[string]failover.RosterServer, now failover.Roster) {
+func (g *Group) noteRecorded(known map[string]failover.RosterServer, now RecordedRoster) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m := &g.roster
@@ -163,7 +165,7 @@
 	case m.raisedAt == 0:
 		m.raisedAt = now
 	}
-	return !m.isRead || len(missing) > 0 || m.raisedAt != 0 || !current.Equal(m.recorded)
+	return !m.isRead || len(missing) > 0 || m.raisedAt != 0 || !current.Equal(m.recorded.Roster)
 }
 
 // goneServers returns the servers that have been missing for long enough to count as gone, and whether commits have been
@@ -244,14 +246,19 @@
 		}
 	}
 	if next.Equal(recorded.Roster) {
-		g.noteRecorded(known, next)
+		g.noteRecorded(known, recorded)
 		return
 	}
 	err = f.Promoter.WriteRoster(ctx, g.Name, RecordedRoster{next, recorded.Version})
-	eventRoster.Log(g.Logger, "outcome", "recorded", "servers", fmt.Sprint(slices.Sorted(maps.Keys(next.Servers))), "before", fmt.Sprint(slices.Sorted(maps.Keys(recorded.Servers))),
+	outcome := "recorded"
+	if err != nil {
+		outcome = "unrecorded"
+	}
+	eventRoster.Log(g.Logger, "outcome", outcome, "servers", fmt.Sprint(slices.Sorted(maps.Keys(next.Servers))), "before", fmt.Sprint(slices.Sorted(maps.Keys(recorded.Servers))),
 		"sync-replicas", next.SyncReplicas, "sync-replicas-before", recorded.SyncReplicas, "err", err)
 	if err == nil {
-		g.noteRecorded(known, next)
+		// The write's own version isn't known, but is greater than the one before.
+		g.noteRecorded(known, RecordedRoster{next, recorded.Version + 1})
 	}
 }
 
--- a/internal/proxy/roster_test.go
+++ b/internal/proxy/roster_test.go
@@ -263,3 +263,14 @@
 		assert.DeepEqual(t, pt.group.unlistedServers(), []string{"x", "y"})
 	})
 }
+
+// Guards against a VM that takes servers for forgotten because the store was restored from an older copy.
+func TestRosterOfRestoredStore(t *testing.T) {
+	runPauseTest(t, 1, func(pt *pauseTest) {
+		pt.watch(2 * time.Second)
+		pt.list("a", "c")
+		pt.promoter.roster = RecordedRoster{}
+		pt.watch(4 * time.Second)
+		assert.DeepEqual(t, slices.Sorted(maps.Keys(pt.promoter.roster.Servers)), []string{"a", "b", "c"})
+	})
+}
