proxy: have waiting writes follow a new primary

Writes that waited for a connection to a primary which confirms no commits went on waiting there until their deadlines when another server had become the primary (TestWaitingWritesFollowPrimary: 8 s and more). They are now sent on to it at once. An attempt to end a pause also counts only listed replicas when it waits for their pause, and asks the primary and the replicas at the same time, so that it ends within its time if one is down.

--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -150,6 +150,7 @@
 		OnUnexpected:   func(whose attribution) { g.VM.metrics.recordUnexpectedAnswer(g.Name, whose) },
 		OnOpened:       func() { g.VM.metrics.recordConnection(g.Name) },
 		AwaitsReplicas: func() bool { return g.syncReplicas() > 0 },
+		IsPrimary:      func() bool { return g.isPrimary(s.ID) },
 		ExpectedOutage: func(lasted time.Duration) time.Duration { return g.VM.outages.remaining(true, lasted) },
 		TransactionIdleTimeout: func() time.Duration {
 			if c := g.VM.Configuration(); c != nil {
@@ -188,6 +189,7 @@
 		if since, failed, absent := g.primaryOutage(); absent {
 			g.VM.outages.record(failed, clock.Since(since))
 		}
+		g.refuseCommits()
 		clear(g.failureReports)
 		g.health.reset()
 		close(g.primaryChanged)
@@ -229,6 +231,7 @@
 		return
 	}
 	eventPrimary.Log(g.Logger, "server", "", "before", id, "term-before", g.term, "why", reason)
+	g.refuseCommits()
 	g.primary = ""
 	close(g.primaryChanged)
 	g.primaryChanged = make(chan struct{})
@@ -244,6 +247,21 @@
 	return g.members[g.primary], g.primaryChanged
 }
 
+// refuseCommits fails the requests that wait for a connection to the present primary and may commit, before another one
+// becomes the primary. g.mu is held.
+func (g *Group) refuseCommits() {
+	if m := g.members[g.primary]; m != nil {
+		m.pool.refuseCommits()
+	}
+}
+
+// isPrimary reports whether this VM regards a server as the primary.
+func (g *Group) isPrimary(id ServerID) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.primary == id
+}
+
 // awaitPrimary waits for a usable primary. It returns ErrNoServer after deadline, when ctx ends,
 // or at once if none is expected by the deadline.
 func (g *Group) awaitPrimary(ctx context.Context, deadline time.Time) (*member, error) {
--- a/internal/proxy/line.go
+++ b/internal/proxy/line.go
@@ -28,6 +28,8 @@
 	enqueuedAt time.Time
 	// rank orders the waiters, the lowest first, if the pool has a Queue.
 	rank int
+	// mayCommit is that of the request's demand.
+	mayCommit bool
 }
 
 type acquireResult struct {
--- a/internal/proxy/pause.go
+++ b/internal/proxy/pause.go
@@ -172,6 +172,9 @@
 	p.members = p.replicas()
 	p.unanswered = slices.Clone(p.members)
 	needed := p.pausesNeeded()
+	if p.decision == failover.Keep {
+		needed = p.listedPausesNeeded()
+	}
 	paused := p.askMembers(ctx, &p.tasks, p.members, PauseReceiving{Term: p.right.Term}, func(statuses []replicaStatus) bool {
 		return countReplicas(statuses) >= needed
 	})
--- a/internal/proxy/pause_watch.go
+++ b/internal/proxy/pause_watch.go
@@ -223,11 +223,13 @@
 	w := f.watchOf(g)
 	isRecent := w.isLeft && clock.Since(w.leftAt) < lateCommandTime
 	f.mu.Unlock()
+	asked := make(chan []*member, 1)
+	go func() { asked <- p.receivingMembers(ctx) }()
 	before, err := p.actingPrimary(ctx)
+	receiving := <-asked
 	if err != nil {
 		return err
 	}
-	receiving := p.receivingMembers(ctx)
 	paused, err := f.pauseReplicas(ctx, p)
 	if err == nil {
 		err = f.fenceOrders(ctx, p, before.Term, paused, isRecent)
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -65,8 +65,9 @@
 	AwaitCurrent func(until time.Time) bool
 	// AwaitsReplicas reports whether the server acknowledges commits only once replicas have received them, and
 	// ExpectedOutage how much longer it is expected to confirm none, when it has confirmed none for some time. Both
-	// may be nil.
+	// may be nil, and so may IsPrimary, which reports whether this VM regards the server as the primary.
 	AwaitsReplicas func() bool
+	IsPrimary      func() bool
 	ExpectedOutage func(lasted time.Duration) time.Duration
 	// AdmitCold waits for, or refuses, commands for a cold server. It is nil if none is limited.
 	AdmitCold func(c *Conn, commands []Command, until time.Time) error
@@ -134,18 +135,18 @@
 // released or opened. It returns ErrBusy at once if the estimated wait is longer. No command has
 // been sent to the server after ErrBusy, ErrConnect, ErrRefused, ErrWrongServer or ErrNoServer.
 func (p *Pool) Acquire(ctx context.Context, w *Workspace, deadline time.Time) (*Conn, error) {
-	return p.acquire(ctx, w, 0, deadline)
+	return p.acquire(ctx, demand{workspace: w}, 0, deadline)
 }
 
-// acquire is Acquire for a request of a rank (see Urgency.rank), which goes before those of a higher
-// rank.
-func (p *Pool) acquire(ctx context.Context, w *Workspace, rank int, deadline time.Time) (*Conn, error) {
+// acquire is Acquire for a demand with a rank (see Urgency.rank), which goes before those of a higher
+// rank. It also returns ErrNoServer to a demand that may commit once the server isn't the primary any more.
+func (p *Pool) acquire(ctx context.Context, d demand, rank int, deadline time.Time) (*Conn, error) {
 	p.mu.Lock()
 	if p.closed {
 		p.mu.Unlock()
 		return nil, ErrNoServer.New("server %s was removed", p.Server.ID)
 	}
-	wp := p.workspacePool(w)
+	wp := p.workspacePool(d.workspace)
 	if n := len(wp.idle); n > 0 {
 		c := wp.idle[n-1]
 		wp.idle = wp.idle[:n-1]
@@ -161,7 +162,7 @@
 		p.mu.Unlock()
 		return nil, ErrBusy.New("%s server %s: %d requests wait already, a connection takes about %s", retryAfterText(wait), p.Server.ID, waiting, wait)
 	}
-	wt := &waiter{result: make(chan acquireResult, 1), enqueuedAt: time.Now(), rank: rank}
+	wt := &waiter{result: make(chan acquireResult, 1), enqueuedAt: time.Now(), rank: rank, mayCommit: d.mayCommit}
 	p.addWaiter(wp, wt)
 	p.openForWaiters()
 	if wp.opening == 0 {
--- a/internal/proxy/scheduled.go
+++ b/internal/proxy/scheduled.go
@@ -31,7 +31,7 @@
 // acquireInTurn returns a connection for a demand that may have one.
 func (p *Pool) acquireInTurn(ctx context.Context, d demand, until time.Time) (*Conn, error) {
 	if p.Queue == nil {
-		return p.Acquire(ctx, d.workspace, until)
+		return p.acquire(ctx, d, 0, until)
 	}
 	return p.acquireScheduled(ctx, d, until)
 }
@@ -64,7 +64,7 @@
 			}
 			continue
 		}
-		c, err := p.acquire(ctx, d.workspace, d.rank(), until)
+		c, err := p.acquire(ctx, d, d.rank(), until)
 		if err != nil {
 			p.leaveAfterOpening(d.workspace, place, err)
 			return nil, err
--- a/internal/proxy/unconfirmed.go
+++ b/internal/proxy/unconfirmed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/savoryramp/savoryramp/internal/clock"
@@ -56,7 +57,7 @@
 }
 
 // admitWrite waits until a request that writes may get a connection. It returns ErrBusy, at once if commits aren't
-// expected to be confirmed by until.
+// expected to be confirmed by until, and ErrNoServer once the server isn't the primary any more.
 func (p *Pool) admitWrite(ctx context.Context, until time.Time) error {
 	for waited := false; ; waited = true {
 		p.mu.Lock()
@@ -71,11 +72,14 @@
 		}
 		changed := p.unconfirmed.changed
 		p.mu.Unlock()
+		if waited && p.IsPrimary != nil && !p.IsPrimary() {
+			return ErrNoServer.New("server %s is no longer the primary", p.Server.ID)
+		}
 		expectedIn := p.expectedStall(clock.Since(since))
 		if remaining := time.Until(until); remaining <= 0 || !waited && expectedIn > remaining {
 			return busyUntil(expectedIn, "server %s has confirmed no commit for %s", p.Server.ID, clock.Since(since).Round(time.Millisecond))
 		}
-		timer := time.NewTimer(time.Until(until))
+		timer := time.NewTimer(min(time.Until(until), primaryPollInterval))
 		select {
 		case <-changed:
 		case <-timer.C:
@@ -88,6 +92,22 @@
 	}
 }
 
+// refuseCommits fails the requests that wait for a connection and may commit, because the server isn't the primary any
+// more. The group's mu may be held.
+func (p *Pool) refuseCommits() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, wp := range p.workspacePools {
+		wp.waiters = slices.DeleteFunc(wp.waiters, func(wt *waiter) bool {
+			if wt.mayCommit {
+				p.waiting--
+				wt.result <- acquireResult{err: ErrNoServer.New("server %s is no longer the primary", p.Server.ID)}
+			}
+			return wt.mayCommit
+		})
+	}
+}
+
 // expectedStall returns how much longer the server is expected not to confirm commits.
 func (p *Pool) expectedStall(lasted time.Duration) time.Duration {
 	if p.ExpectedOutage == nil {
--- a/internal/proxy/unconfirmed_test.go
+++ b/internal/proxy/unconfirmed_test.go
@@ -47,3 +47,32 @@
 		})
 	}
 }
+
+// Guards against writes that wait for a server's confirmations until their deadline although another one has become the
+// primary meanwhile.
+func TestWaitingWritesFollowPrimary(t *testing.T) {
+	runPauseTest(t, 1, func(pt *pauseTest) {
+		pt.withdraw(func(c *Configuration) {
+			r := *c.Routes[testDatabase]
+			r.StatementTimeout = 10 * time.Second
+			c.Routes[testDatabase] = &r
+		})
+		pt.awaitReplicas()
+		pt.leavePaused(t)
+		halt := pt.load(20, write("w"))
+		defer halt()
+		clock.Sleep(pt.ctx, 2*time.Second)
+		for _, id := range []ServerID{"b", "c"} {
+			pt.onServer(id, func(s *memServer) { s.heldTerm = 0 })
+		}
+		pt.promote("b")
+		pt.group.mu.Lock()
+		pt.group.setPrimary("b", 2, "test")
+		pt.group.mu.Unlock()
+		began := clock.Now()
+		for pt.lastServer("WRITE w x") != "b" && clock.Since(began) < 8*time.Second {
+			clock.Sleep(pt.ctx, 10*time.Millisecond)
+		}
+		assert.Check(t, clock.Since(began) < time.Second, "the first write at the new primary after %s", clock.Since(began))
+	})
+}
