--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -73,6 +73,17 @@
 	// RetryAfter is set in the VM's answer to a request that a server's queue refused: the time
 	// after which the request has its place there.
 	RetryAfter time.Duration
+	// Release gives back the memory that is reserved for a long answer, nil for others. It may be called more than once.
+	// It isn't sent to other VMs.
+	Release func()
+}
+
+// ReleaseMemory gives back what is reserved for the answer, once it was passed on or is charged elsewhere. If it isn't
+// called, the memory is given back when nothing refers to the answer any more.
+func (a Answer) ReleaseMemory() {
+	if a.Release != nil {
+		a.Release()
+	}
 }
 
 // Succeeded reports whether the request has a result.
--- a/internal/proxy/errors.go
+++ b/internal/proxy/errors.go
@@ -32,6 +32,8 @@
 	ErrPeerOutcomeUnknown = errs.NewType("peer")
 	// ErrUnproven means that an answer can't be shown to be that of the command, which may have run.
 	ErrUnproven = errs.NewType("unproven")
+	// ErrNoMemory means that this VM had no memory for a long answer. The command may have run.
+	ErrNoMemory = errs.NewType("no-memory")
 	// ErrUnsettled means that nothing was sent on a connection, since an earlier answer on it can't be
 	// attributed to a command.
 	ErrUnsettled = errs.NewType("unsettled")
--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -329,11 +329,11 @@
 
 // recordFailure records that a connection broke, timed out or couldn't be opened. Errors of the
 // relay (ErrPeerUnreachable, ErrPeerOutcomeUnknown) are ignored, since they reveal nothing
-// about the server, and so are errors due to limited capacity (ErrBusy, ErrRefused) and answers that
+// about the server, and so are errors due to limited capacity (ErrBusy, ErrRefused, ErrNoMemory) and answers that
 // can't be attributed (ErrUnproven, ErrUnsettled): a server that repeats answers still serves. Only
 // errors of this VM's own connections count for the health of the primary.
 func (g *Group) recordFailure(id ServerID, err error, local bool) {
-	if isType(err, ErrPeerOutcomeUnknown) || isType(err, ErrPeerUnreachable) || isType(err, ErrBusy) || isType(err, ErrRefused) || isUnattributed(err) {
+	if isType(err, ErrPeerOutcomeUnknown) || isType(err, ErrPeerUnreachable) || isType(err, ErrBusy) || isType(err, ErrRefused) || isType(err, ErrNoMemory) || isUnattributed(err) {
 		return
 	}
 	g.mu.Lock()
--- a/internal/proxy/pause_repair_test.go
+++ b/internal/proxy/pause_repair_test.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -33,6 +35,8 @@
 		assert.Assert(t, pt.replace() != nil)
 		pt.promoter.cutOff, pt.promoter.lost = "first", 0
 		second := pt.newFailover()
+		shared := &lockedPromoter{Promoter: pt.promoter}
+		pt.failover.Promoter, second.Promoter = shared, shared
 		const within = 12 * time.Second
 		for began := clock.Now(); clock.Since(began) < within && len(pt.paused()) > 0; {
 			for name, vm := range map[VMName]*Failover{"first": pt.failover, "second": second} {
@@ -67,3 +71,39 @@
 		assert.DeepEqual(t, pt.promoter.promoted, []ServerID{"b", "c"})
 	})
 }
+
+// lockedPromoter is a promoter that several VMs use at the same time.
+type lockedPromoter struct {
+	mu sync.Mutex
+	Promoter
+}
+
+func (p *lockedPromoter) AcquireForPause(ctx context.Context, service ServiceName, term position.Term, mayTakeOver func(RecordedPause) bool) (PauseRight, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.Promoter.AcquireForPause(ctx, service, term, mayTakeOver)
+}
+
+func (p *lockedPromoter) BeginResume(ctx context.Context, service ServiceName, t Token) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.Promoter.BeginResume(ctx, service, t)
+}
+
+func (p *lockedPromoter) EndResume(ctx context.Context, service ServiceName, t Token, created position.Term) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.Promoter.EndResume(ctx, service, t, created)
+}
+
+func (p *lockedPromoter) ReadPause(ctx context.Context, service ServiceName) (RecordedPause, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.Promoter.ReadPause(ctx, service)
+}
+
+func (p *lockedPromoter) Promote(ctx context.Context, service ServiceName, id ServerID, t Token) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.Promoter.Promote(ctx, service, id, t)
+}
--- a/internal/proxy/remote.go
+++ b/internal/proxy/remote.go
@@ -176,6 +176,17 @@
 	return plans
 }
 
+// OnlyReads reports whether none of the batch's commands can change anything.
+func (b *Batch) OnlyReads() bool {
+	for _, c := range b.Commands {
+		f, isForward := c.(Forward)
+		if isForward && (isCommit(f) || writes(&profile{plans: b.Plans}, f)) {
+			return false
+		}
+	}
+	return true
+}
+
 // replyMargin is reserved in a batch's time limit for the transmission of the answers.
 const replyMargin = 10 * time.Millisecond
 
