--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -155,13 +155,13 @@
 
 // fits reports whether an account can be charged an amount. Clients' messages leave a part of the total to
 // the answers of servers, for which messages may be waiting in turn. An amount above the limit fits if
-// nothing is held but what sessions keep. b.mu must be held.
+// nothing else is held but what sessions keep. b.mu must be held.
 func (b *Budget) fits(a *Account, n Bytes) bool {
 	limit := b.Limits.Total
 	if !a.isUnlimited() {
 		limit -= limit / answerPart
 	}
-	return b.held == b.kept || b.held+n <= limit
+	return b.held-(a.held-a.kept) == b.kept || b.held+n <= limit
 }
 
 // answerPart is the part of the total that messages leave to answers, as its divisor.
--- a/internal/relay/frame.go
+++ b/internal/relay/frame.go
@@ -34,8 +34,9 @@
 	maxLength uint64
 	// account is charged with long messages. It may be nil.
 	account *budget.Account
-	// forces is true if a message is read without room, too: a reply, since its batch has run.
-	forces bool
+	// isReply is true on a link to another VM. forces is true if a reply is read without room, too, since its batch
+	// may have changed something.
+	isReply, forces bool
 	// left is the number of bytes of the current message that haven't been read.
 	left int
 }
@@ -86,13 +87,14 @@
 	if length <= budget.FreeBytes {
 		return true
 	}
-	if f.forces {
-		if !f.account.Reserve(replyCopies*length, time.Now().Add(roomTimeout)) {
-			f.account.Force(replyCopies * length)
-		}
-		return true
+	if !f.isReply {
+		return f.account.Reserve(batchCopies*length, time.Now().Add(roomTimeout))
+	}
+	isReserved := f.account.Reserve(replyCopies*length, time.Now().Add(roomTimeout))
+	if !isReserved && f.forces {
+		f.account.Force(replyCopies * length)
 	}
-	return f.account.Reserve(batchCopies*length, time.Now().Add(roomTimeout))
+	return isReserved || f.forces
 }
 
 // peekLength returns the length of the next message and that of the prefix which tells it. A prefix is
--- a/internal/relay/frame_test.go
+++ b/internal/relay/frame_test.go
@@ -62,6 +62,20 @@
 	assert.Equal(t, d.Decode(&third), io.EOF)
 }
 
+// Guards against replies to reads that are held without room for them: many at once exceed the memory.
+func TestReplyToReadWithoutMemory(t *testing.T) {
+	b := &budget.Budget{Limits: budget.Limits{Total: 200 * budget.KB}}
+	b.Unlimited().Force(200 * budget.KB)
+	var encoded bytes.Buffer
+	assert.NilError(t, gob.NewEncoder(&encoded).Encode(reply{Answers: []proxy.Answer{{Rows: []string{strings.Repeat("x", 40<<10)}}}}))
+	frames := newFrames(encoded.String(), maxReply)
+	frames.account, frames.isReply = b.Unlimited(), true
+	var got reply
+	err := gob.NewDecoder(frames).Decode(&got)
+	assert.Assert(t, proxy.IsBusy(err), "%v", err)
+	assert.Equal(t, b.State().Held, 200*budget.KB)
+}
+
 // A reply must be read also without room for it, as its batch has run.
 func TestReplyWithoutMemory(t *testing.T) {
 	b := &budget.Budget{Limits: budget.Limits{Total: 200 * budget.KB}}
@@ -70,7 +84,7 @@
 	row := strings.Repeat("x", 40<<10)
 	assert.NilError(t, gob.NewEncoder(&encoded).Encode(reply{Answers: []proxy.Answer{{Rows: []string{row}}}}))
 	frames := newFrames(encoded.String(), maxReply)
-	frames.account, frames.forces = b.Unlimited(), true
+	frames.account, frames.isReply, frames.forces = b.Unlimited(), true, true
 	var got reply
 	assert.NilError(t, gob.NewDecoder(frames).Decode(&got))
 	assert.Equal(t, got.Answers[0].Rows[0], row)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -112,7 +112,7 @@
 var errorKinds = map[string]*errorx.Type{
 	"broken": proxy.ErrBroken, "silent": proxy.ErrTimeout, "connect": proxy.ErrConnect, "refused": proxy.ErrRefused,
 	"wrong-server": proxy.ErrWrongServer, "no-server": proxy.ErrNoServer, "busy": proxy.ErrBusy,
-	"unproven": proxy.ErrUnproven, "unsettled": proxy.ErrUnsettled,
+	"no-memory": proxy.ErrNoMemory, "unproven": proxy.ErrUnproven, "unsettled": proxy.ErrUnsettled,
 }
 
 // errorKind returns the name under which errorKinds has the error's type, "broken" if it has
@@ -184,9 +184,10 @@
 	}
 	out := bufio.NewWriterSize(nc, bufferSize)
 	account := r.Budget.Unlimited()
+	frames := &frameReader{in: bufio.NewReaderSize(nc, bufferSize), maxLength: maxReply, account: account, isReply: true}
 	return &link{
 		relay: r, address: address, net: nc, out: out, openedAt: clock.Now(), account: account,
-		encoder: gob.NewEncoder(out), decoder: gob.NewDecoder(&frameReader{in: bufio.NewReaderSize(nc, bufferSize), maxLength: maxReply, account: account, forces: true}),
+		encoder: gob.NewEncoder(out), frames: frames, decoder: gob.NewDecoder(frames),
 	}, nil
 }
 
@@ -233,6 +234,8 @@
 	out     *bufio.Writer
 	encoder *gob.Encoder
 	decoder *gob.Decoder
+	// frames reads the replies for the decoder.
+	frames *frameReader
 	// account is charged with a reply while it is received. It may be nil.
 	account *budget.Account
 	// openedAt is when the link was opened, idleSince when it last became idle.
@@ -261,9 +264,15 @@
 	}
 	var response reply
 	defer l.account.ReleaseMessage()
+	l.frames.forces = !batch.OnlyReads()
 	if err == nil {
 		response, err = l.receive()
 	}
+	if proxy.IsBusy(err) {
+		// The link and the other VM work.
+		l.failed = true
+		return nil, proxy.ErrNoMemory.Wrap(err, "VM at %s", l.address)
+	}
 	if err != nil {
 		l.failed = true
 		l.relay.recordFailure(l.address, err)
@@ -438,7 +447,8 @@
 	return ""
 }
 
-// chargeAnswers charges long answers, which have been received already, and their encoded copy.
+// chargeAnswers charges long answers, which have been received already, and their encoded copy, in place of what was
+// reserved for them.
 func chargeAnswers(account *budget.Account, answers []proxy.Answer) {
 	size := budget.Bytes(0)
 	for _, a := range answers {
@@ -449,4 +459,7 @@
 	if size > budget.FreeBytes {
 		account.Force(2 * size)
 	}
+	for _, a := range answers {
+		a.ReleaseMemory()
+	}
 }
