--- a/internal/proxy/pause.go
+++ b/internal/proxy/pause.go
@@ -61,24 +61,22 @@
 // with the longest log, and makes the others receive again.
 func (f *Failover) replaceConfirmed(ctx context.Context, a attempt) error {
 	g := a.group
-	rosterRead := make(chan error, 1)
-	f.attempts.Go(func() {
+	readRoster := sync.OnceValue(func() error {
 		_, err := f.readRoster(ctx, g)
-		rosterRead <- err
+		return err
 	})
+	f.attempts.Go(func() { _ = readRoster() })
 	if !g.knowsRoster() {
 		// The list may lack servers that others have seen.
-		err := <-rosterRead
-		if err != nil {
+		if err := readRoster(); err != nil {
 			return err
 		}
-		rosterRead <- nil
 	}
 	chosen, e, err := f.chooseServer(ctx, a, 0)
 	if err != nil || chosen.Server == "" {
 		return err
 	}
-	if err := <-rosterRead; err != nil {
+	if err := readRoster(); err != nil {
 		return err
 	}
 	p := &pause{attempt: a}
--- a/internal/proxy/pause_watch.go
+++ b/internal/proxy/pause_watch.go
@@ -212,11 +212,12 @@
 	}
 }
 
-// excludeOrders makes sure that no order of an earlier attempt is carried out any more. It pauses the replicas itself,
-// unless the primary can't be asked or the platform can't be reached, and has the platform promote the primary, which changes nothing but makes it refuse all earlier tokens, and waits for
-// promotions that are under way. If another server is promoted meanwhile, no commit of it can be confirmed without
-// the primary, so that the order loses none. An attempt of this VM may have sent its order a moment ago; for another
-// one's, and after the time in which an order may be carried out late, it isn't needed that enough replicas answer.
+// excludeOrders makes sure that no order of an earlier attempt is carried out any more. Once the primary has told that it
+// acts, it pauses the replicas itself and has the platform promote the primary, which changes nothing but makes it refuse
+// all earlier tokens, and waits for promotions that are under way. If another server is promoted meanwhile, no commit of
+// it can be confirmed without the primary, so that the order loses none. An attempt of this VM may have sent its order a
+// moment ago; for another one's, and after the time in which an order may be carried out late, it isn't needed that
+// enough replicas answer. After an error no more replicas are paused than before.
 func (f *Failover) excludeOrders(ctx context.Context, p *pause) error {
 	g := p.group
 	f.mu.Lock()
@@ -240,7 +241,9 @@
 	return err
 }
 
-// fenceOrders is the part of excludeOrders that the pause of replicas is for. term is that in which the primary acts.
+// fenceOrders has the platform refuse all earlier tokens, and waits for promotions that are under way. paused are the
+// replicas that are paused meanwhile, term is that in which the primary acts, and isRecent is true if this VM may have
+// sent an order a moment ago.
 func (f *Failover) fenceOrders(ctx context.Context, p *pause, term position.Term, paused []replicaStatus, isRecent bool) error {
 	g := p.group
 	if needed := p.listedPausesNeeded(); len(paused) < needed && isRecent {
--- a/pkg/failover/election.go
+++ b/pkg/failover/election.go
@@ -12,9 +12,10 @@
 
 // Election is what one VM knows when it chooses the server to promote.
 type Election struct {
-	// Listed is the number of servers that the platform lists, including the old primary. Replicas is the
-	// same without the old primary.
-	Listed, Replicas int
+	// Listed is the number of servers that the platform lists, including the old primary.
+	Listed int
+	// Replicas is the number of servers that may hold confirmed commits, listed or not, without the primary (Roster).
+	Replicas int
 	// Answered has the servers that answered in this attempt.
 	Answered []Replica
 	// SyncReplicas is the number of replicas that confirm each commit.
