proxy: merge no roster once commits aren't confirmed, raise syncReplicas in time

A VM ended with a panic when the configuration set syncReplicas to 0 while it read the roster. A rise of syncReplicas counted at once if a server was forgotten meanwhile, and otherwise, by reading, never, since each check began its time anew.

Before: TestConfirmationEndsDuringRead panics, TestRiseOfSyncReplicas/at_once fails on the parent; after: both pass.

--- a/internal/proxy/roster.go
+++ b/internal/proxy/roster.go
@@ -98,6 +98,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.rememberListed()
+	if g.syncReplicas() == 0 {
+		// The configuration has changed since the record was asked for.
+		return
+	}
 	m := &g.roster
 	// A store that was restored from a copy has an older record, which shows nothing of what was forgotten.
 	isOlder := r.Version < m.recorded.Version
@@ -130,7 +134,10 @@
 		_, isKept := now.Servers[id]
 		return wasKnown && !isKept
 	})
-	m.recorded, m.known.SyncReplicas, m.raisedAt = now, now.SyncReplicas, 0
+	if now.SyncReplicas != m.known.SyncReplicas {
+		m.raisedAt = 0
+	}
+	m.recorded, m.known.SyncReplicas = now, now.SyncReplicas
 	g.rememberListed()
 }
 
@@ -240,7 +247,7 @@
 	g.mu.Unlock()
 	next := current
 	if gone, isRaised := g.goneServers(); len(gone) > 0 || isRaised {
-		next, err = f.reduceRoster(ctx, g, current, gone)
+		next, err = f.reduceRoster(ctx, g, current, gone, isRaised)
 		if err != nil {
 			eventRoster.Log(g.Logger, "outcome", "kept", "unlisted", fmt.Sprint(gone), "err", err)
 		}
@@ -263,8 +270,9 @@
 }
 
 // reduceRoster returns a roster without the servers that are gone, if the others have all that those could have
-// confirmed: as many replicas as confirm a commit have received what the primary had after that.
-func (f *Failover) reduceRoster(ctx context.Context, g *Group, r failover.Roster, gone []string) (failover.Roster, error) {
+// confirmed: as many replicas as confirm a commit have received what the primary had after that. isRaised is true if
+// commits have been confirmed by more replicas than the roster says for long enough that none of before is under way.
+func (f *Failover) reduceRoster(ctx context.Context, g *Group, r failover.Roster, gone []string, isRaised bool) (failover.Roster, error) {
 	primary, _ := g.currentPrimary()
 	if primary == nil {
 		return r, ErrNoServer.New("service %s has no primary", g.Name)
@@ -276,6 +284,9 @@
 		return r, err
 	}
 	configured := g.syncReplicas()
+	if !isRaised {
+		configured = min(configured, r.SyncReplicas)
+	}
 	replicas := a.countCovered(ctx, s.Received, configured)
 	again, err := a.actingPrimary(ctx)
 	if err != nil {
--- a/internal/proxy/roster_test.go
+++ b/internal/proxy/roster_test.go
@@ -274,3 +274,41 @@
 		assert.DeepEqual(t, slices.Sorted(maps.Keys(pt.promoter.roster.Servers)), []string{"a", "b", "c"})
 	})
 }
+
+// Guards against a VM that ends, or keeps a roster for nothing, because the configuration gives the confirmed commits up
+// while the record is read.
+func TestConfirmationEndsDuringRead(t *testing.T) {
+	runPauseTest(t, 1, func(pt *pauseTest) {
+		pt.watch(2 * time.Second)
+		recorded := pt.promoter.roster
+		pt.list("c")
+		pt.configure(0)
+		pt.group.mergeRecord(recorded)
+		assert.Equal(t, len(pt.group.unlistedServers()), 0)
+	})
+}
+
+// Guards against a rise of syncReplicas that counts at once because a server is forgotten: commits of before may yet be
+// confirmed by fewer replicas.
+func TestRiseOfSyncReplicas(t *testing.T) {
+	tests := map[string]struct {
+		lasts time.Duration
+		want  int
+	}{
+		"at once": {lasts: goneTime - 2*time.Second, want: 1},
+		"later":   {lasts: 2 * goneTime, want: 2},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			runPauseTest(t, 1, func(pt *pauseTest) {
+				pt.promoter.roster = RecordedRoster{Version: 3, Roster: failover.Roster{SyncReplicas: 1, Servers: map[string]failover.RosterServer{"x": {Address: "x"}}}}
+				pt.servers["x"] = &memServer{id: "x", fault: func(Command) fault { return breakBefore }}
+				pt.watch(goneTime - time.Second)
+				pt.configure(2)
+				pt.watch(test.lasts)
+				assert.Equal(t, pt.promoter.roster.SyncReplicas, test.want)
+				assert.DeepEqual(t, slices.Sorted(maps.Keys(pt.promoter.roster.Servers)), []string{"a", "b", "c"})
+			})
+		})
+	}
+}
