proxy: let waiting writes go on once commits aren't confirmed

Writes that waited for confirmations went on waiting when the configuration set syncReplicas to 0. The wait for a change of the primary and that for a confirmation share one function now. TestWaitingWritesWithoutConfirmation tests what is new.

--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -282,19 +282,24 @@
 		if remaining := time.Until(deadline); remaining <= 0 || !waited && expectedIn > remaining {
 			return nil, ErrNoServer.New("%s service %s has had no primary for %s, one is expected in %s", retryAfterText(expectedIn), g.Name, clock.Since(since), expectedIn)
 		}
-		timer := time.NewTimer(primaryPollInterval)
-		select {
-		case <-changed:
-		case <-timer.C:
-		case <-ctx.Done():
-		}
-		timer.Stop()
+		awaitChange(ctx, changed, primaryPollInterval)
 		if ctx.Err() != nil {
 			return nil, ErrNoServer.Wrap(ctx.Err(), "service %s has no primary", g.Name)
 		}
 	}
 }
 
+// awaitChange waits until changed is closed, some time has passed or ctx ends.
+func awaitChange(ctx context.Context, changed <-chan struct{}, limit time.Duration) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // primaryPollInterval is how often requests that wait for a primary check whether the old one
 // answers again.
 const primaryPollInterval = 50 * time.Millisecond
--- a/internal/proxy/unconfirmed.go
+++ b/internal/proxy/unconfirmed.go
@@ -62,7 +62,7 @@
 	for waited := false; ; waited = true {
 		p.mu.Lock()
 		since, stalled := p.isStalled()
-		if !stalled || p.unconfirmed.admitted < p.maxUnconfirmed() {
+		if !stalled || !p.AwaitsReplicas() || p.unconfirmed.admitted < p.maxUnconfirmed() {
 			p.unconfirmed.admitted++
 			p.mu.Unlock()
 			return nil
@@ -79,13 +79,7 @@
 		if remaining := time.Until(until); remaining <= 0 || !waited && expectedIn > remaining {
 			return busyUntil(expectedIn, "server %s has confirmed no commit for %s", p.Server.ID, clock.Since(since).Round(time.Millisecond))
 		}
-		timer := time.NewTimer(min(time.Until(until), primaryPollInterval))
-		select {
-		case <-changed:
-		case <-timer.C:
-		case <-ctx.Done():
-		}
-		timer.Stop()
+		awaitChange(ctx, changed, min(time.Until(until), primaryPollInterval))
 		if ctx.Err() != nil {
 			return ErrBusy.Wrap(ctx.Err(), "server %s confirms no commits", p.Server.ID)
 		}
--- a/internal/proxy/unconfirmed_test.go
+++ b/internal/proxy/unconfirmed_test.go
@@ -76,3 +76,16 @@
 		assert.Check(t, clock.Since(began) < time.Second, "the first write at the new primary after %s", clock.Since(began))
 	})
 }
+
+// Guards against writes that wait for confirmations although the configuration doesn't ask for them any more.
+func TestWaitingWritesWithoutConfirmation(t *testing.T) {
+	runPauseTest(t, 1, func(pt *pauseTest) {
+		pt.awaitReplicas()
+		pt.leavePaused(t)
+		halt := pt.load(40, write("w"))
+		defer halt()
+		clock.Sleep(pt.ctx, 2*time.Second)
+		pt.configure(0)
+		assert.NilError(t, pt.group.members["a"].pool.admitWrite(pt.ctx, time.Now().Add(10*time.Millisecond)))
+	})
+}
