proxy: wait for replicas and count pauses with what there was

The check of a roster uses awaitReceived instead of a loop of its own, and pausesNeeded tells what an attempt needs by its decision. A test of a pause uses leavePaused; TestReplacementAfterLoss shows that a lost server holds its group up only until it is forgotten, TestOwnCommandsUnderLoad that writes hold all connections.

--- a/cmd/savoryramp-vm/signals_test.go
+++ b/cmd/savoryramp-vm/signals_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/savoryramp/savoryramp/platform"
 	"github.com/savoryramp/savoryramp/platform/standin"
@@ -77,8 +78,10 @@
 	time.Sleep(settingsInterval)
 	assert.Equal(t, calls.Load(), int64(0))
 	write(after)
-	for end := time.Now().Add(10 * time.Second); calls.Load() == 0 && time.Now().Before(end); {
-		time.Sleep(50 * time.Millisecond)
-	}
-	assert.Check(t, calls.Load() > 0, "the new address got no call")
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if calls.Load() == 0 {
+			return poll.Continue("the new address got no call")
+		}
+		return poll.Success()
+	})
 }
--- a/internal/proxy/control_test.go
+++ b/internal/proxy/control_test.go
@@ -44,8 +44,8 @@
 	}
 }
 
-// leavePaused has a VM that ends at once pause both replicas.
-func (pt *pauseTest) leavePaused(t *testing.T) {
+// leavePaused has a VM pause both replicas that then goes no further, and returns its pause.
+func (pt *pauseTest) leavePaused(t *testing.T) *pause {
 	t.Helper()
 	p := &pause{attempt: pt.attempt}
 	var err error
@@ -54,6 +54,7 @@
 	_, err = pt.failover.pauseReplicas(pt.ctx, p)
 	assert.NilError(t, err)
 	p.tasks.Wait()
+	return p
 }
 
 // Guards against a pause of replicas that never ends under load: writes that wait for their confirmation hold all
@@ -72,6 +73,17 @@
 	})
 }
 
+// countIdle returns how many connections callers may use at once.
+func countIdle(p *Pool) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, wp := range p.workspacePools {
+		n += len(wp.idle)
+	}
+	return n
+}
+
 // Guards against commands of the VM that wait for connections, or for places in a queue, which callers hold: then no
 // pause ends, no primary is verified and none is replaced for as long as the callers go on.
 func TestOwnCommandsUnderLoad(t *testing.T) {
@@ -88,9 +100,11 @@
 	}
 	tests := map[string]struct {
 		isScheduled bool
-		load        func(pt *pauseTest) (halt func())
+		// holdsAll is true if callers hold all connections.
+		holdsAll bool
+		load     func(pt *pauseTest) (halt func())
 	}{
-		"writes wait for their confirmation": {load: func(pt *pauseTest) func() {
+		"writes wait for their confirmation": {holdsAll: true, load: func(pt *pauseTest) func() {
 			pt.awaitReplicas()
 			pt.leavePaused(pt.t)
 			return pt.load(40, write("w"))
@@ -132,6 +146,10 @@
 				defer halt()
 				clock.Sleep(pt.ctx, 300*time.Millisecond)
 				m := pt.group.members["a"]
+				if test.holdsAll {
+					open, opening, share, _ := m.pool.counts()
+					assert.Check(t, open-opening >= share && countIdle(m.pool) == 0, "%d of %d connections are open, %d idle", open, share, countIdle(m.pool))
+				}
 				for i := range 10 {
 					_, err := pt.group.runStatusCommand(pt.ctx, m, QueryStatus{})
 					assert.NilError(t, err, "status %d", i)
--- a/internal/proxy/pause.go
+++ b/internal/proxy/pause.go
@@ -170,9 +170,6 @@
 	p.members = p.replicas()
 	p.unanswered = slices.Clone(p.members)
 	needed := p.pausesNeeded()
-	if p.decision == failover.Keep {
-		needed = p.listedPausesNeeded()
-	}
 	paused := p.askMembers(ctx, &p.tasks, p.members, PauseReceiving{Term: p.right.Term}, func(statuses []replicaStatus) bool {
 		return countReplicas(statuses) >= needed
 	})
@@ -205,19 +202,17 @@
 	return slices.DeleteFunc(a.askedMembers(), func(m *member) bool { return m == a.oldPrimary })
 }
 
-// pausesNeeded returns how many replicas have to be paused so that no commit can be confirmed, and each that was is on
-// one of them. It counts servers that aren't listed or may not be asked.
+// pausesNeeded returns how many replicas have to be paused so that no commit can be confirmed. For a replacement each
+// commit that was must be on one of them, too, so that it counts the roster, also servers that aren't listed or may not be
+// asked. The end of a pause only counts servers that are listed, since others are taken for gone.
 func (a attempt) pausesNeeded() int {
 	servers, syncReplicas := a.group.confirmation()
+	if a.decision == failover.Keep {
+		servers, syncReplicas = len(a.group.sortedMembers()), a.group.syncReplicas()
+	}
 	return failover.AnswersNeeded(servers-1, syncReplicas)
 }
 
-// listedPausesNeeded returns how many replicas have to be paused so that no commit can be confirmed by the listed ones.
-func (a attempt) listedPausesNeeded() int {
-	total := slices.DeleteFunc(a.group.sortedMembers(), func(m *member) bool { return m == a.oldPrimary })
-	return failover.AnswersNeeded(len(total), a.group.syncReplicas())
-}
-
 // endPause makes the replicas of an attempt that has ended receive again, unless that isn't known to be safe: an order
 // of this VM or of another one may yet promote one of them with what it has now. The pause is then left for watchPause.
 func (f *Failover) endPause(ctx context.Context, p *pause) {
--- a/internal/proxy/pause_test.go
+++ b/internal/proxy/pause_test.go
@@ -201,13 +201,7 @@
 // Guards against replicas that stay paused for good because the VM that paused them is killed, or paused itself.
 func TestPauseOfAnotherVMIsEnded(t *testing.T) {
 	runPauseTest(t, 1, func(pt *pauseTest) {
-		p := &pause{attempt: pt.attempt}
-		var err error
-		p.right, err = pt.promoter.AcquireForPause(asVM(pt.ctx, "killed"), testService, 2, func(RecordedPause) bool { return true })
-		assert.NilError(t, err)
-		_, err = pt.failover.pauseReplicas(pt.ctx, p)
-		assert.NilError(t, err)
-		p.tasks.Wait()
+		p := pt.leavePaused(t)
 		assert.DeepEqual(t, pt.paused(), []ServerID{"b", "c"})
 		other := pt.newFailover()
 		pt.check(other, abandonedPauseAge-time.Second)
@@ -215,7 +209,7 @@
 		pt.check(other, 4*time.Second)
 		assert.Equal(t, len(pt.paused()), 0)
 		// The first VM goes on: its order is refused, and it doesn't undo what the other one does.
-		err = pt.promoter.Promote(pt.ctx, testService, "b", p.right.Token)
+		err := pt.promoter.Promote(pt.ctx, testService, "b", p.right.Token)
 		assert.Assert(t, isType(err, ErrFenced), "%v", err)
 		pt.failover.endPause(pt.ctx, p)
 		primary, _ := pt.group.currentPrimary()
--- a/internal/proxy/pause_watch.go
+++ b/internal/proxy/pause_watch.go
@@ -246,7 +246,7 @@
 // sent an order a moment ago.
 func (f *Failover) fenceOrders(ctx context.Context, p *pause, term position.Term, paused []replicaStatus, isRecent bool) error {
 	g := p.group
-	if needed := p.listedPausesNeeded(); len(paused) < needed && isRecent {
+	if needed := p.pausesNeeded(); len(paused) < needed && isRecent {
 		return ErrNotPromotable.New("service %s: %d of %d replicas are paused, %d are needed", g.Name, len(paused), len(p.members), needed)
 	}
 	if err := f.Promoter.Promote(ctx, g.Name, p.oldPrimary.pool.Server.ID, p.right.Token); err != nil {
--- a/internal/proxy/roster.go
+++ b/internal/proxy/roster.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"maps"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/savoryramp/savoryramp/internal/clock"
@@ -24,8 +26,6 @@
 	// maxListAge is the age at which a list of servers is no longer up to date. It is longer than the time between two
 	// answers of the store if nothing changes.
 	maxListAge = 4 * time.Second
-	// coverTimeout limits the wait for replicas to receive what the primary has.
-	coverTimeout = time.Second
 )
 
 // RecordedRoster is the roster of a group that is recorded outside the VMs.
@@ -287,7 +287,7 @@
 	if !isRaised {
 		configured = min(configured, r.SyncReplicas)
 	}
-	replicas := a.countCovered(ctx, s.Received, configured)
+	replicas := a.countCovered(ctx, s.Received)
 	again, err := a.actingPrimary(ctx)
 	if err != nil {
 		return r, err
@@ -302,35 +302,19 @@
 	return next, nil
 }
 
-// countCovered returns how many replicas have received a position. It waits for as many as are needed, up to
-// coverTimeout.
-func (a attempt) countCovered(ctx context.Context, p position.Position, needed int) int {
-	ctx, cancel := context.WithTimeout(ctx, coverTimeout)
-	defer cancel()
-	members := a.replicas()
-	covered := make(chan bool, len(members))
-	for _, m := range members {
-		go func() {
-			for ctx.Err() == nil {
-				if s, err := a.group.runStatusCommand(ctx, m, QueryStatus{}); err == nil && s.Received.Compare(p) >= 0 {
-					covered <- true
-					return
-				}
-				clock.Sleep(ctx, askPause)
+// countCovered returns how many replicas have received a position, or do so within catchUpTimeout.
+func (a attempt) countCovered(ctx context.Context, p position.Position) int {
+	var covered atomic.Int64
+	var tasks sync.WaitGroup
+	for _, m := range a.replicas() {
+		tasks.Go(func() {
+			if a.group.awaitReceived(ctx, m, p) == nil {
+				covered.Add(1)
 			}
-			covered <- false
-		}()
-	}
-	n := 0
-	for range members {
-		if <-covered {
-			n++
-		}
-		if n >= needed {
-			break
-		}
+		})
 	}
-	return n
+	tasks.Wait()
+	return int(covered.Load())
 }
 
 // answers reports whether a server that isn't listed runs all the same, so that it may confirm commits. Servers in
--- a/internal/proxy/roster_test.go
+++ b/internal/proxy/roster_test.go
@@ -312,3 +312,30 @@
 		})
 	}
 }
+
+// Guards against a group that a server which is lost for good holds up: once the others have all that it could have
+// confirmed, a later replacement doesn't wait for it.
+func TestReplacementAfterLoss(t *testing.T) {
+	tests := map[string]struct {
+		watched time.Duration
+		want    []ServerID
+	}{
+		"the lost server may have the only copy":           {watched: time.Second},
+		"the remaining replica has all that it could have": {watched: 2 * goneTime, want: []ServerID{"c"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			runPauseTest(t, 1, func(pt *pauseTest) {
+				pt.watch(2 * time.Second)
+				pt.crash("b")
+				pt.list("a", "c")
+				pt.watch(test.watched)
+				pt.crash("a")
+				pt.list("c")
+				err := pt.replace()
+				assert.Equal(t, err == nil, test.want != nil, "%v", err)
+				assert.DeepEqual(t, pt.promoter.promoted, test.want)
+			})
+		})
+	}
+}
