--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -92,7 +92,8 @@
 	// the pool has a Queue.
 	blocked []*blockedRequest
 	// waiting counts the waiters of all workspaces.
-	waiting     int
+	waiting int
+	// unconfirmed has the requests that may commit.
 	unconfirmed unconfirmedWrites
 	// control is the connection for the VM's own commands.
 	control controlConnection
